--- /dev/null
+++ b/crates/kitetrail-core/src/ids.rs
@@ -0,0 +1,266 @@
+//! Identifiers, each its own type so that one can't stand in for another.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    str::FromStr,
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The most characters a name may have.
+pub const MAX_ID_LEN: usize = 63;
+
+/// A name that does not follow the rules for names.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error(
+    "`{0}` is not a valid name: use 1 to {MAX_ID_LEN} lower-case letters, digits, dots and dashes, starting with a letter or digit"
+)]
+pub struct InvalidId(pub String);
+
+/// Declares a newtype over a checked, cheaply cloned string.
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidId;
+
+            fn from_str(s: &str) -> Result<Self, InvalidId> {
+                if is_valid_name(s) { Ok(Self(s.into())) } else { Err(InvalidId(s.to_owned())) }
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = InvalidId;
+
+            fn try_from(s: String) -> Result<Self, InvalidId> {
+                s.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name_type! {
+    /// The name of one of kitetrail's own boxes.
+    BoxId
+}
+name_type! {
+    /// The name of a worker.
+    WorkerId
+}
+name_type! {
+    /// The name of an availability zone.
+    ZoneId
+}
+name_type! {
+    /// The name of a team, the holder of a quota.
+    TeamId
+}
+name_type! {
+    /// The name of a service, batch job or watcher.
+    SpecName
+}
+name_type! {
+    /// The class of a task: tasks of one class are expected to behave alike.
+    TaskClass
+}
+
+/// Declares a newtype over a counter.
+macro_rules! counter_type {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// The value after this one.
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(s: &str) -> Result<Self, Self::Err> {
+                s.parse().map(Self)
+            }
+        }
+    };
+}
+
+counter_type! {
+    /// The reign of a shard's owner. It grows with every takeover.
+    Epoch(u64)
+}
+counter_type! {
+    /// The run of a task. It grows each time the task goes back to the queue.
+    Attempt(u32)
+}
+counter_type! {
+    /// The version of a row in the table service. Zero means absent.
+    Version(u64)
+}
+
+/// A set of racks in one availability zone that has one owner at a time.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ShardId {
+    /// The availability zone of the racks.
+    pub zone: ZoneId,
+    /// The position among the zone's shards, from zero.
+    pub index: u16,
+}
+
+impl Display for ShardId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.zone, self.index)
+    }
+}
+
+impl FromStr for ShardId {
+    type Err = InvalidId;
+
+    fn from_str(s: &str) -> Result<Self, InvalidId> {
+        let invalid = || InvalidId(s.to_owned());
+        let (zone, index) = s.split_once(':').ok_or_else(invalid)?;
+        Ok(Self { zone: zone.parse()?, index: index.parse().map_err(|_| invalid())? })
+    }
+}
+
+impl TryFrom<String> for ShardId {
+    type Error = InvalidId;
+
+    fn try_from(s: String) -> Result<Self, InvalidId> {
+        s.parse()
+    }
+}
+
+impl From<ShardId> for String {
+    fn from(id: ShardId) -> String {
+        id.to_string()
+    }
+}
+
+/// One task of a service, batch job or watcher.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TaskId {
+    /// The service, job or watcher the task belongs to.
+    pub spec: SpecName,
+    /// The position among its tasks, from zero.
+    pub index: u32,
+}
+
+impl Display for TaskId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.spec, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = InvalidId;
+
+    fn from_str(s: &str) -> Result<Self, InvalidId> {
+        let invalid = || InvalidId(s.to_owned());
+        let (spec, index) = s.split_once(':').ok_or_else(invalid)?;
+        Ok(Self { spec: spec.parse()?, index: index.parse().map_err(|_| invalid())? })
+    }
+}
+
+impl TryFrom<String> for TaskId {
+    type Error = InvalidId;
+
+    fn try_from(s: String) -> Result<Self, InvalidId> {
+        s.parse()
+    }
+}
+
+impl From<TaskId> for String {
+    fn from(id: TaskId) -> String {
+        id.to_string()
+    }
+}
+
+/// The id of one write to the table, stored in each row the write touches.
+///
+/// An answer that was lost is resolved by reading a row back and comparing ids.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct OpId(Arc<str>);
+
+impl OpId {
+    /// The id of a writer's `sequence`th write.
+    ///
+    /// `incarnation` tells runs of one writer apart.
+    pub fn new(writer: &BoxId, incarnation: u64, sequence: u64) -> Self {
+        Self(format!("{writer}/{incarnation:x}/{sequence}").into())
+    }
+
+    /// The id an operator's tool chose for a change.
+    pub fn from_change(change: &str) -> Self {
+        Self(change.into())
+    }
+
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<String> for OpId {
+    fn from(s: String) -> Self {
+        Self(s.into())
+    }
+}
+
+impl From<OpId> for String {
+    fn from(id: OpId) -> String {
+        id.0.as_ref().to_owned()
+    }
+}
+
+impl Display for OpId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn is_valid_name(s: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.';
+    (1..=MAX_ID_LEN).contains(&s.len())
+        && s.chars().all(allowed)
+        && s.starts_with(|c: char| c.is_ascii_alphanumeric())
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/lib.rs
@@ -0,0 +1,27 @@
+//! Every decision of kitetrail, as state machines without input or output.
+//!
+//! Each machine takes an event and the present time and returns actions. Nothing
+//! here opens a socket, reads a clock, sleeps or draws ambient randomness, so any
+//! program can drive the core: the daemon, a test on virtual time or an outside
+//! bench.
+
+pub mod calls;
+pub mod config;
+pub mod fleet;
+pub mod ids;
+pub mod membership;
+pub mod placement;
+pub mod routing;
+pub mod shard;
+pub mod table;
+pub mod task;
+pub mod time;
+pub mod units;
+pub mod worker;
+
+pub use ids::{
+    Attempt, BoxId, Epoch, InvalidId, OpId, ShardId, SpecName, TaskClass, TaskId, TeamId, Version,
+    WorkerId, ZoneId,
+};
+pub use time::Time;
+pub use units::{Accelerators, CpuMillis, InvalidSize, MemoryMb, Resources};
--- /dev/null
+++ b/crates/kitetrail-core/src/placement/first_fit.rs
@@ -0,0 +1,31 @@
+//! The baseline: the first worker with room, whatever runs there.
+
+use super::{Band, Candidate, Choice, Placer, PolicyTable};
+use crate::{TaskClass, task::TaskRow, worker::UsageSample};
+
+/// Takes the first worker with room and learns nothing.
+#[derive(Debug, Clone, Default)]
+pub struct FirstFit {
+    policy: PolicyTable,
+}
+
+impl Placer for FirstFit {
+    fn choose(&self, _task: &TaskRow, candidates: &[Candidate<'_>]) -> Option<Choice> {
+        let reason = || "first with room".to_owned();
+        (!candidates.is_empty()).then(|| Choice { index: 0, reason: reason() })
+    }
+
+    fn observe(&mut self, _sample: &UsageSample, _band: Band) {}
+
+    fn blame(&self, _victim: &TaskClass, _beside: &TaskClass, _band: Band) -> f64 {
+        0.0
+    }
+
+    fn set_policy(&mut self, policy: PolicyTable) {
+        self.policy = policy;
+    }
+
+    fn policy(&self) -> &PolicyTable {
+        &self.policy
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/shard/mod.rs
@@ -0,0 +1,15 @@
+//! The ownership of a shard and the decisions of its owner.
+
+mod event;
+mod lease;
+mod ledger;
+mod machine;
+mod owner;
+mod settings;
+mod worker_state;
+
+pub use event::{Action, Decision, EndpointSet, Event, PlacedEndpoint};
+pub use lease::LeaseRow;
+pub use ledger::{Grant, Ledger};
+pub use machine::{Shard, ShardView};
+pub use settings::ShardSettings;
--- /dev/null
+++ b/crates/kitetrail-core/src/units.rs
@@ -0,0 +1,149 @@
+//! Sizes: processors, memory, accelerators and their sums.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    str::FromStr,
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A size that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("`{text}` is not a valid size: write {expected}")]
+pub struct InvalidSize {
+    /// What was given.
+    pub text: String,
+    /// What would have been right.
+    pub expected: &'static str,
+}
+
+/// Processor time, in thousandths of a core.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct CpuMillis(pub u32);
+
+impl Display for CpuMillis {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}m", self.0)
+    }
+}
+
+impl FromStr for CpuMillis {
+    type Err = InvalidSize;
+
+    fn from_str(s: &str) -> Result<Self, InvalidSize> {
+        let invalid = || InvalidSize {
+            text: s.to_owned(),
+            expected: "cores as `2` or thousandths as `500m`",
+        };
+        let millis = match s.strip_suffix('m') {
+            Some(millis) => millis.parse::<u32>().ok(),
+            None => s.parse::<u32>().ok().and_then(|cores| cores.checked_mul(1_000)),
+        };
+        millis.map(Self).ok_or_else(invalid)
+    }
+}
+
+/// Memory, in mebibytes.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct MemoryMb(pub u32);
+
+impl Display for MemoryMb {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}MiB", self.0)
+    }
+}
+
+impl FromStr for MemoryMb {
+    type Err = InvalidSize;
+
+    fn from_str(s: &str) -> Result<Self, InvalidSize> {
+        let invalid = || InvalidSize { text: s.to_owned(), expected: "`512MiB` or `4GiB`" };
+        let (digits, factor) = match s.strip_suffix("GiB") {
+            Some(digits) => (digits, 1_024),
+            None => (s.strip_suffix("MiB").ok_or_else(invalid)?, 1),
+        };
+        let count = digits.parse::<u32>().map_err(|_| invalid())?;
+        count.checked_mul(factor).map(Self).ok_or_else(invalid)
+    }
+}
+
+/// A number of whole accelerators.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Accelerators(pub u16);
+
+impl Display for Accelerators {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Accelerators {
+    type Err = InvalidSize;
+
+    fn from_str(s: &str) -> Result<Self, InvalidSize> {
+        let expected = "a whole number of accelerators as `1`";
+        s.parse().map(Self).map_err(|_| InvalidSize { text: s.to_owned(), expected })
+    }
+}
+
+/// What a worker has, or what a task takes of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time.
+    pub cpu_millis: CpuMillis,
+    /// Memory.
+    pub memory_mb: MemoryMb,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: Accelerators,
+}
+
+impl Resources {
+    /// Resources of the given sizes.
+    pub const fn new(cpu_millis: u32, memory_mb: u32, accelerators: u16) -> Self {
+        Self {
+            cpu_millis: CpuMillis(cpu_millis),
+            memory_mb: MemoryMb(memory_mb),
+            accelerators: Accelerators(accelerators),
+        }
+    }
+
+    /// Whether `self` is no larger than `room` in every dimension.
+    pub fn fits_in(&self, room: &Resources) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// What is left of `self` after `taken`, or `None` if `taken` does not fit.
+    pub fn checked_sub(&self, taken: &Resources) -> Option<Resources> {
+        Some(Resources {
+            cpu_millis: CpuMillis(self.cpu_millis.0.checked_sub(taken.cpu_millis.0)?),
+            memory_mb: MemoryMb(self.memory_mb.0.checked_sub(taken.memory_mb.0)?),
+            accelerators: Accelerators(self.accelerators.0.checked_sub(taken.accelerators.0)?),
+        })
+    }
+
+    /// The sum of both, capped at the largest value of each dimension.
+    pub fn saturating_add(&self, more: &Resources) -> Resources {
+        Resources {
+            cpu_millis: CpuMillis(self.cpu_millis.0.saturating_add(more.cpu_millis.0)),
+            memory_mb: MemoryMb(self.memory_mb.0.saturating_add(more.memory_mb.0)),
+            accelerators: Accelerators(self.accelerators.0.saturating_add(more.accelerators.0)),
+        }
+    }
+}
+
+impl Display for Resources {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "cpu={} memory={} acc={}", self.cpu_millis, self.memory_mb, self.accelerators)
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-platform/src/lib.rs
@@ -0,0 +1,13 @@
+//! The platform's services: small traits, and one adapter to each over HTTP.
+//!
+//! This is the only place that changes when kitetrail meets other services than the
+//! ones its adapters speak to.
+
+mod error;
+pub mod headers;
+mod http;
+mod services;
+
+pub use error::PlatformError;
+pub use http::{HttpBoxList, HttpObjectStore, HttpTable, HttpWorkers, JsonClient};
+pub use services::{BoxList, ObjectStore, TableService, Worker};
--- /dev/null
+++ b/crates/kitetrail-proto/src/lib.rs
@@ -0,0 +1,13 @@
+//! The messages between kitetrail's daemons.
+//!
+//! The code is generated from `proto/peer.proto` and committed. The test
+//! `generated_code_is_current` says how to write it anew.
+
+mod convert;
+
+#[allow(missing_docs, clippy::all, clippy::unwrap_used)]
+#[rustfmt::skip]
+#[path = "generated/kitetrail.peer.v1.rs"]
+pub mod peer;
+
+pub use convert::MessageError;
--- /dev/null
+++ b/crates/kitetrail-standins/src/box_list.rs
@@ -0,0 +1,88 @@
+//! The lagging list of boxes.
+
+use std::{
+    cell::RefCell,
+    collections::VecDeque,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use kitetrail_core::fleet::{Fleet, Liveness};
+use serde::Deserialize;
+
+use crate::{
+    args::BoxListArgs,
+    server::{Answer, StandinError, json, read_json, serve, text},
+};
+
+/// A change that does not show yet.
+#[derive(Debug)]
+struct Change {
+    due: Instant,
+    id: String,
+    state: Liveness,
+}
+
+#[derive(Debug)]
+struct State {
+    fleet: Fleet,
+    changes: VecDeque<Change>,
+    lag: Duration,
+}
+
+#[derive(Deserialize)]
+struct NewState {
+    state: Liveness,
+}
+
+/// Runs the stand-in.
+pub async fn run(args: BoxListArgs) -> Result<(), StandinError> {
+    let invalid = |cause: String| StandinError::Invalid(format!("{:?}: {cause}", args.fleet));
+    let text = std::fs::read_to_string(&args.fleet).map_err(|e| invalid(e.to_string()))?;
+    let fleet: Fleet = toml::from_str(&text).map_err(|e| invalid(e.to_string()))?;
+    let lag = Duration::from_millis(args.lag_ms);
+    let state = Rc::new(RefCell::new(State { fleet, changes: VecDeque::new(), lag }));
+    serve(args.listen, move |request| answer(Rc::clone(&state), request)).await
+}
+
+async fn answer(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.strip_prefix("/v1/boxes")) {
+        (&Method::GET, Some("")) => {
+            let mut state = state.borrow_mut();
+            state.apply_due();
+            json(&state.fleet)
+        }
+        (&Method::POST, Some(name)) => {
+            let id = name.trim_start_matches('/').to_owned();
+            match read_json::<NewState>(request).await {
+                Ok(NewState { state: new }) => {
+                    state.borrow_mut().change(id, new);
+                    text(StatusCode::OK, "")
+                }
+                Err(answer) => answer,
+            }
+        }
+        _ => text(StatusCode::NOT_FOUND, "no such resource"),
+    }
+}
+
+impl State {
+    fn change(&mut self, id: String, state: Liveness) {
+        self.changes.push_back(Change { due: Instant::now() + self.lag, id, state });
+    }
+
+    fn apply_due(&mut self) {
+        while self.changes.front().is_some_and(|change| change.due <= Instant::now()) {
+            let Some(Change { id, state, .. }) = self.changes.pop_front() else { return };
+            let workers = self.fleet.workers.iter_mut();
+            for worker in workers.filter(|worker| worker.id.as_str() == id) {
+                worker.state = state;
+            }
+            for entry in self.fleet.boxes.iter_mut().filter(|entry| entry.id.as_str() == id) {
+                entry.state = state;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-standins/src/worker/endpoint.rs
@@ -0,0 +1,152 @@
+//! The endpoint of a worker: slots, a short backlog, and answers that can be checked.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HeaderMap},
+};
+use kitetrail_core::SpecName;
+use kitetrail_platform::headers;
+use tokio::sync::Semaphore;
+
+use super::control::Shared;
+use crate::{
+    args::{EndpointFault, WorkerArgs},
+    server::{Answer, StandinError, serve},
+};
+
+/// How much later than its time a late answer comes, in milliseconds.
+const LATE_MS: u64 = 3_000;
+
+/// The requests in progress and how they go wrong.
+struct Endpoint {
+    shared: Rc<RefCell<Shared>>,
+    slots: Semaphore,
+    waiting: Cell<usize>,
+    backlog: usize,
+    work_us: u64,
+    slowness: f64,
+    fault: EndpointFault,
+    fault_every: u64,
+    count: Cell<u64>,
+}
+
+/// Runs the endpoint.
+pub(super) async fn run(
+    args: &WorkerArgs,
+    shared: Rc<RefCell<Shared>>,
+) -> Result<(), StandinError> {
+    let endpoint = Rc::new(Endpoint {
+        shared,
+        slots: Semaphore::new(args.slots),
+        waiting: Cell::new(0),
+        backlog: args.backlog,
+        work_us: args.work_us,
+        slowness: args.slowness,
+        fault: args.fault,
+        fault_every: args.fault_every.max(1),
+        count: Cell::new(0),
+    });
+    serve(args.endpoint, move |request| {
+        let endpoint = Rc::clone(&endpoint);
+        async move { endpoint.answer(request).await }
+    })
+    .await
+}
+
+impl Endpoint {
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let (parts, body) = request.into_parts();
+        let id = header(&parts.headers, headers::REQUEST_ID).unwrap_or("none").to_owned();
+        let service = parts.uri.path().split('/').nth(2).and_then(|s| s.parse::<SpecName>().ok());
+        let serves = service.as_ref().is_some_and(|s| self.shared.borrow().model.serves(s));
+        let (Some(service), true) = (service, serves) else {
+            return refuse(&id, "this service does not run here");
+        };
+        if self.slots.available_permits() == 0 && self.waiting.get() >= self.backlog {
+            return refuse(&id, "all slots and the backlog are taken");
+        }
+        let received = body.collect().await.ok()?.to_bytes();
+        self.waiting.set(self.waiting.get() + 1);
+        let slot = self.slots.acquire().await;
+        self.waiting.set(self.waiting.get() - 1);
+        let _slot = slot.ok()?;
+        self.shared.borrow_mut().note_execution(&id);
+        let faulty = self.next_is_faulty();
+        if faulty && self.fault == EndpointFault::FailFast {
+            return answer(&id, StatusCode::INTERNAL_SERVER_ERROR, "failed".into());
+        }
+        self.work(&service, &parts.headers).await;
+        let size = header_number(&parts.headers, "x-answer-bytes").unwrap_or(200) as usize;
+        let body = expected_body(&id, received.len(), size);
+        match self.fault {
+            EndpointFault::CloseAfterRun if faulty => None,
+            EndpointFault::Truncate if faulty => truncated(&id, body),
+            EndpointFault::Swap if faulty => {
+                let other = format!("{id}-other");
+                answer(&other, StatusCode::OK, expected_body(&other, received.len(), size))
+            }
+            _ => answer(&id, StatusCode::OK, body),
+        }
+    }
+
+    fn next_is_faulty(&self) -> bool {
+        self.count.set(self.count.get() + 1);
+        self.fault != EndpointFault::None && self.count.get().is_multiple_of(self.fault_every)
+    }
+
+    async fn work(&self, service: &SpecName, headers: &HeaderMap) {
+        let work_us = header_number(headers, "x-work-us").unwrap_or(self.work_us);
+        let slowdown = self.shared.borrow().model.slowdown_of(service);
+        let late_us = match self.fault {
+            EndpointFault::Late if self.count.get().is_multiple_of(self.fault_every) => {
+                LATE_MS * 1_000
+            }
+            _ => 0,
+        };
+        let work_us = work_us as f64 * slowdown * self.slowness;
+        tokio::time::sleep(Duration::from_micros(work_us as u64 + late_us)).await;
+    }
+}
+
+/// The body a caller expects: its request's id, the bytes it sent, and filling that
+/// depends on the id.
+pub fn expected_body(id: &str, received: usize, size: usize) -> Bytes {
+    let head = format!("{id} received={received} ");
+    let filling = id.as_bytes().iter().copied().cycle();
+    head.bytes().chain(filling).take(size.max(head.len())).collect()
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    header(headers, name).and_then(|value| value.parse().ok())
+}
+
+fn answer(id: &str, status: StatusCode, body: Bytes) -> Answer {
+    let response = Response::builder().status(status).header(headers::REQUEST_ID, id);
+    response.body(Full::new(body)).ok()
+}
+
+/// A body that is shorter than its announced length.
+fn truncated(id: &str, body: Bytes) -> Answer {
+    let half = body.slice(0..body.len() / 2);
+    let response = Response::builder().header(headers::REQUEST_ID, id);
+    response.header(CONTENT_LENGTH, body.len()).body(Full::new(half)).ok()
+}
+
+fn refuse(id: &str, why: &'static str) -> Answer {
+    let response = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+    let response = response.header(headers::REQUEST_ID, id).header(headers::NOT_RUN, "true");
+    response.body(Full::new(Bytes::from_static(why.as_bytes()))).ok()
+}
--- /dev/null
+++ b/crates/kitetrail-standins/src/worker/mod.rs
@@ -0,0 +1,11 @@
+//! A worker with its endpoint.
+
+mod control;
+mod effects;
+mod endpoint;
+mod model;
+
+pub use control::run;
+pub use effects::Effects;
+pub use endpoint::expected_body;
+pub use model::{WorkerModel, WorkerSettings};
--- /dev/null
+++ b/crates/kitetrail-standins/src/worker/model.rs
@@ -0,0 +1,295 @@
+//! The worker as a state machine on its own clock.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use kitetrail_core::{
+    Attempt, Epoch, Resources, ShardId, SpecName, TaskClass, TaskId,
+    task::Kind,
+    worker::{Order, Phase, SyncReply, SyncRequest, TaskReport, UsageSample, Want},
+};
+
+use super::Effects;
+use crate::journal::WorkerEvent;
+
+/// How fast a throttled task runs, and how much it still disturbs others.
+const THROTTLED_SPEED: f64 = 0.3;
+/// How long a task of a failing worker lasts, in milliseconds.
+const FAILS_AFTER_MS: f64 = 50.0;
+/// Classes whose name starts like this fail wherever they run.
+const FAILING_CLASS: &str = "fail";
+
+/// The habits of a worker.
+#[derive(Debug, Clone)]
+pub struct WorkerSettings {
+    /// What it has.
+    pub capacity: Resources,
+    /// How late usage is reported, in milliseconds.
+    pub report_lag_ms: u64,
+    /// How often usage is measured, in milliseconds.
+    pub sample_every_ms: u64,
+    /// How long a checkpoint takes, in milliseconds.
+    pub checkpoint_ms: u64,
+    /// Whether every task fails.
+    pub fail_tasks: bool,
+    /// How classes disturb each other.
+    pub effects: Effects,
+}
+
+/// The worker's state.
+#[derive(Debug)]
+pub struct WorkerModel {
+    settings: WorkerSettings,
+    boot: u64,
+    now_ms: u64,
+    owners: BTreeMap<ShardId, (Epoch, u64)>,
+    runs: BTreeMap<(TaskId, Attempt), Run>,
+    usage: VecDeque<(u64, ShardId, UsageSample)>,
+    next_sample_ms: u64,
+    events: Vec<(u64, WorkerEvent)>,
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    shard: ShardId,
+    order: Order,
+    phase: Phase,
+    progress_ms: f64,
+    checkpoint_ms: u64,
+    checkpoint_due_ms: Option<u64>,
+}
+
+impl WorkerModel {
+    /// A worker that has just started. `boot` differs after each start.
+    pub fn new(settings: WorkerSettings, boot: u64, now_ms: u64) -> Self {
+        let capacity = settings.capacity;
+        Self {
+            settings,
+            boot,
+            now_ms,
+            owners: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            usage: VecDeque::new(),
+            next_sample_ms: now_ms,
+            events: vec![(now_ms, WorkerEvent::Boot { capacity })],
+        }
+    }
+
+    /// Whether a replica of a service runs here.
+    pub fn serves(&self, service: &SpecName) -> bool {
+        let mut running = self.running();
+        running.any(|run| run.order.kind == Kind::Service && run.order.task.spec == *service)
+    }
+
+    /// How much slower than alone a service's requests run now.
+    pub fn slowdown_of(&self, service: &SpecName) -> f64 {
+        let run = self.running().find(|run| run.order.task.spec == *service);
+        run.map_or(1.0, |run| self.slowdown(run))
+    }
+
+    /// The tasks that run.
+    pub fn running_tasks(&self) -> impl Iterator<Item = (&TaskId, Attempt, Kind)> {
+        self.running().map(|run| (&run.order.task, run.order.attempt, run.order.kind))
+    }
+
+    /// What the running tasks take in all.
+    pub fn given(&self) -> Resources {
+        self.running().fold(Resources::default(), |sum, run| sum.saturating_add(&run.order.size))
+    }
+
+    /// What happened since the last call.
+    pub fn take_events(&mut self) -> Vec<(u64, WorkerEvent)> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Lets time pass: tasks progress, end, and lose their leases.
+    pub fn advance(&mut self, now_ms: u64) {
+        while self.now_ms < now_ms {
+            let step_ms = (now_ms - self.now_ms).min(50);
+            self.step(step_ms);
+        }
+    }
+
+    /// Answers the owner of a shard.
+    pub fn sync(&mut self, request: SyncRequest, now_ms: u64) -> SyncReply {
+        self.advance(now_ms);
+        let owner = self.owners.entry(request.shard.clone()).or_default();
+        let newer = (request.epoch, request.sequence) > *owner;
+        if newer {
+            *owner = (request.epoch, request.sequence);
+        }
+        let epoch = owner.0;
+        if newer && request.boot == self.boot {
+            self.obey(&request);
+        }
+        self.reply(&request, epoch)
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Run> {
+        self.runs.values().filter(|run| run.phase == Phase::Running)
+    }
+
+    fn slowdown(&self, run: &Run) -> f64 {
+        let others = self.running().filter(|other| other.order.task != run.order.task);
+        let effects = others.map(|other| {
+            let full = self.settings.effects.of(&run.order.class, &other.order.class);
+            if other.order.want == Want::Throttle { full * THROTTLED_SPEED } else { full }
+        });
+        1.0 + effects.sum::<f64>()
+    }
+
+    fn step(&mut self, step_ms: u64) {
+        self.now_ms += step_ms;
+        let now_ms = self.now_ms;
+        let speeds: Vec<f64> = self.runs.values().map(|run| 1.0 / self.slowdown(run)).collect();
+        let mut ended = Vec::new();
+        for ((key, run), speed) in self.runs.iter_mut().zip(speeds) {
+            if run.phase != Phase::Running {
+                continue;
+            }
+            let throttle = if run.order.want == Want::Throttle { THROTTLED_SPEED } else { 1.0 };
+            run.progress_ms += step_ms as f64 * speed * throttle;
+            let fails =
+                self.settings.fail_tasks || run.order.class.as_str().starts_with(FAILING_CLASS);
+            let phase = match run.checkpoint_due_ms {
+                _ if run.order.lease_until_ms <= now_ms => Phase::Stopped,
+                _ if fails && run.progress_ms >= FAILS_AFTER_MS => Phase::Failed,
+                _ if run.order.work_ms > 0 && run.progress_ms >= run.order.work_ms as f64 => {
+                    Phase::Done
+                }
+                Some(due_ms) if due_ms <= now_ms => {
+                    run.checkpoint_ms = run.progress_ms as u64;
+                    Phase::Stopped
+                }
+                _ => continue,
+            };
+            ended.push((key.clone(), phase));
+        }
+        for (key, phase) in ended {
+            self.end(&key, phase);
+        }
+        self.measure();
+    }
+
+    fn end(&mut self, key: &(TaskId, Attempt), phase: Phase) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        run.phase = phase;
+        let (task, attempt) = key.clone();
+        let (done, checkpoint_ms) = (phase == Phase::Done, run.checkpoint_ms);
+        let event = WorkerEvent::Stop { task, attempt, done, checkpoint_ms };
+        self.events.push((self.now_ms, event));
+    }
+
+    /// Measures what runs together, to be reported late.
+    fn measure(&mut self) {
+        if self.now_ms < self.next_sample_ms {
+            return;
+        }
+        self.next_sample_ms = self.now_ms + self.settings.sample_every_ms;
+        let samples: Vec<_> = self.running().map(|run| self.sample(run)).collect();
+        let due_ms = self.now_ms + self.settings.report_lag_ms;
+        self.usage.extend(samples.into_iter().map(|(shard, sample)| (due_ms, shard, sample)));
+    }
+
+    fn sample(&self, run: &Run) -> (ShardId, UsageSample) {
+        let others = self.running().filter(|other| other.order.task != run.order.task);
+        let beside: Vec<TaskClass> = others.map(|other| other.order.class.clone()).collect();
+        let sample = UsageSample {
+            taken_ms: self.now_ms,
+            task: run.order.task.clone(),
+            class: run.order.class.clone(),
+            used: run.order.size,
+            slowdown: self.slowdown(run),
+            beside,
+        };
+        (run.shard.clone(), sample)
+    }
+
+    fn obey(&mut self, request: &SyncRequest) {
+        for settled in &request.settled {
+            if self.runs.get(settled).is_some_and(|run| run.phase != Phase::Running) {
+                self.runs.remove(settled);
+            }
+        }
+        let unnamed: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Running && run.shard == request.shard)
+            .filter(|((task, attempt), _)| {
+                !request.orders.iter().any(|o| o.task == *task && o.attempt == *attempt)
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in unnamed {
+            self.end(&key, Phase::Stopped);
+        }
+        for order in &request.orders {
+            self.obey_order(&request.shard, order);
+        }
+    }
+
+    fn obey_order(&mut self, shard: &ShardId, order: &Order) {
+        let key = (order.task.clone(), order.attempt);
+        let Some(run) = self.runs.get_mut(&key) else { return self.begin(shard, order) };
+        if run.phase != Phase::Running {
+            return;
+        }
+        run.order.lease_until_ms = run.order.lease_until_ms.max(order.lease_until_ms);
+        run.order.want = order.want;
+        match order.want {
+            Want::Stop => self.end(&key, Phase::Stopped),
+            Want::Checkpoint => {
+                let due_ms = self.now_ms + self.settings.checkpoint_ms;
+                run.checkpoint_due_ms.get_or_insert(due_ms);
+            }
+            Want::Run | Want::Throttle => {}
+        }
+    }
+
+    fn begin(&mut self, shard: &ShardId, order: &Order) {
+        let runs =
+            matches!(order.want, Want::Run | Want::Throttle) && order.lease_until_ms > self.now_ms;
+        let run = Run {
+            shard: shard.clone(),
+            order: order.clone(),
+            phase: if runs { Phase::Running } else { Phase::Stopped },
+            progress_ms: order.resume_ms as f64,
+            checkpoint_ms: order.resume_ms,
+            checkpoint_due_ms: None,
+        };
+        if runs {
+            let event = WorkerEvent::Start {
+                task: order.task.clone(),
+                attempt: order.attempt,
+                exclusive: order.kind.is_exclusive(),
+                size: order.size,
+                resume_ms: order.resume_ms,
+            };
+            self.events.push((self.now_ms, event));
+        }
+        self.runs.insert((order.task.clone(), order.attempt), run);
+    }
+
+    fn reply(&mut self, request: &SyncRequest, epoch: Epoch) -> SyncReply {
+        let runs = self.runs.iter().filter(|(_, run)| run.shard == request.shard);
+        let tasks = runs.map(|((task, attempt), run)| TaskReport {
+            task: task.clone(),
+            attempt: *attempt,
+            phase: run.phase,
+            kind: run.order.kind,
+            class: run.order.class.clone(),
+            size: run.order.size,
+            checkpoint_ms: run.checkpoint_ms,
+            progress_ms: run.progress_ms as u64,
+        });
+        let tasks = tasks.collect();
+        let now_ms = self.now_ms;
+        let is_due = |(due_ms, shard, _): &(u64, ShardId, UsageSample)| {
+            *due_ms <= now_ms && *shard == request.shard
+        };
+        let usage = self.usage.iter().filter(|entry| is_due(entry));
+        let usage = usage.map(|(_, _, sample)| sample.clone()).collect();
+        self.usage.retain(|entry| !is_due(entry));
+        let sequence = request.sequence;
+        SyncReply { boot: self.boot, clock_ms: now_ms, epoch, sequence, tasks, usage }
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-standins/tests/world/mod.rs
@@ -0,0 +1,614 @@
+//! Several owners, workers and the table on virtual time, with a network between them
+//! that delays, reorders, doubles and loses messages.
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(missing_docs, reason = "shared by tests alone")]
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    fmt::Write as _,
+    net::SocketAddr,
+};
+
+use kitetrail_core::{
+    Attempt, BoxId, OpId, Resources, ShardId, SpecName, TaskId, Time, WorkerId,
+    fleet::{Liveness, WorkerInfo},
+    placement::{InterferenceAware, ReliefSettings},
+    shard::{Action, Event, Shard, ShardSettings},
+    table::{CommitAnswer, Key, Prefix, Record, Transaction, Write},
+    task::{InboxItem, Kind, Spec, TaskRow},
+    worker::SyncRequest,
+};
+use kitetrail_standins::{
+    journal::WorkerEvent,
+    table::{OpaqueTransaction, TableModel},
+    worker::{Effects, WorkerModel, WorkerSettings},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// How long an asker waits for an answer.
+const TIMEOUT_MS: u64 = 1_000;
+/// How often each owner and worker is ticked.
+const TICK_MS: u64 = 50;
+
+/// How the network and the table behave.
+#[derive(Debug, Clone)]
+pub struct Weather {
+    pub min_delay_ms: u64,
+    pub max_delay_ms: u64,
+    pub lose_percent: u32,
+    pub double_percent: u32,
+    pub table_down: bool,
+}
+
+impl Weather {
+    pub fn calm() -> Self {
+        Self {
+            min_delay_ms: 1,
+            max_delay_ms: 1,
+            lose_percent: 0,
+            double_percent: 0,
+            table_down: false,
+        }
+    }
+}
+
+/// One thing that is on its way.
+#[derive(Debug, Clone)]
+enum Message {
+    Tick,
+    ToTable { node: usize, run: u64, ask: u64, action: Action },
+    ToWorker { node: usize, run: u64, ask: u64, worker: usize, request: SyncRequest },
+    Answer { node: usize, run: u64, ask: u64, event: Event },
+}
+
+#[derive(Debug)]
+struct Due {
+    at_ms: u64,
+    order: u64,
+    message: Message,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at_ms, self.order) == (other.at_ms, other.order)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at_ms, other.order).cmp(&(self.at_ms, self.order))
+    }
+}
+
+/// One box's part in the shard.
+struct Node {
+    shard: Shard<InterferenceAware>,
+    run: u64,
+    alive: bool,
+    paused: bool,
+    /// What it can't reach: workers by number, and the table.
+    cut_workers: BTreeSet<usize>,
+    cut_table: bool,
+    clock_offset_ms: u64,
+    /// The asks whose answers it still waits for.
+    open: BTreeSet<u64>,
+    /// What arrived while it was paused.
+    held: Vec<Message>,
+}
+
+struct WorkerNode {
+    model: WorkerModel,
+    settings: WorkerSettings,
+    boots: u64,
+    up: bool,
+    paused: bool,
+    clock_offset_ms: u64,
+}
+
+/// The world. Every choice comes from the seed.
+pub struct World {
+    pub now_ms: u64,
+    pub weather: Weather,
+    pub log: String,
+    /// Whether boxes notice which of them are up, as membership would tell them.
+    pub rerank: bool,
+    settings: ShardSettings,
+    shard: ShardId,
+    queue: BinaryHeap<Due>,
+    order: u64,
+    asks: u64,
+    rng: ChaCha8Rng,
+    table: TableModel,
+    nodes: Vec<Node>,
+    workers: Vec<WorkerNode>,
+    infos: Vec<WorkerInfo>,
+    started: BTreeMap<(TaskId, Attempt), u32>,
+    completed: BTreeMap<TaskId, u32>,
+    changes: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, nodes: usize, workers: usize, settings: ShardSettings) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let worker_settings = WorkerSettings {
+            capacity: Resources::new(4_000, 8_192, 1),
+            report_lag_ms: 2_000,
+            sample_every_ms: 500,
+            checkpoint_ms: 200,
+            fail_tasks: false,
+            effects: Effects::default(),
+        };
+        let mut world = Self {
+            now_ms: 1_000,
+            weather: Weather::calm(),
+            log: String::new(),
+            rerank: true,
+            settings: settings.clone(),
+            shard: "zone-a:0".parse().unwrap(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            asks: 0,
+            table: TableModel::default(),
+            nodes: Vec::new(),
+            workers: Vec::new(),
+            infos: (0..workers).map(info).collect(),
+            started: BTreeMap::new(),
+            completed: BTreeMap::new(),
+            changes: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed + 1),
+        };
+        for number in 0..workers {
+            let clock_offset_ms = rng.random_range(0..50_000);
+            let model = WorkerModel::new(
+                worker_settings.clone(),
+                number as u64 * 1_000 + 1,
+                world.now_ms + clock_offset_ms,
+            );
+            world.workers.push(WorkerNode {
+                model,
+                settings: worker_settings.clone(),
+                boots: 1,
+                up: true,
+                paused: false,
+                clock_offset_ms,
+            });
+        }
+        for number in 0..nodes {
+            let clock_offset_ms = rng.random_range(0..50_000);
+            world.nodes.push(Node {
+                shard: new_shard(&world.shard, number, 1, &settings),
+                run: 1,
+                alive: true,
+                paused: false,
+                cut_workers: BTreeSet::new(),
+                cut_table: false,
+                clock_offset_ms,
+                open: BTreeSet::new(),
+                held: Vec::new(),
+            });
+            world.introduce(number);
+        }
+        world.send(world.now_ms, Message::Tick);
+        world
+    }
+
+    /// Submits a spec as an operator would.
+    pub fn submit(&mut self, spec: Spec) {
+        let count = spec.tasks;
+        self.put_into_inbox(InboxItem::Submit { spec, first: 0, count });
+    }
+
+    /// Cancels a spec as an operator would.
+    pub fn cancel(&mut self, spec: &SpecName) {
+        self.put_into_inbox(InboxItem::Cancel { spec: spec.clone() });
+    }
+
+    pub fn kill_owner(&mut self, node: usize) {
+        self.nodes[node].alive = false;
+        self.note(format!("box-{node} is killed"));
+    }
+
+    pub fn restart_owner(&mut self, node: usize) {
+        let run = self.nodes[node].run + 1;
+        let shard = new_shard(&self.shard, node, run, &self.settings);
+        let node_state = &mut self.nodes[node];
+        node_state.shard = shard;
+        node_state.run = run;
+        node_state.alive = true;
+        node_state.paused = false;
+        node_state.open.clear();
+        node_state.held.clear();
+        self.introduce(node);
+        self.note(format!("box-{node} starts again"));
+    }
+
+    pub fn pause_owner(&mut self, node: usize) {
+        self.nodes[node].paused = true;
+        self.note(format!("box-{node} freezes"));
+    }
+
+    /// Thaws a box. All that arrived meanwhile is delivered at once.
+    pub fn thaw_owner(&mut self, node: usize) {
+        self.nodes[node].paused = false;
+        self.note(format!("box-{node} thaws"));
+        for message in std::mem::take(&mut self.nodes[node].held) {
+            self.deliver(message);
+        }
+    }
+
+    pub fn drain_owner(&mut self, node: usize) {
+        self.note(format!("box-{node} is told to stop"));
+        self.drive(node, Event::Drain);
+    }
+
+    pub fn cut(&mut self, node: usize, worker: usize) {
+        self.nodes[node].cut_workers.insert(worker);
+        self.note(format!("box-{node} and worker-{worker} are cut"));
+    }
+
+    pub fn cut_table(&mut self, node: usize, cut: bool) {
+        self.nodes[node].cut_table = cut;
+        self.note(format!(
+            "box-{node} is {} the table",
+            if cut { "cut from" } else { "joined to" }
+        ));
+    }
+
+    pub fn join(&mut self, node: usize) {
+        self.nodes[node].cut_workers.clear();
+        self.note(format!("box-{node} reaches all workers"));
+    }
+
+    pub fn pause_worker(&mut self, worker: usize, paused: bool) {
+        self.workers[worker].paused = paused;
+        self.note(format!("worker-{worker} {}", if paused { "freezes" } else { "thaws" }));
+    }
+
+    /// Kills a worker and all that runs on it, and starts it anew.
+    pub fn restart_worker(&mut self, worker: usize) {
+        let now_ms = self.now_ms;
+        let state = &mut self.workers[worker];
+        state.boots += 1;
+        let boot = worker as u64 * 1_000 + state.boots;
+        state.model =
+            WorkerModel::new(state.settings.clone(), boot, now_ms + state.clock_offset_ms);
+        self.note(format!("worker-{worker} restarts"));
+    }
+
+    pub fn set_worker_state(&mut self, worker: usize, state: Liveness) {
+        self.infos[worker].state = state;
+        for node in 0..self.nodes.len() {
+            self.drive(node, Event::FleetSeen(self.infos.clone()));
+        }
+        self.note(format!("the box list has worker-{worker} as {state:?}"));
+    }
+
+    /// Lets time pass, checking the promises after every event.
+    pub fn run_ms(&mut self, ms: u64) {
+        let until_ms = self.now_ms + ms;
+        while self.queue.peek().is_some_and(|due| due.at_ms <= until_ms) {
+            let Some(due) = self.queue.pop() else { break };
+            self.now_ms = due.at_ms;
+            self.deliver(due.message);
+            self.check();
+        }
+        self.now_ms = until_ms;
+    }
+
+    /// How many tasks of a spec ran to their end, as workers saw it.
+    pub fn completions(&self, spec: &str) -> Vec<u32> {
+        let of_spec = self.completed.iter().filter(|(task, _)| task.spec.as_str() == spec);
+        of_spec.map(|(_, count)| *count).collect()
+    }
+
+    /// The rows of all tasks in the table.
+    pub fn rows(&mut self) -> Vec<TaskRow> {
+        let rows = self.table.scan(Prefix::tasks(&self.shard).as_str());
+        let rows = rows.into_iter().map(|row| serde_json::from_value(row.record).unwrap());
+        rows.filter_map(|record| match record {
+            Record::Task(row) => Some(row),
+            _ => None,
+        })
+        .collect()
+    }
+
+    /// The run of a task and the worker where it runs now.
+    pub fn where_runs(&self, task: &str) -> Vec<(usize, Attempt)> {
+        let mut places = Vec::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            for (running, attempt, _) in worker.model.running_tasks() {
+                if running.to_string() == task {
+                    places.push((number, attempt));
+                }
+            }
+        }
+        places
+    }
+
+    /// The box that owns the shard, as it sees itself.
+    pub fn owner(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| node.alive && node.shard.is_owner())
+    }
+
+    pub fn commits(&self) -> u64 {
+        self.table.commits
+    }
+
+    /// How often any task started.
+    pub fn starts(&self) -> usize {
+        self.started.len()
+    }
+
+    fn note(&mut self, text: String) {
+        let _ = writeln!(self.log, "{:>6} {text}", self.now_ms - 1_000);
+    }
+
+    fn introduce(&mut self, node: usize) {
+        self.drive(node, Event::Ranked(Some(node)));
+        self.drive(node, Event::FleetSeen(self.infos.clone()));
+    }
+
+    fn put_into_inbox(&mut self, item: InboxItem) {
+        self.changes += 1;
+        let op = OpId::from_change(&format!("change-{}", self.changes));
+        let key = Key::inbox(&self.shard, &op);
+        let write = Write { key, record: Some(Record::Inbox { item }) };
+        let transaction = Transaction { op, conditions: Vec::new(), writes: vec![write] };
+        self.table.commit(opaque(&transaction));
+    }
+
+    fn send(&mut self, at_ms: u64, message: Message) {
+        self.order += 1;
+        self.queue.push(Due { at_ms, order: self.order, message });
+    }
+
+    /// Sends with the weather's delays, losses and doubles.
+    fn send_through_weather(&mut self, message: Message) {
+        let Weather { min_delay_ms, max_delay_ms, lose_percent, double_percent, .. } = self.weather;
+        if self.rng.random_range(0..100) < lose_percent {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_range(0..100) < double_percent);
+        for _ in 0..copies {
+            let delay_ms = self.rng.random_range(min_delay_ms..=max_delay_ms);
+            self.send(self.now_ms + delay_ms, message.clone());
+        }
+    }
+
+    fn drive(&mut self, node: usize, event: Event) {
+        let state = &mut self.nodes[node];
+        if !state.alive {
+            return;
+        }
+        let now = Time::from_ms(self.now_ms + state.clock_offset_ms);
+        let actions = state.shard.handle(event, now);
+        for action in actions {
+            self.start(node, action);
+        }
+    }
+
+    fn start(&mut self, node: usize, action: Action) {
+        self.asks += 1;
+        let ask = self.asks;
+        let run = self.nodes[node].run;
+        let (silence, message) = match action {
+            Action::Log(decision) => return self.note(format!("box-{node} {decision}")),
+            Action::Publish(set) => {
+                let endpoints: Vec<String> = set
+                    .endpoints
+                    .iter()
+                    .map(|e| {
+                        format!(
+                            "{}@{}{}",
+                            e.service,
+                            e.worker,
+                            if e.leaving { " leaving" } else { "" }
+                        )
+                    })
+                    .collect();
+                return self.note(format!("box-{node} publishes [{}]", endpoints.join(", ")));
+            }
+            Action::Sync(info, request) => {
+                let worker = self.infos.iter().position(|known| known.id == info.id).unwrap();
+                let message = Message::ToWorker { node, run, ask, worker, request };
+                (Event::WorkerSilent(info.id), message)
+            }
+            action => {
+                let silence = match &action {
+                    Action::ReadLease => Event::LeaseReadFailed,
+                    Action::Load => Event::LoadFailed,
+                    Action::ReadInbox => Event::InboxReadFailed,
+                    _ => Event::CommitAnswered(CommitAnswer::Unknown),
+                };
+                (silence, Message::ToTable { node, run, ask, action })
+            }
+        };
+        self.nodes[node].open.insert(ask);
+        self.send_through_weather(message);
+        let silence = Message::Answer { node, run, ask, event: silence };
+        self.send(self.now_ms + TIMEOUT_MS, silence);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Tick => self.tick(),
+            Message::ToTable { node, run, ask, action } => {
+                if !self.weather.table_down && !self.nodes[node].cut_table {
+                    let event = self.ask_table(action);
+                    self.send_through_weather(Message::Answer { node, run, ask, event });
+                }
+            }
+            Message::ToWorker { node, run, ask, worker, request } => {
+                let state = &mut self.workers[worker];
+                if state.up && !state.paused && !self.nodes[node].cut_workers.contains(&worker) {
+                    let clock_ms = self.now_ms + state.clock_offset_ms;
+                    let reply = state.model.sync(request, clock_ms);
+                    self.collect_events(worker);
+                    let id = self.infos[worker].id.clone();
+                    let event = Event::WorkerReplied(id, reply);
+                    self.send_through_weather(Message::Answer { node, run, ask, event });
+                }
+            }
+            Message::Answer { node, run, ask, event } => {
+                if self.nodes[node].paused {
+                    self.nodes[node].held.push(Message::Answer { node, run, ask, event });
+                    return;
+                }
+                let current = self.nodes[node].run == run && self.nodes[node].open.remove(&ask);
+                if current {
+                    self.drive(node, event);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        for worker in 0..self.workers.len() {
+            let state = &mut self.workers[worker];
+            if state.up && !state.paused {
+                state.model.advance(self.now_ms + state.clock_offset_ms);
+                self.collect_events(worker);
+            }
+        }
+        let mut rank = 0;
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].paused || !self.nodes[node].alive {
+                continue;
+            }
+            if self.rerank {
+                self.drive(node, Event::Ranked(Some(rank)));
+            }
+            rank += 1;
+            self.drive(node, Event::Tick);
+        }
+        self.send(self.now_ms + TICK_MS, Message::Tick);
+    }
+
+    fn ask_table(&mut self, action: Action) -> Event {
+        match action {
+            Action::ReadLease => {
+                let row = self.table.read(Key::lease(&self.shard).as_str()).cloned();
+                Event::LeaseRead(row.map(|row| {
+                    let record = serde_json::from_value(row.record).unwrap();
+                    let Record::Lease(lease) = record else { panic!("not a lease") };
+                    (row.version, row.op, lease)
+                }))
+            }
+            Action::Load => Event::Loaded(self.rows()),
+            Action::ReadInbox => {
+                let rows = self.table.scan(Prefix::inbox(&self.shard).as_str());
+                let items = rows.into_iter().map(|row| {
+                    let record = serde_json::from_value(row.record).unwrap();
+                    let Record::Inbox { item } = record else { panic!("not a message") };
+                    (row.key, row.version, item)
+                });
+                Event::InboxRead(items.collect())
+            }
+            Action::Commit(transaction) => {
+                Event::CommitAnswered(self.table.commit(opaque(&transaction)))
+            }
+            Action::Sync(..) | Action::Publish(_) | Action::Log(_) => Event::Tick,
+        }
+    }
+
+    fn collect_events(&mut self, worker: usize) {
+        for (_, event) in self.workers[worker].model.take_events() {
+            match event {
+                WorkerEvent::Start { task, attempt, resume_ms, .. } => {
+                    self.note(format!(
+                        "worker-{worker} starts {task} attempt {attempt} from {resume_ms}"
+                    ));
+                    let count = self.started.entry((task.clone(), attempt)).or_default();
+                    *count += 1;
+                    assert!(
+                        *count == 1,
+                        "P3: {task} attempt {attempt} started twice\n{}",
+                        self.log
+                    );
+                }
+                WorkerEvent::Stop { task, attempt, done, checkpoint_ms } => {
+                    let how = if done { "ends" } else { "stops" };
+                    self.note(format!(
+                        "worker-{worker} {how} {task} attempt {attempt} at {checkpoint_ms}"
+                    ));
+                    if done {
+                        *self.completed.entry(task).or_default() += 1;
+                    }
+                }
+                WorkerEvent::Boot { .. } | WorkerEvent::Execute { .. } => {}
+            }
+        }
+    }
+
+    /// P1 and P2, on what workers really do.
+    fn check(&self) {
+        let mut places: BTreeMap<&TaskId, usize> = BTreeMap::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            let given = worker.model.given();
+            assert!(
+                given.fits_in(&worker.settings.capacity),
+                "P1: worker-{number} was given {given}\n{}",
+                self.log
+            );
+            if worker.paused {
+                continue;
+            }
+            for (task, _, kind) in worker.model.running_tasks() {
+                if kind != Kind::Service && places.insert(task, number).is_some() {
+                    panic!("P2: {task} runs twice at {}\n{}", self.now_ms - 1_000, self.log);
+                }
+            }
+        }
+    }
+}
+
+fn new_shard(
+    id: &ShardId,
+    number: usize,
+    run: u64,
+    settings: &ShardSettings,
+) -> Shard<InterferenceAware> {
+    let me: BoxId = format!("box-{number}").parse().unwrap();
+    let relief = ReliefSettings::default();
+    Shard::new(id.clone(), me, run, settings.clone(), relief, InterferenceAware::default())
+}
+
+fn info(number: usize) -> WorkerInfo {
+    let address: SocketAddr = format!("127.0.0.1:{}", 20_000 + number).parse().unwrap();
+    WorkerInfo {
+        id: format!("worker-{number}").parse::<WorkerId>().unwrap(),
+        control: address,
+        endpoint: address,
+        zone: "zone-a".parse().unwrap(),
+        rack: 0,
+        capacity: Resources::new(4_000, 8_192, 1),
+        state: Liveness::Live,
+    }
+}
+
+fn opaque(transaction: &Transaction) -> OpaqueTransaction {
+    serde_json::from_value(serde_json::to_value(transaction).unwrap()).unwrap()
+}
+
+/// A spec of one size, for tests.
+pub fn spec(name: &str, kind: Kind, tasks: u32, run_ms: u64) -> Spec {
+    Spec::builder()
+        .name(name.parse().unwrap())
+        .kind(kind)
+        .team("desk".parse().unwrap())
+        .class(name.parse().unwrap())
+        .tasks(tasks)
+        .size(Resources::new(1_000, 1_024, 0))
+        .expected_run_ms(run_ms)
+        .build()
+}
--- /dev/null
+++ b/crates/kitetrail/src/commands.rs
@@ -0,0 +1,321 @@
+//! What each command does.
+
+use std::{
+    fs,
+    path::Path,
+    process,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use clap::CommandFactory;
+use kitetrail_core::{
+    Resources, SpecName,
+    config::Configuration,
+    task::{Kind, Spec},
+};
+use serde_json::{Value, json};
+
+use crate::{
+    args::{
+        Args, BoxCommand, ChangeArgs, Command, ConfigCommand, JobCommand, Output, PolicyCommand,
+        ServiceCommand, StopArgs, TaskArgs, WatcherCommand,
+    },
+    client::Client,
+    error::CliError,
+    policy,
+    print::{Column, json as as_json, table},
+};
+
+const SPEC_COLUMNS: [Column; 7] = [
+    ("NAME", "spec.name"),
+    ("TEAM", "spec.team"),
+    ("CLASS", "spec.class"),
+    ("TASKS", "spec.tasks"),
+    ("PRIORITY", "spec.priority"),
+    ("SHARDS", "shards"),
+    ("CANCELLED", "cancelled"),
+];
+const SUMMARY_COLUMNS: [Column; 6] = [
+    ("NAME", "spec.spec.name"),
+    ("QUEUED", "summary.queued"),
+    ("PLACED", "summary.placed"),
+    ("DONE", "summary.done"),
+    ("FAILED", "summary.failed"),
+    ("CANCELLED", "summary.cancelled"),
+];
+const TASK_COLUMNS: [Column; 4] =
+    [("TASK", "task"), ("ATTEMPT", "attempt"), ("STAGE", "stage"), ("WORKER", "worker")];
+const REVISION_COLUMNS: [Column; 3] =
+    [("REVISION", "number"), ("AUTHOR", "author"), ("CHANGE", "change")];
+const BOX_REVISION_COLUMNS: [Column; 4] =
+    [("BOX", "box_id"), ("REVISION", "revision"), ("AGE_MS", "age_ms"), ("UP", "up")];
+const WORKER_COLUMNS: [Column; 6] = [
+    ("WORKER", "id"),
+    ("ZONE", "zone"),
+    ("RACK", "rack"),
+    ("STATE", "state"),
+    ("CPU_MILLIS", "capacity.cpu_millis"),
+    ("MEMORY_MB", "capacity.memory_mb"),
+];
+const ENTRY_COLUMNS: [Column; 4] =
+    [("BOX", "id"), ("ZONE", "zone"), ("STATE", "state"), ("PEER", "peer")];
+const SHARD_COLUMNS: [Column; 6] = [
+    ("SHARD", "shard"),
+    ("OWNED", "owned"),
+    ("EPOCH", "epoch"),
+    ("QUEUED", "queued"),
+    ("PLACED", "placed"),
+    ("DETACHED", "detached"),
+];
+const ROUTE_COLUMNS: [Column; 5] = [
+    ("SERVICE", "service"),
+    ("ENDPOINTS", "endpoints"),
+    ("EJECTED", "ejected"),
+    ("QUEUED", "queued"),
+    ("OUTSTANDING", "outstanding"),
+];
+const TEST_COLUMNS: [Column; 8] = [
+    ("CLASS", "class"),
+    ("KIND", "kind"),
+    ("RANK", "new.rank"),
+    ("WAS", "in_force.rank"),
+    ("SACRIFICE", "new.sacrifice"),
+    ("WAS", "in_force.sacrifice"),
+    ("APART_FROM", "apart_from"),
+    ("DIFFERS", "differs"),
+];
+
+/// Runs a command and returns what to print.
+pub async fn run(args: Args) -> Result<String, CliError> {
+    let client = Client::new(args.daemon);
+    let output = args.output;
+    match args.command {
+        Command::Service(command) => run_service(&client, output, command).await,
+        Command::Job(command) => run_job(&client, output, command).await,
+        Command::Watcher(command) => run_watcher(&client, output, command).await,
+        Command::Policy(command) => run_policy(&client, output, command).await,
+        Command::Config(command) => run_config(&client, output, command).await,
+        Command::Box(BoxCommand::List) => boxes(&client, output).await,
+        Command::Status => status(&client, output).await,
+        Command::Completions { shell } => {
+            let mut text = Vec::new();
+            clap_complete::generate(shell, &mut Args::command(), "kitetrail", &mut text);
+            Ok(String::from_utf8_lossy(&text).into_owned())
+        }
+    }
+}
+
+async fn run_service(
+    client: &Client,
+    output: Output,
+    command: ServiceCommand,
+) -> Result<String, CliError> {
+    match command {
+        ServiceCommand::Create { task, replicas } => {
+            create(client, output, Kind::Service, task, replicas, 0).await
+        }
+        ServiceCommand::List => list(client, output, Kind::Service).await,
+        ServiceCommand::Show(args) => show(client, output, &args.name).await,
+        ServiceCommand::Delete(args) => stop(client, output, args).await,
+    }
+}
+
+async fn run_job(client: &Client, output: Output, command: JobCommand) -> Result<String, CliError> {
+    match command {
+        JobCommand::Create { task, tasks, run_ms } => {
+            create(client, output, Kind::Job, task, tasks, run_ms).await
+        }
+        JobCommand::List => list(client, output, Kind::Job).await,
+        JobCommand::Show(args) => show(client, output, &args.name).await,
+        JobCommand::Cancel(args) => stop(client, output, args).await,
+    }
+}
+
+async fn run_watcher(
+    client: &Client,
+    output: Output,
+    command: WatcherCommand,
+) -> Result<String, CliError> {
+    match command {
+        WatcherCommand::Create { task } => create(client, output, Kind::Watcher, task, 1, 0).await,
+        WatcherCommand::List => list(client, output, Kind::Watcher).await,
+        WatcherCommand::Show(args) => show(client, output, &args.name).await,
+        WatcherCommand::Delete(args) => stop(client, output, args).await,
+    }
+}
+
+async fn run_policy(
+    client: &Client,
+    output: Output,
+    command: PolicyCommand,
+) -> Result<String, CliError> {
+    match command {
+        PolicyCommand::Check { file } => {
+            policy::read(&file)?;
+            Ok(format!("{} is in order\n", file.display()))
+        }
+        PolicyCommand::Test { file } => {
+            Ok(table(output, &policy::test(client, &file).await?, &TEST_COLUMNS))
+        }
+        PolicyCommand::Apply { file, change, author } => {
+            let (text, _) = policy::read(&file)?;
+            let (based_on, mut configuration) = in_force(client).await?;
+            configuration.policy = text;
+            apply(client, output, configuration, based_on, change, author).await
+        }
+        PolicyCommand::Show => {
+            let revision = client.get("/v1/config").await?;
+            Ok(revision["configuration"]["policy"].as_str().unwrap_or_default().to_owned())
+        }
+        PolicyCommand::History => history(client, output).await,
+    }
+}
+
+async fn run_config(
+    client: &Client,
+    output: Output,
+    command: ConfigCommand,
+) -> Result<String, CliError> {
+    match command {
+        ConfigCommand::Show => Ok(as_json(&client.get("/v1/config").await?)),
+        ConfigCommand::Apply { file, based_on, change, author } => {
+            let configuration = read_configuration(&file)?;
+            let based_on = match based_on {
+                Some(number) => number,
+                None => in_force(client).await?.0,
+            };
+            apply(client, output, configuration, based_on, change, author).await
+        }
+        ConfigCommand::History => history(client, output).await,
+        ConfigCommand::Status => {
+            let revisions = client.get("/v1/config/status").await?;
+            Ok(table(output, &revisions, &BOX_REVISION_COLUMNS))
+        }
+    }
+}
+
+async fn create(
+    client: &Client,
+    output: Output,
+    kind: Kind,
+    task: TaskArgs,
+    tasks: u32,
+    run_ms: u64,
+) -> Result<String, CliError> {
+    let TaskArgs { name, team, class, cpu, memory, accelerators, priority, change } = task;
+    let class = match class {
+        Some(class) => class,
+        None => name.as_str().parse().map_err(|error| CliError::Usage(format!("{error}")))?,
+    };
+    let size = Resources { cpu_millis: cpu, memory_mb: memory, accelerators };
+    let spec = Spec::builder()
+        .name(name)
+        .kind(kind)
+        .team(team)
+        .class(class)
+        .tasks(tasks)
+        .size(size)
+        .expected_run_ms(run_ms)
+        .priority(priority)
+        .build();
+    let body = json!({ "change": change_id(change), "spec": spec });
+    Ok(table(output, &client.post("/v1/specs", &body).await?, &SPEC_COLUMNS))
+}
+
+async fn list(client: &Client, output: Output, kind: Kind) -> Result<String, CliError> {
+    let specs = client.get(&format!("/v1/specs?kind={kind}")).await?;
+    Ok(table(output, &specs, &SPEC_COLUMNS))
+}
+
+async fn show(client: &Client, output: Output, name: &SpecName) -> Result<String, CliError> {
+    let status = client.get(&format!("/v1/specs/{name}")).await?;
+    if output == Output::Json {
+        return Ok(as_json(&status));
+    }
+    let summary = table(output, &status, &SUMMARY_COLUMNS);
+    Ok(format!("{summary}\n{}", table(output, &status["tasks"], &TASK_COLUMNS)))
+}
+
+async fn stop(client: &Client, output: Output, args: StopArgs) -> Result<String, CliError> {
+    let change = change_id(args.change);
+    let row = client.delete(&format!("/v1/specs/{}?change={change}", args.name)).await?;
+    Ok(table(output, &row, &SPEC_COLUMNS))
+}
+
+async fn apply(
+    client: &Client,
+    output: Output,
+    configuration: Configuration,
+    based_on: u64,
+    change: ChangeArgs,
+    author: String,
+) -> Result<String, CliError> {
+    let body = json!({
+        "change": change_id(change),
+        "author": author,
+        "based_on": based_on,
+        "configuration": configuration,
+    });
+    Ok(table(output, &client.post("/v1/config", &body).await?, &REVISION_COLUMNS))
+}
+
+/// The number of the revision in force and what it says.
+async fn in_force(client: &Client) -> Result<(u64, Configuration), CliError> {
+    match client.get("/v1/config").await {
+        Ok(revision) => {
+            let configuration = serde_json::from_value(revision["configuration"].clone())
+                .map_err(|error| CliError::Failed(error.to_string()))?;
+            Ok((revision["number"].as_u64().unwrap_or(0), configuration))
+        }
+        Err(CliError::NotFound(_)) => Ok((0, Configuration::default())),
+        Err(error) => Err(error),
+    }
+}
+
+async fn history(client: &Client, output: Output) -> Result<String, CliError> {
+    Ok(table(output, &client.get("/v1/config/history").await?, &REVISION_COLUMNS))
+}
+
+async fn boxes(client: &Client, output: Output) -> Result<String, CliError> {
+    let fleet = client.get("/v1/boxes").await?;
+    if output == Output::Json {
+        return Ok(as_json(&fleet));
+    }
+    let workers = table(output, &fleet["workers"], &WORKER_COLUMNS);
+    Ok(format!("{workers}\n{}", table(output, &fleet["boxes"], &ENTRY_COLUMNS)))
+}
+
+async fn status(client: &Client, output: Output) -> Result<String, CliError> {
+    let status = client.get("/v1/status").await?;
+    if output == Output::Json {
+        return Ok(as_json(&status));
+    }
+    let head = table(
+        output,
+        &status,
+        &[
+            ("BOX", "box_id"),
+            ("REVISION", "revision"),
+            ("REQUESTS", "requests"),
+            ("UP", "boxes_up"),
+        ],
+    );
+    let shards = table(output, &status["shards"], &SHARD_COLUMNS);
+    let services = table(output, &status["services"], &ROUTE_COLUMNS);
+    Ok(format!("{head}\n{shards}\n{services}"))
+}
+
+fn read_configuration(file: &Path) -> Result<Configuration, CliError> {
+    let usage = |cause: String| CliError::Usage(format!("{}: {cause}", file.display()));
+    let text = fs::read_to_string(file).map_err(|error| usage(error.to_string()))?;
+    let value: Value = serde_json::from_str(&text).map_err(|error| usage(error.to_string()))?;
+    serde_json::from_value(value).map_err(|error| usage(error.to_string()))
+}
+
+/// The id given, or one that no other run of this tool makes up.
+fn change_id(change: ChangeArgs) -> String {
+    change.change.unwrap_or_else(|| {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        format!("cli-{}-{}", since.as_micros(), process::id())
+    })
+}
--- /dev/null
+++ b/crates/kitetrail/src/lib.rs
@@ -0,0 +1,11 @@
+//! The command-line tool for operators.
+
+pub mod args;
+mod client;
+mod commands;
+mod error;
+mod policy;
+mod print;
+
+pub use commands::run;
+pub use error::CliError;
--- /dev/null
+++ b/crates/kitetrail/src/policy.rs
@@ -0,0 +1,73 @@
+//! Checks and tests policies.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+use kitetrail_core::{
+    placement::PolicyTable,
+    task::{Kind, Spec},
+};
+use kitetrail_policy::{Program, TaskFacts, evaluate};
+use serde_json::{Value, json};
+
+use crate::{client::Client, error::CliError};
+
+/// The text of a policy that compiles.
+pub fn read(file: &Path) -> Result<(String, Program), CliError> {
+    let text = fs::read_to_string(file).map_err(|cause| {
+        CliError::Usage(format!("{}: {cause}; give a readable file", file.display()))
+    })?;
+    match Program::compile(&text) {
+        Ok(program) => Ok((text, program)),
+        Err(error) => Err(CliError::Usage(format!("{}: {error}", file.display()))),
+    }
+}
+
+/// What a policy answers for each class that exists, beside what is in force.
+pub async fn test(client: &Client, file: &Path) -> Result<Value, CliError> {
+    let (_, new) = read(file)?;
+    let in_force = match client.get("/v1/config").await {
+        Ok(revision) => revision["configuration"]["policy"].as_str().unwrap_or("").to_owned(),
+        Err(CliError::NotFound(_)) => String::new(),
+        Err(error) => return Err(error),
+    };
+    let old = Program::compile(&in_force).map_err(|error| CliError::Failed(error.to_string()))?;
+    let tasks = tasks(client).await?;
+    let nothing = PolicyTable::default();
+    let (old, new) = (evaluate(&old, 0, &tasks, &nothing), evaluate(&new, 0, &tasks, &nothing));
+    let mut rows = Vec::new();
+    for task in &tasks {
+        let (was, is) =
+            (old.table.rule(&task.class, task.kind), new.table.rule(&task.class, task.kind));
+        let apart: Vec<&str> = new
+            .table
+            .apart
+            .iter()
+            .filter(|(one, _)| *one == task.class)
+            .map(|(_, other)| other.as_str())
+            .collect();
+        rows.push(json!({
+            "class": task.class,
+            "kind": task.kind,
+            "in_force": was,
+            "new": is,
+            "apart_from": apart,
+            "differs": was != is,
+        }));
+    }
+    for fault in &new.faults {
+        eprintln!("warning: {fault}");
+    }
+    Ok(Value::Array(rows))
+}
+
+async fn tasks(client: &Client) -> Result<BTreeSet<TaskFacts>, CliError> {
+    let mut tasks = BTreeSet::new();
+    for kind in [Kind::Service, Kind::Job, Kind::Watcher] {
+        let rows = client.get(&format!("/v1/specs?kind={kind}")).await?;
+        for row in rows.as_array().into_iter().flatten() {
+            let spec: Result<Spec, _> = serde_json::from_value(row["spec"].clone());
+            tasks.extend(spec.ok().map(|spec| TaskFacts::from(&spec)));
+        }
+    }
+    Ok(tasks)
+}
--- /dev/null
+++ b/crates/kitetraild/src/metrics.rs
@@ -0,0 +1,98 @@
+//! What the daemon counts, and the page that shows it.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// What the daemon counts.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency_ms: Histogram<f64>,
+    decisions: Counter<u64>,
+    commits: Counter<u64>,
+    policy_faults: Counter<u64>,
+    peer_messages: Counter<u64>,
+}
+
+impl Metrics {
+    /// Counters at zero.
+    pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("kitetrail");
+        Ok(Self {
+            requests: meter
+                .u64_counter("kitetrail.requests")
+                .with_description("Requests by outcome and reason")
+                .build(),
+            latency_ms: meter
+                .f64_histogram("kitetrail.request.latency_ms")
+                .with_description("Time from a request's arrival to its answer")
+                .build(),
+            decisions: meter
+                .u64_counter("kitetrail.decisions")
+                .with_description("Placement decisions by kind")
+                .build(),
+            commits: meter
+                .u64_counter("kitetrail.commits")
+                .with_description("Transactions by answer")
+                .build(),
+            policy_faults: meter
+                .u64_counter("kitetrail.policy.faults")
+                .with_description("Questions a policy failed to answer")
+                .build(),
+            peer_messages: meter
+                .u64_counter("kitetrail.peer.messages")
+                .with_description("Messages sent to other daemons by kind")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answered request.
+    pub fn note_request(&self, outcome: &str, reason: &str, latency_ms: f64) {
+        let outcome = KeyValue::new("outcome", outcome.to_owned());
+        self.latency_ms.record(latency_ms, std::slice::from_ref(&outcome));
+        self.requests.add(1, &[outcome, KeyValue::new("reason", reason.to_owned())]);
+    }
+
+    /// Counts a placement decision.
+    pub fn note_decision(&self, kind: &'static str) {
+        self.decisions.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a transaction.
+    pub fn note_commit(&self, answer: &'static str) {
+        self.commits.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
+    /// Counts a question that a policy failed to answer.
+    pub fn note_policy_fault(&self, function: &'static str) {
+        self.policy_faults.add(1, &[KeyValue::new("function", function)]);
+    }
+
+    /// Counts a message to another daemon.
+    pub fn note_peer_message(&self, kind: &'static str) {
+        self.peer_messages.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// All counters as a scrape page.
+    pub fn page(&self) -> String {
+        let mut page = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut page) {
+            Ok(()) => String::from_utf8_lossy(&page).into_owned(),
+            Err(error) => format!("# the counters can't be written: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kitetraild/src/operators/mod.rs
@@ -0,0 +1,5 @@
+//! The operators' API over HTTP with JSON bodies.
+
+mod api;
+
+pub use api::start;
--- /dev/null
+++ b/crates/kitetraild/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! What daemons say to each other.
+
+mod client;
+mod server;
+
+pub use client::PeerClients;
+pub use server::serve;
