--- a/crates/kitetrail-standins/tests/world/mod.rs
+++ b/crates/kitetrail-standins/tests/world/mod.rs
@@ -269,8 +269,15 @@
         self.note(format!("box-{node} reaches all workers"));
     }
 
+    /// Freezes or thaws a worker with all that runs on it. The first thing a thawed
+    /// worker does is to look at its leases.
     pub fn pause_worker(&mut self, worker: usize, paused: bool) {
-        self.workers[worker].paused = paused;
+        let state = &mut self.workers[worker];
+        state.paused = paused;
+        if !paused {
+            state.model.advance(self.now_ms + state.clock_offset_ms);
+            self.collect_events(worker);
+        }
         self.note(format!("worker-{worker} {}", if paused { "freezes" } else { "thaws" }));
     }
 
