--- /dev/null
+++ b/crates/kitetrail-core/benches/routing.rs
@@ -0,0 +1,72 @@
+//! The time of one routing decision, at fleets of several sizes.
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use kitetrail_core::{
+    Epoch, SpecName, Time, ZoneId,
+    routing::{Arrival, Exchange, PowerOfTwo, RequestNumber, Router, RouterSettings, Verdict},
+    shard::{EndpointSet, PlacedEndpoint},
+};
+
+const FLEETS: [usize; 3] = [65, 300, 1_200];
+const ZONES: usize = 4;
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| panic!("{text} must be a name"))
+}
+
+/// A router that knows so many endpoints, in four availability zones.
+fn router(endpoints: usize) -> Router<PowerOfTwo> {
+    let settings = RouterSettings::builder().zone(name::<ZoneId>("zone-0")).build();
+    let mut router = Router::new(settings, PowerOfTwo, 1);
+    let placed = (0..endpoints).map(|number| PlacedEndpoint {
+        service: name("validate"),
+        worker: name(&format!("worker-{number}")),
+        zone: name(&format!("zone-{}", number % ZONES)),
+        address: ([127, 0, (number / 250) as u8, (number % 250) as u8], 80).into(),
+        leaving: false,
+    });
+    let set = EndpointSet {
+        shard: name("zone-0:0"),
+        epoch: Epoch(1),
+        sequence: 1,
+        endpoints: placed.collect(),
+    };
+    router.set_endpoints(set, Time::from_ms(1));
+    router
+}
+
+fn routing(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("routing_decision");
+    let service: SpecName = name("validate");
+    for endpoints in FLEETS {
+        let mut router = router(endpoints);
+        let mut number = 0;
+        let id = BenchmarkId::from_parameter(endpoints);
+        group.bench_function(id, |bencher| {
+            bencher.iter(|| {
+                number += 1;
+                let now = Time::from_us(1_000_000 + number * 10);
+                let arrival = Arrival {
+                    number: RequestNumber(number),
+                    service: service.clone(),
+                    repeatable: true,
+                    rank: 100,
+                    deadline: now + Duration::from_secs(1),
+                };
+                let verdict = router.offer(arrival, now);
+                if let Verdict::Send(endpoint) = verdict {
+                    let answered = now + Duration::from_millis(2);
+                    let number = RequestNumber(number);
+                    black_box(router.finish(number, endpoint, Exchange::Answered, answered));
+                }
+                black_box(verdict)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, routing);
+criterion_main!(benches);
