--- /dev/null
+++ b/crates/kitetrail-core/src/shard/owner/inbox.rs
@@ -0,0 +1,108 @@
+//! Acts on the messages in the inbox.
+
+use super::*;
+
+impl Owner {
+    /// Asks for the inbox at the next step.
+    pub(in crate::shard) fn wake(&mut self) {
+        self.inbox.last_read = None;
+    }
+
+    /// Takes in that the inbox could not be read.
+    pub(in crate::shard) fn on_inbox_failed(&mut self) {
+        self.inbox.in_flight = false;
+    }
+
+    /// Acts on the messages in the inbox.
+    pub(in crate::shard) fn on_inbox<P: Placer>(
+        &mut self,
+        items: Vec<(Key, Version, InboxItem)>,
+        placer: &P,
+        actions: &mut Vec<Action>,
+    ) {
+        self.inbox.in_flight = false;
+        for (key, version, item) in items {
+            if self.inbox.taken.insert(key, version).is_some() {
+                continue;
+            }
+            match item {
+                InboxItem::Submit { spec, first, count } => {
+                    for index in first..first + count {
+                        self.submit(TaskRow::queued(&spec, index), placer);
+                    }
+                }
+                InboxItem::Cancel { spec } => self.cancel(&spec, placer, actions),
+            }
+        }
+    }
+
+    pub(super) fn submit<P: Placer>(&mut self, row: TaskRow, placer: &P) {
+        if self.rows.contains_key(&row.id) {
+            return;
+        }
+        self.queue.insert(queue_key(&row, placer));
+        self.dirty.insert(row.id.clone());
+        self.rows.insert(row.id.clone(), row);
+    }
+
+    pub(super) fn cancel<P: Placer>(
+        &mut self,
+        spec: &SpecName,
+        placer: &P,
+        actions: &mut Vec<Action>,
+    ) {
+        let first = TaskId { spec: spec.clone(), index: 0 };
+        let ids: Vec<TaskId> = self
+            .rows
+            .range(first..)
+            .take_while(|(id, _)| id.spec == *spec)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.cancel_task(&id, placer, actions);
+        }
+    }
+
+    pub(super) fn cancel_task<P: Placer>(
+        &mut self,
+        id: &TaskId,
+        placer: &P,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(row) = self.rows.get_mut(id) else { return };
+        match &row.stage {
+            Stage::Ended(_) => return,
+            Stage::Queued => {
+                self.queue.remove(&queue_key(row, placer));
+                row.stage = Stage::Ended(Ending::Cancelled);
+                let ending = Ending::Cancelled;
+                actions.push(Action::Log(Decision::Ended { task: id.clone(), ending }));
+            }
+            Stage::Placed { worker, .. } => {
+                row.cancelled = true;
+                if let Some(state) = self.workers.get_mut(worker) {
+                    state.due = Time::ZERO;
+                    if let Some(grant) = state.ledger.get_mut(id, row.attempt) {
+                        grant.want = Want::Stop;
+                    }
+                }
+            }
+        }
+        self.dirty.insert(id.clone());
+    }
+
+    pub(super) fn read_inbox(
+        &mut self,
+        settings: &ShardSettings,
+        wants_out: bool,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        let due = self.inbox.last_read.is_none_or(|at| now.since(at) >= settings.poll_interval);
+        if due && !self.inbox.in_flight && !wants_out {
+            self.inbox.last_read = Some(now);
+            self.inbox.in_flight = true;
+            actions.push(Action::ReadInbox);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/shard/owner/place.rs
@@ -0,0 +1,187 @@
+//! Gives waiting tasks to workers.
+
+use super::*;
+
+impl Owner {
+    /// Gives waiting tasks to workers, the ones that matter most first.
+    pub(super) fn place<P: Placer>(
+        &mut self,
+        settings: &ShardSettings,
+        placer: &P,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        self.avoid.retain(|_, (_, until)| now < *until);
+        let waiting: Vec<QueueKey> = self.queue.iter().take(MAX_PLACEMENTS).cloned().collect();
+        let mut hopeless: BTreeSet<SpecName> = BTreeSet::new();
+        for key in waiting {
+            let id = &key.1;
+            if hopeless.contains(&id.spec) {
+                continue;
+            }
+            let Some(row) = self.rows.get(id) else { continue };
+            match self.choose(row, settings, placer, now) {
+                Some((worker, boot, reason)) => {
+                    self.grant(&key, worker, boot, reason, actions);
+                }
+                None => {
+                    hopeless.insert(id.spec.clone());
+                    if row.spec.priority >= settings.urgent_priority {
+                        self.make_room(&id.clone(), settings, placer, now, actions);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn choose<P: Placer>(
+        &self,
+        row: &TaskRow,
+        settings: &ShardSettings,
+        placer: &P,
+        now: Time,
+    ) -> Option<(WorkerId, u64, String)> {
+        let avoided = self.avoid.get(&row.id).map(|(worker, _)| worker);
+        let able: Vec<(&WorkerId, &WorkerState, Heard)> = self
+            .workers
+            .iter()
+            .filter(|(_, state)| state.is_live() && !state.rests(now))
+            .filter(|(_, state)| state.is_responsive(settings, now))
+            .filter(|(_, state)| row.spec.size.fits_in(&state.ledger.free()))
+            .filter(|(id, _)| !row.failed_on.contains(id) || self.workers.len() == 1)
+            .filter(|(_, state)| {
+                row.spec.kind != Kind::Service || !has_replica(state, &row.id.spec)
+            })
+            .filter(|(id, state)| {
+                Some(*id) != avoided && state.ledger.get(&row.id, row.attempt).is_none()
+            })
+            .filter_map(|(id, state)| Some((id, state, state.heard?)))
+            .collect();
+        let racks = self.siblings_by_rack(&row.id.spec);
+        let candidates: Vec<Candidate<'_>> = able
+            .iter()
+            .map(|(id, state, _)| Candidate {
+                worker: id,
+                capacity: state.capacity(),
+                free: state.ledger.free(),
+                classes: state.ledger.classes(),
+                siblings_on_worker: state.ledger.count_of(&row.id.spec),
+                siblings_in_rack: state
+                    .info
+                    .as_ref()
+                    .and_then(|info| racks.get(&info.rack).copied())
+                    .unwrap_or(0),
+            })
+            .collect();
+        let Choice { index, reason } = placer.choose(row, &candidates)?;
+        let (id, _, heard) = able.get(index)?;
+        Some(((*id).clone(), heard.boot, reason))
+    }
+
+    pub(super) fn siblings_by_rack(&self, spec: &SpecName) -> BTreeMap<u16, u32> {
+        let mut racks = BTreeMap::new();
+        for state in self.workers.values() {
+            if let Some(info) = &state.info {
+                *racks.entry(info.rack).or_insert(0) += state.ledger.count_of(spec);
+            }
+        }
+        racks
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        key: &QueueKey,
+        worker: WorkerId,
+        boot: u64,
+        reason: String,
+        actions: &mut Vec<Action>,
+    ) {
+        let task = key.1.clone();
+        let (Some(row), Some(state)) = (self.rows.get_mut(&task), self.workers.get_mut(&worker))
+        else {
+            return;
+        };
+        let attempt = row.attempt;
+        if !state.ledger.try_grant(task.clone(), attempt, Grant::of(row, boot)) {
+            return;
+        }
+        row.stage = Stage::Placed { worker: worker.clone(), boot };
+        self.placed_count += 1;
+        self.queue.remove(key);
+        self.preempting.remove(&task);
+        self.dirty.insert(task.clone());
+        actions.push(Action::Log(Decision::Placed { task, attempt, worker, reason }));
+    }
+
+    /// Asks the worker where it costs least to make room for an urgent task.
+    pub(super) fn make_room<P: Placer>(
+        &mut self,
+        task: &TaskId,
+        settings: &ShardSettings,
+        placer: &P,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        let waited = self.preempting.get(task).map(|since| now.since(*since));
+        if waited.is_some_and(|waited| waited < PREEMPTION_PATIENCE) {
+            return;
+        }
+        let Some(row) = self.rows.get(task) else { return };
+        let best = self
+            .workers
+            .iter()
+            .filter(|(_, state)| state.is_live() && state.is_responsive(settings, now))
+            .filter_map(|(id, state)| Some((id, victims(row, state, placer)?)))
+            .min_by_key(|(_, (cost, _))| *cost);
+        let Some((worker, (_, victims))) = best else { return };
+        let worker = worker.clone();
+        self.preempting.insert(task.clone(), now);
+        let Some(state) = self.workers.get_mut(&worker) else { return };
+        state.due = now;
+        for (victim, attempt) in victims {
+            if let Some(grant) = state.ledger.get_mut(&victim, attempt) {
+                grant.want = Want::Checkpoint;
+            }
+            actions.push(Action::Log(Decision::Relieved {
+                task: victim,
+                worker: worker.clone(),
+                want: Want::Checkpoint,
+                reason: format!("urgent {task} needs the room"),
+            }));
+        }
+    }
+}
+
+fn has_replica(state: &WorkerState, service: &SpecName) -> bool {
+    state.ledger.count_of(service) > 0
+}
+
+fn victims<P: Placer>(
+    row: &TaskRow,
+    state: &WorkerState,
+    placer: &P,
+) -> Option<(u64, Vec<(TaskId, Attempt)>)> {
+    let rank = placer.policy().rule(&row.spec.class, row.spec.kind).rank;
+    let mut evictable: Vec<_> = state
+        .ledger
+        .iter()
+        .filter(|(_, grant)| matches!(grant.want, Want::Run | Want::Throttle))
+        .filter(|(_, grant)| {
+            let rule = placer.policy().rule(&grant.class, grant.kind);
+            rule.sacrifice == Sacrifice::Evict && (rule.rank < rank || row.spec.priority > 0)
+        })
+        .collect();
+    evictable.sort_by_key(|(_, grant)| grant.unsaved_ms);
+    let mut free = state.ledger.free();
+    let mut cost = 0;
+    let mut chosen = Vec::new();
+    for ((task, attempt), grant) in evictable {
+        if row.spec.size.fits_in(&free) {
+            break;
+        }
+        free = free.saturating_add(&grant.size);
+        cost += grant.unsaved_ms + 1;
+        chosen.push((task.clone(), *attempt));
+    }
+    (row.spec.size.fits_in(&free) && !chosen.is_empty()).then_some((cost, chosen))
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/shard/owner/speak.rs
@@ -0,0 +1,133 @@
+//! Speaks to workers, and tells all boxes where services answer.
+
+use super::*;
+
+impl Owner {
+    pub(super) fn sync_workers(
+        &mut self,
+        settings: &ShardSettings,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        let ids: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, state)| !state.in_flight && state.due <= now && state.info.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let request = self.sync_request(&id, settings, now);
+            let Some(state) = self.workers.get_mut(&id) else { continue };
+            state.in_flight = true;
+            state.due = now + settings.sync_interval;
+            let Some(info) = state.info.clone() else { continue };
+            actions.push(Action::Sync(info, request));
+        }
+    }
+
+    /// Everything the owner wants of a worker.
+    pub(super) fn sync_request(
+        &mut self,
+        id: &WorkerId,
+        settings: &ShardSettings,
+        now: Time,
+    ) -> SyncRequest {
+        let renew_exclusive = self.may_renew_exclusive(settings, now);
+        let mut request = SyncRequest {
+            shard: self.shard.clone(),
+            epoch: self.epoch,
+            boot: 0,
+            sequence: 0,
+            orders: Vec::new(),
+            settled: Vec::new(),
+        };
+        let (rows, dirty, committing) = (&self.rows, &self.dirty, &self.committing);
+        let Some(state) = self.workers.get_mut(id) else { return request };
+        request.sequence = state.next_sequence();
+        let Some(heard) = state.heard else { return request };
+        request.boot = heard.boot;
+        let lease_until_ms = heard.clock_ms + settings.task_lease.as_millis() as u64;
+        for ((task, attempt), grant) in state.ledger.iter_mut() {
+            let row = rows.get(task).filter(|row| {
+                row.attempt == *attempt && row.worker() == Some(id) && grant.boot == heard.boot
+            });
+            let durable = !dirty.contains(task) && !committing.contains(task);
+            let draining = grant.drain_until.is_some_and(|until| now < until);
+            let wanted = match row {
+                Some(_) => durable || grant.running,
+                None => draining,
+            };
+            if !wanted {
+                continue;
+            }
+            grant.ordered_at.get_or_insert(request.sequence);
+            let renew = !grant.kind.is_exclusive() || renew_exclusive;
+            if renew {
+                grant.lease_until_ms = lease_until_ms;
+            }
+            request.orders.push(Order {
+                task: task.clone(),
+                attempt: *attempt,
+                want: if renew { grant.want } else { Want::Checkpoint },
+                kind: grant.kind,
+                class: grant.class.clone(),
+                size: grant.size,
+                resume_ms: row.map_or(0, |row| row.checkpoint_ms),
+                work_ms: row.map_or(0, |row| row.spec.expected_run_ms),
+                lease_until_ms: grant.lease_until_ms,
+            });
+        }
+        let settled = state.unsettled.iter().filter(|(task, attempt)| {
+            let open = state.ledger.get(task, *attempt).is_some();
+            !open && !dirty.contains(task) && !committing.contains(task)
+        });
+        request.settled = settled.cloned().collect();
+        request
+    }
+
+    /// Tells all boxes where services answer, once per reign and when it changed.
+    ///
+    /// A new owner waits until it has heard its workers, or an older owner's word would
+    /// be replaced by an empty one.
+    pub(super) fn publish(&mut self, actions: &mut Vec<Action>) {
+        if !self.settled_in {
+            return;
+        }
+        let endpoints = self.endpoints();
+        if endpoints == self.published && self.publish_sequence > 0 {
+            return;
+        }
+        self.published = endpoints.clone();
+        self.publish_sequence += 1;
+        actions.push(Action::Publish(EndpointSet {
+            shard: self.shard.clone(),
+            epoch: self.epoch,
+            sequence: self.publish_sequence,
+            endpoints,
+        }));
+    }
+
+    pub(super) fn endpoints(&self) -> Vec<PlacedEndpoint> {
+        let mut endpoints = Vec::new();
+        for (id, state) in &self.workers {
+            let Some(info) = &state.info else { continue };
+            let serving = state.ledger.iter().filter(|(_, grant)| {
+                grant.kind == Kind::Service && grant.running && grant.want != Want::Stop
+            });
+            for ((task, attempt), grant) in serving {
+                let current = self.is_current(task, *attempt, id);
+                if !current && grant.drain_until.is_none() {
+                    continue;
+                }
+                endpoints.push(PlacedEndpoint {
+                    service: task.spec.clone(),
+                    worker: id.clone(),
+                    zone: info.zone.clone(),
+                    address: info.endpoint,
+                    leaving: !current || info.state == Liveness::Leaving,
+                });
+            }
+        }
+        endpoints
+    }
+}
