--- a/crates/kitetrail-core/src/lib.rs
+++ b/crates/kitetrail-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! program can drive the core: the daemon, a test on virtual time or an outside
 //! bench.
 
+pub mod audit;
 pub mod calls;
 pub mod config;
 pub mod fleet;
--- a/crates/kitetrail-core/src/membership.rs
+++ b/crates/kitetrail-core/src/membership.rs
@@ -91,9 +91,11 @@
         self.is_up(id, now) && !leaving
     }
 
-    /// How many boxes are up.
-    pub fn up_count(&self, now: Time) -> usize {
-        self.members.keys().filter(|id| self.is_up(id, now)).count()
+    /// How many boxes are up, and the place of this one among them by name.
+    pub fn place(&self, now: Time) -> (u32, u32) {
+        let up: Vec<&BoxId> = self.members.keys().filter(|id| self.is_up(id, now)).collect();
+        let place = up.iter().position(|id| **id == self.me).unwrap_or(0);
+        (up.len() as u32, place as u32)
     }
 
     /// The addresses of all other boxes in the box list.
--- a/crates/kitetrail-core/src/placement/policy_table.rs
+++ b/crates/kitetrail-core/src/placement/policy_table.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{TaskClass, task::Kind};
+use crate::{Resources, TaskClass, TeamId, task::Kind};
 
 /// What may be done to a class under pressure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -51,6 +51,8 @@
     pub rules: BTreeMap<TaskClass, ClassRule>,
     /// Pairs of classes that may not share a worker, each in both orders.
     pub apart: BTreeSet<(TaskClass, TaskClass)>,
+    /// The most that each team's batch jobs may hold in one shard.
+    pub quotas: BTreeMap<TeamId, Resources>,
 }
 
 impl PolicyTable {
@@ -67,6 +69,12 @@
 
 impl Default for PolicyTable {
     fn default() -> Self {
-        Self { revision: 0, tail_weight: 0.5, rules: BTreeMap::new(), apart: BTreeSet::new() }
+        Self {
+            revision: 0,
+            tail_weight: 0.5,
+            rules: BTreeMap::new(),
+            apart: BTreeSet::new(),
+            quotas: BTreeMap::new(),
+        }
     }
 }
--- a/crates/kitetrail-core/src/routing/endpoint.rs
+++ b/crates/kitetrail-core/src/routing/endpoint.rs
@@ -9,10 +9,12 @@
 const LATENCY_WEIGHT: f64 = 0.2;
 /// How long it takes a latency that isn't renewed to fall by half.
 const LATENCY_HALF_LIFE_S: f64 = 3.0;
-/// The factor by which the limit shrinks when the endpoint refuses.
-const BACK_OFF: f64 = 0.7;
+/// The factor by which the limit shrinks when the endpoint refuses or slows down.
+const BACK_OFF: f64 = 0.8;
 /// The latency, relative to the lowest seen, from which the limit shrinks.
-const CONGESTED: f64 = 3.0;
+const CONGESTED: f64 = 1.5;
+/// By how much the lowest latency grows with each answer that is well above it.
+const LOWEST_DRIFT: f64 = 1.001;
 
 /// An endpoint within one run of one box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -32,6 +34,9 @@
     /// Whether it takes no new requests.
     pub leaving: bool,
     outstanding: u32,
+    /// The slots that are this box's when all boxes want them.
+    share: f64,
+    /// How many requests this box may have on their way: its share, and what it borrows.
     limit: f64,
     latency_us: f64,
     lowest_us: f64,
@@ -44,13 +49,7 @@
 
 impl EndpointState {
     /// An endpoint of which nothing is known yet.
-    pub fn new(
-        service: SpecName,
-        worker: WorkerId,
-        zone: ZoneId,
-        address: SocketAddr,
-        share: f64,
-    ) -> Self {
+    pub fn new(service: SpecName, worker: WorkerId, zone: ZoneId, address: SocketAddr) -> Self {
         Self {
             service,
             worker,
@@ -58,7 +57,8 @@
             address,
             leaving: false,
             outstanding: 0,
-            limit: share,
+            share: 1.0,
+            limit: 1.0,
             latency_us: 0.0,
             lowest_us: f64::MAX,
             measured_at: Time::ZERO,
@@ -74,6 +74,11 @@
         self.outstanding
     }
 
+    /// The slots that are this box's when all boxes want them.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
     /// How many requests this box may have on their way at a time.
     pub fn limit(&self) -> f64 {
         self.limit
@@ -116,7 +121,7 @@
     pub fn note_success(&mut self, took: Duration, ceiling: f64, now: Time) {
         self.failures = 0;
         if self.ejected_until.take().is_some() {
-            self.limit = 1.0;
+            self.limit = self.share;
         }
         let took_us = took.as_micros() as f64;
         self.lowest_us = self.lowest_us.min(took_us).max(1.0);
@@ -128,8 +133,8 @@
         let used_up = f64::from(self.outstanding) + 1.0 >= self.limit.floor();
         if self.latency_us > self.lowest_us * CONGESTED {
             self.back_off(now);
-            // The lowest latency drifts up, so that a change of load is forgotten.
-            self.lowest_us *= 1.01;
+            // The lowest latency drifts up, so that a lasting change is learned in time.
+            self.lowest_us *= LOWEST_DRIFT;
         } else if used_up {
             self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(ceiling);
         }
@@ -154,18 +159,19 @@
         self.ejected_until = Some(now + rest.min(settings.ejection_max));
     }
 
-    /// Brings the limit back within a share that changed.
-    pub fn cap_limit(&mut self, ceiling: f64) {
-        self.limit = self.limit.min(ceiling);
+    /// Follows a change of the share and of the most that may be borrowed.
+    pub fn set_share(&mut self, share: f64, ceiling: f64) {
+        self.share = share;
+        self.limit = self.limit.clamp(share, ceiling.max(share));
     }
 
-    /// Shrinks the limit, at most once per round trip.
+    /// Shrinks the limit towards the share, at most once per round trip.
     fn back_off(&mut self, now: Time) {
         let round_trip = Duration::from_micros(self.latency_us as u64);
         if self.backed_off_at.is_some_and(|at| now.since(at) < round_trip) {
             return;
         }
         self.backed_off_at = Some(now);
-        self.limit = (self.limit * BACK_OFF).max(1.0);
+        self.limit = (self.limit * BACK_OFF).max(self.share);
     }
 }
--- a/crates/kitetrail-core/src/routing/router.rs
+++ b/crates/kitetrail-core/src/routing/router.rs
@@ -29,6 +29,7 @@
     balancer: B,
     rng: ChaCha8Rng,
     boxes: u32,
+    place: u32,
     sets: BTreeMap<ShardId, KnownSet>,
     leaving: BTreeSet<WorkerId>,
     services: HashMap<SpecName, Service>,
@@ -77,6 +78,7 @@
             balancer,
             rng: ChaCha8Rng::seed_from_u64(seed),
             boxes: 1,
+            place: 0,
             sets: BTreeMap::new(),
             leaving: BTreeSet::new(),
             services: HashMap::new(),
@@ -129,15 +131,33 @@
         sets.collect()
     }
 
-    /// Follows the number of boxes that share the endpoints.
-    pub fn set_boxes(&mut self, boxes: u32) {
-        self.boxes = boxes.max(1);
+    /// Follows the number of boxes that share the endpoints, and the place of this one
+    /// among them.
+    pub fn set_boxes(&mut self, boxes: u32, place: u32) {
+        let (boxes, place) = (boxes.max(1), place.min(boxes.saturating_sub(1)));
+        if (boxes, place) == (self.boxes, self.place) {
+            return;
+        }
+        (self.boxes, self.place) = (boxes, place);
         let ceiling = f64::from(self.connection_share());
-        for endpoint in &mut self.endpoints {
-            endpoint.cap_limit(ceiling);
+        for index in 0..self.endpoints.len() {
+            let share = self.share_of(EndpointId(index));
+            self.endpoints[index].set_share(share, ceiling);
         }
     }
 
+    /// The slots of an endpoint that are this box's: all slots, divided so that the
+    /// shares of all boxes add up to them, but never none. Which boxes get one more
+    /// differs from endpoint to endpoint, and all boxes agree on it.
+    fn share_of(&self, id: EndpointId) -> f64 {
+        let slots = self.settings.slots_per_endpoint;
+        let address = self.endpoints[id.0].address.to_string();
+        let start = xxhash_rust::xxh3::xxh3_64(address.as_bytes()) % u64::from(self.boxes);
+        let turn = (start as u32 + self.place) % self.boxes;
+        let share = slots / self.boxes + u32::from(turn < slots % self.boxes);
+        f64::from(share.max(1))
+    }
+
     /// Follows the box list's word on which workers are about to go or gone.
     pub fn set_leaving(&mut self, leaving: BTreeSet<WorkerId>, now: Time) {
         if self.leaving != leaving {
@@ -308,12 +328,13 @@
         let Some(service) = self.services.get_mut(&arrival.service) else {
             return self.give_up(arrival.number, Reason::NoEndpoint, now);
         };
+        let allowed = service.allowed_wait(settings.max_queue_wait, now);
         let wait = service.expected_wait(service.queue.ahead_of(arrival.rank));
         let left = arrival.deadline.since(now);
-        if wait > left.min(settings.max_queue_wait) {
+        if wait > left.min(allowed) {
             return self.give_up(arrival.number, Reason::Overload, now);
         }
-        let until = (now + settings.max_queue_wait).min(arrival.deadline);
+        let until = (now + allowed).min(arrival.deadline);
         let full = service.queue.len() >= settings.max_queued;
         service.queue.push(arrival.rank, Waiting { number: arrival.number, until });
         if !full {
@@ -462,8 +483,6 @@
 
     /// Works the endpoints of all services out anew. What is known of each is kept.
     fn rebuild(&mut self, now: Time) {
-        let slots = f64::from(self.settings.slots_per_endpoint);
-        let share = (slots / f64::from(self.boxes)).ceil().max(1.0);
         for service in self.services.values_mut() {
             service.local.clear();
             service.remote.clear();
@@ -481,9 +500,11 @@
             let key = (placed.service.clone(), placed.address);
             let id = *self.by_address.entry(key).or_insert_with(|| {
                 let PlacedEndpoint { service, worker, zone, address, .. } = placed.clone();
-                self.endpoints.push(EndpointState::new(service, worker, zone, address, share));
+                self.endpoints.push(EndpointState::new(service, worker, zone, address));
                 EndpointId(self.endpoints.len() - 1)
             });
+            let (share, ceiling) = (self.share_of(id), f64::from(self.connection_share()));
+            self.endpoints[id.0].set_share(share, ceiling);
             let retry_percent = self.settings.retry_percent;
             let service = self.services.entry(placed.service.clone());
             let service = service.or_insert_with(|| Service::new(retry_percent, now));
--- a/crates/kitetrail-core/src/shard/owner.rs
+++ b/crates/kitetrail-core/src/shard/owner.rs
@@ -19,11 +19,11 @@
     worker_state::{Heard, WorkerState},
 };
 use crate::{
-    Attempt, Epoch, ShardId, SpecName, TaskId, Time, Version, WorkerId,
+    Attempt, Epoch, Resources, ShardId, SpecName, TaskId, TeamId, Time, Version, WorkerId,
     fleet::{Liveness, WorkerInfo},
     placement::{Band, Candidate, Choice, Placer, ReliefSettings, Resident, Sacrifice},
     table::{Condition, Key, Record, Write},
-    task::{Ending, InboxItem, Kind, Stage, TaskRow},
+    task::{Ending, InboxItem, Kind, Spec, Stage, TaskRow},
     worker::{Order, Phase, SyncReply, SyncRequest, TaskReport, Want},
 };
 
--- a/crates/kitetrail-core/src/shard/owner/place.rs
+++ b/crates/kitetrail-core/src/shard/owner/place.rs
@@ -14,17 +14,23 @@
         self.avoid.retain(|_, (_, until)| now < *until);
         let waiting: Vec<QueueKey> = self.queue.iter().take(MAX_PLACEMENTS).cloned().collect();
         let mut hopeless: BTreeSet<SpecName> = BTreeSet::new();
+        let mut held = self.held_by_teams(placer);
         for key in waiting {
             let id = &key.1;
             if hopeless.contains(&id.spec) {
                 continue;
             }
             let Some(row) = self.rows.get(id) else { continue };
+            if !held.try_add(&row.spec, placer) {
+                hopeless.insert(id.spec.clone());
+                continue;
+            }
             match self.choose(row, settings, placer, now) {
                 Some((worker, boot, reason)) => {
                     self.grant(&key, worker, boot, reason, actions);
                 }
                 None => {
+                    held.take_back(&row.spec);
                     hopeless.insert(id.spec.clone());
                     if row.spec.priority >= settings.urgent_priority {
                         self.make_room(&id.clone(), settings, placer, now, actions);
@@ -34,6 +40,20 @@
         }
     }
 
+    /// What each team with a quota holds in this shard.
+    fn held_by_teams<P: Placer>(&self, placer: &P) -> HeldByTeams {
+        let mut held = HeldByTeams::default();
+        let quotas = &placer.policy().quotas;
+        if quotas.is_empty() {
+            return held;
+        }
+        let placed = self.rows.values().filter(|row| row.worker().is_some());
+        for row in placed.filter(|row| row.spec.kind == Kind::Job) {
+            held.add(&row.spec);
+        }
+        held
+    }
+
     pub(super) fn choose<P: Placer>(
         &self,
         row: &TaskRow,
--- a/crates/kitetrail-core/src/table.rs
+++ b/crates/kitetrail-core/src/table.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     OpId, ShardId, SpecName, TaskId, Version,
+    audit::AuditEntry,
     calls::CallRow,
     config::Revision,
     shard::LeaseRow,
@@ -47,6 +48,11 @@
         Self(format!("config/revision/{number:012}"))
     }
 
+    /// The row that records a change. Names sort by time.
+    pub fn audit(at_unix_ms: u64, change: &str) -> Self {
+        Self(format!("audit/{at_unix_ms:015}/{change}"))
+    }
+
     /// The row of a call that must not run twice.
     pub fn call(service: &SpecName, call: &str) -> Self {
         Self(format!("call/{service}/{call}"))
@@ -99,6 +105,11 @@
         Self("lease/".to_owned())
     }
 
+    /// All recorded changes, oldest first.
+    pub fn audit() -> Self {
+        Self("audit/".to_owned())
+    }
+
     /// All configuration revisions.
     pub fn config_revisions() -> Self {
         Self("config/revision/".to_owned())
@@ -132,6 +143,8 @@
     },
     /// A configuration revision.
     ConfigRevision(Revision),
+    /// A recorded change.
+    Audit(AuditEntry),
     /// A call that must not run twice.
     Call(CallRow),
 }
--- /dev/null
+++ b/crates/kitetrail-core/tests/membership.rs
@@ -0,0 +1,73 @@
+//! Which boxes count as up, and how shards are dealt to them.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use kitetrail_core::{
+    BoxId, ShardId, Time,
+    fleet::{BoxInfo, Liveness},
+    membership::{Heartbeat, Membership},
+};
+
+fn id(number: usize) -> BoxId {
+    format!("entry-{number}").parse().unwrap()
+}
+
+fn listed(number: usize, state: Liveness) -> BoxInfo {
+    let zone = format!("zone-{}", number % 4).parse().unwrap();
+    BoxInfo { id: id(number), peer: ([127, 0, 0, 1], number as u16).into(), zone, state }
+}
+
+fn heartbeat(number: usize, beat: u64) -> Heartbeat {
+    Heartbeat { id: id(number), incarnation: 1, beat, leaving: false, revision: 0 }
+}
+
+fn view(boxes: usize, now: Time) -> Membership {
+    let mut membership = Membership::new(id(0), 1, 1, now);
+    membership.set_listed((0..boxes).map(|n| listed(n, Liveness::Live)).collect());
+    membership.merge((1..boxes).map(|n| heartbeat(n, 1)).collect(), now);
+    membership
+}
+
+fn shards() -> BTreeSet<ShardId> {
+    let all = (0..4).flat_map(|zone| (0..4).map(move |index| format!("zone-{zone}:{index}")));
+    all.map(|text| text.parse().unwrap()).collect()
+}
+
+#[test]
+fn shards_are_dealt_evenly() {
+    let now = Time::from_ms(1_000);
+    for boxes in 1..=16 {
+        let owners = view(boxes, now).owners(&shards(), now);
+        let share = 16usize.div_ceil(boxes);
+        for number in 0..boxes {
+            let owned = owners.values().filter(|ranked| ranked[0] == id(number)).count();
+            assert!(owned <= share, "entry-{number} of {boxes} has {owned} shards");
+        }
+    }
+}
+
+#[test]
+fn a_box_whose_heartbeat_stops_is_given_up() {
+    let now = Time::from_ms(1_000);
+    let mut membership = view(3, now);
+    let later = now + Membership::SUSPECT_AFTER - Duration::from_millis(1);
+    assert!(membership.is_up(&id(1), later));
+    membership.merge(vec![heartbeat(1, 2)], later);
+    let after = now + Membership::SUSPECT_AFTER;
+    assert!(membership.is_up(&id(1), after), "its heartbeat grew");
+    assert!(!membership.is_up(&id(2), after), "its heartbeat did not");
+    membership.merge(vec![heartbeat(2, 1)], after);
+    assert!(!membership.is_up(&id(2), after), "an old heartbeat passed on says nothing new");
+}
+
+#[test]
+fn a_box_that_leaves_owns_nothing() {
+    let now = Time::from_ms(1_000);
+    let mut membership = view(3, now);
+    membership.merge(vec![Heartbeat { leaving: true, ..heartbeat(1, 2) }], now);
+    let boxes =
+        vec![listed(0, Liveness::Live), listed(1, Liveness::Live), listed(2, Liveness::Dead)];
+    membership.set_listed(boxes);
+    let owners = membership.owners(&shards(), now);
+    assert!(owners.values().all(|ranked| *ranked == [id(0)]));
+}
--- a/crates/kitetrail-standins/src/caller.rs
+++ b/crates/kitetrail-standins/src/caller.rs
@@ -55,6 +55,8 @@
 }
 
 struct Results {
+    /// How many good answers came while requests were still being sent.
+    good_in_window: u64,
     journal: Option<Journal>,
     done: Histogram<u64>,
     refused: Histogram<u64>,
@@ -95,10 +97,12 @@
         let call = Rc::clone(&load).call(number, once, resend, target, intended);
         calls.push(tokio::task::spawn_local(call));
     }
+    let sending = start.elapsed();
+    load.results.borrow_mut().close_window();
     for call in calls {
         let _ = call.await;
     }
-    load.report(start.elapsed())
+    load.report(sending)
 }
 
 impl Load {
@@ -106,6 +110,7 @@
         let histogram =
             || Histogram::new(3).map_err(|error| StandinError::Invalid(error.to_string()));
         let results = Results {
+            good_in_window: 0,
             journal,
             done: histogram()?,
             refused: histogram()?,
@@ -204,7 +209,7 @@
         }
     }
 
-    fn report(&self, took: Duration) -> Result<(), StandinError> {
+    fn report(&self, sending: Duration) -> Result<(), StandinError> {
         let results = self.results.borrow();
         let Counts { done, not_run, unknown, missing, wrong, late } = results.counts;
         let summary = Summary {
@@ -219,7 +224,7 @@
             p99_us: results.done.value_at_quantile(0.99),
             p999_us: results.done.value_at_quantile(0.999),
             refused_p50_us: results.refused.value_at_quantile(0.5),
-            goodput_per_s: (done - late) as f64 / took.as_secs_f64(),
+            goodput_per_s: results.good_in_window as f64 / sending.as_secs_f64(),
         };
         println!("{}", serde_json::to_string(&summary).unwrap_or_default());
         match wrong {
@@ -230,6 +235,11 @@
 }
 
 impl Results {
+    /// Notes that the last request was sent.
+    fn close_window(&mut self) {
+        self.good_in_window = self.counts.done - self.counts.late;
+    }
+
     fn add(&mut self, entry: CallerEntry, timeout_ms: u64) {
         let counts = &mut self.counts;
         match entry.outcome.as_str() {
--- a/crates/kitetrail-standins/src/journal.rs
+++ b/crates/kitetrail-standins/src/journal.rs
@@ -44,6 +44,8 @@
         done: bool,
         /// The progress it saved, in milliseconds of work.
         checkpoint_ms: u64,
+        /// The progress it made and did not save, in milliseconds of work.
+        lost_ms: u64,
     },
     /// The worker was killed. Whoever killed it writes this.
     Killed,
--- a/crates/kitetrail-standins/src/worker/model.rs
+++ b/crates/kitetrail-standins/src/worker/model.rs
@@ -175,7 +175,9 @@
         run.phase = phase;
         let (task, attempt) = key.clone();
         let (done, checkpoint_ms) = (phase == Phase::Done, run.checkpoint_ms);
-        let event = WorkerEvent::Stop { task, attempt, done, checkpoint_ms };
+        let unsaved_ms = (run.progress_ms as u64).saturating_sub(checkpoint_ms);
+        let lost_ms = if done { 0 } else { unsaved_ms };
+        let event = WorkerEvent::Stop { task, attempt, done, checkpoint_ms, lost_ms };
         self.events.push((self.now_ms, event));
     }
 
--- a/crates/kitetrail-standins/tests/placement_failures.rs
+++ b/crates/kitetrail-standins/tests/placement_failures.rs
@@ -8,10 +8,12 @@
 use kitetrail_core::{
     Attempt, Resources,
     fleet::Liveness,
+    placement::{InterferenceAware, Placer, PolicyTable},
     shard::ShardSettings,
     task::{Ending, Kind, Spec, Stage},
 };
-use world::{Weather, World, spec};
+use kitetrail_standins::worker::Effects;
+use world::{Weather, World, spec, worker_settings};
 
 /// Short enough that a test sees it pass.
 const DETACHED: Duration = Duration::from_secs(15);
@@ -223,6 +225,23 @@
     assert!(started, "{}", world.log);
 }
 
+/// A team's batch jobs never hold more than its quota, and all of them run in the end.
+#[test]
+fn a_quota_is_kept() {
+    let mut placer = InterferenceAware::default();
+    let quotas = [("desk".parse().unwrap(), Resources::new(3_500, 8_192, 0))].into();
+    placer.set_policy(PolicyTable { quotas, ..PolicyTable::default() });
+    let workers = worker_settings(Effects::default());
+    let mut world = World::with(7, 1, 3, ShardSettings::default(), placer, workers);
+    world.submit(spec("packs", Kind::Job, 12, 1_000));
+    for _ in 0..100 {
+        world.run_ms(100);
+        let running = (0..12).filter(|n| !world.where_runs(&format!("packs:{n}")).is_empty());
+        assert!(running.count() <= 3, "{}", world.log);
+    }
+    assert_eq!(world.completions("packs"), [1; 12], "{}", world.log);
+}
+
 /// A wave of cancels is dealt with in a few transactions.
 #[test]
 fn a_cancel_wave_is_one_batch() {
--- a/crates/kitetrail-standins/tests/system/mod.rs
+++ b/crates/kitetrail-standins/tests/system/mod.rs
@@ -119,6 +119,10 @@
         kill(Pid::from_raw(child.id() as i32), signal).unwrap();
     }
 
+    pub fn process_id(&self, name: &str) -> u32 {
+        self.processes[name].id()
+    }
+
     /// Kills a process hard.
     pub fn kill(&mut self, name: &str) {
         let mut child = self.processes.remove(name).unwrap();
@@ -273,6 +277,18 @@
         self.post(&uri, serde_json::json!({ "state": state }));
     }
 
+    /// What a resource of the platform holds, as text.
+    pub fn get(&self, uri: &str) -> String {
+        let uri = uri.parse().unwrap();
+        runtime().block_on(async {
+            let client = JsonClient::new("test", Duration::from_secs(5));
+            let mut request = hyper::Request::new(http_body_util::Full::default());
+            *request.uri_mut() = uri;
+            let (_, body) = client.send(request).await.unwrap();
+            String::from_utf8_lossy(&body).into_owned()
+        })
+    }
+
     pub fn http_status(&self, address: SocketAddr, path: &str) -> Option<u16> {
         let uri = format!("http://{address}{path}").parse().unwrap();
         runtime().block_on(async {
--- a/crates/kitetrail-standins/tests/system_requests.rs
+++ b/crates/kitetrail-standins/tests/system_requests.rs
@@ -2,6 +2,11 @@
 
 mod system;
 
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+};
+
 use kitetrail_standins::journal::{CallerEntry, WorkerEvent, shared_clock_ms};
 use serde_json::json;
 use system::System;
@@ -103,6 +108,38 @@
     system.judge(&["bids"], &[]);
 }
 
+/// P6: a key sent again through another entry box gets the first answer, and its call
+/// does not run again; after a while the answer is forgotten.
+#[test]
+fn a_repeated_key_gets_the_first_answer() {
+    let mut system = System::new(7, 2, 2);
+    system.settings = "[requests]\ncall_retention_ms = 3000\n".to_owned();
+    system.start();
+    system.create_service("hold", 2);
+    let post = |number: usize| {
+        let head = "POST /services/hold/seat HTTP/1.1\r\nidempotency-key: k1\r\nx-request-id: k1\r\ncontent-length: 4\r\nconnection: close\r\n\r\n";
+        let mut stream = TcpStream::connect(system.callers(number)).unwrap();
+        stream.write_all(format!("{head}seat").as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    };
+    let body = |answer: &str| answer.split("\r\n\r\n").nth(1).unwrap_or("").to_owned();
+    let first = post(1);
+    assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+    system.until("the answer is kept", || post(2).contains("x-replayed: true"));
+    assert_eq!(body(&post(2)), body(&first), "the same answer");
+    let runs = || {
+        let entries = (1..=2).flat_map(|n| system.worker_entries(n));
+        entries.filter(|e| matches!(e.event, WorkerEvent::Execute { .. })).count()
+    };
+    assert_eq!(runs(), 1, "P6: it ran again");
+    system.until("the answer is forgotten", || {
+        let uri = format!("http://{}/v1/rows?prefix=call/", system.table());
+        !system.get(&uri).contains("claimed") && !system.get(&uri).contains("done")
+    });
+}
+
 /// P7: a worker that the box list has as leaving gets no new requests after a while.
 #[test]
 fn a_leaving_endpoint_gets_no_new_requests() {
--- a/crates/kitetrail-standins/tests/world/mod.rs
+++ b/crates/kitetrail-standins/tests/world/mod.rs
@@ -13,7 +13,7 @@
 use kitetrail_core::{
     Attempt, BoxId, OpId, Resources, ShardId, SpecName, TaskId, Time, WorkerId,
     fleet::{Liveness, WorkerInfo},
-    placement::{InterferenceAware, ReliefSettings},
+    placement::{InterferenceAware, Placer, ReliefSettings},
     shard::{Action, Event, Shard, ShardSettings},
     table::{CommitAnswer, Key, Prefix, Record, Transaction, Write},
     task::{InboxItem, Kind, Spec, TaskRow},
@@ -91,8 +91,8 @@
 }
 
 /// One box's part in the shard.
-struct Node {
-    shard: Shard<InterferenceAware>,
+struct Node<P> {
+    shard: Shard<P>,
     run: u64,
     alive: bool,
     paused: bool,
@@ -116,7 +116,7 @@
 }
 
 /// The world. Every choice comes from the seed.
-pub struct World {
+pub struct World<P = InterferenceAware> {
     pub now_ms: u64,
     pub weather: Weather,
     pub log: String,
@@ -129,25 +129,47 @@
     asks: u64,
     rng: ChaCha8Rng,
     table: TableModel,
-    nodes: Vec<Node>,
+    nodes: Vec<Node<P>>,
     workers: Vec<WorkerNode>,
     infos: Vec<WorkerInfo>,
     started: BTreeMap<(TaskId, Attempt), u32>,
     completed: BTreeMap<TaskId, u32>,
     changes: u64,
+    placer: P,
+    /// The work that was done and not saved, in milliseconds.
+    pub lost_ms: u64,
 }
 
 impl World {
     pub fn new(seed: u64, nodes: usize, workers: usize, settings: ShardSettings) -> Self {
+        let placer = InterferenceAware::default();
+        World::with(seed, nodes, workers, settings, placer, worker_settings(Effects::default()))
+    }
+}
+
+/// The settings of the workers of a small world.
+pub fn worker_settings(effects: Effects) -> WorkerSettings {
+    WorkerSettings {
+        capacity: Resources::new(4_000, 8_192, 1),
+        report_lag_ms: 2_000,
+        sample_every_ms: 500,
+        checkpoint_ms: 200,
+        fail_tasks: false,
+        effects,
+    }
+}
+
+impl<P: Placer + Clone> World<P> {
+    pub fn with(
+        seed: u64,
+        nodes: usize,
+        workers: usize,
+        settings: ShardSettings,
+        placer: P,
+        worker_settings: WorkerSettings,
+    ) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let worker_settings = WorkerSettings {
-            capacity: Resources::new(4_000, 8_192, 1),
-            report_lag_ms: 2_000,
-            sample_every_ms: 500,
-            checkpoint_ms: 200,
-            fail_tasks: false,
-            effects: Effects::default(),
-        };
+        let capacity = worker_settings.capacity;
         let mut world = Self {
             now_ms: 1_000,
             weather: Weather::calm(),
@@ -161,10 +183,12 @@
             table: TableModel::default(),
             nodes: Vec::new(),
             workers: Vec::new(),
-            infos: (0..workers).map(info).collect(),
+            infos: (0..workers).map(|number| info(number, capacity)).collect(),
             started: BTreeMap::new(),
             completed: BTreeMap::new(),
             changes: 0,
+            placer: placer.clone(),
+            lost_ms: 0,
             rng: ChaCha8Rng::seed_from_u64(seed + 1),
         };
         for number in 0..workers {
@@ -186,7 +210,7 @@
         for number in 0..nodes {
             let clock_offset_ms = rng.random_range(0..50_000);
             world.nodes.push(Node {
-                shard: new_shard(&world.shard, number, 1, &settings),
+                shard: new_shard(&world.shard, number, 1, &settings, placer.clone()),
                 run: 1,
                 alive: true,
                 paused: false,
@@ -220,7 +244,7 @@
 
     pub fn restart_owner(&mut self, node: usize) {
         let run = self.nodes[node].run + 1;
-        let shard = new_shard(&self.shard, node, run, &self.settings);
+        let shard = new_shard(&self.shard, node, run, &self.settings, self.placer.clone());
         let node_state = &mut self.nodes[node];
         node_state.shard = shard;
         node_state.run = run;
@@ -318,6 +342,14 @@
         self.now_ms = until_ms;
     }
 
+    /// The work of all tasks that ran to their end, in milliseconds.
+    pub fn done_work_ms(&mut self) -> u64 {
+        let completed = self.completed.clone();
+        let rows = self.rows();
+        let done = rows.iter().filter(|row| completed.contains_key(&row.id));
+        done.map(|row| row.spec.expected_run_ms).sum()
+    }
+
     /// How many tasks of a spec ran to their end, as workers saw it.
     pub fn completions(&self, spec: &str) -> Vec<u32> {
         let of_spec = self.completed.iter().filter(|(task, _)| task.spec.as_str() == spec);
@@ -348,6 +380,12 @@
         places
     }
 
+    /// How much slower than alone a service runs now, on each worker that serves it.
+    pub fn slowdowns(&self, service: &SpecName) -> Vec<f64> {
+        let serving = self.workers.iter().filter(|worker| worker.model.serves(service));
+        serving.map(|worker| worker.model.slowdown_of(service)).collect()
+    }
+
     /// The box that owns the shard, as it sees itself.
     pub fn owner(&self) -> Option<usize> {
         self.nodes.iter().position(|node| node.alive && node.shard.is_owner())
@@ -357,6 +395,15 @@
         self.table.commits
     }
 
+    pub fn rows_written(&self) -> u64 {
+        self.table.rows_written
+    }
+
+    /// How many specs were submitted or cancelled.
+    pub fn submissions(&self) -> u64 {
+        self.changes
+    }
+
     /// How often any task started.
     pub fn starts(&self) -> usize {
         self.started.len()
@@ -549,7 +596,8 @@
                         self.log
                     );
                 }
-                WorkerEvent::Stop { task, attempt, done, checkpoint_ms } => {
+                WorkerEvent::Stop { task, attempt, done, checkpoint_ms, lost_ms } => {
+                    self.lost_ms += lost_ms;
                     let how = if done { "ends" } else { "stops" };
                     self.note(format!(
                         "worker-{worker} {how} {task} attempt {attempt} at {checkpoint_ms}"
@@ -585,18 +633,19 @@
     }
 }
 
-fn new_shard(
+fn new_shard<P: Placer>(
     id: &ShardId,
     number: usize,
     run: u64,
     settings: &ShardSettings,
-) -> Shard<InterferenceAware> {
+    placer: P,
+) -> Shard<P> {
     let me: BoxId = format!("box-{number}").parse().unwrap();
     let relief = ReliefSettings::default();
-    Shard::new(id.clone(), me, run, settings.clone(), relief, InterferenceAware::default())
+    Shard::new(id.clone(), me, run, settings.clone(), relief, placer)
 }
 
-fn info(number: usize) -> WorkerInfo {
+fn info(number: usize, capacity: Resources) -> WorkerInfo {
     let address: SocketAddr = format!("127.0.0.1:{}", 20_000 + number).parse().unwrap();
     WorkerInfo {
         id: format!("worker-{number}").parse::<WorkerId>().unwrap(),
@@ -604,7 +653,7 @@
         endpoint: address,
         zone: "zone-a".parse().unwrap(),
         rack: 0,
-        capacity: Resources::new(4_000, 8_192, 1),
+        capacity,
         state: Liveness::Live,
     }
 }
--- a/crates/kitetrail/src/args.rs
+++ b/crates/kitetrail/src/args.rs
@@ -11,13 +11,16 @@
 ///
 /// Exit codes: 0 done, 1 failed, 2 wrong usage or input, 3 not found, 4 someone else was
 /// first, 5 impossible on this fleet, 6 nothing was changed because a part does not
-/// answer, 7 not known whether the change took effect.
+/// answer, 7 not known whether the change took effect, 8 not allowed.
 #[derive(Debug, Parser)]
 #[command(name = "kitetrail", version)]
 pub struct Args {
     /// The operators' address of any daemon.
     #[arg(long, env = "KITETRAIL_DAEMON", default_value = "127.0.0.1:7002", global = true)]
     pub daemon: SocketAddr,
+    /// The token that says who you are, where the daemon asks for one.
+    #[arg(long, env = "KITETRAIL_TOKEN", hide_env_values = true, global = true)]
+    pub token: Option<String>,
     /// How to print the answer.
     #[arg(long, value_enum, default_value_t = Output::Text, global = true)]
     pub output: Output,
@@ -58,6 +61,8 @@
     Box(BoxCommand),
     /// How the daemon is doing.
     Status,
+    /// Who changed what.
+    Audit,
     /// Print completions for a shell.
     Completions {
         /// The shell.
--- a/crates/kitetrail/src/client.rs
+++ b/crates/kitetrail/src/client.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::{
+    Method, Request, StatusCode, Uri,
+    header::{AUTHORIZATION, HeaderValue},
+};
 use kitetrail_platform::{JsonClient, PlatformError};
 use serde::Deserialize;
 use serde_json::Value;
@@ -18,6 +21,7 @@
 #[derive(Debug)]
 pub struct Client {
     daemon: SocketAddr,
+    token: Option<String>,
     http: JsonClient,
 }
 
@@ -29,8 +33,8 @@
 
 impl Client {
     /// A client of the daemon at an address.
-    pub fn new(daemon: SocketAddr) -> Self {
-        Self { daemon, http: JsonClient::new("daemon", TIMEOUT) }
+    pub fn new(daemon: SocketAddr, token: Option<String>) -> Self {
+        Self { daemon, token, http: JsonClient::new("daemon", TIMEOUT) }
     }
 
     /// What a resource holds.
@@ -55,6 +59,12 @@
         let mut request = Request::new(body);
         *request.method_mut() = method;
         *request.uri_mut() = uri;
+        if let Some(token) = &self.token {
+            let bearer = HeaderValue::from_str(&format!("Bearer {token}"));
+            let bearer =
+                bearer.map_err(|_| CliError::Usage("the token is malformed".to_owned()))?;
+            request.headers_mut().insert(AUTHORIZATION, bearer);
+        }
         let (status, body) = self.http.send(request).await.map_err(|error| self.failed(error))?;
         if status == StatusCode::OK {
             let parsed = self.http.parse(&body);
--- a/crates/kitetrail/src/commands.rs
+++ b/crates/kitetrail/src/commands.rs
@@ -74,6 +74,8 @@
     ("QUEUED", "queued"),
     ("OUTSTANDING", "outstanding"),
 ];
+const AUDIT_COLUMNS: [Column; 4] =
+    [("AT_UNIX_MS", "at_unix_ms"), ("WHO", "who"), ("CHANGE", "change"), ("ACTION", "action")];
 const TEST_COLUMNS: [Column; 8] = [
     ("CLASS", "class"),
     ("KIND", "kind"),
@@ -87,7 +89,7 @@
 
 /// Runs a command and returns what to print.
 pub async fn run(args: Args) -> Result<String, CliError> {
-    let client = Client::new(args.daemon);
+    let client = Client::new(args.daemon, args.token);
     let output = args.output;
     match args.command {
         Command::Service(command) => run_service(&client, output, command).await,
@@ -96,6 +98,7 @@
         Command::Policy(command) => run_policy(&client, output, command).await,
         Command::Config(command) => run_config(&client, output, command).await,
         Command::Box(BoxCommand::List) => boxes(&client, output).await,
+        Command::Audit => Ok(table(output, &client.get("/v1/audit").await?, &AUDIT_COLUMNS)),
         Command::Status => status(&client, output).await,
         Command::Completions { shell } => {
             let mut text = Vec::new();
--- a/crates/kitetrail/src/error.rs
+++ b/crates/kitetrail/src/error.rs
@@ -16,6 +16,9 @@
     /// There is no such thing.
     #[error("{0}")]
     NotFound(String),
+    /// It is not allowed.
+    #[error("{0}")]
+    Forbidden(String),
     /// Someone else was first.
     #[error("{0}")]
     Conflict(String),
@@ -36,6 +39,7 @@
         match kind {
             "invalid" => Self::Usage(message),
             "not-found" => Self::NotFound(message),
+            "forbidden" => Self::Forbidden(message),
             "conflict" => Self::Conflict(message),
             "impossible" => Self::Impossible(message),
             "unavailable" => Self::Unavailable(message),
@@ -54,6 +58,7 @@
             Self::Impossible(_) => 5,
             Self::Unavailable(_) => 6,
             Self::Unknown(_) => 7,
+            Self::Forbidden(_) => 8,
         })
     }
 }
--- /dev/null
+++ b/crates/kitetrail/tests/command_line.rs
@@ -0,0 +1,56 @@
+//! What the command-line tool says, and its exit codes.
+
+use std::process::{Command, Output};
+
+use expect_test::expect_file;
+
+fn run(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kitetrail"));
+    command.env_remove("KITETRAIL_DAEMON").env_remove("KITETRAIL_TOKEN");
+    command.args(args).output().unwrap()
+}
+
+fn told(args: &[&str]) -> String {
+    let output = run(args);
+    let code = output.status.code().unwrap_or(-1);
+    let out = String::from_utf8_lossy(&output.stdout);
+    let error = String::from_utf8_lossy(&output.stderr);
+    format!("$ kitetrail {}\n{out}{error}[exit code {code}]\n\n", args.join(" "))
+}
+
+#[test]
+fn help() {
+    expect_file!["golden/help.txt"].assert_eq(&told(&["--help"]));
+}
+
+#[test]
+fn mistakes() {
+    let dir = std::env::temp_dir().join(format!("kitetrail-cli-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    std::env::set_current_dir(&dir).unwrap();
+    std::fs::write("open.rhai", "fn rank(task) {\n  10\n").unwrap();
+    std::fs::write("unknown.rhai", "// fine\nfn ranks(task) { 10 }\n").unwrap();
+    std::fs::write("good.rhai", "fn rank(task) { 10 }\n").unwrap();
+    let cases: [&[&str]; 8] = [
+        &["job", "create", "Packs", "--team", "desk"],
+        &["job", "create", "packs", "--team", "desk", "--cpu", "lots"],
+        &["job", "create", "packs", "--team", "desk", "--accelerators", "0.5"],
+        &["policy", "check", "none.rhai"],
+        &["policy", "check", "open.rhai"],
+        &["policy", "check", "unknown.rhai"],
+        &["policy", "check", "good.rhai"],
+        &["--daemon", "127.0.0.1:9", "status"],
+    ];
+    let all: String = cases.iter().map(|args| told(args)).collect();
+    std::fs::remove_dir_all(&dir).unwrap();
+    expect_file![concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/mistakes.txt")].assert_eq(&all);
+}
+
+#[test]
+fn completions() {
+    for shell in ["bash", "zsh", "fish"] {
+        let output = run(&["completions", shell]);
+        assert!(output.status.success());
+        assert!(String::from_utf8_lossy(&output.stdout).contains("watcher"));
+    }
+}
--- a/crates/kitetraild/src/callers/claims.rs
+++ b/crates/kitetraild/src/callers/claims.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -52,6 +52,16 @@
     wake: Notify,
     /// Claims that were answered "no table" but may have come through.
     doubtful: RefCell<HashMap<CallKey, OpId>>,
+    /// Calls whose answers are kept, oldest first, to be forgotten in time.
+    kept: RefCell<VecDeque<Kept>>,
+    retention: Duration,
+}
+
+/// A call whose answer is kept.
+struct Kept {
+    since: Instant,
+    key: CallKey,
+    version: Version,
 }
 
 /// A claim that was granted. It is given back if the call was not sent.
@@ -88,7 +98,12 @@
 
 impl Claims {
     /// The claims of a box.
-    pub fn new(table: HttpTable, holder: BoxId, incarnation: u64) -> Rc<Self> {
+    pub fn new(
+        table: HttpTable,
+        holder: BoxId,
+        incarnation: u64,
+        retention: Duration,
+    ) -> Rc<Self> {
         Rc::new(Self {
             table,
             holder,
@@ -97,6 +112,8 @@
             waiting: RefCell::default(),
             wake: Notify::new(),
             doubtful: RefCell::default(),
+            kept: RefCell::default(),
+            retention,
         })
     }
 
@@ -187,6 +204,11 @@
 
     fn grant(&self, batch: Vec<Waiting>, version: Version) {
         for waiting in batch {
+            if let CallChange::Finish { .. } = waiting.change {
+                let kept = Kept { since: Instant::now(), key: waiting.key, version };
+                self.kept.borrow_mut().push_back(kept);
+                continue;
+            }
             let Some(answer) = waiting.answer else { continue };
             if answer.send((ClaimAnswer::Granted, version)).is_err() {
                 self.add(waiting.key, version, CallChange::Release, None);
@@ -236,10 +258,21 @@
         }
     }
 
+    /// Forgets answers that were kept for long enough.
+    fn forget_old(&self) {
+        let mut kept = self.kept.borrow_mut();
+        let is_old = |kept: &Kept| kept.since.elapsed() >= self.retention;
+        while kept.front().is_some_and(is_old) {
+            let Some(Kept { key, version, .. }) = kept.pop_front() else { return };
+            self.add(key, version, CallChange::Release, None);
+        }
+    }
+
     /// Gives back claims that came through after their calls were answered "no table".
     async fn clean_up(self: Rc<Self>) {
         loop {
             tokio::time::sleep(CLEANUP_PAUSE).await;
+            self.forget_old();
             let doubtful: Vec<(CallKey, OpId)> =
                 self.doubtful.borrow().iter().map(|(k, op)| (k.clone(), op.clone())).collect();
             for (key, op) in doubtful {
--- a/crates/kitetraild/src/callers/entry.rs
+++ b/crates/kitetraild/src/callers/entry.rs
@@ -102,7 +102,9 @@
     pub fn new(parts: EntryParts) -> Rc<Self> {
         let platform = &parts.settings.platform;
         let table = HttpTable::new(platform.table, platform.table_timeout_ms.get());
-        let claims = Claims::new(table, parts.settings.box_id.clone(), parts.incarnation);
+        let retention = parts.settings.requests.call_retention_ms.get();
+        let box_id = parts.settings.box_id.clone();
+        let claims = Claims::new(table, box_id, parts.incarnation, retention);
         tokio::task::spawn_local(Rc::clone(&claims).run());
         let entry = Rc::new(Self {
             parts,
--- a/crates/kitetraild/src/control/mod.rs
+++ b/crates/kitetraild/src/control/mod.rs
@@ -4,7 +4,7 @@
 mod shard_io;
 mod state;
 
-pub use operations::{OperatorError, OperatorRequest, ServiceSummary, SpecStatus};
+pub use operations::{Author, NewConfiguration, OperatorError, OperatorRequest};
 pub use state::{Control, ControlParts};
 
 use kitetrail_core::{ShardId, fleet::Fleet, shard::Event};
--- a/crates/kitetraild/src/control/operations.rs
+++ b/crates/kitetraild/src/control/operations.rs
@@ -1,9 +1,13 @@
 //! What operators ask for.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use kitetrail_core::{
-    BoxId, OpId, Resources, ShardId, SpecName, Version,
+    BoxId, OpId, Resources, ShardId, SpecName, TeamId, Version,
+    audit::AuditEntry,
     config::{Configuration, Revision},
     fleet::{Fleet, Liveness, WorkerInfo},
     routing::ServiceView,
@@ -40,6 +44,12 @@
         /// What was looked for.
         message: String,
     },
+    /// The operator did not say who it is, or may not do this.
+    #[error("{message}")]
+    Forbidden {
+        /// What is missing.
+        message: String,
+    },
     /// Another operator was first.
     #[error("{message}")]
     Conflict {
@@ -83,9 +93,11 @@
     /// One spec and its tasks.
     Show(SpecName, Reply<SpecStatus>),
     /// Create a spec.
-    Create(String, Spec, Reply<SpecRow>),
+    Create(Author, Spec, Reply<SpecRow>),
     /// Stop a spec for good.
-    Cancel(String, SpecName, Reply<SpecRow>),
+    Cancel(Author, SpecName, Reply<SpecRow>),
+    /// All recorded changes.
+    Audit(Reply<Vec<AuditEntry>>),
     /// The configuration in force here.
     Configuration(Reply<Revision>),
     /// All revisions.
@@ -96,6 +108,39 @@
     ConfigurationStatus(Reply<Vec<BoxRevision>>),
 }
 
+/// Who makes a change, and its id.
+#[derive(Debug, Clone)]
+pub struct Author {
+    /// Who makes it.
+    pub who: String,
+    /// The teams whose specs it may change; `None` stands for all.
+    pub team: Option<TeamId>,
+    /// The id of the change.
+    pub change: String,
+}
+
+impl Author {
+    /// Whether it may change specs of a team.
+    fn may_change(&self, team: &TeamId) -> Result<(), OperatorError> {
+        match &self.team {
+            Some(own) if own != team => Err(OperatorError::Forbidden {
+                message: format!("{} may change specs of team {own}, not of {team}", self.who),
+            }),
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    /// The write that records the change.
+    fn audit(&self, action: String) -> Write {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let at_unix_ms = since.as_millis() as u64;
+        let (who, change) = (self.who.clone(), self.change.clone());
+        let key = Key::audit(at_unix_ms, &change);
+        let entry = AuditEntry { at_unix_ms, who, change, action };
+        Write { key, record: Some(Record::Audit(entry)) }
+    }
+}
+
 /// A configuration an operator wants in force.
 #[derive(Debug, Clone, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -218,13 +263,14 @@
 
     /// Creates a spec and hands its tasks to shards. Done again with the same change id
     /// it changes nothing and gives the same answer.
-    pub async fn create(&self, change: &str, spec: Spec) -> Result<SpecRow, OperatorError> {
-        check_change(change)?;
+    pub async fn create(&self, author: &Author, spec: Spec) -> Result<SpecRow, OperatorError> {
+        check_change(&author.change)?;
+        author.may_change(&spec.team)?;
         if spec.tasks == 0 {
             return Err(invalid("tasks is 0 but must be at least 1".to_owned()));
         }
         let parts = self.divide(&spec)?;
-        let op = OpId::from_change(change);
+        let op = OpId::from_change(&author.change);
         let key = Key::spec(&spec.name);
         let shards = parts.iter().map(|part| part.shard.clone()).collect();
         let row = SpecRow { spec: spec.clone(), shards, cancelled: false };
@@ -233,6 +279,8 @@
             conditions: vec![Condition { key: key.clone(), version: Version(0) }],
             writes: vec![Write { key: key.clone(), record: Some(Record::Spec(row.clone())) }],
         };
+        let action = format!("create {} {}, {} tasks", spec.kind, spec.name, spec.tasks);
+        transaction.writes.push(author.audit(action));
         for Part { shard, first, count } in parts {
             let item = InboxItem::Submit { spec: spec.clone(), first, count };
             let key = Key::inbox(&shard, &op);
@@ -250,20 +298,22 @@
     }
 
     /// Stops a spec for good.
-    pub async fn cancel(&self, change: &str, name: &SpecName) -> Result<SpecRow, OperatorError> {
-        check_change(change)?;
+    pub async fn cancel(&self, author: &Author, name: &SpecName) -> Result<SpecRow, OperatorError> {
+        check_change(&author.change)?;
         let (version, mut row) = self.find(name).await?;
+        author.may_change(&row.spec.team)?;
         if row.cancelled {
             return Ok(row);
         }
         row.cancelled = true;
-        let op = OpId::from_change(change);
+        let op = OpId::from_change(&author.change);
         let key = Key::spec(name);
         let mut transaction = Transaction {
             op: op.clone(),
             conditions: vec![Condition { key: key.clone(), version }],
             writes: vec![Write { key: key.clone(), record: Some(Record::Spec(row.clone())) }],
         };
+        transaction.writes.push(author.audit(format!("cancel {} {name}", row.spec.kind)));
         for shard in &row.shards {
             let item = InboxItem::Cancel { spec: name.clone() };
             let key = Key::inbox(shard, &op);
@@ -302,8 +352,9 @@
         if number != new.based_on {
             return Err(self.lost_race(number).await);
         }
-        let NewConfiguration { change, author, configuration, .. } = new;
-        let revision = Revision { number: number + 1, author, change, configuration };
+        let NewConfiguration { change, author: who, configuration, .. } = new;
+        let author = Author { who: who.clone(), team: None, change: change.clone() };
+        let revision = Revision { number: number + 1, author: who, change, configuration };
         let key = Key::config_head();
         let name = Key::config_revision(revision.number);
         let head = Record::ConfigHead { revision: revision.number };
@@ -313,6 +364,7 @@
             writes: vec![
                 Write { key: key.clone(), record: Some(head) },
                 Write { key: name, record: Some(Record::ConfigRevision(revision.clone())) },
+                author.audit(format!("accept configuration {}", revision.number)),
             ],
         };
         match commit_resolved(&self.table, &transaction, &key).await? {
@@ -321,6 +373,16 @@
         }
     }
 
+    /// All recorded changes, oldest first.
+    pub async fn audit(&self) -> Result<Vec<AuditEntry>, OperatorError> {
+        let rows = self.table.scan(&Prefix::audit()).await.map_err(unavailable)?;
+        let entries = rows.into_iter().filter_map(|row| match row.record {
+            Record::Audit(entry) => Some(entry),
+            _ => None,
+        });
+        Ok(entries.collect())
+    }
+
     async fn revision(&self, number: u64) -> Result<Option<Revision>, OperatorError> {
         let row = self.table.read(&Key::config_revision(number)).await.map_err(unavailable)?;
         Ok(row.and_then(revision_of))
--- a/crates/kitetraild/src/control/state.rs
+++ b/crates/kitetraild/src/control/state.rs
@@ -23,7 +23,7 @@
 
 use super::{
     Message, OperatorRequest, PeerMessage,
-    operations::{BoxRevision, BoxStatus, Operations, OperatorError, revision_of},
+    operations::{Author, BoxRevision, BoxStatus, Operations, OperatorError, revision_of},
     shard_io::ShardIo,
 };
 use crate::{
@@ -275,7 +275,8 @@
                 }
             });
         }
-        self.router.borrow_mut().set_boxes(self.membership.up_count(now) as u32);
+        let (boxes, place) = self.membership.place(now);
+        self.router.borrow_mut().set_boxes(boxes, place);
         self.rank_shards(now);
     }
 
@@ -447,6 +448,9 @@
             self.metrics.note_policy_fault(fault.function);
         }
         self.policy = evaluation.table;
+        if let Some(revision) = self.configuration.revision() {
+            self.policy.quotas = revision.configuration.quotas.clone();
+        }
         self.policy_tasks = tasks;
         for shard in self.shards.values_mut() {
             shard.set_policy(self.policy.clone());
@@ -502,18 +506,23 @@
                 OperatorRequest::History(reply) => {
                     let _ = reply.send(operations.history().await);
                 }
-                OperatorRequest::Create(change, spec, reply) => {
-                    let result = operations.create(&change, spec).await;
+                OperatorRequest::Audit(reply) => {
+                    let _ = reply.send(operations.audit().await);
+                }
+                OperatorRequest::Create(author, spec, reply) => {
+                    let result = operations.create(&author, spec).await;
                     if let Ok(row) = &result {
-                        log::info!("operator: {change} created {}", row.spec.name);
+                        let Author { who, change, .. } = &author;
+                        log::info!("operator: {who} created {} by {change}", row.spec.name);
                         wake(row.shards.clone());
                     }
                     let _ = reply.send(result);
                 }
-                OperatorRequest::Cancel(change, name, reply) => {
-                    let result = operations.cancel(&change, &name).await;
+                OperatorRequest::Cancel(author, name, reply) => {
+                    let result = operations.cancel(&author, &name).await;
                     if let Ok(row) = &result {
-                        log::info!("operator: {change} cancelled {name}");
+                        let Author { who, change, .. } = &author;
+                        log::info!("operator: {who} cancelled {name} by {change}");
                         wake(row.shards.clone());
                     }
                     let _ = reply.send(result);
--- a/crates/kitetraild/src/daemon.rs
+++ b/crates/kitetraild/src/daemon.rs
@@ -67,7 +67,7 @@
     let mut stop = signals()?;
 
     start_peers(&settings, &sender);
-    operators::start(settings.listen.operators, sender.clone(), metrics.clone());
+    operators::start(Rc::clone(&settings), sender.clone(), metrics.clone());
     let entry = Entry::new(EntryParts {
         settings: Rc::clone(&settings),
         clock,
--- a/crates/kitetraild/src/operators/api.rs
+++ b/crates/kitetraild/src/operators/api.rs
@@ -1,6 +1,6 @@
 //! The resources of the operators' API.
 
-use std::net::SocketAddr;
+use std::{rc::Rc, sync::Arc};
 
 use kitetrail_core::{
     SpecName,
@@ -15,27 +15,36 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
+use super::access::{Identity, Wish, identify};
 use crate::{
-    control::{Message, OperatorError, OperatorRequest},
+    control::{Author, Message, NewConfiguration, OperatorError, OperatorRequest},
     metrics::Metrics,
+    settings::{Settings, Token},
 };
 
 /// The largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 256 * 1024;
 
 /// Answers operators until the process ends.
-pub fn start(address: SocketAddr, control: mpsc::Sender<Message>, metrics: Metrics) {
+pub fn start(settings: Rc<Settings>, control: mpsc::Sender<Message>, metrics: Metrics) {
+    let address = settings.listen.operators;
+    let tokens: Arc<[Token]> = settings.operators.tokens.clone().into();
     tokio::task::spawn_local(async move {
         let listener = match TcpListener::new(address).try_bind().await {
             Ok(listener) => listener,
             Err(error) => return log::error!("operator: can't answer on {address}: {error}"),
         };
-        Server::new(listener).serve(routes(control, metrics)).await;
+        Server::new(listener).serve(routes(control, metrics, tokens)).await;
     });
 }
 
-fn routes(control: mpsc::Sender<Message>, metrics: Metrics) -> Router {
-    let api = |resource| Api { resource, control: control.clone(), metrics: metrics.clone() };
+fn routes(control: mpsc::Sender<Message>, metrics: Metrics, tokens: Arc<[Token]>) -> Router {
+    let api = |resource| Api {
+        resource,
+        control: control.clone(),
+        metrics: metrics.clone(),
+        tokens: Arc::clone(&tokens),
+    };
     Router::new()
         .push(Router::with_path("healthz").get(api(Resource::Health)))
         .push(Router::with_path("readyz").get(api(Resource::Ready)))
@@ -45,6 +54,7 @@
         .push(Router::with_path("v1/config").get(api(Resource::Config)).post(api(Resource::Apply)))
         .push(Router::with_path("v1/config/status").get(api(Resource::ConfigStatus)))
         .push(Router::with_path("v1/config/history").get(api(Resource::History)))
+        .push(Router::with_path("v1/audit").get(api(Resource::Audit)))
         .push(Router::with_path("v1/specs").get(api(Resource::List)).post(api(Resource::Create)))
         .push(
             Router::with_path("v1/specs/{name}")
@@ -64,6 +74,7 @@
     Apply,
     ConfigStatus,
     History,
+    Audit,
     List,
     Create,
     Show,
@@ -75,6 +86,18 @@
     resource: Resource,
     control: mpsc::Sender<Message>,
     metrics: Metrics,
+    tokens: Arc<[Token]>,
+}
+
+impl Resource {
+    /// What an operator wants who asks for it.
+    fn wish(self) -> Wish {
+        match self {
+            Resource::Apply => Wish::Configure,
+            Resource::Create | Resource::Cancel => Wish::Change,
+            _ => Wish::Read,
+        }
+    }
 }
 
 /// The body of a request that creates a spec.
@@ -98,6 +121,47 @@
             Resource::Health => response.render(Text::Plain("up\n")),
             Resource::Metrics => response.render(Text::Plain(self.metrics.page())),
             Resource::Ready => self.ready(response).await,
+            resource => match identify(&self.tokens, request, resource.wish()) {
+                Ok(identity) => self.serve(identity, request, response).await,
+                Err(error) => render_error(response, &error),
+            },
+        }
+    }
+}
+
+impl Api {
+    async fn serve(&self, identity: Identity, request: &mut Request, response: &mut Response) {
+        let result = match self.resource {
+            Resource::Apply => self.configure(identity, request, response).await,
+            Resource::Create => self.create(identity, request, response).await,
+            Resource::Cancel => self.cancel(identity, request, response).await,
+            Resource::Show => match name(request) {
+                Ok(name) => {
+                    self.ask(response, |reply| OperatorRequest::Show(name, reply)).await;
+                    Ok(())
+                }
+                Err(error) => Err(error),
+            },
+            Resource::List => match kind(request) {
+                Ok(kind) => {
+                    self.ask(response, |reply| OperatorRequest::List(kind, reply)).await;
+                    Ok(())
+                }
+                Err(error) => Err(error),
+            },
+            _ => {
+                self.look(response).await;
+                Ok(())
+            }
+        };
+        if let Err(error) = result {
+            render_error(response, &error);
+        }
+    }
+
+    /// Answers what needs no more than the resource's name.
+    async fn look(&self, response: &mut Response) {
+        match self.resource {
             Resource::Status => self.ask(response, OperatorRequest::Status).await,
             Resource::Boxes => self.ask(response, OperatorRequest::Boxes).await,
             Resource::Config => self.ask(response, OperatorRequest::Configuration).await,
@@ -105,35 +169,47 @@
                 self.ask(response, OperatorRequest::ConfigurationStatus).await;
             }
             Resource::History => self.ask(response, OperatorRequest::History).await,
-            Resource::Apply => match body(request).await {
-                Ok(new) => self.ask(response, |r| OperatorRequest::Configure(new, r)).await,
-                Err(error) => render_error(response, &error),
-            },
-            Resource::List => match kind(request) {
-                Ok(kind) => self.ask(response, |r| OperatorRequest::List(kind, r)).await,
-                Err(error) => render_error(response, &error),
-            },
-            Resource::Create => match body::<CreateBody>(request).await {
-                Ok(CreateBody { change, spec }) => {
-                    self.ask(response, |r| OperatorRequest::Create(change, spec, r)).await;
-                }
-                Err(error) => render_error(response, &error),
-            },
-            Resource::Show => match name(request) {
-                Ok(name) => self.ask(response, |r| OperatorRequest::Show(name, r)).await,
-                Err(error) => render_error(response, &error),
-            },
-            Resource::Cancel => match (name(request), change(request)) {
-                (Ok(name), Ok(change)) => {
-                    self.ask(response, |r| OperatorRequest::Cancel(change, name, r)).await;
-                }
-                (Err(error), _) | (_, Err(error)) => render_error(response, &error),
-            },
+            Resource::Audit => self.ask(response, OperatorRequest::Audit).await,
+            _ => {}
         }
     }
-}
 
-impl Api {
+    async fn configure(
+        &self,
+        identity: Identity,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), OperatorError> {
+        let mut new: NewConfiguration = body(request).await?;
+        new.author = identity.name.unwrap_or(new.author);
+        self.ask(response, |reply| OperatorRequest::Configure(new, reply)).await;
+        Ok(())
+    }
+
+    async fn create(
+        &self,
+        identity: Identity,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), OperatorError> {
+        let CreateBody { change, spec } = body(request).await?;
+        let author = author(identity, change);
+        self.ask(response, |reply| OperatorRequest::Create(author, spec, reply)).await;
+        Ok(())
+    }
+
+    async fn cancel(
+        &self,
+        identity: Identity,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), OperatorError> {
+        let (name, change) = (name(request)?, change(request)?);
+        let author = author(identity, change);
+        self.ask(response, |reply| OperatorRequest::Cancel(author, name, reply)).await;
+        Ok(())
+    }
+
     async fn ready(&self, response: &mut Response) {
         let (reply, answer) = oneshot::channel();
         let _ = self.control.send(Message::Operator(OperatorRequest::Ready(reply))).await;
@@ -163,6 +239,11 @@
     }
 }
 
+fn author(identity: Identity, change: String) -> Author {
+    let who = identity.name.unwrap_or_else(|| "anyone".to_owned());
+    Author { who, team: identity.team, change }
+}
+
 async fn body<T: for<'de> Deserialize<'de>>(request: &mut Request) -> Result<T, OperatorError> {
     let invalid = |cause: String| OperatorError::Invalid { message: cause };
     let payload = request.payload_with_max_size(MAX_BODY_BYTES).await;
@@ -196,6 +277,7 @@
 fn render_error(response: &mut Response, error: &OperatorError) {
     response.status_code(match error {
         OperatorError::Invalid { .. } => StatusCode::BAD_REQUEST,
+        OperatorError::Forbidden { .. } => StatusCode::FORBIDDEN,
         OperatorError::NotFound { .. } => StatusCode::NOT_FOUND,
         OperatorError::Conflict { .. } => StatusCode::CONFLICT,
         OperatorError::Impossible { .. } => StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/kitetraild/src/settings.rs
+++ b/crates/kitetraild/src/settings.rs
@@ -7,8 +7,9 @@
     time::Duration,
 };
 
-use kitetrail_core::{BoxId, ZoneId, routing::RouterSettings, shard::ShardSettings};
+use kitetrail_core::{BoxId, TeamId, ZoneId, routing::RouterSettings, shard::ShardSettings};
 use serde::{Deserialize, Deserializer, de};
+use sha2::{Digest as _, Sha256};
 use thiserror::Error;
 
 use crate::logging::{Format, Level};
@@ -76,6 +77,9 @@
     /// How requests are served.
     #[serde(default)]
     pub requests: Requests,
+    /// Who may change what.
+    #[serde(default)]
+    pub operators: Operators,
     /// The log.
     #[serde(default)]
     pub log: Log,
@@ -169,6 +173,8 @@
     pub slots_per_endpoint: u32,
     /// How many connections an endpoint accepts from all boxes together.
     pub connections_per_endpoint: u32,
+    /// How long the answer to a call with a key is kept for repeats.
+    pub call_retention_ms: Millis,
     /// How long a planned stop may take.
     pub drain_timeout_ms: Millis,
 }
@@ -188,11 +194,70 @@
             max_body_bytes: 1024 * 1024 * 1024,
             slots_per_endpoint: 8,
             connections_per_endpoint: 60,
+            call_retention_ms: ms(3_600_000),
             drain_timeout_ms: ms(30_000),
         }
     }
 }
 
+/// Who may change what. Without tokens anyone who reaches the address may do anything.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operators {
+    /// The tokens that are taken.
+    pub tokens: Vec<Token>,
+}
+
+/// A token, known by its digest alone.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Token {
+    /// Whose it is, for the record.
+    pub name: String,
+    /// The SHA-256 of the token, as 64 hexadecimal digits.
+    pub sha256: Digest,
+    /// What its bearer may do.
+    pub role: OperatorRole,
+    /// The team whose specs its bearer may change. All, if left out.
+    pub team: Option<TeamId>,
+}
+
+/// What a token's bearer may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OperatorRole {
+    /// Look and change.
+    Operator,
+    /// Look.
+    ReadOnly,
+}
+
+/// A SHA-256 digest in lower-case hexadecimal digits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Digest(String);
+
+impl Digest {
+    /// The digest of a token.
+    pub fn of(token: &str) -> Self {
+        let digest = Sha256::digest(token.as_bytes());
+        Self(digest.iter().map(|byte| format!("{byte:02x}")).collect())
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let is_hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+        match text.len() == 64 && text.chars().all(is_hex) {
+            true => Ok(Self(text)),
+            false => {
+                let help = "write the SHA-256 of the token as 64 lower-case hexadecimal digits";
+                Err(de::Error::custom(help))
+            }
+        }
+    }
+}
+
 /// How a request's endpoint is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "kebab-case")]
