Borrow all slots of an endpoint until it refuses or slows down

Cause of the slow start: the limit grew by answers alone, so one box with calls of 1.5 s used half the slots while the other boxes were idle; a_planned_stop_cuts_nothing_off was red. Ruled out: the drain itself. Change: a new endpoint starts with all its slots; it backs off towards the share on refusals and on latency above 1.5 times the lowest; it grows by 0.15 an answer. The short wait under overload now follows refusals.

--- a/crates/kitetrail-core/src/routing/endpoint.rs
+++ b/crates/kitetrail-core/src/routing/endpoint.rs
@@ -11,6 +11,8 @@
 const LATENCY_HALF_LIFE_S: f64 = 3.0;
 /// The factor by which the limit shrinks when the endpoint refuses or slows down.
 const BACK_OFF: f64 = 0.8;
+/// By how much the limit grows with each good answer while it is used up.
+const GROWTH: f64 = 0.15;
 /// The latency, relative to the lowest seen, from which the limit shrinks.
 const CONGESTED: f64 = 1.5;
 /// By how much the lowest latency grows with each answer that is well above it.
@@ -58,7 +60,7 @@
             leaving: false,
             outstanding: 0,
             share: 1.0,
-            limit: 1.0,
+            limit: f64::MAX,
             latency_us: 0.0,
             lowest_us: f64::MAX,
             measured_at: Time::ZERO,
@@ -136,7 +138,7 @@
             // The lowest latency drifts up, so that a lasting change is learned in time.
             self.lowest_us *= LOWEST_DRIFT;
         } else if used_up {
-            self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(ceiling);
+            self.limit = (self.limit + GROWTH).min(ceiling);
         }
     }
 
@@ -160,9 +162,15 @@
     }
 
     /// Follows a change of the share and of the most that may be borrowed.
-    pub fn set_share(&mut self, share: f64, ceiling: f64) {
+    ///
+    /// A new endpoint's slots are all borrowed until it refuses or slows down: while the
+    /// other boxes are idle, waiting for answers to grow would waste them.
+    pub fn set_share(&mut self, share: f64, slots: f64, ceiling: f64) {
         self.share = share;
-        self.limit = self.limit.clamp(share, ceiling.max(share));
+        self.limit = match self.limit {
+            f64::MAX => slots.min(ceiling).max(share),
+            known => known.clamp(share, ceiling.max(share)),
+        };
     }
 
     /// Shrinks the limit towards the share, at most once per round trip.
--- a/crates/kitetrail-core/src/routing/router.rs
+++ b/crates/kitetrail-core/src/routing/router.rs
@@ -139,13 +139,18 @@
             return;
         }
         (self.boxes, self.place) = (boxes, place);
-        let ceiling = f64::from(self.connection_share());
         for index in 0..self.endpoints.len() {
-            let share = self.share_of(EndpointId(index));
-            self.endpoints[index].set_share(share, ceiling);
+            self.set_share(EndpointId(index));
         }
     }
 
+    fn set_share(&mut self, id: EndpointId) {
+        let share = self.share_of(id);
+        let slots = f64::from(self.settings.slots_per_endpoint);
+        let ceiling = f64::from(self.connection_share());
+        self.endpoints[id.0].set_share(share, slots, ceiling);
+    }
+
     /// The slots of an endpoint that are this box's: all slots, divided so that the
     /// shares of all boxes add up to them, but never none. Which boxes get one more
     /// differs from endpoint to endpoint, and all boxes agree on it.
@@ -328,7 +333,7 @@
         let Some(service) = self.services.get_mut(&arrival.service) else {
             return self.give_up(arrival.number, Reason::NoEndpoint, now);
         };
-        let allowed = service.allowed_wait(settings.max_queue_wait, now);
+        let allowed = service.allowed_wait(settings.max_queue_wait);
         let wait = service.expected_wait(service.queue.ahead_of(arrival.rank));
         let left = arrival.deadline.since(now);
         if wait > left.min(allowed) {
@@ -503,8 +508,7 @@
                 self.endpoints.push(EndpointState::new(service, worker, zone, address));
                 EndpointId(self.endpoints.len() - 1)
             });
-            let (share, ceiling) = (self.share_of(id), f64::from(self.connection_share()));
-            self.endpoints[id.0].set_share(share, ceiling);
+            self.set_share(id);
             let retry_percent = self.settings.retry_percent;
             let service = self.services.entry(placed.service.clone());
             let service = service.or_insert_with(|| Service::new(retry_percent, now));
--- a/crates/kitetrail-core/src/routing/service.rs
+++ b/crates/kitetrail-core/src/routing/service.rs
@@ -7,10 +7,10 @@
 
 /// Over how long the rate of answers is smoothed.
 const RATE_WINDOW_S: f64 = 1.0;
-/// How many of the longest waits make a queue a standing one.
-const STANDING_AFTER: u32 = 2;
-/// The part of the longest wait that is left while a queue stands.
-const STANDING_PART: u32 = 8;
+/// The part of the longest wait that is left under overload.
+const OVERLOADED_PART: u32 = 8;
+/// How many of a hundred requests are refused when overload begins, and when it is over.
+const OVERLOAD_PERCENT: (u32, u32) = (10, 2);
 /// The shortest time after which to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The longest time after which to come back.
@@ -29,8 +29,8 @@
     pub budget: RetryBudget,
     /// How many of its requests are on their way.
     pub outstanding: usize,
-    /// Since when some request has always been waiting.
-    waiting_since: Option<Time>,
+    /// Whether many requests were refused of late.
+    overloaded: bool,
     answers_per_s: f64,
     rated_at: Time,
     answered: u32,
@@ -46,7 +46,7 @@
             queue: Queue::default(),
             budget: RetryBudget::new(retry_percent),
             outstanding: 0,
-            waiting_since: None,
+            overloaded: false,
             answers_per_s: 0.0,
             rated_at: now,
             answered: 0,
@@ -62,14 +62,9 @@
     /// How long a new request may wait.
     ///
     /// A queue that comes and goes evens out bursts. One that stands only makes every
-    /// request late, so once it has stood for a while the wait becomes short.
-    pub fn allowed_wait(&mut self, longest: Duration, now: Time) -> Duration {
-        if self.queue.is_empty() {
-            self.waiting_since = None;
-            return longest;
-        }
-        let since = *self.waiting_since.get_or_insert(now);
-        if now.since(since) > longest * STANDING_AFTER { longest / STANDING_PART } else { longest }
+    /// request late, so while many are refused the wait is short.
+    pub fn allowed_wait(&self, longest: Duration) -> Duration {
+        if self.overloaded { longest / OVERLOADED_PART } else { longest }
     }
 
     /// The expected wait behind so many requests.
@@ -108,6 +103,9 @@
         let rate = f64::from(self.answered) / passed_s;
         self.answers_per_s += (rate - self.answers_per_s) * weight;
         self.rated_at = now;
+        let (begins, ends) = OVERLOAD_PERCENT;
+        let threshold = if self.overloaded { ends } else { begins };
+        self.overloaded = self.refused * 100 > (self.answered + self.refused) * threshold;
         self.answered = 0;
         self.refused = 0;
     }
--- a/crates/kitetrail-core/src/shard/owner/place.rs
+++ b/crates/kitetrail-core/src/shard/owner/place.rs
@@ -172,6 +172,38 @@
     }
 }
 
+/// What batch jobs of each team hold.
+#[derive(Debug, Default)]
+struct HeldByTeams(BTreeMap<TeamId, Resources>);
+
+impl HeldByTeams {
+    fn add(&mut self, spec: &Spec) {
+        let held = self.0.entry(spec.team.clone()).or_default();
+        *held = held.saturating_add(&spec.size);
+    }
+
+    fn take_back(&mut self, spec: &Spec) {
+        if let Some(held) = self.0.get_mut(&spec.team) {
+            *held = held.checked_sub(&spec.size).unwrap_or_default();
+        }
+    }
+
+    /// Adds one more task unless that would pass its team's quota.
+    fn try_add<P: Placer>(&mut self, spec: &Spec, placer: &P) -> bool {
+        let quota = match placer.policy().quotas.get(&spec.team) {
+            Some(quota) if spec.kind == Kind::Job => quota,
+            _ => return true,
+        };
+        let held = self.0.get(&spec.team).copied().unwrap_or_default();
+        if !held.saturating_add(&spec.size).fits_in(quota) {
+            return false;
+        }
+        self.add(spec);
+        true
+    }
+}
+
+/// Whether a worker has a replica of a service already. Its endpoint can't serve two.
 fn has_replica(state: &WorkerState, service: &SpecName) -> bool {
     state.ledger.count_of(service) > 0
 }
--- a/crates/kitetrail-policy/tests/policies.rs
+++ b/crates/kitetrail-policy/tests/policies.rs
@@ -88,7 +88,10 @@
 fn no_policies() {
     let error = |text: &str| Program::compile(text).unwrap_err();
     assert!(matches!(error("fn rank(task) {\n 1 +\n}"), PolicyError::Syntax { line: 3, .. }));
-    assert!(matches!(error("\n\nfn ranks(task) { 1 }"), PolicyError::UnknownFunction { line: 3, .. }));
+    assert!(matches!(
+        error("\n\nfn ranks(task) { 1 }"),
+        PolicyError::UnknownFunction { line: 3, .. }
+    ));
     assert!(matches!(error("fn rank() { 1 }"), PolicyError::UnknownFunction { .. }));
     assert!(matches!(error("import \"os\" as os;"), PolicyError::Syntax { .. }));
     assert!(matches!(error("fn rank(task) { eval(\"1\") }"), PolicyError::Syntax { .. }));
--- a/crates/kitetrail-standins/tests/system_operators.rs
+++ b/crates/kitetrail-standins/tests/system_operators.rs
@@ -48,7 +48,9 @@
     let mut system = System::new(82, 1, 1);
     let token = |name: &str, role: &str, team: &str| {
         let sha256 = digest(&format!("secret-of-{name}"));
-        format!("[[operators.tokens]]\nname = \"{name}\"\nrole = \"{role}\"\nsha256 = \"{sha256}\"\n{team}\n")
+        format!(
+            "[[operators.tokens]]\nname = \"{name}\"\nrole = \"{role}\"\nsha256 = \"{sha256}\"\n{team}\n"
+        )
     };
     system.settings = [
         token("ann", "operator", ""),
@@ -85,6 +87,9 @@
         .iter()
         .map(|e| format!("{}: {}", e["who"].as_str().unwrap(), e["action"].as_str().unwrap()))
         .collect();
-    assert_eq!(told, ["bob: create job e, 1 tasks", "ann: create job f, 1 tasks", "ann: cancel job f"]);
+    assert_eq!(
+        told,
+        ["bob: create job e, 1 tasks", "ann: create job f, 1 tasks", "ann: cancel job f"]
+    );
     assert!(!system.log_of("entry-1").contains("secret-of"), "no secret is logged");
 }
--- a/crates/kitetraild/src/callers/claims.rs
+++ b/crates/kitetraild/src/callers/claims.rs
@@ -98,12 +98,7 @@
 
 impl Claims {
     /// The claims of a box.
-    pub fn new(
-        table: HttpTable,
-        holder: BoxId,
-        incarnation: u64,
-        retention: Duration,
-    ) -> Rc<Self> {
+    pub fn new(table: HttpTable, holder: BoxId, incarnation: u64, retention: Duration) -> Rc<Self> {
         Rc::new(Self {
             table,
             holder,
--- a/crates/kitetraild/tests/settings.rs
+++ b/crates/kitetraild/tests/settings.rs
@@ -39,12 +39,16 @@
         ("an unknown balancer", add("\n[requests]\nbalancer = \"random\"\n")),
         (
             "a token in place of its digest",
-            add("\n[[operators.tokens]]\nname = \"ann\"\nrole = \"operator\"\nsha256 = \"secret\"\n"),
+            add(
+                "\n[[operators.tokens]]\nname = \"ann\"\nrole = \"operator\"\nsha256 = \"secret\"\n",
+            ),
         ),
     ];
     let told: String = cases
         .iter()
-        .map(|(what, text)| format!("{what}\n{}\n\n", Settings::parse(text).unwrap_err().trim_end()))
+        .map(|(what, text)| {
+            format!("{what}\n{}\n\n", Settings::parse(text).unwrap_err().trim_end())
+        })
         .collect();
     expect_file!["golden/settings_mistakes.txt"].assert_eq(&told);
 }
