--- a/crates/kitetrail-core/src/placement/relief.rs
+++ b/crates/kitetrail-core/src/placement/relief.rs
@@ -13,6 +13,9 @@
 /// When relief is given and taken back.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
 pub struct ReliefSettings {
+    /// Whether relief is given at all. Off for a baseline only.
+    #[builder(default = true)]
+    pub enabled: bool,
     /// How long a throttle is given to help before a task is evicted.
     #[builder(default = Duration::from_secs(4))]
     pub throttle_patience: Duration,
@@ -78,6 +81,9 @@
         band: Band,
         now: Time,
     ) -> Option<(TaskId, Attempt, Want)> {
+        if !settings.enabled {
+            return None;
+        }
         self.slowdown.retain(|class, _| residents.iter().any(|r| r.class == *class));
         let pressed = self.pressed_class(placer, residents, 100);
         match pressed {
--- a/crates/kitetraild/src/control/mod.rs
+++ b/crates/kitetraild/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control loop: the one place where all but routing is decided.
 
 mod operations;
+mod placer;
 mod shard_io;
 mod state;
 
--- /dev/null
+++ b/crates/kitetraild/src/control/placer.rs
@@ -0,0 +1,68 @@
+//! The placer that the settings choose.
+
+use kitetrail_core::{
+    TaskClass,
+    placement::{Band, Candidate, Choice, FirstFit, InterferenceAware, Placer, PolicyTable},
+    task::TaskRow,
+    worker::UsageSample,
+};
+
+use crate::settings::PlacerChoice;
+
+/// The placer that the settings choose.
+#[derive(Debug, Clone)]
+pub enum ChosenPlacer {
+    /// By least expected harm.
+    InterferenceAware(InterferenceAware),
+    /// The first with room.
+    FirstFit(FirstFit),
+}
+
+impl ChosenPlacer {
+    /// The placer of a choice.
+    pub fn new(choice: PlacerChoice) -> Self {
+        match choice {
+            PlacerChoice::InterferenceAware => {
+                Self::InterferenceAware(InterferenceAware::default())
+            }
+            PlacerChoice::FirstFit => Self::FirstFit(FirstFit::default()),
+        }
+    }
+}
+
+impl Placer for ChosenPlacer {
+    fn choose(&self, task: &TaskRow, candidates: &[Candidate<'_>]) -> Option<Choice> {
+        match self {
+            Self::InterferenceAware(placer) => placer.choose(task, candidates),
+            Self::FirstFit(placer) => placer.choose(task, candidates),
+        }
+    }
+
+    fn observe(&mut self, sample: &UsageSample, band: Band) {
+        match self {
+            Self::InterferenceAware(placer) => placer.observe(sample, band),
+            Self::FirstFit(placer) => placer.observe(sample, band),
+        }
+    }
+
+    fn blame(&self, victim: &TaskClass, beside: &TaskClass, band: Band) -> f64 {
+        match self {
+            Self::InterferenceAware(placer) => placer.blame(victim, beside, band),
+            Self::FirstFit(placer) => placer.blame(victim, beside, band),
+        }
+    }
+
+    fn set_policy(&mut self, policy: PolicyTable) {
+        match self {
+            Self::InterferenceAware(placer) => placer.set_policy(policy),
+            Self::FirstFit(placer) => placer.set_policy(policy),
+        }
+    }
+
+    fn policy(&self) -> &PolicyTable {
+        match self {
+            Self::InterferenceAware(placer) => placer.policy(),
+            Self::FirstFit(placer) => placer.policy(),
+        }
+    }
+}
--- a/crates/kitetraild/src/control/state.rs
+++ b/crates/kitetraild/src/control/state.rs
@@ -12,7 +12,7 @@
     config::{Revision, RevisionInForce},
     fleet::{Fleet, Liveness},
     membership::{Heartbeat, Membership},
-    placement::{InterferenceAware, Placer, PolicyTable, ReliefSettings},
+    placement::{Placer, PolicyTable, ReliefSettings},
     shard::{Action, EndpointSet, Event, Shard},
     table::{Key, Record},
 };
@@ -24,6 +24,7 @@
 use super::{
     Message, OperatorRequest, PeerMessage,
     operations::{Author, BoxRevision, BoxStatus, Operations, OperatorError, revision_of},
+    placer::ChosenPlacer,
     shard_io::ShardIo,
 };
 use crate::{
@@ -69,7 +70,7 @@
     box_list: Rc<HttpBoxList>,
     table: HttpTable,
     membership: Membership,
-    shards: BTreeMap<ShardId, Shard<InterferenceAware>>,
+    shards: BTreeMap<ShardId, Shard<ChosenPlacer>>,
     fleet: Option<Fleet>,
     configuration: RevisionInForce,
     /// Whether the table or a peer said which revision is in force, even if none is.
@@ -245,15 +246,17 @@
         self.fleet = Some(fleet);
     }
 
-    fn new_shard(&self, id: &ShardId) -> Shard<InterferenceAware> {
-        let mut placer = InterferenceAware::default();
+    fn new_shard(&self, id: &ShardId) -> Shard<ChosenPlacer> {
+        let choice = self.settings.shards.placer;
+        let mut placer = ChosenPlacer::new(choice);
         placer.set_policy(self.policy.clone());
+        let enabled = choice == PlacerChoice::InterferenceAware;
         Shard::new(
             id.clone(),
             self.settings.box_id.clone(),
             self.incarnation,
             self.settings.shard_settings(),
-            ReliefSettings::default(),
+            ReliefSettings::builder().enabled(enabled).build(),
             placer,
         )
     }
--- a/crates/kitetraild/src/settings.rs
+++ b/crates/kitetraild/src/settings.rs
@@ -120,6 +120,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Shards {
+    /// How a task's worker is chosen.
+    pub placer: PlacerChoice,
     /// How many racks make up a shard.
     pub racks_per_shard: u16,
     /// How long a shard's row must stay unchanged before another box takes over.
@@ -137,6 +139,7 @@
 impl Default for Shards {
     fn default() -> Self {
         Self {
+            placer: PlacerChoice::InterferenceAware,
             racks_per_shard: 10,
             shard_lease_ms: None,
             task_lease_ms: None,
@@ -147,6 +150,17 @@
     }
 }
 
+/// How a task's worker is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacerChoice {
+    /// By the least expected harm, with relief under pressure.
+    #[default]
+    InterferenceAware,
+    /// The first with room, without relief, as a baseline.
+    FirstFit,
+}
+
 /// How requests are served.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default, deny_unknown_fields)]
