--- a/crates/kitetrail-core/tests/membership.rs
+++ b/crates/kitetrail-core/tests/membership.rs
@@ -1,4 +1,5 @@
 //! Which boxes count as up, and how shards are dealt to them.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::{collections::BTreeSet, time::Duration};
 
--- a/crates/kitetrail-core/tests/routing.rs
+++ b/crates/kitetrail-core/tests/routing.rs
@@ -1,4 +1,5 @@
 //! The router on virtual time, with fake endpoints that take so long and fail so often.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::{collections::BTreeMap, fmt::Write as _, time::Duration};
 
--- a/crates/kitetrail-policy/tests/policies.rs
+++ b/crates/kitetrail-policy/tests/policies.rs
@@ -1,4 +1,5 @@
 //! What policies answer, and that none of them can do harm.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::{collections::BTreeSet, fs, path::Path};
 
--- a/crates/kitetrail-proto/tests/generated_code_is_current.rs
+++ b/crates/kitetrail-proto/tests/generated_code_is_current.rs
@@ -1,6 +1,7 @@
 //! The committed code is what the generator makes of `proto/peer.proto`.
 //!
 //! Run with `KITETRAIL_GENERATE=1` to write it anew.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::{env, fs, path::Path};
 
--- a/crates/kitetrail-standins/examples/compare_placement.rs
+++ b/crates/kitetrail-standins/examples/compare_placement.rs
@@ -3,6 +3,7 @@
 //! Two services and four classes of batch work share workers. Which class disturbs which
 //! is known to the workers alone. Printed for each placer and both users' weightings: the
 //! latency of the services (20 ms alone), batch work done, evictions and work lost.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 #![allow(missing_docs, reason = "an example")]
 
 #[path = "../tests/world/mod.rs"]
--- a/crates/kitetrail-standins/tests/golden_session.rs
+++ b/crates/kitetrail-standins/tests/golden_session.rs
@@ -1,4 +1,5 @@
 //! A whole session of one shard, from the first takeover to the last task, as a file.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod world;
 
--- a/crates/kitetrail-standins/tests/placement_failures.rs
+++ b/crates/kitetrail-standins/tests/placement_failures.rs
@@ -1,5 +1,6 @@
 //! P1 to P3, one failure at a time, on virtual time. The world checks the promises
 //! after every event; each test checks besides that the failure really came about.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod world;
 
--- a/crates/kitetrail-standins/tests/system_configuration.rs
+++ b/crates/kitetrail-standins/tests/system_configuration.rs
@@ -1,4 +1,5 @@
 //! P9 with real processes: an accepted configuration is in force everywhere and stays.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod system;
 
--- a/crates/kitetrail-standins/tests/system_hostile_callers.rs
+++ b/crates/kitetrail-standins/tests/system_hostile_callers.rs
@@ -1,4 +1,5 @@
 //! Callers that send nonsense, too much, too slowly, or do not read.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod system;
 
--- a/crates/kitetrail-standins/tests/system_operators.rs
+++ b/crates/kitetrail-standins/tests/system_operators.rs
@@ -1,4 +1,5 @@
 //! Operators' mistakes, tokens and the record of changes, with real processes.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod system;
 
--- a/crates/kitetrail-standins/tests/system_placement.rs
+++ b/crates/kitetrail-standins/tests/system_placement.rs
@@ -1,4 +1,5 @@
 //! P1 to P3 with real processes: a kill, a freeze, a cut worker, an outage, lost answers.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod system;
 
--- a/crates/kitetrail-standins/tests/system_requests.rs
+++ b/crates/kitetrail-standins/tests/system_requests.rs
@@ -1,4 +1,5 @@
 //! P4 to P8 and P10 with real processes, judged by what workers and callers wrote down.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod system;
 
--- a/crates/kitetrail/tests/command_line.rs
+++ b/crates/kitetrail/tests/command_line.rs
@@ -1,4 +1,5 @@
 //! What the command-line tool says, and its exit codes.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::process::{Command, Output};
 
--- a/crates/kitetraild/src/control/state.rs
+++ b/crates/kitetraild/src/control/state.rs
@@ -28,7 +28,11 @@
     shard_io::ShardIo,
 };
 use crate::{
-    callers::SharedRouter, clock::Clock, metrics::Metrics, peers::PeerClients, settings::Settings,
+    callers::SharedRouter,
+    clock::Clock,
+    metrics::Metrics,
+    peers::PeerClients,
+    settings::{PlacerChoice, Settings},
 };
 
 /// How often shards are asked what is due.
--- a/crates/kitetraild/tests/settings.rs
+++ b/crates/kitetraild/tests/settings.rs
@@ -1,4 +1,5 @@
 //! Each mistake in the settings is told with its line and how to mend it.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use expect_test::expect_file;
 use kitetraild::settings::Settings;
