Learn effects class by class, wait rather than press, relieve as much as is needed

Found: - harm to batch work counted as much as harm to services, so noise was spread evenly; - a class first seen at placement was taken for a service; - a sample's error was shared by occurrence with a falling rate, so effects stayed mixed; - relief throttled one task each 4 s.

--- a/crates/kitetrail-core/src/membership.rs
+++ b/crates/kitetrail-core/src/membership.rs
@@ -21,6 +21,9 @@
 /// How many peers are spoken to in each round.
 const FAN_OUT: usize = 3;
 
+/// For how long a box that is not in the box list is remembered.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
 /// What is passed on about a box.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -139,6 +142,11 @@
 
     /// Starts a round: this box's heartbeat grows. Returns the peers to speak to.
     pub fn begin_round(&mut self, leaving: bool, revision: u64, now: Time) -> Vec<BoxInfo> {
+        self.members.retain(|id, member| {
+            self.listed.contains_key(id)
+                || now.since(member.grew_at) < FORGET_AFTER
+                || *id == self.me
+        });
         if let Some(member) = self.members.get_mut(&self.me) {
             member.heartbeat.beat += 1;
             member.heartbeat.leaving = leaving;
--- a/crates/kitetrail-core/src/placement/interference.rs
+++ b/crates/kitetrail-core/src/placement/interference.rs
@@ -9,7 +9,9 @@
 /// The slowdown a pair is expected to cause before anything was measured.
 const PRIOR_EFFECT: f64 = 0.05;
 /// The part of an error that is always learned, so that the model follows changes.
-const MIN_LEARNING_RATE: f64 = 0.05;
+const MIN_LEARNING_RATE: f64 = 0.2;
+/// How many samples make an estimate one to rely on.
+const RELIABLE_SAMPLES: u32 = 4;
 
 /// How loaded a worker is, in coarse steps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,11 +55,17 @@
         self.error / f64::from(self.samples + 1).sqrt()
     }
 
-    fn learn(&mut self, residual: f64) {
+    /// Whether it rests on enough samples to be relied on.
+    pub fn is_reliable(&self) -> bool {
+        self.samples >= RELIABLE_SAMPLES
+    }
+
+    /// Takes in this pair's part of an error.
+    fn learn(&mut self, part: f64) {
         self.samples = self.samples.saturating_add(1);
-        let rate = (1.0 / f64::from(self.samples + 1)).max(MIN_LEARNING_RATE);
-        self.effect = (self.effect + residual * rate).max(0.0);
-        self.error += (residual.abs() - self.error) * rate;
+        let rate = (1.0 / f64::from(self.samples)).max(MIN_LEARNING_RATE);
+        self.effect = (self.effect + part * rate).max(0.0);
+        self.error += (part.abs() - self.error) * rate;
     }
 }
 
@@ -83,17 +91,26 @@
         1.0 + effects.sum::<f64>()
     }
 
-    /// Learns from a sample, sharing its error among all that ran beside.
+    /// Learns from a sample.
+    ///
+    /// Its error is divided among the classes that ran beside in proportion to how many
+    /// tasks each had (normalised least mean squares), so that over samples with other
+    /// neighbours each class ends up with its own effect.
     pub fn observe(&mut self, sample: &UsageSample, band: Band) {
         if sample.beside.is_empty() || !sample.slowdown.is_finite() {
             return;
         }
         let error = sample.slowdown - self.expected(&sample.class, &sample.beside, band);
-        let residual = error / sample.beside.len() as f64;
-        let of_victim = self.pairs.entry(sample.class.clone()).or_default();
+        let mut counts: BTreeMap<&TaskClass, f64> = BTreeMap::new();
         for beside in &sample.beside {
+            *counts.entry(beside).or_default() += 1.0;
+        }
+        let norm: f64 = counts.values().map(|count| count * count).sum();
+        let of_victim = self.pairs.entry(sample.class.clone()).or_default();
+        for (beside, count) in counts {
             let bands = of_victim.entry(beside.clone()).or_default();
-            bands[band as usize].get_or_insert(Estimate::PRIOR).learn(residual);
+            let estimate = bands[band as usize].get_or_insert(Estimate::PRIOR);
+            estimate.learn(error * count / norm);
         }
     }
 }
--- a/crates/kitetrail-core/src/placement/interference_aware.rs
+++ b/crates/kitetrail-core/src/placement/interference_aware.rs
@@ -11,6 +11,8 @@
 
 /// How much a unit of uncertainty counts against a unit of expected harm.
 const UNCERTAINTY_WEIGHT: f64 = 0.3;
+/// The rank at which the harm done to a class counts in full.
+const FULL_RANK: f64 = 100.0;
 /// The cost of a task of the same spec on the same worker.
 const SAME_WORKER_COST: f64 = 1.0;
 /// The cost of a task of the same spec in the same rack.
@@ -39,8 +41,17 @@
         }
         let used = candidate.capacity.checked_sub(&candidate.free).unwrap_or_default();
         let band = Band::of(&used.saturating_add(&task.spec.size), &candidate.capacity);
-        let harm = candidate.classes.iter().map(|(other, &count)| {
-            self.pair_cost(task.spec.kind, class, other, band) * f64::from(count)
+        if candidate
+            .classes
+            .iter()
+            .any(|(victim, count)| self.would_press(task, victim, count.kind, candidate, band))
+        {
+            return None;
+        }
+        let harm = candidate.classes.iter().map(|(other, count)| {
+            let suffered = self.harm(task.spec.kind, class, other, band);
+            let done = self.harm(count.kind, other, class, band);
+            (suffered + done) * f64::from(count.tasks)
         });
         let spread = f64::from(candidate.siblings_on_worker) * SAME_WORKER_COST
             + f64::from(candidate.siblings_in_rack) * SAME_RACK_COST;
@@ -48,28 +59,39 @@
         Some(harm.sum::<f64>() + spread - PACKING_WEIGHT * load(candidate))
     }
 
-    /// The harm of a new task beside a resident one, in both directions.
-    fn pair_cost(&self, kind: Kind, new: &TaskClass, resident: &TaskClass, band: Band) -> f64 {
-        let resident_kind = self.kind_of(resident);
-        self.weighted(resident_kind, resident, new, band) + self.weighted(kind, new, resident, band)
+    /// Whether a task that matters less is known to push a class on a worker beyond the
+    /// slowdown that policy lets it suffer. It had better wait than be thrown out again.
+    fn would_press(
+        &self,
+        task: &TaskRow,
+        victim: &TaskClass,
+        kind: Kind,
+        candidate: &Candidate<'_>,
+        band: Band,
+    ) -> bool {
+        let rule = self.policy.rule(victim, kind);
+        let new = self.model.estimate(victim, &task.spec.class, band);
+        let matters_less = self.policy.rule(&task.spec.class, task.spec.kind).rank < rule.rank;
+        if *victim == task.spec.class || !matters_less || !new.is_reliable() {
+            return false;
+        }
+        let others = candidate.classes.iter().filter(|(other, _)| *other != victim);
+        let effects = others.map(|(other, count)| {
+            self.model.estimate(victim, other, band).effect * f64::from(count.tasks)
+        });
+        1.0 + effects.sum::<f64>() + new.effect > rule.max_slowdown
     }
 
-    fn weighted(&self, kind: Kind, victim: &TaskClass, beside: &TaskClass, band: Band) -> f64 {
+    /// The harm that a task of class `beside` is expected to do to one of class `victim`:
+    /// its slowdown, weighed by how much policy says the victim matters.
+    fn harm(&self, kind: Kind, victim: &TaskClass, beside: &TaskClass, band: Band) -> f64 {
         let estimate = self.model.estimate(victim, beside, band);
         let weight = match kind {
             Kind::Service => self.policy.tail_weight,
             Kind::Job | Kind::Watcher => 1.0 - self.policy.tail_weight,
         };
-        weight * (estimate.effect + UNCERTAINTY_WEIGHT * estimate.uncertainty())
-    }
-
-    /// The kind a resident class is weighed as: what policy protects counts as a service.
-    fn kind_of(&self, class: &TaskClass) -> Kind {
-        match self.policy.rules.get(class) {
-            Some(rule) if rule.sacrifice == super::Sacrifice::Never => Kind::Service,
-            Some(_) => Kind::Job,
-            None => Kind::Service,
-        }
+        let importance = f64::from(self.policy.rule(victim, kind).rank) / FULL_RANK;
+        weight * importance * (estimate.effect + UNCERTAINTY_WEIGHT * estimate.uncertainty())
     }
 }
 
--- a/crates/kitetrail-core/src/placement/mod.rs
+++ b/crates/kitetrail-core/src/placement/mod.rs
@@ -10,11 +10,15 @@
 pub use interference::{Band, Estimate, InterferenceModel};
 pub use interference_aware::InterferenceAware;
 pub use policy_table::{ClassRule, PolicyTable, Sacrifice};
-pub use relief::{Relief, ReliefSettings, Resident};
+pub use relief::{Relief, ReliefSettings, Resident, Step};
 
 use std::collections::BTreeMap;
 
-use crate::{Resources, TaskClass, WorkerId, task::TaskRow, worker::UsageSample};
+use crate::{
+    Resources, TaskClass, WorkerId,
+    task::{Kind, TaskRow},
+    worker::UsageSample,
+};
 
 /// A worker that could take a task.
 #[derive(Debug, Clone)]
@@ -25,14 +29,23 @@
     pub capacity: Resources,
     /// What is still free.
     pub free: Resources,
-    /// The classes that run on it, and how many tasks of each.
-    pub classes: &'a BTreeMap<TaskClass, u32>,
+    /// The classes that run on it.
+    pub classes: &'a BTreeMap<TaskClass, ClassCount>,
     /// How many tasks of the same spec are on the worker.
     pub siblings_on_worker: u32,
     /// How many tasks of the same spec are in the worker's rack.
     pub siblings_in_rack: u32,
 }
 
+/// How many tasks of a class run on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClassCount {
+    /// Their kind.
+    pub kind: Kind,
+    /// How many there are.
+    pub tasks: u32,
+}
+
 /// A worker chosen among candidates.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
--- a/crates/kitetrail-core/src/placement/relief.rs
+++ b/crates/kitetrail-core/src/placement/relief.rs
@@ -7,6 +7,8 @@
 use super::{Band, Placer, Sacrifice};
 use crate::{Attempt, TaskClass, TaskId, Time, task::Kind, worker::Want};
 
+/// The part of the harm a task does that goes away when it is throttled.
+const THROTTLE_RELIEF: f64 = 0.7;
 /// The share of a new sample in the smoothed slowdown.
 const SMOOTHING: f64 = 0.3;
 
@@ -50,6 +52,30 @@
     pub unsaved_ms: u64,
 }
 
+/// One thing to be done about a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub attempt: Attempt,
+    /// What is wanted of it.
+    pub want: Want,
+}
+
+impl Step {
+    fn new(resident: &Resident, want: Want) -> Self {
+        Self { task: resident.task.clone(), attempt: resident.attempt, want }
+    }
+}
+
+/// A class that suffers more than it may.
+struct Pressure {
+    victim: TaskClass,
+    rank: u8,
+    excess: f64,
+}
+
 /// The pressure on one worker and what was done about it.
 #[derive(Debug, Clone, Default)]
 pub struct Relief {
@@ -70,9 +96,10 @@
         self.slowdown.get(class).copied().unwrap_or(1.0)
     }
 
-    /// The next step, if one is due: which task, and what is wanted of it.
+    /// The next step, if one is due: which tasks, and what is wanted of them.
     ///
-    /// One step is taken at a time and given time to show its effect.
+    /// A step is as large as the pressure, as far as the blame is known, and is given time
+    /// to show its effect before the next.
     pub fn step<P: Placer>(
         &mut self,
         placer: &P,
@@ -80,29 +107,25 @@
         residents: &[Resident],
         band: Band,
         now: Time,
-    ) -> Option<(TaskId, Attempt, Want)> {
+    ) -> Vec<Step> {
         if !settings.enabled {
-            return None;
+            return Vec::new();
         }
         self.slowdown.retain(|class, _| residents.iter().any(|r| r.class == *class));
-        let pressed = self.pressed_class(placer, residents, 100);
-        match pressed {
-            Some(victim) if self.step_is_due(settings, now) => {
-                self.calm_since = None;
-                let step = relieve(placer, residents, &victim, band)?;
-                self.last_step = Some(now);
-                Some(step)
-            }
-            Some(_) => {
-                self.calm_since = None;
-                None
+        if let Some(pressure) = self.pressure(placer, residents, 100) {
+            self.calm_since = None;
+            if !self.step_is_due(settings, now) {
+                return Vec::new();
             }
-            None if self.pressed_class(placer, residents, settings.calm_percent).is_some() => {
-                self.calm_since = None;
-                None
-            }
-            None => self.lift(settings, residents, now),
+            let steps = relieve(placer, residents, &pressure, band);
+            self.last_step = if steps.is_empty() { self.last_step } else { Some(now) };
+            return steps;
+        }
+        if self.pressure(placer, residents, settings.calm_percent).is_some() {
+            self.calm_since = None;
+            return Vec::new();
         }
+        self.lift(settings, residents, now).into_iter().collect()
     }
 
     fn step_is_due(&self, settings: &ReliefSettings, now: Time) -> bool {
@@ -110,22 +133,20 @@
     }
 
     /// The class that suffers the most beyond the given part of what it may suffer.
-    fn pressed_class<P: Placer>(
+    fn pressure<P: Placer>(
         &self,
         placer: &P,
         residents: &[Resident],
         percent: u32,
-    ) -> Option<TaskClass> {
-        let excess = |resident: &Resident| {
-            let allowed = placer.policy().rule(&resident.class, resident.kind).max_slowdown;
-            self.slowdown(&resident.class) - allowed * f64::from(percent) / 100.0
+    ) -> Option<Pressure> {
+        let of = |resident: &Resident| {
+            let rule = placer.policy().rule(&resident.class, resident.kind);
+            let allowed = rule.max_slowdown * f64::from(percent) / 100.0;
+            let excess = self.slowdown(&resident.class) - allowed;
+            Pressure { victim: resident.class.clone(), rank: rule.rank, excess }
         };
-        residents
-            .iter()
-            .map(|resident| (excess(resident), resident))
-            .filter(|(excess, _)| *excess > 0.0)
-            .max_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, resident)| resident.class.clone())
+        let pressures = residents.iter().map(of).filter(|pressure| pressure.excess > 0.0);
+        pressures.max_by(|a, b| a.excess.total_cmp(&b.excess))
     }
 
     /// Lifts one throttle after a calm while.
@@ -134,51 +155,71 @@
         settings: &ReliefSettings,
         residents: &[Resident],
         now: Time,
-    ) -> Option<(TaskId, Attempt, Want)> {
+    ) -> Option<Step> {
         let calm_since = *self.calm_since.get_or_insert(now);
         if now.since(calm_since) < settings.calm_before_lift {
             return None;
         }
         let throttled = residents.iter().find(|resident| resident.want == Want::Throttle)?;
         self.calm_since = Some(now);
-        Some((throttled.task.clone(), throttled.attempt, Want::Run))
+        Some(Step::new(throttled, Want::Run))
     }
 }
 
-/// The cheapest step that helps `victim`: throttle the most blamed, then evict it.
+/// The cheapest step that helps: throttle the most blamed; when all are throttled, evict
+/// those that lose least for the relief they bring.
 fn relieve<P: Placer>(
     placer: &P,
     residents: &[Resident],
-    victim: &TaskClass,
+    pressure: &Pressure,
     band: Band,
-) -> Option<(TaskId, Attempt, Want)> {
-    let victim_rank = residents
-        .iter()
-        .filter(|resident| resident.class == *victim)
-        .map(|resident| placer.policy().rule(victim, resident.kind).rank)
-        .max()?;
-    let may = |resident: &&Resident, sacrifice: Sacrifice| {
+) -> Vec<Step> {
+    let victim = &pressure.victim;
+    let may = |resident: &Resident, sacrifice: Sacrifice| {
         let rule = placer.policy().rule(&resident.class, resident.kind);
-        resident.class != *victim && rule.rank < victim_rank && rule.sacrifice >= sacrifice
+        resident.class != *victim && rule.rank < pressure.rank && rule.sacrifice >= sacrifice
     };
-    let throttle = residents
+    let blame = |resident: &Resident| placer.blame(victim, &resident.class, band);
+    let mut able: Vec<&Resident> = residents
         .iter()
         .filter(|resident| resident.want == Want::Run && may(resident, Sacrifice::Throttle))
-        .max_by(|a, b| {
-            let blame = |r: &Resident| placer.blame(victim, &r.class, band);
-            blame(a).total_cmp(&blame(b)).then(b.unsaved_ms.cmp(&a.unsaved_ms))
-        });
-    if let Some(resident) = throttle {
-        return Some((resident.task.clone(), resident.attempt, Want::Throttle));
+        .collect();
+    able.sort_by(|a, b| blame(b).total_cmp(&blame(a)).then(a.unsaved_ms.cmp(&b.unsaved_ms)));
+    if !able.is_empty() {
+        let relief = |resident: &Resident| blame(resident) * THROTTLE_RELIEF;
+        return enough(&able, pressure.excess, relief, Want::Throttle);
     }
-    residents
+    able = residents
         .iter()
         .filter(|resident| resident.want == Want::Throttle && may(resident, Sacrifice::Evict))
-        .min_by(|a, b| {
-            cost_of_eviction(placer, victim, a, band)
-                .total_cmp(&cost_of_eviction(placer, victim, b, band))
-        })
-        .map(|resident| (resident.task.clone(), resident.attempt, Want::Checkpoint))
+        .collect();
+    let cost = |resident: &Resident| cost_of_eviction(placer, victim, resident, band);
+    able.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+    enough(
+        &able,
+        pressure.excess,
+        |resident| blame(resident) * (1.0 - THROTTLE_RELIEF),
+        Want::Checkpoint,
+    )
+}
+
+/// The first few tasks whose relief together is expected to cover the excess, at least one.
+fn enough(
+    able: &[&Resident],
+    excess: f64,
+    relief: impl Fn(&Resident) -> f64,
+    want: Want,
+) -> Vec<Step> {
+    let mut covered = 0.0;
+    let mut steps = Vec::new();
+    for resident in able {
+        steps.push(Step::new(resident, want));
+        covered += relief(resident);
+        if covered >= excess {
+            break;
+        }
+    }
+    steps
 }
 
 /// The work lost for each unit of relief.
--- a/crates/kitetrail-core/src/routing/router.rs
+++ b/crates/kitetrail-core/src/routing/router.rs
@@ -1,5 +1,7 @@
 //! The router of one box.
 
+mod endpoints;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
@@ -131,61 +133,6 @@
         sets.collect()
     }
 
-    /// Follows the number of boxes that share the endpoints, and the place of this one
-    /// among them.
-    pub fn set_boxes(&mut self, boxes: u32, place: u32) {
-        let (boxes, place) = (boxes.max(1), place.min(boxes.saturating_sub(1)));
-        if (boxes, place) == (self.boxes, self.place) {
-            return;
-        }
-        (self.boxes, self.place) = (boxes, place);
-        for index in 0..self.endpoints.len() {
-            self.set_share(EndpointId(index));
-        }
-    }
-
-    fn set_share(&mut self, id: EndpointId) {
-        let share = self.share_of(id);
-        let slots = f64::from(self.settings.slots_per_endpoint);
-        let ceiling = f64::from(self.connection_share());
-        self.endpoints[id.0].set_share(share, slots, ceiling);
-    }
-
-    /// The slots of an endpoint that are this box's: all slots, divided so that the
-    /// shares of all boxes add up to them, but never none. Which boxes get one more
-    /// differs from endpoint to endpoint, and all boxes agree on it.
-    fn share_of(&self, id: EndpointId) -> f64 {
-        let slots = self.settings.slots_per_endpoint;
-        let address = self.endpoints[id.0].address.to_string();
-        let start = xxhash_rust::xxh3::xxh3_64(address.as_bytes()) % u64::from(self.boxes);
-        let turn = (start as u32 + self.place) % self.boxes;
-        let share = slots / self.boxes + u32::from(turn < slots % self.boxes);
-        f64::from(share.max(1))
-    }
-
-    /// Follows the box list's word on which workers are about to go or gone.
-    pub fn set_leaving(&mut self, leaving: BTreeSet<WorkerId>, now: Time) {
-        if self.leaving != leaving {
-            self.leaving = leaving;
-            self.rebuild(now);
-        }
-    }
-
-    /// Takes in where a shard's services answer, unless something newer is known.
-    pub fn set_endpoints(&mut self, set: EndpointSet, now: Time) {
-        let known = self.sets.get(&set.shard);
-        let newest = known.map(|known| (known.epoch, known.sequence)).unwrap_or_default();
-        if (set.epoch, set.sequence) <= newest {
-            return;
-        }
-        let unchanged = known.is_some_and(|known| known.endpoints == set.endpoints);
-        let EndpointSet { shard, epoch, sequence, endpoints } = set;
-        self.sets.insert(shard, KnownSet { epoch, sequence, endpoints });
-        if !unchanged {
-            self.rebuild(now);
-        }
-    }
-
     /// Takes in a new request.
     pub fn offer(&mut self, arrival: Arrival, now: Time) -> Verdict {
         let Some(service) = self.services.get(&arrival.service) else {
@@ -485,44 +432,6 @@
         let all = service.local.iter().chain(&service.remote);
         all.filter(|id| self.endpoints[id.0].is_ejected(now)).count()
     }
-
-    /// Works the endpoints of all services out anew. What is known of each is kept.
-    fn rebuild(&mut self, now: Time) {
-        for service in self.services.values_mut() {
-            service.local.clear();
-            service.remote.clear();
-        }
-        for endpoint in &mut self.endpoints {
-            endpoint.leaving = true;
-        }
-        let mut seen = BTreeSet::new();
-        let placed: Vec<PlacedEndpoint> =
-            self.sets.values().flat_map(|set| set.endpoints.iter().cloned()).collect();
-        for placed in placed {
-            if !seen.insert((placed.service.clone(), placed.address)) {
-                continue;
-            }
-            let key = (placed.service.clone(), placed.address);
-            let id = *self.by_address.entry(key).or_insert_with(|| {
-                let PlacedEndpoint { service, worker, zone, address, .. } = placed.clone();
-                self.endpoints.push(EndpointState::new(service, worker, zone, address));
-                EndpointId(self.endpoints.len() - 1)
-            });
-            self.set_share(id);
-            let retry_percent = self.settings.retry_percent;
-            let service = self.services.entry(placed.service.clone());
-            let service = service.or_insert_with(|| Service::new(retry_percent, now));
-            if placed.leaving || self.leaving.contains(&placed.worker) {
-                continue;
-            }
-            self.endpoints[id.0].leaving = false;
-            let side = match placed.zone == self.settings.zone {
-                true => &mut service.local,
-                false => &mut service.remote,
-            };
-            side.push(id);
-        }
-    }
 }
 
 impl Request {
--- a/crates/kitetrail-core/src/shard/event.rs
+++ b/crates/kitetrail-core/src/shard/event.rs
@@ -23,6 +23,8 @@
 pub enum Event {
     /// Time has passed.
     Tick,
+    /// The time of day, in milliseconds since 1970. Nothing that must hold rests on it.
+    UnixTime(u64),
     /// Membership puts this box at the given place among those that may own the shard.
     /// Zero is the first choice, `None` means not at all.
     Ranked(Option<usize>),
--- a/crates/kitetrail-core/src/shard/ledger.rs
+++ b/crates/kitetrail-core/src/shard/ledger.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Attempt, Resources, SpecName, TaskClass, TaskId, Time,
+    placement::ClassCount,
     task::{Kind, TaskRow},
     worker::{TaskReport, Want},
 };
@@ -74,7 +75,7 @@
 pub struct Ledger {
     capacity: Resources,
     used: Resources,
-    classes: BTreeMap<TaskClass, u32>,
+    classes: BTreeMap<TaskClass, ClassCount>,
     specs: BTreeMap<SpecName, u32>,
     grants: BTreeMap<(TaskId, Attempt), Grant>,
 }
@@ -96,7 +97,7 @@
     }
 
     /// The classes of the tasks on the worker, and how many there are of each.
-    pub fn classes(&self) -> &BTreeMap<TaskClass, u32> {
+    pub fn classes(&self) -> &BTreeMap<TaskClass, ClassCount> {
         &self.classes
     }
 
@@ -132,10 +133,11 @@
 
     /// Enters a run that is known to hold room already.
     pub fn force(&mut self, task: TaskId, attempt: Attempt, grant: Grant) {
-        let (size, class, spec) = (grant.size, grant.class.clone(), task.spec.clone());
+        let (size, kind) = (grant.size, grant.kind);
+        let (class, spec) = (grant.class.clone(), task.spec.clone());
         if self.grants.insert((task, attempt), grant).is_none() {
             self.used = self.used.saturating_add(&size);
-            *self.classes.entry(class).or_default() += 1;
+            self.classes.entry(class).or_insert(ClassCount { kind, tasks: 0 }).tasks += 1;
             *self.specs.entry(spec).or_default() += 1;
         }
     }
@@ -154,8 +156,8 @@
     pub fn release(&mut self, task: &TaskId, attempt: Attempt) -> Option<Grant> {
         let grant = self.grants.remove(&(task.clone(), attempt))?;
         self.used = self.used.checked_sub(&grant.size).unwrap_or_default();
-        count_down(&mut self.classes, &grant.class);
-        count_down(&mut self.specs, &task.spec);
+        take_one(&mut self.classes, &grant.class, |count| &mut count.tasks);
+        take_one(&mut self.specs, &task.spec, |count| count);
         Some(grant)
     }
 
@@ -165,13 +167,12 @@
     }
 }
 
-/// Takes one off a count, and the count away when it is zero.
-fn count_down<K: Ord>(counts: &mut BTreeMap<K, u32>, key: &K) {
-    match counts.get_mut(key) {
-        Some(count) if *count > 1 => *count -= 1,
-        Some(_) => {
-            counts.remove(key);
-        }
-        None => {}
+/// Takes one off a count, and the entry away when it is zero.
+fn take_one<K: Ord, V>(counts: &mut BTreeMap<K, V>, key: &K, count: fn(&mut V) -> &mut u32) {
+    let Some(entry) = counts.get_mut(key) else { return };
+    let left = count(entry);
+    *left -= 1;
+    if *left == 0 {
+        counts.remove(key);
     }
 }
--- a/crates/kitetrail-core/src/shard/machine.rs
+++ b/crates/kitetrail-core/src/shard/machine.rs
@@ -5,6 +5,7 @@
 use super::{
     Action, Decision, Event, LeaseRow, ShardSettings,
     owner::{Owner, Reign},
+    pending::{Pending, PendingStage, Resolution},
 };
 use crate::{
     BoxId, Epoch, OpId, ShardId, Time, Version,
@@ -39,6 +40,7 @@
     gave_back: bool,
     /// The reign before, and since when no older owner was confirmed.
     last_reign: Option<(Epoch, Time)>,
+    unix_ms: u64,
     draining: bool,
     read_in_flight: bool,
     last_read: Option<Time>,
@@ -80,31 +82,6 @@
     Owning { owner: Box<Owner>, commit: Option<Pending>, hand_back: bool },
 }
 
-/// A transaction whose effect isn't known yet.
-#[derive(Debug, Clone)]
-struct Pending {
-    transaction: Transaction,
-    base: Version,
-    sent: Time,
-    stage: PendingStage,
-    odd_conflicts: u32,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PendingStage {
-    /// Its answer is awaited.
-    Sent,
-    /// The answer was lost or was a conflict: the row is to be read back.
-    ReadBack,
-}
-
-/// What reading a row back says of a pending transaction.
-enum Resolution {
-    Applied(Version),
-    NotApplied,
-    Superseded,
-}
-
 impl<P: Placer> Shard<P> {
     /// A box's part in a shard. It starts out watching.
     ///
@@ -130,6 +107,7 @@
             vain_hand_backs: 0,
             gave_back: false,
             last_reign: None,
+            unix_ms: 0,
             draining: false,
             read_in_flight: false,
             last_read: None,
@@ -202,6 +180,12 @@
         let waits = matches!(event, Event::WorkerReplied(..) | Event::WorkerSilent(_));
         match event {
             Event::Tick => {}
+            Event::UnixTime(unix_ms) => {
+                self.unix_ms = unix_ms;
+                if let Role::Owning { owner, .. } = &mut self.role {
+                    owner.set_unix_time(unix_ms, &self.settings);
+                }
+            }
             Event::Ranked(rank) => self.set_rank(rank, now),
             Event::FleetSeen(workers) => self.set_fleet(workers, now),
             Event::LeaseRead(row) => self.on_lease_read(row, now, &mut actions),
@@ -372,7 +356,8 @@
         self.last_reign = Some((epoch, others_confirmed));
         let older_lapse = others_confirmed + self.settings.certain_lapse_of_older_owner();
         let lapse_at = older_lapse.max(since + self.settings.certain_lapse());
-        let reign = Reign { epoch, version, since, lapse_at };
+        let unix_ms = self.unix_ms;
+        let reign = Reign { epoch, version, since, lapse_at, unix_ms };
         let mut owner = Owner::new(self.id.clone(), reign, rows, &self.placer);
         owner.set_fleet(&self.fleet, now);
         actions.push(Action::Log(Decision::TookOver(epoch)));
@@ -506,21 +491,3 @@
         }
     }
 }
-
-impl Pending {
-    fn new(transaction: Transaction, base: Version, sent: Time) -> Self {
-        Self { transaction, base, sent, stage: PendingStage::Sent, odd_conflicts: 0 }
-    }
-
-    /// What the row as read back says of this transaction.
-    ///
-    /// If the row is unchanged the transaction may still arrive; sending the same one
-    /// again is safe because at most one of them can meet the condition.
-    fn resolve(&self, version: Version, op: Option<&OpId>) -> Resolution {
-        match op {
-            Some(op) if *op == self.transaction.op => Resolution::Applied(version),
-            _ if version == self.base => Resolution::NotApplied,
-            _ => Resolution::Superseded,
-        }
-    }
-}
--- a/crates/kitetrail-core/src/shard/mod.rs
+++ b/crates/kitetrail-core/src/shard/mod.rs
@@ -5,6 +5,7 @@
 mod ledger;
 mod machine;
 mod owner;
+mod pending;
 mod settings;
 mod worker_state;
 
--- a/crates/kitetrail-core/src/shard/owner.rs
+++ b/crates/kitetrail-core/src/shard/owner.rs
@@ -10,6 +10,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
+    ops::Bound,
     time::Duration,
 };
 
@@ -31,8 +32,10 @@
 const DRAIN: Duration = Duration::from_secs(10);
 /// How long an owner waits for the first words of its workers.
 const SETTLE_IN: Duration = Duration::from_secs(1);
-/// How many placements are decided at a time.
-const MAX_PLACEMENTS: usize = 512;
+/// How many placements are tried at a time.
+const MAX_TRIES: usize = 512;
+/// How many tasks at rest are forgotten at a time.
+const MAX_FORGOTTEN: usize = 100;
 /// How long a task keeps away from the worker it was evicted from.
 const AVOID_AFTER_EVICTION: Duration = Duration::from_secs(30);
 /// How long room made for an urgent task is waited for before more is made.
@@ -58,6 +61,8 @@
     pub since: Time,
     /// When every lease that an earlier owner could have renewed has certainly lapsed.
     pub lapse_at: Time,
+    /// The time of day, in milliseconds since 1970, or zero.
+    pub unix_ms: u64,
 }
 
 /// The owner of a shard during one reign.
@@ -85,6 +90,10 @@
     since: Time,
     settled_in: bool,
     placed_count: usize,
+    /// The time of day when it was last told, in milliseconds since 1970.
+    unix_ms: u64,
+    /// The tasks at rest, by the time of day when they came to it.
+    at_rest: BTreeSet<(u64, TaskId)>,
 }
 
 type QueueKey = (Reverse<(u8, u8)>, TaskId);
@@ -110,7 +119,7 @@
 impl Owner {
     /// The owner after a takeover.
     pub fn new<P: Placer>(shard: ShardId, reign: Reign, rows: Vec<TaskRow>, placer: &P) -> Self {
-        let Reign { epoch, version, since, lapse_at } = reign;
+        let Reign { epoch, version, since, lapse_at, unix_ms } = reign;
         let mut owner = Self {
             shard,
             epoch,
@@ -131,6 +140,8 @@
             since,
             settled_in: false,
             placed_count: 0,
+            unix_ms,
+            at_rest: BTreeSet::new(),
         };
         for row in rows {
             owner.adopt(row, lapse_at, since, placer);
@@ -185,7 +196,11 @@
                 state.ledger.force(row.id.clone(), row.attempt, Grant::of(&row, *boot));
                 self.placed_count += 1;
             }
-            Stage::Ended(_) => {}
+            Stage::Ended(_) => {
+                let ended_ms =
+                    if row.ended_unix_ms == 0 { self.unix_ms } else { row.ended_unix_ms };
+                self.at_rest.insert((ended_ms, row.id.clone()));
+            }
         }
         self.rows.insert(row.id.clone(), row);
     }
@@ -205,6 +220,29 @@
                 _ => {}
             }
         }
+        self.workers.retain(|id, state| {
+            !state.ledger.is_empty() || fleet.iter().any(|info| info.id == *id)
+        });
+    }
+
+    /// Takes in the time of day, by which tasks at rest are forgotten.
+    pub fn set_unix_time(&mut self, unix_ms: u64, settings: &ShardSettings) {
+        if self.unix_ms == 0 {
+            let undated = std::mem::take(&mut self.at_rest);
+            let dated = undated.into_iter().map(|(at, task)| (at.max(unix_ms), task));
+            self.at_rest = dated.collect();
+        }
+        self.unix_ms = unix_ms;
+        let until_ms = unix_ms.saturating_sub(settings.ended_retention.as_millis() as u64);
+        for _ in 0..MAX_FORGOTTEN {
+            match self.at_rest.first() {
+                Some((ended_ms, _)) if *ended_ms < until_ms => {}
+                _ => return,
+            }
+            let Some((_, task)) = self.at_rest.pop_first() else { return };
+            self.rows.remove(&task);
+            self.dirty.insert(task);
+        }
     }
 
     /// The specs of its tasks that aren't at rest.
--- a/crates/kitetrail-core/src/shard/owner/inbox.rs
+++ b/crates/kitetrail-core/src/shard/owner/inbox.rs
@@ -75,6 +75,8 @@
             Stage::Queued => {
                 self.queue.remove(&queue_key(row, placer));
                 row.stage = Stage::Ended(Ending::Cancelled);
+                row.ended_unix_ms = self.unix_ms;
+                self.at_rest.insert((self.unix_ms, id.clone()));
                 let ending = Ending::Cancelled;
                 actions.push(Action::Log(Decision::Ended { task: id.clone(), ending }));
             }
--- a/crates/kitetrail-core/src/shard/owner/place.rs
+++ b/crates/kitetrail-core/src/shard/owner/place.rs
@@ -4,6 +4,9 @@
 
 impl Owner {
     /// Gives waiting tasks to workers, the ones that matter most first.
+    ///
+    /// The tasks of a spec follow each other in the queue. When one of them fits nowhere
+    /// the rest are passed over, so that they don't hold up what comes after them.
     pub(super) fn place<P: Placer>(
         &mut self,
         settings: &ShardSettings,
@@ -12,34 +15,42 @@
         actions: &mut Vec<Action>,
     ) {
         self.avoid.retain(|_, (_, until)| now < *until);
-        let waiting: Vec<QueueKey> = self.queue.iter().take(MAX_PLACEMENTS).cloned().collect();
-        let mut hopeless: BTreeSet<SpecName> = BTreeSet::new();
         let mut held = self.held_by_teams(placer);
-        for key in waiting {
-            let id = &key.1;
-            if hopeless.contains(&id.spec) {
-                continue;
-            }
-            let Some(row) = self.rows.get(id) else { continue };
-            if !held.try_add(&row.spec, placer) {
-                hopeless.insert(id.spec.clone());
-                continue;
-            }
-            match self.choose(row, settings, placer, now) {
-                Some((worker, boot, reason)) => {
-                    self.grant(&key, worker, boot, reason, actions);
-                }
-                None => {
-                    held.take_back(&row.spec);
-                    hopeless.insert(id.spec.clone());
-                    if row.spec.priority >= settings.urgent_priority {
-                        self.make_room(&id.clone(), settings, placer, now, actions);
-                    }
-                }
-            }
+        let mut next = self.queue.first().cloned();
+        let mut tried = 0;
+        while let Some(key) = next.filter(|_| tried < MAX_TRIES) {
+            tried += 1;
+            let placed = self.place_one(&key, &mut held, settings, placer, now, actions);
+            let after = if placed { key } else { last_of_spec(&key) };
+            next = self.queue.range((Bound::Excluded(after), Bound::Unbounded)).next().cloned();
         }
     }
 
+    /// Gives one task to a worker. Returns whether there was one for it.
+    fn place_one<P: Placer>(
+        &mut self,
+        key: &QueueKey,
+        held: &mut HeldByTeams,
+        settings: &ShardSettings,
+        placer: &P,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(row) = self.rows.get(&key.1) else { return false };
+        if !held.try_add(&row.spec, placer) {
+            return false;
+        }
+        if let Some((worker, boot, reason)) = self.choose(row, settings, placer, now) {
+            self.grant(key, worker, boot, reason, actions);
+            return true;
+        }
+        held.take_back(&row.spec);
+        if row.spec.priority >= settings.urgent_priority {
+            self.make_room(&key.1, settings, placer, now, actions);
+        }
+        false
+    }
+
     /// What each team with a quota holds in this shard.
     fn held_by_teams<P: Placer>(&self, placer: &P) -> HeldByTeams {
         let mut held = HeldByTeams::default();
@@ -172,6 +183,11 @@
     }
 }
 
+/// The place in the queue behind all tasks of the same spec.
+fn last_of_spec((importance, id): &QueueKey) -> QueueKey {
+    (*importance, TaskId { spec: id.spec.clone(), index: u32::MAX })
+}
+
 /// What batch jobs of each team hold.
 #[derive(Debug, Default)]
 struct HeldByTeams(BTreeMap<TeamId, Resources>);
--- a/crates/kitetrail-core/src/shard/owner/relieve.rs
+++ b/crates/kitetrail-core/src/shard/owner/relieve.rs
@@ -1,6 +1,7 @@
 //! Takes work off workers that are silent, about to go, or under pressure.
 
 use super::*;
+use crate::placement::Step;
 
 impl Owner {
     /// Gives up runs that have certainly stopped, and replaces services sooner.
@@ -89,17 +90,18 @@
         for (id, state) in &mut self.workers {
             let residents = residents_of(&state.ledger);
             let band = Band::of(state.ledger.used(), &state.capacity());
-            let step = state.relief.step(placer, relief, &residents, band, now);
-            let Some((task, attempt, want)) = step else { continue };
-            let Some(grant) = state.ledger.get_mut(&task, attempt) else { continue };
-            grant.want = want;
-            state.due = now;
-            let worker = id.clone();
-            let reason = match want {
-                Want::Run => "worker is calm".to_owned(),
-                _ => format!("class {} is blamed for a slow service", grant.class),
-            };
-            actions.push(Action::Log(Decision::Relieved { task, worker, want, reason }));
+            for step in state.relief.step(placer, relief, &residents, band, now) {
+                let Step { task, attempt, want } = step;
+                let Some(grant) = state.ledger.get_mut(&task, attempt) else { continue };
+                grant.want = want;
+                state.due = now;
+                let worker = id.clone();
+                let reason = match want {
+                    Want::Run => "worker is calm".to_owned(),
+                    _ => format!("class {} is blamed for a slow service", grant.class),
+                };
+                actions.push(Action::Log(Decision::Relieved { task, worker, want, reason }));
+            }
         }
     }
 }
--- a/crates/kitetrail-core/src/shard/owner/reply.rs
+++ b/crates/kitetrail-core/src/shard/owner/reply.rs
@@ -204,6 +204,8 @@
             self.placed_count -= 1;
         }
         row.stage = Stage::Ended(ending.clone());
+        row.ended_unix_ms = self.unix_ms;
+        self.at_rest.insert((self.unix_ms, task.clone()));
         self.avoid.remove(task);
         self.preempting.remove(task);
         self.dirty.insert(task.clone());
--- a/crates/kitetrail-core/src/shard/settings.rs
+++ b/crates/kitetrail-core/src/shard/settings.rs
@@ -37,6 +37,9 @@
     /// By how many thousandths two clocks may run apart.
     #[builder(default = 1)]
     pub clock_drift_permille: u32,
+    /// How long a task at rest is remembered.
+    #[builder(default = Duration::from_secs(24 * 60 * 60))]
+    pub ended_retention: Duration,
     /// The most task rows in one transaction.
     #[builder(default = 500)]
     pub max_commit_rows: usize,
--- a/crates/kitetrail-core/src/task.rs
+++ b/crates/kitetrail-core/src/task.rs
@@ -136,6 +136,10 @@
     /// Whether its operator cancelled it while it was placed.
     #[serde(default)]
     pub cancelled: bool,
+    /// The time of day when it came to rest, in milliseconds since 1970. Zero if it has
+    /// not, or if its owner did not know the time.
+    #[serde(default)]
+    pub ended_unix_ms: u64,
 }
 
 impl TaskRow {
@@ -149,6 +153,7 @@
             checkpoint_ms: 0,
             failed_on: Vec::new(),
             cancelled: false,
+            ended_unix_ms: 0,
         }
     }
 
--- a/crates/kitetrail-standins/examples/compare_placement.rs
+++ b/crates/kitetrail-standins/examples/compare_placement.rs
@@ -122,7 +122,7 @@
     for service in ["validate", "hold"] {
         let service: SpecName = service.parse().unwrap();
         for slowdown in world.slowdowns(&service) {
-            latency_us.saturating_record((slowdown * ALONE_US) as u64);
+            latency_us.record((slowdown * ALONE_US) as u64).unwrap();
         }
     }
 }
--- a/crates/kitetrail-standins/src/args.rs
+++ b/crates/kitetrail-standins/src/args.rs
@@ -26,6 +26,8 @@
     Caller(CallerArgs),
     /// Checks what workers and callers wrote down against the promises.
     Judge(JudgeArgs),
+    /// Draws plots of what the measurement scripts printed.
+    Plot(PlotArgs),
 }
 
 /// The transactional table and the object store.
@@ -178,3 +180,14 @@
     #[arg(long)]
     pub job: Vec<String>,
 }
+
+/// Draws plots of what the measurement scripts printed.
+#[derive(Debug, ClapArgs)]
+pub struct PlotArgs {
+    /// What `scripts/measure-requests load` printed.
+    #[arg(long)]
+    pub from: PathBuf,
+    /// The folder that gets the plots.
+    #[arg(long)]
+    pub to: PathBuf,
+}
--- a/crates/kitetrail-standins/src/lib.rs
+++ b/crates/kitetrail-standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod journal;
 pub mod judge;
+pub mod plot;
 pub mod server;
 pub mod table;
 pub mod worker;
--- a/crates/kitetrail-standins/src/main.rs
+++ b/crates/kitetrail-standins/src/main.rs
@@ -5,7 +5,7 @@
 use clap::Parser;
 use kitetrail_standins::{
     args::{Args, Role},
-    box_list, caller, judge, table, worker,
+    box_list, caller, judge, plot, table, worker,
 };
 
 #[tokio::main(flavor = "current_thread")]
@@ -16,6 +16,7 @@
         Role::Worker(args) => worker::run(args).await,
         Role::Caller(args) => caller::run(args).await,
         Role::Judge(args) => judge::run(&args),
+        Role::Plot(args) => plot::run(&args),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/kitetrail-standins/tests/placement_failures.rs
+++ b/crates/kitetrail-standins/tests/placement_failures.rs
@@ -226,6 +226,37 @@
     assert!(started, "{}", world.log);
 }
 
+/// A large job that fits nowhere does not hold up what comes after it.
+#[test]
+fn a_job_that_fits_nowhere_holds_up_nothing() {
+    let mut world = world(1, 2);
+    world.submit(Spec {
+        priority: 100,
+        ..with_size(spec("too-large", Kind::Job, 600, 1_000), Resources::new(9_000, 1_024, 0))
+    });
+    world.submit(spec("packs", Kind::Job, 4, 1_000));
+    world.run_ms(5_000);
+    assert_eq!(world.completions("packs"), [1; 4], "{}", world.log);
+}
+
+/// Tasks at rest are forgotten in time, in the table too.
+#[test]
+fn tasks_at_rest_are_forgotten() {
+    let day_ms = 24 * 60 * 60 * 1_000;
+    let mut world = world(2, 2);
+    world.set_unix_time(10 * day_ms);
+    world.submit(spec("packs", Kind::Job, 4, 1_000));
+    world.run_ms(4_000);
+    world.kill_owner(0);
+    world.run_ms(6_000);
+    world.set_unix_time(11 * day_ms - 1);
+    world.run_ms(2_000);
+    assert_eq!(world.rows().len(), 4);
+    world.set_unix_time(11 * day_ms + 1);
+    world.run_ms(2_000);
+    assert_eq!(world.rows().len(), 0, "{}", world.log);
+}
+
 /// A team's batch jobs never hold more than its quota, and all of them run in the end.
 #[test]
 fn a_quota_is_kept() {
--- a/crates/kitetraild/src/clock.rs
+++ b/crates/kitetraild/src/clock.rs
@@ -25,6 +25,11 @@
 
 /// A number that is greater in each later run of a box.
 pub fn incarnation() -> u64 {
+    unix_ms()
+}
+
+/// The time of day, in milliseconds since 1970.
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_millis() as u64
 }
--- a/crates/kitetraild/src/control/mod.rs
+++ b/crates/kitetraild/src/control/mod.rs
@@ -2,10 +2,11 @@
 
 mod operations;
 mod placer;
+mod requests;
 mod shard_io;
 mod state;
 
-pub use operations::{Author, NewConfiguration, OperatorError, OperatorRequest};
+pub use requests::{Author, NewConfiguration, OperatorError, OperatorRequest};
 pub use state::{Control, ControlParts};
 
 use kitetrail_core::{ShardId, fleet::Fleet, shard::Event};
--- /dev/null
+++ b/crates/kitetraild/src/control/state/gossip.rs
@@ -0,0 +1,146 @@
+//! Swaps what boxes know: heartbeats, endpoints, revisions.
+
+use super::*;
+
+impl Control {
+    pub(super) fn publish(&mut self, set: EndpointSet, now: Time) {
+        let message = peer::EndpointSet::from(set.clone());
+        self.router.borrow_mut().set_endpoints(set, now);
+        for info in self.membership.peers() {
+            let (peers, message, address) = (Rc::clone(&self.peers), message.clone(), info.peer);
+            self.metrics.note_peer_message("publish");
+            tokio::task::spawn_local(async move {
+                if let Err(error) = peers.publish(address, message).await {
+                    log::debug!("peer: {address} can't be told endpoints: {}", error.message());
+                }
+            });
+        }
+    }
+
+    /// Swaps heartbeats with a few peers and works out who is to own what.
+    pub(super) fn begin_round(&mut self, now: Time) {
+        let revision = self.configuration.number();
+        let peers = self.membership.begin_round(self.draining, revision, now);
+        let view = self.view();
+        for info in peers {
+            let (peers, view, sender) = (Rc::clone(&self.peers), view.clone(), self.sender.clone());
+            self.metrics.note_peer_message("exchange");
+            tokio::task::spawn_local(async move {
+                match peers.exchange(info.peer, view).await {
+                    Ok(view) => {
+                        let _ = sender.send(Message::Heard(info.peer, view)).await;
+                    }
+                    Err(error) => log::debug!("peer: {} is silent: {}", info.id, error.message()),
+                }
+            });
+        }
+        let (boxes, place) = self.membership.place(now);
+        self.router.borrow_mut().set_boxes(boxes, place);
+        self.rank_shards(now);
+    }
+
+    pub(super) fn rank_shards(&mut self, now: Time) {
+        let ids: BTreeSet<ShardId> = self.shards.keys().cloned().collect();
+        let owners = self.membership.owners(&ids, now);
+        for id in ids {
+            let ranked = owners.get(&id);
+            let rank = ranked
+                .and_then(|boxes| boxes.iter().position(|owner| *owner == self.settings.box_id));
+            self.drive(&id, Event::Ranked(rank));
+        }
+    }
+
+    pub(super) fn view(&self) -> peer::View {
+        let heartbeats = self.membership.heartbeats().into_iter().map(Into::into).collect();
+        let sets = self.router.borrow().sets();
+        let sets = sets.into_iter().map(|set| peer::SetDigest {
+            shard: set.shard.to_string(),
+            epoch: set.epoch.0,
+            sequence: set.sequence,
+        });
+        peer::View { heartbeats, sets: sets.collect() }
+    }
+
+    /// Takes in a peer's view and asks it for what it knows better.
+    pub(super) fn hear(&mut self, from: std::net::SocketAddr, view: peer::View) {
+        if self.merge(&view) {
+            let (peers, sender) = (Rc::clone(&self.peers), self.sender.clone());
+            self.metrics.note_peer_message("fetch");
+            tokio::task::spawn_local(async move {
+                if let Ok(knowledge) = peers.fetch(from).await {
+                    let _ = sender.send(Message::Learned(knowledge)).await;
+                }
+            });
+        }
+    }
+
+    /// Takes in a peer's view. Returns whether it knows something newer.
+    pub(super) fn merge(&mut self, view: &peer::View) -> bool {
+        let now = self.clock.now();
+        let heartbeats = view.heartbeats.iter().cloned().map(Heartbeat::try_from);
+        let heartbeats: Vec<Heartbeat> = heartbeats.filter_map(Result::ok).collect();
+        let newest = heartbeats.iter().map(|heartbeat| heartbeat.revision).max().unwrap_or(0);
+        self.membership.merge(heartbeats, now);
+        let known: BTreeMap<String, (u64, u64)> = self
+            .router
+            .borrow()
+            .sets()
+            .into_iter()
+            .map(|set| (set.shard.to_string(), (set.epoch.0, set.sequence)))
+            .collect();
+        let newer_set = view.sets.iter().any(|set| {
+            known.get(&set.shard).copied().unwrap_or_default() < (set.epoch, set.sequence)
+        });
+        newer_set || newest > self.configuration.number() || !self.configuration_known
+    }
+
+    pub(super) fn learn(&mut self, knowledge: peer::Knowledge) {
+        let now = self.clock.now();
+        for set in knowledge.endpoint_sets {
+            match EndpointSet::try_from(set) {
+                Ok(set) => self.router.borrow_mut().set_endpoints(set, now),
+                Err(error) => log::warn!("peer: {error}"),
+            }
+        }
+        match knowledge.revision.map(Revision::try_from) {
+            Some(Ok(revision)) => self.learn_configuration(Some(revision)),
+            Some(Err(error)) => log::warn!("peer: {error}"),
+            None => {}
+        }
+    }
+
+    pub(super) fn handle_peer(&mut self, message: PeerMessage) {
+        let now = self.clock.now();
+        match message {
+            PeerMessage::Exchange(view, reply) => {
+                self.merge(&view);
+                let _ = reply.send(self.view());
+            }
+            PeerMessage::Publish(set) => match EndpointSet::try_from(set) {
+                Ok(set) => self.router.borrow_mut().set_endpoints(set, now),
+                Err(error) => log::warn!("peer: {error}"),
+            },
+            PeerMessage::Wake(shard) => {
+                if let Ok(shard) = shard.parse::<ShardId>() {
+                    self.drive(&shard, Event::Woken);
+                }
+            }
+            PeerMessage::Announce(revision) => match Revision::try_from(revision) {
+                Ok(revision) => self.learn_configuration(Some(revision)),
+                Err(error) => log::warn!("peer: {error}"),
+            },
+            PeerMessage::Fetch(reply) => {
+                let _ = reply.send(self.knowledge());
+            }
+        }
+    }
+
+    pub(super) fn knowledge(&self) -> peer::Knowledge {
+        let sets = self.router.borrow().sets();
+        let revision = self.configuration.revision();
+        peer::Knowledge {
+            endpoint_sets: sets.into_iter().map(Into::into).collect(),
+            revision: revision.and_then(|revision| peer::Revision::try_from(revision).ok()),
+        }
+    }
+}
