Say only what changed between an owner and a worker

Ruled out: longer intervals, which delay starts and ends. Change: a list of orders has a number; while the worker goes by it, the owner sends a renewal of all its leases. A worker that has nothing new answers without its tasks, in full again every 10 s. The stand-in measures usage every 2 s instead of 0.5 s.

--- a/crates/kitetrail-core/benches/placement.rs
+++ b/crates/kitetrail-core/benches/placement.rs
@@ -10,7 +10,7 @@
     shard::{Action, Event, Shard, ShardSettings},
     table::{CommitAnswer, Key},
     task::{InboxItem, Kind, Spec},
-    worker::{Phase, SyncReply, TaskReport, UsageSample, Want},
+    worker::{Phase, SyncReply, TaskReport, UsageSample, Want, Wants},
 };
 
 const WORKERS: [usize; 3] = [8, 65, 1_200];
@@ -118,7 +118,11 @@
                 Some(Event::CommitAnswered(CommitAnswer::Committed(self.version)))
             }
             Action::Sync(worker, request) => {
-                let tasks = request.orders.iter().map(|order| TaskReport {
+                let (list, orders) = match &request.wants {
+                    Wants::Orders { list, orders } => (*list, orders.as_slice()),
+                    Wants::Listen | Wants::Renew { .. } => (0, &[][..]),
+                };
+                let tasks = orders.iter().map(|order| TaskReport {
                     task: order.task.clone(),
                     attempt: order.attempt,
                     phase: match order.want {
@@ -136,7 +140,8 @@
                     clock_ms: self.now.as_ms(),
                     epoch: Epoch(1),
                     sequence: request.sequence,
-                    tasks: tasks.collect(),
+                    list,
+                    tasks: Some(tasks.collect()),
                     usage: Vec::new(),
                 };
                 Some(Event::WorkerReplied(worker.id, reply))
--- a/crates/kitetrail-core/src/shard/owner.rs
+++ b/crates/kitetrail-core/src/shard/owner.rs
@@ -25,7 +25,7 @@
     placement::{Band, Candidate, Choice, Placer, ReliefSettings, Resident, Sacrifice},
     table::{Condition, Key, Record, Write},
     task::{Ending, InboxItem, Kind, Spec, Stage, TaskRow},
-    worker::{Order, Phase, SyncReply, SyncRequest, TaskReport, Want},
+    worker::{Order, Phase, SyncReply, SyncRequest, TaskReport, Want, Wants},
 };
 
 /// How long a replaced replica may finish its requests.
--- a/crates/kitetrail-core/src/shard/owner/reply.rs
+++ b/crates/kitetrail-core/src/shard/owner/reply.rs
@@ -34,8 +34,9 @@
             placer.observe(sample, band);
             state.relief.observe(&sample.class, sample.slowdown);
         }
-        state.keep_unsettled(&reply.tasks);
-        let ends = self.compare(id, &reply);
+        let Some(tasks) = &reply.tasks else { return };
+        state.keep_unsettled(tasks);
+        let ends = self.compare(id, &reply, tasks);
         for (task, attempt, checkpoint_ms, end) in ends {
             self.end_run(id, &task, attempt, checkpoint_ms, end, settings, placer, now, actions);
         }
@@ -46,15 +47,16 @@
         &mut self,
         id: &WorkerId,
         reply: &SyncReply,
+        tasks: &[TaskReport],
     ) -> Vec<(TaskId, Attempt, u64, RunEnd)> {
         let mut ends = Vec::new();
-        for report in &reply.tasks {
+        for report in tasks {
             ends.extend(self.compare_report(id, report, reply.boot));
         }
         let Some(state) = self.workers.get(id) else { return ends };
         for ((task, attempt), grant) in state.ledger.iter() {
             let reported =
-                reply.tasks.iter().any(|report| report.task == *task && report.attempt == *attempt);
+                tasks.iter().any(|report| report.task == *task && report.attempt == *attempt);
             let reason = match grant.ordered_at {
                 _ if grant.boot != reply.boot => RequeueReason::WorkerRestarted,
                 Some(ordered_at) if !reported && ordered_at <= reply.sequence => {
--- a/crates/kitetrail-core/src/shard/owner/speak.rs
+++ b/crates/kitetrail-core/src/shard/owner/speak.rs
@@ -38,7 +38,8 @@
             epoch: self.epoch,
             boot: 0,
             sequence: 0,
-            orders: Vec::new(),
+            seen: 0,
+            wants: Wants::Listen,
             settled: Vec::new(),
         };
         let (rows, dirty, committing) = (&self.rows, &self.dirty, &self.committing);
@@ -46,7 +47,10 @@
         request.sequence = state.next_sequence();
         let Some(heard) = state.heard else { return request };
         request.boot = heard.boot;
+        request.seen = state.seen();
         let lease_until_ms = heard.clock_ms + settings.task_lease.as_millis() as u64;
+        let mut orders = Vec::new();
+        let mut all_renewed = true;
         for ((task, attempt), grant) in state.ledger.iter_mut() {
             let row = rows.get(task).filter(|row| {
                 row.attempt == *attempt && row.worker() == Some(id) && grant.boot == heard.boot
@@ -65,7 +69,8 @@
             if renew {
                 grant.lease_until_ms = lease_until_ms;
             }
-            request.orders.push(Order {
+            all_renewed &= renew;
+            orders.push(Order {
                 task: task.clone(),
                 attempt: *attempt,
                 want: if renew { grant.want } else { Want::Checkpoint },
@@ -82,6 +87,7 @@
             !open && !dirty.contains(task) && !committing.contains(task)
         });
         request.settled = settled.cloned().collect();
+        request.wants = state.say(orders, all_renewed.then_some(lease_until_ms));
         request
     }
 
--- a/crates/kitetrail-core/src/shard/worker_state.rs
+++ b/crates/kitetrail-core/src/shard/worker_state.rs
@@ -7,7 +7,7 @@
     Attempt, Resources, SpecName, TaskId, Time,
     fleet::{Liveness, WorkerInfo},
     placement::Relief,
-    worker::{SyncReply, TaskReport},
+    worker::{Order, SyncReply, TaskReport, Wants},
 };
 
 /// How many specs must fail on a worker, without a success between, to call it bad.
@@ -45,6 +45,11 @@
     pub unsettled: Vec<(TaskId, Attempt)>,
     sequence_sent: u64,
     sequence_seen: u64,
+    /// The last list of orders, without its leases, and its number.
+    orders: Vec<Order>,
+    list: u64,
+    /// The list the worker goes by.
+    list_heard: u64,
     failed_specs: BTreeSet<SpecName>,
     rests: u32,
     rest_until: Option<Time>,
@@ -64,6 +69,9 @@
             unsettled: Vec::new(),
             sequence_sent: 0,
             sequence_seen: 0,
+            orders: Vec::new(),
+            list: 0,
+            list_heard: 0,
             failed_specs: BTreeSet::new(),
             rests: 0,
             rest_until: None,
@@ -101,6 +109,29 @@
         self.sequence_sent
     }
 
+    /// The request whose answer is the latest that was taken in.
+    pub fn seen(&self) -> u64 {
+        self.sequence_seen
+    }
+
+    /// The shortest way to say what is wanted: a renewal if the worker goes by the same
+    /// orders already, the orders otherwise.
+    ///
+    /// Without `renewal` the leases of the orders differ, and they are said in full.
+    pub fn say(&mut self, orders: Vec<Order>, renewal: Option<u64>) -> Wants {
+        let without_lease = |order: &Order| Order { lease_until_ms: 0, ..order.clone() };
+        let bare: Vec<Order> = orders.iter().map(without_lease).collect();
+        let known = self.list > 0 && self.list_heard == self.list && bare == self.orders;
+        match renewal {
+            Some(lease_until_ms) if known => Wants::Renew { list: self.list, lease_until_ms },
+            _ => {
+                self.list += 1;
+                self.orders = bare;
+                Wants::Orders { list: self.list, orders }
+            }
+        }
+    }
+
     /// Takes in the head of a reply. Returns whether it is news.
     ///
     /// From here on the worker refuses older owners, and every lease that it holds
@@ -110,6 +141,7 @@
             return false;
         }
         self.sequence_seen = reply.sequence;
+        self.list_heard = reply.list;
         self.heard = Some(Heard { boot: reply.boot, clock_ms: reply.clock_ms, at: now });
         self.lapse_at = now + settings.certain_lapse();
         true
--- a/crates/kitetrail-core/src/worker.rs
+++ b/crates/kitetrail-core/src/worker.rs
@@ -58,6 +58,29 @@
     pub lease_until_ms: u64,
 }
 
+/// What an owner wants of a worker's tasks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Wants {
+    /// Nothing yet: the owner wants to hear first.
+    Listen,
+    /// These tasks. One that the worker runs for this shard and isn't named is stopped.
+    Orders {
+        /// The number of this list among those of one reign.
+        list: u64,
+        /// The tasks.
+        orders: Vec<Order>,
+    },
+    /// What a list said that the worker goes by, with all its leases extended.
+    Renew {
+        /// The number of the list. A worker that goes by another one ignores this.
+        list: u64,
+        /// The moment on the worker's clock up to which its tasks may run, in
+        /// milliseconds.
+        lease_until_ms: u64,
+    },
+}
+
 /// Everything the owner wants of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -69,8 +92,10 @@
     pub boot: u64,
     /// The order of this request among those of one reign. A worker ignores a lower one.
     pub sequence: u64,
-    /// The tasks. One that the worker runs for this shard and isn't named is stopped.
-    pub orders: Vec<Order>,
+    /// The request whose answer is the latest that the owner took in, or zero.
+    pub seen: u64,
+    /// What is wanted of its tasks.
+    pub wants: Wants,
     /// Reports that the owner has made durable, to be forgotten.
     pub settled: Vec<(TaskId, Attempt)>,
 }
@@ -138,8 +163,11 @@
     pub epoch: Epoch,
     /// The request this answers.
     pub sequence: u64,
-    /// The tasks it runs for this shard and those whose end isn't settled yet.
-    pub tasks: Vec<TaskReport>,
+    /// The list of orders it goes by, or zero.
+    pub list: u64,
+    /// The tasks it runs for this shard and those whose end isn't settled yet. `None` if
+    /// that is what the answer said that the owner has seen.
+    pub tasks: Option<Vec<TaskReport>>,
     /// Measurements that are due.
     pub usage: Vec<UsageSample>,
 }
--- a/crates/kitetrail-standins/src/worker/control.rs
+++ b/crates/kitetrail-standins/src/worker/control.rs
@@ -20,6 +20,9 @@
 /// How often tasks make progress.
 const STEP: Duration = Duration::from_millis(20);
 
+/// How often usage is measured, in milliseconds.
+const SAMPLE_EVERY_MS: u64 = 2_000;
+
 /// The state shared by the control interface and the endpoint.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -99,7 +102,7 @@
     Ok(WorkerSettings {
         capacity,
         report_lag_ms: args.report_lag_ms,
-        sample_every_ms: 500,
+        sample_every_ms: SAMPLE_EVERY_MS,
         checkpoint_ms: 200,
         fail_tasks: args.fail_tasks,
         effects,
--- a/crates/kitetrail-standins/src/worker/model.rs
+++ b/crates/kitetrail-standins/src/worker/model.rs
@@ -5,7 +5,7 @@
 use kitetrail_core::{
     Attempt, Epoch, Resources, ShardId, SpecName, TaskClass, TaskId,
     task::Kind,
-    worker::{Order, Phase, SyncReply, SyncRequest, TaskReport, UsageSample, Want},
+    worker::{Order, Phase, SyncReply, SyncRequest, TaskReport, UsageSample, Want, Wants},
 };
 
 use super::Effects;
@@ -15,6 +15,8 @@
 const THROTTLED_SPEED: f64 = 0.3;
 /// How long a task of a failing worker lasts, in milliseconds.
 const FAILS_AFTER_MS: f64 = 50.0;
+/// How often an answer is given in full although nothing but progress changed.
+const FULL_ANSWER_MS: u64 = 10_000;
 /// Classes whose name starts like this fail wherever they run.
 const FAILING_CLASS: &str = "fail";
 
@@ -41,13 +43,28 @@
     settings: WorkerSettings,
     boot: u64,
     now_ms: u64,
-    owners: BTreeMap<ShardId, (Epoch, u64)>,
+    owners: BTreeMap<ShardId, OwnerState>,
     runs: BTreeMap<(TaskId, Attempt), Run>,
     usage: VecDeque<(u64, ShardId, UsageSample)>,
     next_sample_ms: u64,
     events: Vec<(u64, WorkerEvent)>,
 }
 
+/// What the worker knows of a shard's owner.
+#[derive(Debug, Default)]
+struct OwnerState {
+    epoch: Epoch,
+    sequence: u64,
+    /// The list of orders gone by.
+    list: u64,
+    /// What the last answer said, and which request it answered.
+    told: Option<(u64, Vec<Told>)>,
+    told_in_full_ms: u64,
+}
+
+/// The part of a report whose change is worth telling.
+type Told = (TaskId, Attempt, Phase, u64);
+
 #[derive(Debug, Clone)]
 struct Run {
     shard: ShardId,
@@ -113,15 +130,18 @@
     pub fn sync(&mut self, request: SyncRequest, now_ms: u64) -> SyncReply {
         self.advance(now_ms);
         let owner = self.owners.entry(request.shard.clone()).or_default();
-        let newer = (request.epoch, request.sequence) > *owner;
+        let newer = (request.epoch, request.sequence) > (owner.epoch, owner.sequence);
+        if request.epoch > owner.epoch {
+            *owner = OwnerState::default();
+        }
         if newer {
-            *owner = (request.epoch, request.sequence);
+            owner.epoch = request.epoch;
+            owner.sequence = request.sequence;
         }
-        let epoch = owner.0;
         if newer && request.boot == self.boot {
             self.obey(&request);
         }
-        self.reply(&request, epoch)
+        self.reply(&request)
     }
 
     fn running(&self) -> impl Iterator<Item = &Run> {
@@ -212,20 +232,40 @@
                 self.runs.remove(settled);
             }
         }
+        match &request.wants {
+            Wants::Listen => {}
+            Wants::Orders { list, orders } => {
+                self.obey_orders(&request.shard, orders);
+                if let Some(owner) = self.owners.get_mut(&request.shard) {
+                    owner.list = *list;
+                }
+            }
+            Wants::Renew { list, lease_until_ms } => {
+                let known = self.owners.get(&request.shard).is_some_and(|o| o.list == *list);
+                let runs = self.runs.values_mut().filter(|run| run.shard == request.shard);
+                for run in runs.filter(|run| known && run.phase == Phase::Running) {
+                    run.order.lease_until_ms = run.order.lease_until_ms.max(*lease_until_ms);
+                }
+            }
+        }
+    }
+
+    fn obey_orders(&mut self, shard: &ShardId, orders: &[Order]) {
+        let named = |task: &TaskId, attempt: Attempt| {
+            orders.iter().any(|order| order.task == *task && order.attempt == attempt)
+        };
         let unnamed: Vec<_> = self
             .runs
             .iter()
-            .filter(|(_, run)| run.phase == Phase::Running && run.shard == request.shard)
-            .filter(|((task, attempt), _)| {
-                !request.orders.iter().any(|o| o.task == *task && o.attempt == *attempt)
-            })
+            .filter(|(_, run)| run.phase == Phase::Running && run.shard == *shard)
+            .filter(|((task, attempt), _)| !named(task, *attempt))
             .map(|(key, _)| key.clone())
             .collect();
         for key in unnamed {
             self.end(&key, Phase::Stopped);
         }
-        for order in &request.orders {
-            self.obey_order(&request.shard, order);
+        for order in orders {
+            self.obey_order(shard, order);
         }
     }
 
@@ -271,19 +311,9 @@
         self.runs.insert((order.task.clone(), order.attempt), run);
     }
 
-    fn reply(&mut self, request: &SyncRequest, epoch: Epoch) -> SyncReply {
+    fn reply(&mut self, request: &SyncRequest) -> SyncReply {
         let runs = self.runs.iter().filter(|(_, run)| run.shard == request.shard);
-        let tasks = runs.map(|((task, attempt), run)| TaskReport {
-            task: task.clone(),
-            attempt: *attempt,
-            phase: run.phase,
-            kind: run.order.kind,
-            class: run.order.class.clone(),
-            size: run.order.size,
-            checkpoint_ms: run.checkpoint_ms,
-            progress_ms: run.progress_ms as u64,
-        });
-        let tasks = tasks.collect();
+        let reports: Vec<TaskReport> = runs.map(|(key, run)| run.report(key)).collect();
         let now_ms = self.now_ms;
         let is_due = |(due_ms, shard, _): &(u64, ShardId, UsageSample)| {
             *due_ms <= now_ms && *shard == request.shard
@@ -291,7 +321,55 @@
         let usage = self.usage.iter().filter(|entry| is_due(entry));
         let usage = usage.map(|(_, _, sample)| sample.clone()).collect();
         self.usage.retain(|entry| !is_due(entry));
-        let sequence = request.sequence;
-        SyncReply { boot: self.boot, clock_ms: now_ms, epoch, sequence, tasks, usage }
+        let owner = self.owners.entry(request.shard.clone()).or_default();
+        SyncReply {
+            boot: self.boot,
+            clock_ms: now_ms,
+            epoch: owner.epoch,
+            sequence: request.sequence,
+            list: owner.list,
+            tasks: owner.tell(request, reports, now_ms),
+            usage,
+        }
+    }
+}
+
+impl OwnerState {
+    /// What to tell the owner: nothing if it has seen the same, apart from a full answer
+    /// now and then for the progress made.
+    fn tell(
+        &mut self,
+        request: &SyncRequest,
+        reports: Vec<TaskReport>,
+        now_ms: u64,
+    ) -> Option<Vec<TaskReport>> {
+        let told: Vec<Told> = reports
+            .iter()
+            .map(|report| (report.task.clone(), report.attempt, report.phase, report.checkpoint_ms))
+            .collect();
+        let now = Some((request.seen, told));
+        let fresh = now_ms.saturating_sub(self.told_in_full_ms) < FULL_ANSWER_MS;
+        let known = request.seen > 0 && self.told == now && fresh;
+        self.told = now.map(|(_, told)| (request.sequence, told));
+        if known {
+            return None;
+        }
+        self.told_in_full_ms = now_ms;
+        Some(reports)
+    }
+}
+
+impl Run {
+    fn report(&self, (task, attempt): &(TaskId, Attempt)) -> TaskReport {
+        TaskReport {
+            task: task.clone(),
+            attempt: *attempt,
+            phase: self.phase,
+            kind: self.order.kind,
+            class: self.order.class.clone(),
+            size: self.order.size,
+            checkpoint_ms: self.checkpoint_ms,
+            progress_ms: self.progress_ms as u64,
+        }
     }
 }
