--- a/crates/kitetrail-core/src/ids.rs
+++ b/crates/kitetrail-core/src/ids.rs
@@ -134,6 +134,25 @@
     Version(u64)
 }
 
+/// Lets a type that has a text form be serialised as that text.
+macro_rules! as_text {
+    ($name:ident) => {
+        impl TryFrom<String> for $name {
+            type Error = InvalidId;
+
+            fn try_from(s: String) -> Result<Self, InvalidId> {
+                s.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.to_string()
+            }
+        }
+    };
+}
+
 /// A set of racks in one availability zone that has one owner at a time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
@@ -160,19 +179,7 @@
     }
 }
 
-impl TryFrom<String> for ShardId {
-    type Error = InvalidId;
-
-    fn try_from(s: String) -> Result<Self, InvalidId> {
-        s.parse()
-    }
-}
-
-impl From<ShardId> for String {
-    fn from(id: ShardId) -> String {
-        id.to_string()
-    }
-}
+as_text!(ShardId);
 
 /// One task of a service, batch job or watcher.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -200,19 +207,7 @@
     }
 }
 
-impl TryFrom<String> for TaskId {
-    type Error = InvalidId;
-
-    fn try_from(s: String) -> Result<Self, InvalidId> {
-        s.parse()
-    }
-}
-
-impl From<TaskId> for String {
-    fn from(id: TaskId) -> String {
-        id.to_string()
-    }
-}
+as_text!(TaskId);
 
 /// The id of one write to the table, stored in each row the write touches.
 ///
