--- a/crates/kitetraild/src/callers/entry.rs
+++ b/crates/kitetraild/src/callers/entry.rs
@@ -96,6 +96,12 @@
     deadline: Time,
 }
 
+/// The final answer to a request.
+struct Answered {
+    response: Response<AnswerBody>,
+    told: Told,
+}
+
 /// What is written to the log about an answered request.
 struct Told {
     outcome: Outcome,
@@ -280,7 +286,7 @@
         let number = RequestNumber(self.next_number.get());
         self.next_number.set(number.0 + 1);
         let id = call.id.clone().unwrap_or_else(|| self.new_id(number));
-        let (mut response, told) =
+        let Answered { mut response, told } =
             Rc::clone(&self).serve_call(number, &call, id.clone(), head, incoming, arrived).await;
         self.note(&id, &call, &told, arrived);
         answer::set(&mut response, HeaderName::from_static(headers::REQUEST_ID), &id);
--- a/crates/kitetraild/src/callers/entry/serving.rs
+++ b/crates/kitetraild/src/callers/entry/serving.rs
@@ -11,7 +11,7 @@
         head: Parts,
         incoming: Incoming,
         arrived: Time,
-    ) -> (Response<AnswerBody>, Told) {
+    ) -> Answered {
         let deadline = arrived + call.timeout;
         let mut sending = Sending { head, id, whole: None, stream: None, deadline };
         if let Err(told) = self.take_body(call, incoming, &mut sending).await {
@@ -47,7 +47,7 @@
         call: &Call,
         incoming: Incoming,
         sending: &mut Sending,
-    ) -> Result<(), (Response<AnswerBody>, Told)> {
+    ) -> Result<(), Answered> {
         if call.body_len.is_none_or(|length| length > MAX_WHOLE_BYTES) && !is_empty(&incoming) {
             sending.stream = Some(incoming);
             return Ok(());
@@ -63,7 +63,8 @@
                 let reason = "the body did not come".to_owned();
                 let body = format!("not-run: {reason}\n");
                 let response = answer::own(StatusCode::REQUEST_TIMEOUT, Outcome::NotRun, body);
-                Err((response, Told { outcome: Outcome::NotRun, reason, endpoint: None }))
+                let told = Told { outcome: Outcome::NotRun, reason, endpoint: None };
+                Err(Answered { response, told })
             }
         }
     }
@@ -75,14 +76,14 @@
         mut in_flight: InFlight,
         sending: &mut Sending,
         claim: &mut Option<Claim>,
-    ) -> (Response<AnswerBody>, Told) {
+    ) -> Answered {
         let mut endpoint = None;
         loop {
             verdict = match verdict {
                 Verdict::Send(id) => {
                     endpoint = Some(self.router().borrow().endpoint(id).address);
                     match self.send(id, in_flight, sending, claim).await {
-                        Sent::Final(response, told) => return (response, told),
+                        Sent::Final(answered) => return answered,
                         Sent::Again(verdict, same) => {
                             in_flight = same;
                             verdict
@@ -105,13 +106,14 @@
                         reason: given_up.reason.to_string(),
                         endpoint,
                     };
-                    return (answer::given_up(given_up), told);
+                    return Answered { response: answer::given_up(given_up), told };
                 }
                 Verdict::Deliver => {
                     let reason = "nothing to deliver".to_owned();
                     let body = "unknown: the answer was lost\n";
                     let response = answer::own(StatusCode::BAD_GATEWAY, Outcome::Unknown, body);
-                    return (response, Told { outcome: Outcome::Unknown, reason, endpoint });
+                    let told = Told { outcome: Outcome::Unknown, reason, endpoint };
+                    return Answered { response, told };
                 }
             };
         }
@@ -187,7 +189,7 @@
 
 /// What came of sending a request once.
 enum Sent {
-    Final(Response<AnswerBody>, Told),
+    Final(Answered),
     Again(Verdict, InFlight),
 }
 
@@ -196,7 +198,8 @@
         let outcome = Outcome::Done;
         answer::set(&mut response, HeaderName::from_static(headers::OUTCOME), "done");
         let reason = format!("answered {}", response.status().as_u16());
-        Self::Final(response, Told { outcome, reason, endpoint: Some(address) })
+        let told = Told { outcome, reason, endpoint: Some(address) };
+        Self::Final(Answered { response, told })
     }
 
     fn again(mut in_flight: InFlight, exchange: Exchange) -> Self {
@@ -208,11 +211,12 @@
         let reason = "deadline passed at the endpoint".to_owned();
         let told = Told { outcome: Outcome::Unknown, reason, endpoint: Some(address) };
         match in_flight.time_out() {
-            Some(given_up) => Self::Final(answer::given_up(given_up), told),
+            Some(given_up) => Self::Final(Answered { response: answer::given_up(given_up), told }),
             None => {
                 let body = "unknown: deadline passed\n";
                 let status = StatusCode::GATEWAY_TIMEOUT;
-                Self::Final(answer::own(status, Outcome::Unknown, body), told)
+                let response = answer::own(status, Outcome::Unknown, body);
+                Self::Final(Answered { response, told })
             }
         }
     }
@@ -223,19 +227,22 @@
     let reason = "a long body can't be sent again".to_owned();
     let body = format!("unknown: {reason}\n");
     let response = answer::own(StatusCode::BAD_GATEWAY, Outcome::Unknown, body);
-    Sent::Final(response, Told { outcome: Outcome::Unknown, reason, endpoint: Some(address) })
+    let told = Told { outcome: Outcome::Unknown, reason, endpoint: Some(address) };
+    Sent::Final(Answered { response, told })
 }
 
-fn claim_refused(answer: ClaimAnswer) -> (Response<AnswerBody>, Told) {
+fn claim_refused(answer: ClaimAnswer) -> Answered {
     let told = |outcome, reason: &str| Told { outcome, reason: reason.to_owned(), endpoint: None };
     match answer {
         ClaimAnswer::Ran { status, body } => {
             let outcome = if body.is_some() { Outcome::Done } else { Outcome::Unknown };
-            (answer::replay(status, body), told(outcome, "ran before"))
+            Answered { response: answer::replay(status, body), told: told(outcome, "ran before") }
+        }
+        ClaimAnswer::Held => {
+            Answered { response: answer::held(), told: told(Outcome::Unknown, "key held") }
         }
-        ClaimAnswer::Held => (answer::held(), told(Outcome::Unknown, "key held")),
         ClaimAnswer::NoTable | ClaimAnswer::Granted => {
-            (answer::no_table(), told(Outcome::NotRun, "table silent"))
+            Answered { response: answer::no_table(), told: told(Outcome::NotRun, "table silent") }
         }
     }
 }
