--- a/crates/kitetrail-core/src/placement/interference_aware.rs
+++ b/crates/kitetrail-core/src/placement/interference_aware.rs
@@ -86,12 +86,14 @@
     /// its slowdown, weighed by how much policy says the victim matters.
     fn harm(&self, kind: Kind, victim: &TaskClass, beside: &TaskClass, band: Band) -> f64 {
         let estimate = self.model.estimate(victim, beside, band);
-        let weight = match kind {
-            Kind::Service => self.policy.tail_weight,
-            Kind::Job | Kind::Watcher => 1.0 - self.policy.tail_weight,
+        // What is not known counts against neighbours of services alone: batch work is
+        // where it may be found out.
+        let (weight, risk) = match kind {
+            Kind::Service => (self.policy.tail_weight, UNCERTAINTY_WEIGHT * estimate.uncertainty()),
+            Kind::Job | Kind::Watcher => (1.0 - self.policy.tail_weight, 0.0),
         };
         let importance = f64::from(self.policy.rule(victim, kind).rank) / FULL_RANK;
-        weight * importance * (estimate.effect + UNCERTAINTY_WEIGHT * estimate.uncertainty())
+        weight * importance * (estimate.effect + risk)
     }
 }
 
