--- a/crates/kitetrail-core/src/placement/interference_aware.rs
+++ b/crates/kitetrail-core/src/placement/interference_aware.rs
@@ -53,9 +53,14 @@
             let done = self.harm(count.kind, other, class, band);
             (suffered + done) * f64::from(count.tasks)
         });
-        let spread = f64::from(candidate.siblings_on_worker) * SAME_WORKER_COST
-            + f64::from(candidate.siblings_in_rack) * SAME_RACK_COST;
-        let spread = if task.spec.kind == Kind::Service { spread } else { spread * 0.1 };
+        // Replicas keep apart from each other; parts of a job have no reason to.
+        let spread = match task.spec.kind {
+            Kind::Service => {
+                f64::from(candidate.siblings_on_worker) * SAME_WORKER_COST
+                    + f64::from(candidate.siblings_in_rack) * SAME_RACK_COST
+            }
+            Kind::Job | Kind::Watcher => 0.0,
+        };
         Some(harm.sum::<f64>() + spread - PACKING_WEIGHT * load(candidate))
     }
 
--- a/crates/kitetrail-core/src/routing/router.rs
+++ b/crates/kitetrail-core/src/routing/router.rs
@@ -251,7 +251,8 @@
             .collect()
     }
 
-    /// Requests pushed out of the queue since the last call, with their final answers.
+    /// Takes the request out of a service's queue that matters least, if it matters less
+    /// than `rank`.
     fn displace(&mut self, service: &SpecName, rank: u8, now: Time) -> Option<RequestNumber> {
         let service = self.services.get_mut(service)?;
         let displaced = service.queue.pop_less_than(rank)?;
