--- a/crates/kitetrail-core/src/ids.rs
+++ b/crates/kitetrail-core/src/ids.rs
@@ -134,9 +134,25 @@
     Version(u64)
 }
 
-/// Lets a type that has a text form be serialised as that text.
-macro_rules! as_text {
-    ($name:ident) => {
+/// Gives a type of two parts the text form `first:second`, which also serialises it.
+macro_rules! colon_pair {
+    ($name:ident { $first:ident, $second:ident }) => {
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                write!(f, "{}:{}", self.$first, self.$second)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidId;
+
+            fn from_str(s: &str) -> Result<Self, InvalidId> {
+                let invalid = || InvalidId(s.to_owned());
+                let (first, second) = s.split_once(':').ok_or_else(invalid)?;
+                Ok(Self { $first: first.parse()?, $second: second.parse().map_err(|_| invalid())? })
+            }
+        }
+
         impl TryFrom<String> for $name {
             type Error = InvalidId;
 
@@ -153,6 +169,9 @@
     };
 }
 
+colon_pair!(ShardId { zone, index });
+colon_pair!(TaskId { spec, index });
+
 /// A set of racks in one availability zone that has one owner at a time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
@@ -163,24 +182,6 @@
     pub index: u16,
 }
 
-impl Display for ShardId {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.zone, self.index)
-    }
-}
-
-impl FromStr for ShardId {
-    type Err = InvalidId;
-
-    fn from_str(s: &str) -> Result<Self, InvalidId> {
-        let invalid = || InvalidId(s.to_owned());
-        let (zone, index) = s.split_once(':').ok_or_else(invalid)?;
-        Ok(Self { zone: zone.parse()?, index: index.parse().map_err(|_| invalid())? })
-    }
-}
-
-as_text!(ShardId);
-
 /// One task of a service, batch job or watcher.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
@@ -191,24 +192,6 @@
     pub index: u32,
 }
 
-impl Display for TaskId {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.spec, self.index)
-    }
-}
-
-impl FromStr for TaskId {
-    type Err = InvalidId;
-
-    fn from_str(s: &str) -> Result<Self, InvalidId> {
-        let invalid = || InvalidId(s.to_owned());
-        let (spec, index) = s.split_once(':').ok_or_else(invalid)?;
-        Ok(Self { spec: spec.parse()?, index: index.parse().map_err(|_| invalid())? })
-    }
-}
-
-as_text!(TaskId);
-
 /// The id of one write to the table, stored in each row the write touches.
 ///
 /// An answer that was lost is resolved by reading a row back and comparing ids.
--- a/crates/kitetrail-core/src/shard/machine.rs
+++ b/crates/kitetrail-core/src/shard/machine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Action, Decision, Event, LeaseRow, ShardSettings,
+    Action, Decision, Event, LeaseRow, ShardSettings, ShardView,
     owner::{Owner, Reign},
     pending::{Pending, PendingStage, Resolution},
 };
@@ -51,23 +51,6 @@
     role: Role,
 }
 
-/// A summary of a shard for status pages.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub struct ShardView {
-    /// The shard.
-    pub shard: ShardId,
-    /// Whether this box owns it.
-    pub owned: bool,
-    /// The reign, as far as this box knows.
-    pub epoch: Epoch,
-    /// Its tasks that wait.
-    pub queued: usize,
-    /// Its tasks that are placed.
-    pub placed: usize,
-    /// Whether the table is silent.
-    pub detached: bool,
-}
-
 /// The shard's row as last read, and since when it has been unchanged.
 #[derive(Debug, Clone)]
 struct Seen {
--- a/crates/kitetrail-core/src/shard/mod.rs
+++ b/crates/kitetrail-core/src/shard/mod.rs
@@ -7,10 +7,12 @@
 mod owner;
 mod pending;
 mod settings;
+mod view;
 mod worker_state;
 
 pub use event::{Action, Decision, EndpointSet, Event, PlacedEndpoint};
 pub use lease::LeaseRow;
 pub use ledger::{Grant, Ledger};
-pub use machine::{Shard, ShardView};
+pub use machine::Shard;
 pub use settings::ShardSettings;
+pub use view::ShardView;
