Bound callers' connections by the memory a node may use

Cause: the default of 10,000 connections would take 127 of the 128 MB a node may use. Change: 4,000 by default, 52 MB.

--- a/crates/kitetraild/src/settings.rs
+++ b/crates/kitetraild/src/settings.rs
@@ -202,7 +202,7 @@
             default_timeout_ms: ms(10_000),
             max_timeout_ms: ms(300_000),
             max_queue_wait_ms: ms(200),
-            max_connections: 10_000,
+            max_connections: 4_000,
             header_timeout_ms: ms(5_000),
             max_header_bytes: 16 * 1024,
             max_body_bytes: 1024 * 1024 * 1024,
