--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -0,0 +1,271 @@
+//! One accepted job: its tasks, where they are and how they ended.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    event::{JobState, RequestNo},
+    life::LifeNo,
+    names::JobId,
+    record::{JobRecord, OccurrenceProgress, Outcome, ProgressRecord, StepProgress},
+    spec::{JobSpec, QueueTerms, StepSpec},
+};
+use crate::Time;
+
+/// Where a run of a task is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Placement {
+    pub(super) life: LifeNo,
+    pub(super) run: u32,
+}
+
+/// One task of a step.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Task {
+    pub(super) done: bool,
+    pub(super) failed_runs: BTreeSet<u32>,
+    pub(super) last_run: u32,
+    /// Where it is placed: more than one only where copies are allowed.
+    pub(super) placed: Vec<Placement>,
+    pub(super) checkpoint: Option<String>,
+    /// Not to be placed before, after a failure.
+    pub(super) not_before: Option<Time>,
+    /// Where its last failed run was.
+    pub(super) avoid: Option<LifeNo>,
+}
+
+impl Task {
+    /// Whether it waits for a worker.
+    pub(super) fn waits(&self, now: Time) -> bool {
+        !self.done && self.placed.is_empty() && self.not_before.is_none_or(|at| at <= now)
+    }
+}
+
+/// The tasks of one step at one time of the schedule.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Step {
+    pub(super) tasks: Vec<Task>,
+    pub(super) done: u32,
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        Self { tasks: vec![Task::default(); spec.count as usize], done: 0 }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+}
+
+/// One time of the schedule.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Occurrence {
+    pub(super) steps: Vec<Step>,
+}
+
+impl Occurrence {
+    pub(super) fn new(spec: &JobSpec) -> Self {
+        Self { steps: spec.steps.iter().map(Step::new).collect() }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+
+    /// Whether all steps that `step` depends on are done.
+    pub(super) fn is_due(&self, step: &StepSpec) -> bool {
+        step.depends_on.iter().all(|&on| self.steps[on as usize].is_done())
+    }
+}
+
+/// An accepted job.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) id: JobId,
+    pub(super) queue: QueueTerms,
+    pub(super) spec: JobSpec,
+    pub(super) payload: Arc<str>,
+    pub(super) accepted_unix_ms: u64,
+    pub(super) accepted_at: Time,
+    /// What is decided, kept for good or not.
+    pub(super) outcome: Outcome,
+    pub(super) ended_unix_ms: Option<u64>,
+    /// What is kept for good.
+    pub(super) kept: bool,
+    pub(super) kept_outcome: Outcome,
+    pub(super) begun: bool,
+    pub(super) occurrences: BTreeMap<u32, Occurrence>,
+    /// When the job should have ended, for the order of the queue.
+    pub(super) due_at: Time,
+    pub(super) submit_waiters: Vec<RequestNo>,
+    pub(super) cancel_waiters: Vec<RequestNo>,
+    /// An earlier owner may have started some of its tasks.
+    pub(super) inherited: bool,
+}
+
+impl Job {
+    pub(super) fn new(
+        id: JobId,
+        queue: QueueTerms,
+        spec: JobSpec,
+        now: Time,
+        unix_ms: u64,
+    ) -> Self {
+        let mut job = Self {
+            id,
+            payload: spec.payload.as_str().into(),
+            queue,
+            spec,
+            accepted_unix_ms: unix_ms,
+            accepted_at: now,
+            outcome: Outcome::Open,
+            ended_unix_ms: None,
+            kept: false,
+            kept_outcome: Outcome::Open,
+            begun: false,
+            occurrences: BTreeMap::new(),
+            due_at: now,
+            submit_waiters: Vec::new(),
+            cancel_waiters: Vec::new(),
+            inherited: false,
+        };
+        job.due_at = now + Duration::from_millis(job.objective_ms());
+        if job.spec.schedule.is_none() {
+            job.begin(0);
+        }
+        job
+    }
+
+    /// A job as the store keeps it.
+    pub(super) fn restore(
+        record: JobRecord,
+        progress: Option<ProgressRecord>,
+        run_floor: u32,
+        now: Time,
+        unix_ms: u64,
+    ) -> Self {
+        let JobRecord { id, queue, spec, accepted_unix_ms } = record;
+        let age = Duration::from_millis(unix_ms.saturating_sub(accepted_unix_ms));
+        let mut job = Self::new(id, queue, spec, now, accepted_unix_ms);
+        job.accepted_at = now - age;
+        job.due_at = job.accepted_at + Duration::from_millis(job.objective_ms());
+        job.kept = true;
+        job.inherited = true;
+        if let Some(progress) = progress {
+            job.outcome = progress.outcome;
+            job.kept_outcome = progress.outcome;
+            job.ended_unix_ms = progress.ended_unix_ms;
+            for (number, occurrence) in progress.occurrences {
+                job.begin(number);
+                job.restore_occurrence(number, &occurrence);
+            }
+        }
+        for step in job.occurrences.values_mut().flat_map(|occurrence| &mut occurrence.steps) {
+            step.tasks.iter_mut().for_each(|task| task.last_run = task.last_run.max(run_floor));
+        }
+        job
+    }
+
+    /// The time that its queue promises, in milliseconds from its acceptance.
+    pub(super) fn objective_ms(&self) -> u64 {
+        let chain_ms = self.spec.longest_chain_ms() as f64;
+        (self.queue.stretch * chain_ms) as u64 + self.queue.target_latency_ms
+    }
+
+    /// What callers are told: only what is kept for good counts as an end.
+    pub(super) fn state(&self) -> JobState {
+        match self.kept_outcome {
+            Outcome::Completed => JobState::Completed,
+            Outcome::Failed => JobState::Failed,
+            Outcome::Cancelled => JobState::Cancelled,
+            Outcome::Open if self.begun => JobState::Running,
+            Outcome::Open => JobState::Queued,
+        }
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        self.outcome == Outcome::Open
+    }
+
+    pub(super) fn task(&self, occurrence: u32, step: u32, index: u32) -> Option<&Task> {
+        self.occurrences.get(&occurrence)?.steps.get(step as usize)?.tasks.get(index as usize)
+    }
+
+    pub(super) fn task_mut(&mut self, occurrence: u32, step: u32, index: u32) -> Option<&mut Task> {
+        let steps = &mut self.occurrences.get_mut(&occurrence)?.steps;
+        steps.get_mut(step as usize)?.tasks.get_mut(index as usize)
+    }
+
+    pub(super) fn begin(&mut self, occurrence: u32) {
+        if !self.occurrences.contains_key(&occurrence) {
+            self.occurrences.insert(occurrence, Occurrence::new(&self.spec));
+        }
+    }
+
+    /// When the next time of the schedule that is not begun falls due, since 1970.
+    pub(super) fn next_due_unix_ms(&self) -> Option<(u32, u64)> {
+        let schedule = self.spec.schedule?;
+        let next = self.occurrences.keys().next_back().map_or(0, |last| last + 1);
+        let due_ms = schedule.start_at_unix_ms + u64::from(next) * schedule.interval_ms;
+        (next < schedule.count.max(1)).then_some((next, due_ms))
+    }
+
+    pub(super) fn all_done(&self) -> bool {
+        self.occurrences.len() == self.spec.occurrences() as usize
+            && self.occurrences.values().all(Occurrence::is_done)
+    }
+
+    pub(super) fn record(&self) -> JobRecord {
+        JobRecord {
+            id: self.id,
+            queue: self.queue.clone(),
+            spec: self.spec.clone(),
+            accepted_unix_ms: self.accepted_unix_ms,
+        }
+    }
+
+    pub(super) fn progress(&self) -> ProgressRecord {
+        let pack = |(&number, occurrence): (&u32, &Occurrence)| {
+            let steps = occurrence.steps.iter().map(pack_step).collect();
+            (number, OccurrenceProgress { steps })
+        };
+        let occurrences = match self.outcome {
+            Outcome::Open => self.occurrences.iter().map(pack).collect(),
+            _ => BTreeMap::new(),
+        };
+        ProgressRecord {
+            id: self.id,
+            outcome: self.outcome,
+            ended_unix_ms: self.ended_unix_ms,
+            occurrences,
+        }
+    }
+
+    fn restore_occurrence(&mut self, number: u32, progress: &OccurrenceProgress) {
+        let Some(occurrence) = self.occurrences.get_mut(&number) else { return };
+        for (step, kept) in occurrence.steps.iter_mut().zip(&progress.steps) {
+            for (index, task) in (0..).zip(&mut step.tasks) {
+                task.done = kept.is_done(index);
+                step.done += u32::from(task.done);
+                let failed = kept.failed_runs.get(&index).into_iter().flatten().copied();
+                task.failed_runs = failed.collect();
+                task.last_run = task.failed_runs.last().copied().unwrap_or(0);
+                self.begun |= task.done || !task.failed_runs.is_empty();
+            }
+        }
+    }
+}
+
+fn pack_step(step: &Step) -> StepProgress {
+    let failed = |(index, task): (u32, &Task)| {
+        (!task.failed_runs.is_empty()).then(|| (index, task.failed_runs.iter().copied().collect()))
+    };
+    StepProgress {
+        done: StepProgress::pack_done(step.tasks.iter().map(|task| task.done)),
+        failed_runs: (0..).zip(&step.tasks).filter_map(failed).collect(),
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -0,0 +1,24 @@
+//! Jobs: steps of tasks that run on workers which lease what they run.
+//!
+//! One [`Scheduler`] decides for a fleet. It is told what happened as [`Event`]s and answers with
+//! [`Action`]s; it does no input or output and reads no clock.
+
+mod event;
+mod job;
+mod life;
+mod names;
+mod record;
+mod scheduler;
+mod spec;
+
+pub use event::{
+    Action, CancelAnswer, Discovery, Event, Hold, HoldFailure, HowEnded, JobState, Listing, Note,
+    Order, OrderAnswer, Refusal, Report, RequestNo, RunEnd, RunningTask, StartOrder, SubmitAnswer,
+};
+pub use life::{LifeNo, WorkerEntry};
+pub use names::{InvalidName, JobId, LifeId, QueueName, TaskName};
+pub use record::{
+    JobRecord, LifeRecord, OccurrenceProgress, Outcome, ProgressRecord, Record, StepProgress,
+};
+pub use scheduler::{Inheritance, Scheduler, SchedulerSettings};
+pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec};
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -0,0 +1,124 @@
+//! What of a job must outlast every box.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    names::{JobId, LifeId},
+    spec::{JobSpec, QueueTerms},
+};
+
+/// How a job stands for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// Not ended.
+    #[default]
+    Open,
+    /// All its tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// A row of the store.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Record {
+    /// An accepted job. Written once.
+    Job(JobRecord),
+    /// How far a job is. Written at each change that must be kept.
+    Progress(ProgressRecord),
+    /// A job whose time of being remembered is over: both rows go.
+    Forget(JobId),
+    /// A worker's life that tasks may be started on. Written before the first of them.
+    LifeUsed(LifeRecord),
+    /// A worker's life on which certainly nothing runs any more.
+    LifeOver(LifeId),
+}
+
+/// A worker's life that tasks may be started on.
+///
+/// A new owner must hear each of them, or outwait its lease, before it starts anew what nobody
+/// reports.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LifeRecord {
+    /// The life.
+    pub id: LifeId,
+    /// Where it answers.
+    pub address: String,
+    /// The service whose tasks it runs.
+    pub service: String,
+}
+
+/// An accepted job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Its id.
+    pub id: JobId,
+    /// The queue that took it, with its terms at that moment.
+    pub queue: QueueTerms,
+    /// What was asked for.
+    pub spec: JobSpec,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_unix_ms: u64,
+}
+
+/// How far a job is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgressRecord {
+    /// Its id.
+    pub id: JobId,
+    /// How it stands.
+    #[serde(default)]
+    pub outcome: Outcome,
+    /// When it ended, in milliseconds since 1970.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended_unix_ms: Option<u64>,
+    /// The times of its schedule that were begun.
+    #[serde(default)]
+    pub occurrences: BTreeMap<u32, OccurrenceProgress>,
+}
+
+/// How far one time of a job's schedule is.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OccurrenceProgress {
+    /// Its steps, in order.
+    pub steps: Vec<StepProgress>,
+}
+
+/// How far a step is.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepProgress {
+    /// The tasks that are done, as bits of hexadecimal digits, the first task first.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub done: String,
+    /// The runs of each task that failed.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub failed_runs: BTreeMap<u32, Vec<u32>>,
+}
+
+impl StepProgress {
+    /// Packs the tasks that are done.
+    pub fn pack_done(done: impl Iterator<Item = bool>) -> String {
+        let bits = done.collect::<Vec<_>>();
+        let digit = |four: &[bool]| {
+            let value = four.iter().enumerate().map(|(at, &bit)| u32::from(bit) << at).sum();
+            char::from_digit(value, 16).unwrap_or('0')
+        };
+        if bits.iter().any(|&bit| bit) {
+            bits.chunks(4).map(digit).collect()
+        } else {
+            String::new()
+        }
+    }
+
+    /// Whether a task is done.
+    pub fn is_done(&self, index: u32) -> bool {
+        let digit = self.done.as_bytes().get(index as usize / 4);
+        let value = digit.and_then(|&digit| char::from(digit).to_digit(16)).unwrap_or(0);
+        value >> (index % 4) & 1 == 1
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -0,0 +1,212 @@
+//! The scheduler of one fleet: jobs in, orders out.
+
+mod commit;
+mod ends;
+mod hear;
+mod orders;
+mod pace;
+mod place;
+mod requests;
+mod workers;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use super::{
+    event::{Action, Event, JobState},
+    job::Job,
+    life::{Life, LifeNo},
+    names::{JobId, LifeId, QueueName},
+    record::{JobRecord, LifeRecord, ProgressRecord},
+    spec::QueueTerms,
+};
+use crate::Time;
+
+/// Longest time that runs are leased. Long enough that a killed owner is replaced (about 2.5 s)
+/// and every worker heard before leases end; short, because what ran on a silent worker waits
+/// for it.
+const LEASE: Duration = Duration::from_millis(5_000);
+/// How much slower than ours a worker's clock may run, in percent, as the platform promises.
+const CLOCK_SLOW_PERCENT: u32 = 2;
+/// Added to the end of every lease before it counts as over: delays on our side.
+const LEASE_SLACK: Duration = Duration::from_millis(100);
+/// How many runs' numbers each owner leaves to the one before, which may have used some that
+/// nobody reports.
+const RUNS_PER_EPOCH: u32 = 1_000;
+/// How far the fencing token's counter reaches below the owner's epoch.
+const TOKEN_COUNTER_BITS: u32 = 20;
+
+/// What the scheduler is told of its surroundings.
+#[derive(Debug, Clone, Copy)]
+pub struct SchedulerSettings {
+    /// The longest lease that workers grant.
+    pub longest_lease: Duration,
+    /// How long the state of a job that ended is told.
+    pub remember_ended: Duration,
+    /// How long an owner that lost the store may go on to renew leases.
+    pub renew_without_store: Duration,
+}
+
+/// What an owner takes over from the one before.
+#[derive(Debug, Default)]
+pub struct Inheritance {
+    /// The jobs, each with its progress if any was kept.
+    pub jobs: Vec<(JobRecord, Option<ProgressRecord>)>,
+    /// Workers' lives on which tasks may run.
+    pub lives: Vec<LifeRecord>,
+    /// The owner before certainly renews no leases any more.
+    pub predecessor_stopped: bool,
+}
+
+/// Decides for one fleet.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: SchedulerSettings,
+    lease: Duration,
+    epoch: u64,
+    now: Time,
+    unix_ms: u64,
+    jobs: BTreeMap<JobId, Job>,
+    /// Open jobs, in the order in which they are served.
+    open: BTreeSet<(u32, Time, JobId)>,
+    /// Jobs that ended, in the order of their end.
+    ended: BTreeSet<(u64, JobId)>,
+    queues: BTreeMap<QueueName, QueueTerms>,
+    lives: BTreeMap<LifeNo, Life>,
+    life_by_id: HashMap<LifeId, LifeNo>,
+    next_life: u32,
+    /// Lives that the owner before used and that have not been heard or outwaited yet.
+    unheard: BTreeSet<LifeNo>,
+    pending: commit::Pending,
+    replan: bool,
+    out: Vec<Action>,
+}
+
+impl Scheduler {
+    /// A scheduler for the owner with the given epoch.
+    pub fn new(
+        settings: SchedulerSettings,
+        epoch: u64,
+        inheritance: Inheritance,
+        now: Time,
+        unix_ms: u64,
+    ) -> Self {
+        let mut scheduler = Self {
+            settings,
+            lease: settings.longest_lease.min(LEASE),
+            epoch,
+            now,
+            unix_ms,
+            jobs: BTreeMap::new(),
+            open: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            queues: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            life_by_id: HashMap::new(),
+            next_life: 0,
+            unheard: BTreeSet::new(),
+            pending: commit::Pending::default(),
+            replan: true,
+            out: Vec::new(),
+        };
+        scheduler.inherit(inheritance);
+        scheduler
+    }
+
+    /// Takes note of an event and returns what is to be done.
+    pub fn handle(&mut self, event: Event, now: Time, unix_ms: u64) -> Vec<Action> {
+        self.now = self.now.max(now);
+        self.unix_ms = unix_ms;
+        match event {
+            Event::Submit { request, job, queue, spec } => self.submit(request, job, queue, *spec),
+            Event::Cancel { request, job } => self.cancel(request, job),
+            Event::Queues(queues) => self.set_queues(queues),
+            Event::Discovered(listing) => self.discover(listing),
+            Event::OrderAnswered { life, order, answer } => {
+                self.order_answered(life, order, answer)
+            }
+            Event::Held { life, hold, sent_at, answer } => self.held(life, hold, sent_at, answer),
+            Event::Committed(batch) => self.committed(batch),
+            Event::Tick => self.tick(),
+        }
+        if self.replan {
+            self.replan = false;
+            self.place_all();
+        }
+        self.commit_if_due();
+        std::mem::take(&mut self.out)
+    }
+
+    /// What callers are told of a job, `None` if there is none.
+    pub fn state(&self, job: JobId) -> Option<JobState> {
+        self.jobs.get(&job).filter(|job| job.kept).map(Job::state)
+    }
+
+    /// How many accepted jobs of a queue have not begun.
+    pub fn pending(&self, queue: &QueueName) -> u64 {
+        let waits =
+            |job: &&Job| job.kept && !job.begun && job.is_open() && job.queue.name == *queue;
+        let open = self.open.iter().filter_map(|(_, _, id)| self.jobs.get(id));
+        open.filter(waits).count() as u64
+    }
+
+    /// The pending count of every queue that has any.
+    pub fn pending_by_queue(&self) -> BTreeMap<QueueName, u64> {
+        let mut counts = BTreeMap::new();
+        for job in self.open.iter().filter_map(|(_, _, id)| self.jobs.get(id)) {
+            if job.kept && !job.begun {
+                *counts.entry(job.queue.name.clone()).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    fn inherit(&mut self, inheritance: Inheritance) {
+        let run_floor = u32::try_from(self.epoch.saturating_sub(1))
+            .unwrap_or(u32::MAX / RUNS_PER_EPOCH)
+            .saturating_mul(RUNS_PER_EPOCH);
+        for (record, progress) in inheritance.jobs {
+            let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
+            self.insert_job(job);
+        }
+        let extra = match inheritance.predecessor_stopped {
+            true => Duration::ZERO,
+            false => self.settings.renew_without_store,
+        };
+        for record in inheritance.lives {
+            self.inherit_life(record, self.now + self.lapse_after() + extra);
+        }
+    }
+
+    fn insert_job(&mut self, job: Job) {
+        let id = job.id;
+        match (job.is_open(), job.ended_unix_ms) {
+            (true, _) => self.open.insert((job.queue.priority, job.due_at, id)),
+            (false, ended) => self.ended.insert((ended.unwrap_or(self.unix_ms), id)),
+        };
+        self.jobs.insert(id, job);
+        self.replan = true;
+    }
+
+    fn first_token(&self) -> u64 {
+        self.epoch << TOKEN_COUNTER_BITS
+    }
+
+    /// How long after the last renewal a lease is certainly over.
+    fn lapse_after(&self) -> Duration {
+        self.lease + self.lease * CLOCK_SLOW_PERCENT / 100 + LEASE_SLACK
+    }
+
+    fn tick(&mut self) {
+        self.begin_due_occurrences();
+        self.forget_old_jobs();
+        let lives = self.lives.keys().copied().collect::<Vec<_>>();
+        for life in lives {
+            self.check_life(life);
+        }
+        // Back-offs and times set aside end without an event of their own.
+        self.replan = true;
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -0,0 +1,214 @@
+//! Orders to workers, one at a time each, and what comes back.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    super::{
+        event::{Action, Note, Order, OrderAnswer, Refusal},
+        job::Placement,
+        life::{LifeNo, Phase},
+        names::TaskName,
+    },
+    Scheduler,
+};
+
+/// How soon a worker is asked what runs, after a start was confirmed. Most tasks take longer.
+const HOLD_AFTER_START: Duration = Duration::from_millis(100);
+/// How long a worker that says it is not well gets no new work.
+const UNHEALTHY_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long a task whose order a worker can't read waits before it is tried again.
+const MALFORMED_PAUSE: Duration = Duration::from_millis(2_000);
+
+impl Scheduler {
+    /// Queues an order and sends it if nothing is on its way to the worker.
+    pub(super) fn order(&mut self, no: LifeNo, order: Order) {
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        life.orders.push_back(order);
+        self.send_next_order(no);
+    }
+
+    /// Stops a run, or takes back the order to start it if it has not left.
+    pub(super) fn stop_run(&mut self, no: LifeNo, order: Order) {
+        let (task, run) = order.run();
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(there) = life.runs.get_mut(&task).filter(|there| there.run == run) else { return };
+        if there.stopping {
+            return;
+        }
+        let waiting = life.orders.iter().position(|waiting| {
+            matches!(waiting, Order::Start(start) if start.task == task && start.run == run)
+        });
+        match waiting {
+            Some(at) => {
+                life.orders.remove(at);
+                self.drop_run(no, task, run);
+            }
+            None => {
+                there.stopping = true;
+                life.orders.push_front(order);
+                self.send_next_order(no);
+            }
+        }
+    }
+
+    pub(super) fn send_next_order(&mut self, no: LifeNo) {
+        let (now, lease, lapse_after) = (self.now, self.lease, self.lapse_after());
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        if life.order_sent || life.silent > 0 {
+            return;
+        }
+        let Some(clock_ms) = life.clock_ms(now) else { return };
+        let Some(order) = life.orders.pop_front() else { return };
+        if matches!(order, Order::Start(_)) {
+            life.note_leased(lapse_after, now);
+        }
+        life.order_sent = true;
+        let action = Action::Order {
+            life: no,
+            entry: Arc::clone(&life.entry),
+            token: life.token,
+            lease_until_ms: clock_ms + lease.as_millis() as u64,
+            order,
+        };
+        self.out.push(action);
+    }
+
+    pub(super) fn order_answered(&mut self, no: LifeNo, order: Order, answer: OrderAnswer) {
+        let now = self.now;
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        life.order_sent = false;
+        if let OrderAnswer::Done { clock_ms } = answer {
+            life.note_heard(clock_ms, now);
+        } else {
+            let (task, run) = order.run();
+            let worker = life.id().clone();
+            self.out.push(Action::Note(Note::OrderFailed { task, run, worker, answer }));
+        }
+        match answer {
+            OrderAnswer::LifeOver => return self.end_life(no, "over: it answers as another life"),
+            OrderAnswer::Unanswered => self.doubt(no, &order),
+            OrderAnswer::Done { .. } => self.order_done(no, &order),
+            OrderAnswer::Refused(refusal) => self.order_refused(no, &order, refusal),
+        }
+        self.send_next_order(no);
+    }
+
+    /// Voids every order that was sent so far and asks what really runs.
+    pub(super) fn raise_token(&mut self, no: LifeNo) {
+        if let Some(life) = self.lives.get_mut(&no) {
+            life.token += 1;
+            life.silent += 1;
+        }
+    }
+
+    /// Forgets a run that certainly is not there; its task waits again.
+    pub(super) fn drop_run(&mut self, no: LifeNo, task: TaskName, run: u32) {
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        if life.runs.get(&task).is_some_and(|there| there.run == run) {
+            life.runs.remove(&task);
+        }
+        self.unplace(task, Placement { life: no, run });
+        self.replan = true;
+    }
+
+    pub(super) fn unplace(&mut self, name: TaskName, placement: Placement) {
+        let job = self.jobs.get_mut(&name.job);
+        let task = job.and_then(|job| job.task_mut(name.occurrence, name.step, name.index));
+        if let Some(task) = task {
+            task.placed.retain(|placed| *placed != placement);
+        }
+    }
+
+    /// Gives up all runs of a worker that can't be running them any more.
+    pub(super) fn give_up_runs(&mut self, no: LifeNo, why: &'static str) {
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        let worker = life.id().clone();
+        life.orders.clear();
+        let runs = std::mem::take(&mut life.runs);
+        for (task, there) in runs {
+            let (run, worker) = (there.run, worker.clone());
+            self.out.push(Action::Note(Note::RunGivenUp { task, run, worker, why }));
+            self.unplace(task, Placement { life: no, run });
+            self.replan = true;
+        }
+    }
+
+    fn doubt(&mut self, no: LifeNo, order: &Order) {
+        self.raise_token(no);
+        let (task, run) = order.run();
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        let settled_by = life.token;
+        if let Some(there) = life.runs.get_mut(&task).filter(|there| there.run == run) {
+            match order {
+                Order::Start(_) => there.phase = Phase::Doubtful { settled_by },
+                Order::Stop { .. } => there.stopping = false,
+                Order::Pace { .. } => there.paced_percent = u8::MAX,
+            }
+        }
+        self.hold_soon(no, Duration::ZERO);
+        self.hold_if_due(no);
+    }
+
+    fn order_done(&mut self, no: LifeNo, order: &Order) {
+        let now = self.now;
+        if let Order::Start(start) = order {
+            let run = self.lives.get_mut(&no).and_then(|life| life.runs.get_mut(&start.task));
+            if let Some(there) = run.filter(|there| there.run == start.run) {
+                there.phase = Phase::Running(now);
+            }
+            if let Some(job) = self.jobs.get_mut(&start.task.job) {
+                job.begun = true;
+            }
+            self.hold_soon(no, HOLD_AFTER_START);
+        }
+    }
+
+    fn order_refused(&mut self, no: LifeNo, order: &Order, refusal: Refusal) {
+        let now = self.now;
+        let (task, run) = order.run();
+        match order {
+            Order::Start(_) => self.drop_run(no, task, run),
+            Order::Stop { .. } | Order::Pace { .. } => {
+                let life = self.lives.get_mut(&no);
+                let there = life.and_then(|life| life.runs.get_mut(&task));
+                if let Some(there) = there.filter(|there| there.run == run) {
+                    there.stopping = false;
+                }
+            }
+        }
+        match refusal {
+            Refusal::Fenced => self.fenced(no),
+            Refusal::Unhealthy => {
+                if let Some(life) = self.lives.get_mut(&no) {
+                    life.set_aside_until = Some(now + UNHEALTHY_PAUSE);
+                }
+            }
+            Refusal::Malformed => self.hold_back(task, now + MALFORMED_PAUSE),
+            Refusal::Old | Refusal::Late | Refusal::Room | Refusal::Ticket => {}
+        }
+        // Something is not as believed: look.
+        self.hold_soon(no, Duration::ZERO);
+    }
+
+    /// The worker has seen a higher token: ours from another channel, or another owner's.
+    fn fenced(&mut self, no: LifeNo) {
+        let first = self.first_token();
+        if self.lives.get(&no).is_some_and(|life| life.token == first) {
+            self.out.push(Action::Deposed);
+        }
+    }
+
+    pub(super) fn hold_fenced(&mut self, no: LifeNo, token: u64) {
+        if self.lives.get(&no).is_some_and(|life| life.token <= token) {
+            self.out.push(Action::Deposed);
+        }
+    }
+
+    pub(super) fn hold_back(&mut self, name: TaskName, until: crate::Time) {
+        let job = self.jobs.get_mut(&name.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(name.occurrence, name.step, name.index))
+        {
+            task.not_before = Some(until);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -0,0 +1,241 @@
+//! Which worker runs which task.
+
+use super::{
+    super::{
+        event::{Action, Note, Order, StartOrder},
+        job::{Job, Placement},
+        life::{Life, LifeNo, Phase, RunThere},
+        names::{JobId, TaskName},
+        spec::StepSpec,
+    },
+    Scheduler,
+};
+
+/// How much of the processor time that is reserved is used, for the room of what fills, in percent.
+/// What serves is rarely fully loaded.
+const RESERVED_USED_PERCENT: u32 = 60;
+/// What fills is started where at least this share of its processor time is left, in percent.
+const LEAST_LEFT_PERCENT: u32 = 60;
+/// Weight of a worker's fullness, 0 to 1, when workers are compared. The unit of the other weights.
+const FULLNESS: f64 = 1.0;
+/// Weight of something that would disturb, or be disturbed, by what the task does.
+const DISTURBANCE: f64 = 2.0;
+/// Weight of being away from the data: the task takes up to twice as long.
+const FAR: f64 = 4.0;
+/// Weight of the worker on which the task failed last.
+const FAILED_THERE: f64 = 8.0;
+
+impl Scheduler {
+    /// Places all tasks that wait, in the order of their queues, as far as there is room.
+    pub(super) fn place_all(&mut self) {
+        let open = self.open.iter().map(|&(_, _, id)| id).collect::<Vec<_>>();
+        for id in open {
+            self.place_job(id);
+        }
+    }
+
+    fn place_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.kept) else { return };
+        if job.inherited && !self.unheard.is_empty() {
+            return;
+        }
+        for (occurrence, step) in due_steps(job, self.now) {
+            let Some(spec) = self.jobs.get(&id).and_then(|job| job.spec.steps.get(step as usize))
+            else {
+                continue;
+            };
+            let spec = spec.clone();
+            match spec.gang {
+                true => self.place_gang(id, occurrence, step, &spec),
+                false => self.place_step(id, occurrence, step, &spec),
+            }
+        }
+    }
+
+    fn place_step(&mut self, id: JobId, occurrence: u32, step: u32, spec: &StepSpec) {
+        for index in 0..spec.count {
+            let name = TaskName { job: id, occurrence, step, index };
+            let waits = |job: &Job| {
+                job.task(occurrence, step, index).is_some_and(|task| task.waits(self.now))
+            };
+            if !self.jobs.get(&id).is_some_and(waits) {
+                continue;
+            }
+            match self.choose(name, spec, &[]) {
+                Some(life) => self.start(name, life, spec, None),
+                None => break,
+            }
+        }
+    }
+
+    /// Places all members of a gang or none.
+    fn place_gang(&mut self, id: JobId, occurrence: u32, step: u32, spec: &StepSpec) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let tasks = job.occurrences.get(&occurrence).and_then(|it| it.steps.get(step as usize));
+        let Some(tasks) = tasks.map(|step| &step.tasks) else { return };
+        if !tasks.iter().all(|task| task.waits(self.now)) {
+            return;
+        }
+        let run = tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
+        let mut chosen = Vec::new();
+        for index in 0..spec.count {
+            let name = TaskName { job: id, occurrence, step, index };
+            match self.choose(name, spec, &chosen) {
+                Some(life) => chosen.push(life),
+                None => return,
+            }
+        }
+        let checkpoint = tasks_checkpoint(self.jobs.get(&id), occurrence, step);
+        for (index, life) in (0..).zip(chosen) {
+            let name = TaskName { job: id, occurrence, step, index };
+            if let Some(task) =
+                self.jobs.get_mut(&id).and_then(|job| job.task_mut(occurrence, step, index))
+            {
+                task.checkpoint.clone_from(&checkpoint);
+            }
+            self.start(name, life, spec, Some(run));
+        }
+    }
+
+    /// The best worker for a task, beside members that are about to be placed.
+    fn choose(&self, name: TaskName, spec: &StepSpec, members: &[LifeNo]) -> Option<LifeNo> {
+        let job = self.jobs.get(&name.job)?;
+        let service = &job.queue.service;
+        let avoid = job.task(name.occurrence, name.step, name.index).and_then(|task| task.avoid);
+        let rack =
+            members.first().and_then(|no| self.lives.get(no)).map(|life| life.entry.rack.as_str());
+        let candidates = self.lives.iter().filter(|(no, life)| {
+            life.takes_work(self.now)
+                && life.entry.service == *service
+                && spec.label.as_ref().is_none_or(|label| life.entry.labels.contains(label))
+                && has_room(**no, life, name, spec, members)
+        });
+        let score = |no: LifeNo, life: &Life| {
+            let far = spec.near_rack.as_ref().is_some_and(|near| !life.entry.labels.contains(near));
+            let apart = spec.same_rack && rack.is_some_and(|rack| rack != life.entry.rack);
+            FULLNESS * fullness(life, spec)
+                + DISTURBANCE * disturbance(life, spec)
+                + if far || apart { FAR } else { 0.0 }
+                + if avoid == Some(no) { FAILED_THERE } else { 0.0 }
+        };
+        let scored = candidates.map(|(&no, life)| (score(no, life), no));
+        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, no)| no)
+    }
+
+    fn start(&mut self, name: TaskName, no: LifeNo, spec: &StepSpec, run: Option<u32>) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let payload = job.payload.clone();
+        let Some(task) = job.task_mut(name.occurrence, name.step, name.index) else { return };
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        let run = run.unwrap_or(task.last_run + 1);
+        task.last_run = run;
+        task.placed.push(Placement { life: no, run });
+        let checkpoint = task.checkpoint.clone().filter(|_| spec.keeps_progress);
+        let note = Note::Placed {
+            task: name,
+            run,
+            worker: life.id().clone(),
+            free: life.free(),
+            heard_ago_ms: life.heard_ago_ms(now),
+        };
+        let there = RunThere {
+            run,
+            phase: Phase::Ordered,
+            size: spec.size,
+            fills: spec.fills,
+            serves: spec.tail_target_ms.is_some(),
+            stopping: false,
+            started_at: now,
+            tail_target_ms: spec.tail_target_ms,
+            image: spec.image.as_deref().map(Into::into),
+            percent: 0,
+            gauge: None,
+            paced_percent: 100,
+        };
+        life.runs.insert(name, there);
+        self.out.push(Action::Note(note));
+        let order = StartOrder { task: name, run, payload, checkpoint, ticket: None };
+        self.order(no, Order::Start(order));
+    }
+}
+
+/// The steps whose turn has come and that have tasks waiting.
+fn due_steps(job: &Job, now: crate::Time) -> Vec<(u32, u32)> {
+    let mut due = Vec::new();
+    for (&number, occurrence) in &job.occurrences {
+        for (at, spec) in (0_u32..).zip(&job.spec.steps) {
+            let step = &occurrence.steps[at as usize];
+            let waits = || step.tasks.iter().any(|task| task.waits(now));
+            if !step.is_done() && waits() && occurrence.is_due(spec) {
+                due.push((number, at));
+            }
+        }
+    }
+    due
+}
+
+fn tasks_checkpoint(job: Option<&Job>, occurrence: u32, step: u32) -> Option<String> {
+    let step = job?.occurrences.get(&occurrence)?.steps.get(step as usize)?;
+    step.tasks.iter().find_map(|task| task.checkpoint.clone())
+}
+
+fn has_room(no: LifeNo, life: &Life, name: TaskName, spec: &StepSpec, members: &[LifeNo]) -> bool {
+    if life.runs.contains_key(&name) {
+        return false;
+    }
+    let same_step = |other: &TaskName| {
+        (other.job, other.occurrence, other.step) == (name.job, name.occurrence, name.step)
+    };
+    let members_here = members.iter().filter(|&&member| member == no).count() as u32;
+    let siblings =
+        || life.runs.keys().filter(|other| same_step(other)).count() as u32 + members_here;
+    if spec.max_per_worker.is_some_and(|most| siblings() >= most) {
+        return false;
+    }
+    let mut free = life.free();
+    for _ in 0..members_here {
+        match free.checked_sub(&spec.size) {
+            Some(left) => free = left,
+            None => return false,
+        }
+    }
+    match spec.fills {
+        true => {
+            let left = cpu_left_to_fill(life);
+            let needs = spec.size.cpu_millis.0 * LEAST_LEFT_PERCENT / 100;
+            spec.size.memory_mb <= free.memory_mb
+                && spec.size.accelerators <= free.accelerators
+                && left >= needs
+                && life.pace_percent >= 50
+        }
+        false => spec.size.fits_in(&free),
+    }
+}
+
+/// The processor time that what fills finds there, in thousandths of a core.
+fn cpu_left_to_fill(life: &Life) -> u32 {
+    let taken = life.runs.values().map(|run| match run.fills {
+        true => run.size.cpu_millis.0,
+        false => run.size.cpu_millis.0 * RESERVED_USED_PERCENT / 100,
+    });
+    life.entry.capacity.cpu_millis.0.saturating_sub(taken.sum())
+}
+
+fn fullness(life: &Life, spec: &StepSpec) -> f64 {
+    let capacity = f64::from(life.entry.capacity.cpu_millis.0.max(1));
+    let left = match spec.fills {
+        true => cpu_left_to_fill(life),
+        false => life.free().cpu_millis.0,
+    };
+    1.0 - f64::from(left) / capacity
+}
+
+/// How much of what the worker runs would disturb the task, or be disturbed by it, 0 to 1.
+fn disturbance(life: &Life, spec: &StepSpec) -> f64 {
+    let serves = spec.tail_target_ms.is_some();
+    let hurts =
+        |run: &&RunThere| (serves && (run.fills || run.serves)) || (spec.fills && run.serves);
+    let cpu = life.runs.values().filter(hurts).map(|run| run.size.cpu_millis.0).sum::<u32>();
+    f64::from(cpu) / f64::from(life.entry.capacity.cpu_millis.0.max(1))
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -0,0 +1,128 @@
+//! Callers' requests: jobs handed in and cancelled, queues, schedules and forgetting.
+
+use std::collections::BTreeMap;
+
+use super::{
+    super::{
+        event::{Action, CancelAnswer, JobState, Note, Order, RequestNo, SubmitAnswer},
+        job::Job,
+        names::JobId,
+        record::Outcome,
+        spec::{JobSpec, QueueTerms},
+    },
+    Scheduler,
+};
+
+impl Scheduler {
+    pub(super) fn submit(
+        &mut self,
+        request: RequestNo,
+        id: JobId,
+        queue: QueueTerms,
+        spec: JobSpec,
+    ) {
+        let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
+        let known = self.jobs.get_mut(&id);
+        let note =
+            Note::Submitted { job: id, queue: queue.name.clone(), tasks, known: known.is_some() };
+        self.out.push(Action::Note(note));
+        match known {
+            Some(job) if job.kept => {
+                self.out.push(Action::AnswerSubmit(request, SubmitAnswer::Accepted));
+            }
+            Some(job) => job.submit_waiters.push(request),
+            None => {
+                let mut job = Job::new(id, queue, spec, self.now, self.unix_ms);
+                job.submit_waiters.push(request);
+                self.insert_job(job);
+                self.pending.add_job(id);
+            }
+        }
+    }
+
+    pub(super) fn cancel(&mut self, request: RequestNo, id: JobId) {
+        match self.jobs.get_mut(&id) {
+            None => self.out.push(Action::AnswerCancel(request, CancelAnswer::Unknown)),
+            Some(job) if job.kept_outcome != Outcome::Open => {
+                self.out.push(Action::AnswerCancel(request, CancelAnswer::Done));
+            }
+            Some(job) => {
+                job.cancel_waiters.push(request);
+                if job.is_open() {
+                    self.end_job(id, Outcome::Cancelled);
+                }
+            }
+        }
+    }
+
+    pub(super) fn set_queues(&mut self, queues: Vec<QueueTerms>) {
+        self.queues =
+            queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect::<BTreeMap<_, _>>();
+        for job in self.jobs.values_mut().filter(|job| job.is_open()) {
+            if let Some(queue) = self.queues.get(&job.queue.name) {
+                self.open.remove(&(job.queue.priority, job.due_at, job.id));
+                job.queue = queue.clone();
+                self.open.insert((job.queue.priority, job.due_at, job.id));
+            }
+        }
+        self.replan = true;
+    }
+
+    /// Settles how a job ended and stops what still runs of it.
+    pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        self.open.remove(&(job.queue.priority, job.due_at, id));
+        self.ended.insert((self.unix_ms, id));
+        job.outcome = outcome;
+        job.ended_unix_ms = Some(self.unix_ms);
+        let state = match outcome {
+            Outcome::Failed => JobState::Failed,
+            Outcome::Cancelled => JobState::Cancelled,
+            Outcome::Completed | Outcome::Open => JobState::Completed,
+        };
+        self.out.push(Action::Note(Note::JobEnded {
+            job: id,
+            state,
+            after_ms: self.now.since(job.accepted_at).as_millis() as u64,
+            objective_ms: job.objective_ms(),
+        }));
+        self.pending.note_urgent(id);
+        self.stop_all_of(id);
+    }
+
+    pub(super) fn begin_due_occurrences(&mut self) {
+        let unix_ms = self.unix_ms;
+        let scheduled = |job: &&mut Job| job.is_open() && job.spec.schedule.is_some();
+        for job in self.jobs.values_mut().filter(scheduled) {
+            while let Some((next, _)) =
+                job.next_due_unix_ms().filter(|&(_, due_ms)| due_ms <= unix_ms)
+            {
+                job.begin(next);
+                self.replan = true;
+            }
+        }
+    }
+
+    pub(super) fn forget_old_jobs(&mut self) {
+        let remembered_ms = self.settings.remember_ended.as_millis() as u64;
+        while let Some(&(ended_unix_ms, id)) = self.ended.first() {
+            let kept = self.jobs.get(&id).is_none_or(|job| job.kept_outcome != Outcome::Open);
+            if ended_unix_ms + remembered_ms > self.unix_ms || !kept {
+                break;
+            }
+            self.ended.pop_first();
+            self.jobs.remove(&id);
+            self.pending.forget(id);
+        }
+    }
+
+    fn stop_all_of(&mut self, id: JobId) {
+        let runs = self.lives.iter().flat_map(|(&life, there)| {
+            let of_job = there.runs.iter().filter(move |(task, _)| task.job == id);
+            of_job.map(move |(&task, run)| (life, task, run.run))
+        });
+        for (life, task, run) in runs.collect::<Vec<_>>() {
+            self.stop_run(life, Order::Stop { task, run });
+        }
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -0,0 +1,185 @@
+//! What a fleet of workers that lease their tasks needs of its platform.
+
+use std::{future::Future, time::Duration};
+
+use bytes::Bytes;
+use kitetrail_core::{
+    fleet_config::FleetConfig,
+    jobs::{Hold, HoldFailure, JobSpec, JobState, Order, OrderAnswer, Report, WorkerEntry},
+};
+
+use crate::PlatformError;
+
+/// The name of a row: tables hold parts, parts hold keys.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RowName {
+    /// The table.
+    pub table: &'static str,
+    /// The part of it. A transaction touches one part, of any tables.
+    pub part: String,
+    /// The key in the part.
+    pub key: String,
+}
+
+/// A row as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredRow {
+    /// Its key.
+    pub key: String,
+    /// Its part.
+    pub part: String,
+    /// What it holds.
+    pub value: Vec<u8>,
+    /// The transaction that wrote it.
+    pub version: u64,
+}
+
+/// Changes that happen together or not at all.
+#[derive(Debug, Clone, Default)]
+pub struct RowTransaction {
+    /// Versions that rows must have; 0: the row must be absent.
+    pub expected: Vec<(RowName, u64)>,
+    /// Rows to write.
+    pub puts: Vec<(RowName, Vec<u8>)>,
+    /// Rows to remove.
+    pub removes: Vec<RowName>,
+}
+
+/// What came back to a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TransactionAnswer {
+    /// It is done; its rows have this version now.
+    Done {
+        /// The version.
+        version: u64,
+    },
+    /// Some row had another version. It is not done.
+    Conflict {
+        /// The rows of the condition as they are, absent ones left out.
+        rows: Vec<StoredRow>,
+    },
+}
+
+/// What changed in a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TableChanges {
+    /// The rows that changed, in order; `None` for the value of one that is gone.
+    Changed {
+        /// The rows.
+        rows: Vec<(String, Option<Vec<u8>>)>,
+        /// Where to go on.
+        version: u64,
+    },
+    /// The store no longer knows what changed since: read the table anew.
+    HistoryGone,
+}
+
+/// The store of what must outlast every box.
+pub trait RowStore {
+    /// One row, `None` if it is absent.
+    fn read(
+        &self,
+        name: &RowName,
+    ) -> impl Future<Output = Result<Option<StoredRow>, PlatformError>>;
+
+    /// All rows of a part of a table.
+    fn scan(
+        &self,
+        table: &'static str,
+        part: &str,
+    ) -> impl Future<Output = Result<(Vec<StoredRow>, u64), PlatformError>>;
+
+    /// Does all of a transaction or nothing.
+    ///
+    /// A lost answer ([`PlatformError::AnswerLost`]) leaves open whether it was done, or will be.
+    fn transact(
+        &self,
+        transaction: &RowTransaction,
+    ) -> impl Future<Output = Result<TransactionAnswer, PlatformError>>;
+
+    /// What changed in a table after a version; waits until there is something, or `wait` is over.
+    fn watch(
+        &self,
+        table: &'static str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<TableChanges, PlatformError>>;
+}
+
+/// A change in the list of workers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WorkerChanges {
+    /// What changed: entries that are new or differ, and ids that are gone.
+    Changed {
+        /// The entries.
+        listed: Vec<WorkerEntry>,
+        /// The ids.
+        gone: Vec<String>,
+        /// Where to go on.
+        version: u64,
+    },
+    /// The platform no longer knows what changed since: list anew.
+    HistoryGone,
+}
+
+/// The list of workers that live.
+pub trait WorkerList {
+    /// All workers, and where to go on for changes.
+    fn workers(&self) -> impl Future<Output = Result<(Vec<WorkerEntry>, u64), PlatformError>>;
+
+    /// What changed after a version; waits until there is something, or `wait` is over.
+    fn worker_changes(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<WorkerChanges, PlatformError>>;
+}
+
+/// Where operators put their configuration.
+pub trait ConfigSource {
+    /// The newest configuration, `None` if there is none yet, and where to go on for changes.
+    fn config(&self) -> impl Future<Output = Result<(Option<FleetConfig>, u64), PlatformError>>;
+
+    /// Waits until the configuration may have changed after a version, or `wait` is over.
+    ///
+    /// `None` asks to read it anew.
+    fn config_changes(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<(Option<FleetConfig>, Option<u64>), PlatformError>>;
+}
+
+/// Orders to workers.
+pub trait WorkerControl {
+    /// Tells a worker to do something.
+    fn order(
+        &self,
+        worker: &WorkerEntry,
+        token: u64,
+        lease_until_ms: u64,
+        order: &Order,
+    ) -> impl Future<Output = OrderAnswer>;
+
+    /// Asks a worker what it runs and lets it go on.
+    fn hold(
+        &self,
+        worker: &WorkerEntry,
+        hold: &Hold,
+    ) -> impl Future<Output = Result<Report, HoldFailure>>;
+}
+
+/// How callers write jobs and read answers.
+pub trait JobCodec {
+    /// The job in a request's body; the error says what is wrong with it.
+    fn read_job(&self, body: &[u8]) -> Result<JobSpec, String>;
+
+    /// The answer that tells a job's state.
+    fn write_state(&self, state: JobState) -> Bytes;
+
+    /// The answer that tells how many jobs of a queue wait.
+    fn write_pending(&self, pending: u64) -> Bytes;
+
+    /// The header by which a caller says how long it waits, in milliseconds.
+    fn time_left_header(&self) -> &'static str;
+}
--- a/crates/kitetrail-platform/src/http.rs
+++ b/crates/kitetrail-platform/src/http.rs
@@ -65,6 +65,18 @@
         Ok((status, body))
     }
 
+    /// Sends a request and returns the status and the whole body, with a timeout of its own.
+    pub async fn send_within(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        match tokio::time::timeout(timeout, self.exchange(request)).await {
+            Ok(answer) => answer.map(|answer| (answer.status, answer.body)),
+            Err(_) => Err(self.lost(format!("nothing came within {timeout:?}"))),
+        }
+    }
+
     /// Sends a request and returns the status, the headers and the whole body.
     async fn send_for_head(&self, request: Request<Full<Bytes>>) -> Result<Answer, PlatformError> {
         match tokio::time::timeout(self.timeout, self.exchange(request)).await {
@@ -134,7 +146,8 @@
         PlatformError::AnswerLost { service: self.service, cause }
     }
 
-    fn refused(&self, status: StatusCode, body: &[u8]) -> PlatformError {
+    /// The error for an answer with a status that refuses.
+    pub fn refused(&self, status: StatusCode, body: &[u8]) -> PlatformError {
         let body = String::from_utf8_lossy(body).into_owned();
         PlatformError::Refused { service: self.service, status: status.as_u16(), body }
     }
--- a/crates/kitetrail-platform/src/lib.rs
+++ b/crates/kitetrail-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! ones its adapters speak to.
 
 mod error;
+pub mod fleet;
 pub mod headers;
 mod http;
 mod services;
--- a/crates/kitetrail-proto/src/lib.rs
+++ b/crates/kitetrail-proto/src/lib.rs
@@ -1,6 +1,6 @@
 //! The messages between kitetrail's daemons.
 //!
-//! The code is generated from `proto/peer.proto` and committed. The test
+//! The code is generated from the files in `proto/` and committed. The test
 //! `generated_code_is_current` says how to write it anew.
 
 mod convert;
@@ -10,4 +10,9 @@
 #[path = "generated/kitetrail.peer.v1.rs"]
 pub mod peer;
 
+#[allow(missing_docs, clippy::all, clippy::unwrap_used)]
+#[rustfmt::skip]
+#[path = "generated/kitetrail.jobs.v1.rs"]
+pub mod jobs;
+
 pub use convert::MessageError;
--- /dev/null
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -0,0 +1,135 @@
+//! Callers' requests on their way to the owner of the fleet, wherever it is.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kitetrail_core::jobs::{JobId, JobSpec, JobState, Outcome, ProgressRecord, QueueTerms};
+use kitetrail_platform::fleet::RowStore;
+use tokio::sync::oneshot;
+
+use super::{Platform, owner::OwnerMessage, rows, shared::Shared};
+
+/// How long to wait before the owner is asked again, if nothing is heard of another one.
+const RETRY: Duration = Duration::from_millis(60);
+/// How long one try may take. The owner answers within some 20 ms if the store does.
+const TRY: Duration = Duration::from_millis(900);
+/// How long to wait for the owner before a job's state is read from the store instead.
+const STATE_FALLBACK: Duration = Duration::from_millis(300);
+
+/// What a caller wants of the owner.
+#[derive(Debug, Clone)]
+pub(super) enum Call {
+    /// Take a job.
+    Submit { job: JobId, queue: QueueTerms, spec: Rc<JobSpec> },
+    /// Cancel a job.
+    Cancel { job: JobId },
+    /// Tell a job's state.
+    State { job: JobId },
+}
+
+/// What the owner says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Answer {
+    /// The job is kept.
+    Accepted,
+    /// The job is cancelled, or had ended.
+    Cancelled,
+    /// There is no such job.
+    UnknownJob,
+    /// How the job stands.
+    State(JobState),
+    /// Nobody was found who owns the fleet. Nothing was done.
+    NotRun,
+    /// It may have been done.
+    InDoubt,
+    /// The asked box does not own the fleet. Nothing was done.
+    NotOwner,
+}
+
+/// Brings a call to the owner and its answer back, or gives up.
+pub(super) async fn answer<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    call: Call,
+    give_up_at: Instant,
+) -> Answer {
+    let started = Instant::now();
+    let mut in_doubt = false;
+    loop {
+        let left = give_up_at.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return if in_doubt { Answer::InDoubt } else { Answer::NotRun };
+        }
+        let changed = shared.owner_changed.notified();
+        let answered = tokio::select! {
+            answer = try_once(shared, &call, left.min(TRY)) => answer,
+            () = changed => Answer::InDoubt,
+        };
+        match answered {
+            Answer::NotOwner | Answer::NotRun => {}
+            Answer::InDoubt => in_doubt = true,
+            answer => return answer,
+        }
+        if let Call::State { job } = &call
+            && started.elapsed() >= STATE_FALLBACK
+            && let Some(answer) = read_state(shared, *job).await
+        {
+            return answer;
+        }
+        let changed = shared.owner_changed.notified();
+        let _ = tokio::time::timeout(RETRY.min(left), changed).await;
+    }
+}
+
+async fn try_once<P: Platform>(shared: &Rc<Shared<P>>, call: &Call, within: Duration) -> Answer {
+    let local = shared.local_owner.borrow().clone();
+    let owner = shared.owner();
+    match (local, owner.address) {
+        (Some((_, owner)), _) => ask_local(owner, call.clone(), within).await,
+        (None, Some(address)) if address != shared.settings.listen.peers => {
+            shared.peers.call(address, call, within).await
+        }
+        _ => Answer::NotRun,
+    }
+}
+
+/// Asks the owner in this process.
+pub(super) async fn ask_local(
+    owner: tokio::sync::mpsc::Sender<OwnerMessage>,
+    call: Call,
+    within: Duration,
+) -> Answer {
+    let (reply, answer) = oneshot::channel();
+    if owner.try_send(OwnerMessage::Call(call, reply)).is_err() {
+        return Answer::NotRun;
+    }
+    match tokio::time::timeout(within, answer).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) | Err(_) => Answer::InDoubt,
+    }
+}
+
+/// What the store says of a job, while no owner answers.
+async fn read_state<P: Platform>(shared: &Rc<Shared<P>>, job: JobId) -> Option<Answer> {
+    let name = job.to_string();
+    let progress = shared.services.store.read(&rows::progress_row(&name)).await;
+    shared.note_store(&progress);
+    let progress = progress.ok()?;
+    let Some(row) = progress else {
+        let kept = shared.services.store.read(&rows::job_row(&name)).await;
+        shared.note_store(&kept);
+        return match kept.ok()? {
+            Some(_) => Some(Answer::State(JobState::Queued)),
+            None => Some(Answer::UnknownJob),
+        };
+    };
+    let progress = rows::decode::<ProgressRecord>(&row);
+    let progress = progress.inspect_err(|error| log::error!("store: a row can't be read: {error}"));
+    Some(Answer::State(match progress.ok()?.outcome {
+        Outcome::Open => JobState::Running,
+        Outcome::Completed => JobState::Completed,
+        Outcome::Failed => JobState::Failed,
+        Outcome::Cancelled => JobState::Cancelled,
+    }))
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -0,0 +1,123 @@
+//! Writes the owner's batches to the store, one at a time, each on the condition that the one
+//! before is the last write there.
+
+use std::{rc::Rc, time::Duration};
+
+use kitetrail_core::jobs::Record;
+use kitetrail_platform::{
+    PlatformError,
+    fleet::{RowStore, RowTransaction, TransactionAnswer},
+};
+use tokio::sync::mpsc;
+
+use super::{
+    Platform,
+    owner::OwnerMessage,
+    rows::{self, HeadRow},
+    shared::Shared,
+};
+
+/// How often the owner writes at least. Other boxes take an owner for lost that has not written
+/// for more than twice as long.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(500);
+/// How long to wait after a call that brought no answer. Short: the store may be back.
+const RETRY: Duration = Duration::from_millis(60);
+/// How long to wait after the store said that it has too much to do.
+const BUSY_RETRY: Duration = Duration::from_millis(150);
+
+/// Records to keep for good.
+#[derive(Debug)]
+pub(super) struct Batch {
+    pub(super) number: u64,
+    pub(super) records: Vec<Record>,
+}
+
+/// The owner's writer.
+pub(super) struct Committer<P: Platform> {
+    pub(super) shared: Rc<Shared<P>>,
+    pub(super) epoch: u64,
+    pub(super) head_version: u64,
+    pub(super) write: u64,
+    pub(super) owner: mpsc::Sender<OwnerMessage>,
+}
+
+impl<P: Platform> Committer<P> {
+    /// Writes until no more batches come or another owner has written.
+    pub(super) async fn run(mut self, mut batches: mpsc::Receiver<Batch>) {
+        loop {
+            let (number, records) = match tokio::time::timeout(HEARTBEAT, batches.recv()).await {
+                Ok(Some(Batch { number, records })) => (Some(number), records),
+                Ok(None) => return,
+                Err(_) => (None, Vec::new()),
+            };
+            if !self.write(&records).await {
+                let _ = self.owner.send(OwnerMessage::Deposed("another owner wrote")).await;
+                return;
+            }
+            if let Some(number) = number {
+                let _ = self.owner.send(OwnerMessage::Committed(number)).await;
+            }
+        }
+    }
+
+    /// Writes records. `false`: another owner has written.
+    async fn write(&mut self, records: &[Record]) -> bool {
+        self.write += 1;
+        let head = HeadRow { epoch: self.epoch, write: self.write };
+        let transaction = match self.transaction(head, records) {
+            Ok(transaction) => transaction,
+            Err(error) => {
+                log::error!("owner: records can't be encoded: {error}");
+                return false;
+            }
+        };
+        loop {
+            let answer = self.shared.services.store.transact(&transaction).await;
+            self.shared.note_store(&answer);
+            match answer {
+                Ok(TransactionAnswer::Done { version }) => {
+                    self.head_version = version;
+                    self.shared.metrics.note_commit("done");
+                    return true;
+                }
+                Ok(TransactionAnswer::Conflict { rows }) => {
+                    // An earlier try, whose answer was lost, may have done it.
+                    let ours = rows.iter().find(|row| rows::decode(row).ok() == Some(head));
+                    self.shared.metrics.note_commit(if ours.is_some() {
+                        "done"
+                    } else {
+                        "conflict"
+                    });
+                    let Some(row) = ours else { return false };
+                    self.head_version = row.version;
+                    return true;
+                }
+                Err(error) => self.note_failure(&error).await,
+            }
+            if self.owner.is_closed() {
+                return true;
+            }
+        }
+    }
+
+    async fn note_failure(&self, error: &PlatformError) {
+        self.shared.metrics.note_commit("failed");
+        log::debug!(write = self.write; "owner: a write failed and is tried again: {error}");
+        let busy = matches!(error, PlatformError::Refused { .. });
+        tokio::time::sleep(if busy { BUSY_RETRY } else { RETRY }).await;
+    }
+
+    fn transaction(
+        &self,
+        head: HeadRow,
+        records: &[Record],
+    ) -> Result<RowTransaction, serde_json::Error> {
+        let mut transaction = RowTransaction::default();
+        transaction.expected.push((rows::head_row(), self.head_version));
+        transaction.puts.push((rows::head_row(), serde_json::to_vec(&head)?));
+        for record in records {
+            rows::add(&mut transaction, record)?;
+        }
+        Ok(transaction)
+    }
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -0,0 +1,262 @@
+//! Takes callers' requests over HTTP.
+
+use std::{
+    convert::Infallible,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use kitetrail_core::{
+    fleet_config::{CallerLimits, FleetConfig, QueueRoute},
+    jobs::{JobId, JobState},
+};
+use kitetrail_platform::fleet::JobCodec;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{
+    Platform,
+    calls::{self, Answer, Call},
+    shared::Shared,
+};
+
+/// How long a call is held at most while no owner answers. Long enough for a hand-over in order
+/// (some 100 ms) and most takeovers; short enough that the caller still has time to ask another box.
+const HOLD_AT_MOST: Duration = Duration::from_millis(1_300);
+/// Kept from the time that a caller waits, for the way back.
+const WAY_BACK: Duration = Duration::from_millis(60);
+/// When a caller whose request was not run should come back, in seconds.
+const COME_BACK_S: &str = "1";
+/// The smallest buffer that the HTTP library allows.
+const LEAST_BUFFER_BYTES: usize = 8_192;
+
+/// Takes connections until the process ends.
+pub(super) async fn accept<P: Platform>(shared: Rc<Shared<P>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&shared), stream));
+            }
+            Err(error) => {
+                log::warn!("front: a connection can't be taken: {error}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn connection<P: Platform>(shared: Rc<Shared<P>>, stream: TcpStream) {
+    let limits = shared.config().map(|config| config.limits).unwrap_or_default();
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("front: a connection keeps its delay: {error}");
+    }
+    let service = service_fn(move |request| {
+        let shared = Rc::clone(&shared);
+        async move {
+            shared.in_progress.set(shared.in_progress.get() + 1);
+            let mut response = answer(&shared, request, limits).await;
+            shared.in_progress.set(shared.in_progress.get() - 1);
+            if shared.draining.get() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(1)))
+        .max_buf_size(limits.max_header_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("front: a connection ended: {error}");
+    }
+}
+
+async fn answer<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    request: Request<Incoming>,
+    limits: CallerLimits,
+) -> Response<Full<Bytes>> {
+    let started = Instant::now();
+    let Some(config) = shared.config() else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet");
+    };
+    let (what, response) = route(shared, &config, request, limits, started).await;
+    let latency_ms = started.elapsed().as_secs_f64() * 1_000.0;
+    shared.metrics.note_request(response.status().as_str(), what, latency_ms);
+    response
+}
+
+async fn route<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    config: &FleetConfig,
+    request: Request<Incoming>,
+    limits: CallerLimits,
+    started: Instant,
+) -> (&'static str, Response<Full<Bytes>>) {
+    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+    let host = host.split(':').next().unwrap_or("");
+    let path = request.uri().path().to_owned();
+    let Some((route, rest)) = config.route(host, &path) else {
+        log::info!(host = host, path = path, config = config.version; "front: no such queue");
+        return ("no-queue", refuse(StatusCode::NOT_FOUND, "no queue answers here"));
+    };
+    if rest.is_empty() {
+        return match *request.method() {
+            Method::GET => ("pending", pending(shared, route)),
+            _ => ("bad", refuse(StatusCode::METHOD_NOT_ALLOWED, "a queue can only be read")),
+        };
+    }
+    let Ok(job) = rest.parse::<JobId>() else {
+        return ("bad", refuse(StatusCode::BAD_REQUEST, "a job's id has 16 hexadecimal digits"));
+    };
+    let give_up_at = started + patience(shared, route, &request);
+    match *request.method() {
+        Method::POST => ("submit", submit(shared, route, job, request, limits, give_up_at).await),
+        Method::GET => ("state", state(shared, job, give_up_at).await),
+        Method::DELETE => ("cancel", cancel(shared, job, give_up_at).await),
+        _ => ("bad", refuse(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE")),
+    }
+}
+
+/// How long an answer may take.
+fn patience<P: Platform>(
+    shared: &Shared<P>,
+    route: &QueueRoute,
+    request: &Request<Incoming>,
+) -> Duration {
+    let header = request.headers().get(shared.services.codec.time_left_header());
+    let left_ms =
+        header.and_then(|text| text.to_str().ok()).and_then(|text| text.parse::<u64>().ok());
+    let route_ms = Some(route.timeout_ms).filter(|&timeout_ms| timeout_ms > 0);
+    let limits = [left_ms, route_ms].into_iter().flatten().map(Duration::from_millis);
+    let limit = limits.min().unwrap_or(HOLD_AT_MOST);
+    limit.saturating_sub(WAY_BACK).min(HOLD_AT_MOST)
+}
+
+fn pending<P: Platform>(shared: &Shared<P>, route: &QueueRoute) -> Response<Full<Bytes>> {
+    let pending = shared.pending.borrow().get(route.queue.name.as_str()).copied().unwrap_or(0);
+    json(StatusCode::OK, shared.services.codec.write_pending(pending))
+}
+
+async fn submit<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    route: &QueueRoute,
+    job: JobId,
+    request: Request<Incoming>,
+    limits: CallerLimits,
+    give_up_at: Instant,
+) -> Response<Full<Bytes>> {
+    let body = match read_body(request, limits).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    let spec = shared.services.codec.read_job(&body);
+    let spec = spec.and_then(|spec| spec.check().map(|()| spec).map_err(|error| error.to_string()));
+    let spec = match spec {
+        Ok(spec) => Rc::new(spec),
+        Err(error) => {
+            log::info!(job = job.to_string(), why = error.as_str(); "front: a job is malformed");
+            return refuse(StatusCode::BAD_REQUEST, &error);
+        }
+    };
+    let call = Call::Submit { job, queue: route.queue.clone(), spec };
+    let answer = calls::answer(shared, call, give_up_at).await;
+    match answer {
+        Answer::Accepted => empty(StatusCode::OK),
+        answer => give_up("submit", job, answer),
+    }
+}
+
+async fn state<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    job: JobId,
+    give_up_at: Instant,
+) -> Response<Full<Bytes>> {
+    match calls::answer(shared, Call::State { job }, give_up_at).await {
+        Answer::State(state) => json(StatusCode::OK, shared.services.codec.write_state(state)),
+        Answer::UnknownJob => refuse(StatusCode::GONE, "there is no such job"),
+        answer => give_up("state", job, answer),
+    }
+}
+
+async fn cancel<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    job: JobId,
+    give_up_at: Instant,
+) -> Response<Full<Bytes>> {
+    match calls::answer(shared, Call::Cancel { job }, give_up_at).await {
+        Answer::Cancelled => {
+            json(StatusCode::OK, shared.services.codec.write_state(JobState::Cancelled))
+        }
+        Answer::UnknownJob => refuse(StatusCode::GONE, "there is no such job"),
+        answer => give_up("cancel", job, answer),
+    }
+}
+
+/// The answer to a call that brought none in time.
+fn give_up(what: &str, job: JobId, answer: Answer) -> Response<Full<Bytes>> {
+    log::warn!(job = job.to_string(), call = what, answer:? = answer; "front: a call is given up");
+    match answer {
+        Answer::InDoubt => {
+            refuse(StatusCode::GATEWAY_TIMEOUT, "it may have been done: ask again with the same id")
+        }
+        _ => refuse(StatusCode::SERVICE_UNAVAILABLE, "it was not done: ask again later"),
+    }
+}
+
+async fn read_body(
+    request: Request<Incoming>,
+    limits: CallerLimits,
+) -> Result<Bytes, Response<Full<Bytes>>> {
+    let body = Limited::new(request.into_body(), limits.max_body_bytes).collect();
+    let timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
+    match tokio::time::timeout(timeout, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(closing(refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")))
+        }
+        Ok(Err(error)) => {
+            log::debug!("front: a body can't be read: {error}");
+            Err(closing(refuse(StatusCode::BAD_REQUEST, "the body can't be read")))
+        }
+        Err(_) => Err(closing(refuse(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"))),
+    }
+}
+
+fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn refuse(status: StatusCode, why: &str) -> Response<Full<Bytes>> {
+    let body = serde_json::json!({ "error": why }).to_string();
+    let mut response = json(status, Bytes::from(body));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(COME_BACK_S));
+    }
+    response
+}
+
+fn json(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -0,0 +1,44 @@
+//! Runs the jobs of a fleet: every box takes calls, one of them owns the fleet.
+//!
+//! What must last lives in the platform's store. Boxes keep nothing of their own.
+
+mod calls;
+mod committer;
+mod config_watch;
+mod front;
+mod notes;
+mod operators;
+mod owner;
+mod ownership;
+mod peers;
+mod rows;
+mod run;
+mod settings;
+mod shared;
+mod workers_watch;
+
+use kitetrail_platform::fleet::{ConfigSource, JobCodec, RowStore, WorkerControl, WorkerList};
+
+pub use run::run;
+pub use settings::{FleetSettings, Listen};
+
+/// The platform's services, as one type.
+pub trait Platform: 'static {
+    /// The store, which also lists workers and holds the operators' configuration.
+    type Store: RowStore + WorkerList + ConfigSource + Clone + 'static;
+    /// Orders to workers.
+    type Workers: WorkerControl + Clone + 'static;
+    /// How callers write jobs.
+    type Codec: JobCodec + Clone + 'static;
+}
+
+/// The platform's services.
+#[derive(Debug, Clone)]
+pub struct Services<P: Platform> {
+    /// The store.
+    pub store: P::Store,
+    /// Orders to workers.
+    pub workers: P::Workers,
+    /// How callers write jobs.
+    pub codec: P::Codec,
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -0,0 +1,52 @@
+//! The scheduler's decisions as lines of the log.
+
+use kitetrail_core::jobs::{Note, TaskName};
+
+/// Writes a decision.
+pub(super) fn write(note: &Note) {
+    match note {
+        Note::Submitted { job, queue, tasks, known } => log::info!(
+            job = job.to_string(), queue = queue.as_str(), tasks = *tasks, known = *known;
+            "job: handed in"
+        ),
+        Note::JobEnded { job, state, after_ms, objective_ms } => log::info!(
+            job = job.to_string(), state:? = *state, after_ms = *after_ms,
+            objective_ms = *objective_ms;
+            "job: ended"
+        ),
+        Note::Placed { task, run, worker, free, heard_ago_ms } => log::info!(
+            job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
+            free = free.to_string(), heard_ago_ms:? = *heard_ago_ms;
+            "run: placed"
+        ),
+        Note::RunEnded { task, run, worker, how } => log::info!(
+            job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
+            how:? = *how;
+            "run: ended"
+        ),
+        Note::RunGivenUp { task, run, worker, why } => log::warn!(
+            job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
+            why = *why;
+            "run: given up"
+        ),
+        Note::OrderFailed { task, run, worker, answer } => log::warn!(
+            job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
+            answer:? = *answer;
+            "order: not done"
+        ),
+        Note::Worker { worker, belief, heard_ago_ms } => log::info!(
+            worker = worker.as_str(), belief = *belief, heard_ago_ms:? = *heard_ago_ms;
+            "worker: believed otherwise"
+        ),
+        Note::Paced { worker, percent, tail_of_target_percent } => log::info!(
+            worker = worker.as_str(), percent = *percent,
+            tail_of_target_percent = *tail_of_target_percent;
+            "worker: what fills is paced"
+        ),
+    }
+}
+
+/// The task within its job.
+fn short(task: &TaskName) -> String {
+    format!("{}.{}.{}", task.occurrence, task.step, task.index)
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/operators.rs
@@ -0,0 +1,71 @@
+//! Whether the box takes new connections, and its counters.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use salvo::{
+    Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait,
+    conn::TcpListener, http::StatusCode, writing::Text,
+};
+
+use super::FleetSettings;
+use crate::metrics::Metrics;
+
+/// Whether the box takes new connections, as told to the server's threads.
+pub(super) type ReadyFlag = Arc<AtomicBool>;
+
+/// Answers until the process ends.
+pub(super) fn start(settings: &FleetSettings, ready: ReadyFlag, metrics: Metrics) {
+    let path = settings.ready_path.trim_start_matches('/');
+    let readiness = Router::with_path(path).get(Readiness { ready });
+    serve(settings.listen.ready, readiness);
+    serve(settings.listen.metrics, Router::with_path("metrics").get(Counters { metrics }));
+}
+
+fn serve(address: std::net::SocketAddr, routes: Router) {
+    tokio::task::spawn_local(async move {
+        match TcpListener::new(address).try_bind().await {
+            Ok(listener) => Server::new(listener).serve(routes).await,
+            Err(error) => log::error!("operators: can't answer on {address}: {error}"),
+        }
+    });
+}
+
+struct Readiness {
+    ready: ReadyFlag,
+}
+
+#[async_trait]
+impl Handler for Readiness {
+    async fn handle(
+        &self,
+        _: &mut Request,
+        _: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        response.status_code(match self.ready.load(Ordering::Relaxed) {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        });
+    }
+}
+
+struct Counters {
+    metrics: Metrics,
+}
+
+#[async_trait]
+impl Handler for Counters {
+    async fn handle(
+        &self,
+        _: &mut Request,
+        _: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        response.render(Text::Plain(self.metrics.page()));
+    }
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -0,0 +1,248 @@
+//! The owner of the fleet: one loop that feeds the scheduler and does what it asks for.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use kitetrail_core::jobs::{
+    Action, CancelAnswer, Discovery, Event, JobId, RequestNo, Scheduler, SubmitAnswer,
+};
+use kitetrail_platform::fleet::WorkerControl;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::MissedTickBehavior,
+};
+
+use super::{
+    Platform,
+    calls::{Answer, Call},
+    committer::Batch,
+    notes,
+    shared::Shared,
+};
+use crate::clock::unix_ms;
+
+/// How often time alone is looked at: leases, holds that are due, back-offs.
+const TICK: Duration = Duration::from_millis(40);
+/// An owner that the store has not answered for so long does not say that a job is unknown:
+/// another owner may have taken it.
+const SURE_WITHIN_MS: u64 = 1_200;
+/// How long an owner goes on without the store. Longer than the outages that the platform tells
+/// of; a new owner waits so much longer for workers it can't reach.
+pub(super) const WITHOUT_STORE: Duration = Duration::from_millis(12_000);
+
+/// What the owner's loop is told.
+#[derive(Debug)]
+pub(super) enum OwnerMessage {
+    /// A caller's request.
+    Call(Call, oneshot::Sender<Answer>),
+    /// Something happened.
+    Event(Event),
+    /// A batch is kept.
+    Committed(u64),
+    /// Another owner took the fleet over, or must have.
+    Deposed(&'static str),
+    /// Give the fleet up in order.
+    Release,
+}
+
+/// How an owner ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Ended {
+    /// Another owner took over.
+    Deposed,
+    /// It was told to give the fleet up, and has.
+    Released,
+}
+
+/// The owner of the fleet.
+pub(super) struct Owner<P: Platform> {
+    shared: Rc<Shared<P>>,
+    scheduler: Scheduler,
+    inbox: mpsc::Receiver<OwnerMessage>,
+    sender: mpsc::Sender<OwnerMessage>,
+    batches: mpsc::Sender<Batch>,
+    next_request: u64,
+    submits: HashMap<RequestNo, oneshot::Sender<Answer>>,
+    unkept: bool,
+}
+
+impl<P: Platform> Owner<P> {
+    pub(super) fn new(
+        shared: Rc<Shared<P>>,
+        scheduler: Scheduler,
+        (sender, inbox): (mpsc::Sender<OwnerMessage>, mpsc::Receiver<OwnerMessage>),
+        batches: mpsc::Sender<Batch>,
+    ) -> Self {
+        let submits = HashMap::new();
+        Self { shared, scheduler, inbox, sender, batches, next_request: 0, submits, unkept: false }
+    }
+
+    /// Owns the fleet until told otherwise.
+    pub(super) async fn run(mut self) -> Ended {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.configure();
+        let mut releasing = false;
+        loop {
+            let message = tokio::select! {
+                biased;
+                message = self.inbox.recv() => message,
+                _ = ticks.tick() => Some(OwnerMessage::Event(Event::Tick)),
+                () = self.shared.config_changed.notified() => {
+                    self.configure();
+                    continue;
+                }
+            };
+            match message {
+                None => return Ended::Deposed,
+                Some(OwnerMessage::Deposed(why)) => {
+                    log::warn!(why = why; "owner: deposed");
+                    return Ended::Deposed;
+                }
+                Some(OwnerMessage::Release) => releasing = true,
+                Some(OwnerMessage::Call(call, reply)) if releasing => {
+                    let _ = (call, reply.send(Answer::NotOwner));
+                }
+                Some(OwnerMessage::Call(call, reply)) => self.call(call, reply),
+                Some(OwnerMessage::Event(event)) => {
+                    let tick = matches!(event, Event::Tick);
+                    if !self.handle(event) {
+                        return Ended::Deposed;
+                    }
+                    if tick {
+                        self.publish();
+                    }
+                    if tick && self.store_lost_too_long() {
+                        return Ended::Deposed;
+                    }
+                }
+                Some(OwnerMessage::Committed(batch)) => {
+                    self.unkept = false;
+                    self.handle(Event::Committed(batch));
+                }
+            }
+            if releasing && !self.unkept {
+                return Ended::Released;
+            }
+        }
+    }
+
+    fn store_lost_too_long(&self) -> bool {
+        let silent_ms = self.shared.store_silent_ms();
+        let too_long = u128::from(silent_ms) > WITHOUT_STORE.as_millis();
+        if too_long {
+            log::warn!(silent_ms = silent_ms; "owner: gives up, the store has not answered");
+        }
+        too_long
+    }
+
+    fn configure(&mut self) {
+        if let Some(config) = self.shared.config() {
+            self.handle(Event::Queues(config.queues()));
+        }
+    }
+
+    fn call(&mut self, call: Call, reply: oneshot::Sender<Answer>) {
+        let request = RequestNo(self.next_request);
+        self.next_request += 1;
+        match call {
+            Call::Submit { job, queue, spec } => {
+                self.submits.insert(request, reply);
+                let spec = Box::new(Rc::unwrap_or_clone(spec));
+                self.handle(Event::Submit { request, job, queue, spec });
+            }
+            Call::Cancel { job } => {
+                self.submits.insert(request, reply);
+                self.handle(Event::Cancel { request, job });
+            }
+            Call::State { job } => {
+                let _ = reply.send(self.state(job));
+            }
+        }
+    }
+
+    fn state(&self, job: JobId) -> Answer {
+        match self.scheduler.state(job) {
+            Some(state) => Answer::State(state),
+            None => self.unknown(),
+        }
+    }
+
+    fn unknown(&self) -> Answer {
+        match self.shared.store_silent_ms() {
+            silent_ms if silent_ms <= SURE_WITHIN_MS => Answer::UnknownJob,
+            _ => Answer::InDoubt,
+        }
+    }
+
+    /// Feeds the scheduler and does what it asks for. `false`: deposed.
+    fn handle(&mut self, event: Event) -> bool {
+        let actions = self.scheduler.handle(event, self.shared.clock.now(), unix_ms());
+        actions.into_iter().all(|action| self.act(action))
+    }
+
+    fn act(&mut self, action: Action) -> bool {
+        match action {
+            Action::Order { life, entry, token, lease_until_ms, order } => {
+                self.shared.metrics.note_decision("order");
+                let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
+                tokio::task::spawn_local(async move {
+                    let answer = workers.order(&entry, token, lease_until_ms, &order).await;
+                    let event = Event::OrderAnswered { life, order, answer };
+                    let _ = sender.send(OwnerMessage::Event(event)).await;
+                });
+            }
+            Action::Hold { life, entry, hold } => {
+                self.shared.metrics.note_decision("hold");
+                let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
+                let sent_at = self.shared.clock.now();
+                tokio::task::spawn_local(async move {
+                    let answer = workers.hold(&entry, &hold).await;
+                    let event = Event::Held { life, hold, sent_at, answer };
+                    let _ = sender.send(OwnerMessage::Event(event)).await;
+                });
+            }
+            Action::Commit { batch, records } => {
+                self.unkept = true;
+                // One batch is on its way at most, and the channel has room for one.
+                if self.batches.try_send(Batch { number: batch, records }).is_err() {
+                    log::error!("owner: the writer takes no batch");
+                    return false;
+                }
+            }
+            Action::AnswerSubmit(request, SubmitAnswer::Accepted) => {
+                self.reply(request, Answer::Accepted);
+            }
+            Action::AnswerCancel(request, CancelAnswer::Done) => {
+                self.reply(request, Answer::Cancelled);
+            }
+            Action::AnswerCancel(request, CancelAnswer::Unknown) => {
+                let answer = self.unknown();
+                self.reply(request, answer);
+            }
+            Action::Note(note) => notes::write(&note),
+            Action::Deposed => {
+                log::warn!("owner: deposed, a worker has seen a higher fencing token");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn reply(&mut self, request: RequestNo, answer: Answer) {
+        if let Some(reply) = self.submits.remove(&request) {
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// What other parts of the box are told of how things stand.
+    fn publish(&self) {
+        let counts = self.scheduler.pending_by_queue();
+        let counts = counts.into_iter().map(|(queue, count)| (queue.to_string(), count));
+        *self.shared.pending.borrow_mut() = counts.collect();
+    }
+}
+
+/// An event for the owner about the list of workers.
+pub(super) fn discovered(changes: Vec<Discovery>) -> OwnerMessage {
+    OwnerMessage::Event(Event::Discovered(changes))
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -0,0 +1,104 @@
+//! The rows that boxes keep in the store.
+
+use std::net::SocketAddr;
+
+use kitetrail_core::jobs::{JobRecord, LifeRecord, ProgressRecord, Record};
+use kitetrail_platform::fleet::{RowName, RowTransaction, StoredRow};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// The part of every table that holds the fleet's rows: one owner, one part, one transaction.
+pub(super) const PART: &str = "fleet-0";
+/// Who owns the fleet. Changes with the owner alone, so that watching it is cheap.
+pub(super) const OWNERS: &str = "kt-owner";
+/// The number of the owner's last write. Every write of the owner depends on it.
+pub(super) const HEADS: &str = "kt-head";
+/// Accepted jobs.
+pub(super) const JOBS: &str = "kt-jobs";
+/// How far they are.
+pub(super) const PROGRESS: &str = "kt-progress";
+/// Workers' lives on which tasks may run.
+pub(super) const LIVES: &str = "kt-lives";
+
+/// Who owns the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct OwnerRow {
+    pub(super) epoch: u64,
+    pub(super) box_name: String,
+    pub(super) incarnation: u64,
+    /// Where the owner answers other boxes.
+    pub(super) address: SocketAddr,
+    /// It gave the fleet up in order: nothing of it is on its way any more.
+    pub(super) released: bool,
+}
+
+/// The last write of an owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct HeadRow {
+    pub(super) epoch: u64,
+    pub(super) write: u64,
+}
+
+pub(super) fn owner_row() -> RowName {
+    row(OWNERS, "owner")
+}
+
+pub(super) fn head_row() -> RowName {
+    row(HEADS, "head")
+}
+
+pub(super) fn job_row(job: &str) -> RowName {
+    row(JOBS, job)
+}
+
+pub(super) fn progress_row(job: &str) -> RowName {
+    row(PROGRESS, job)
+}
+
+/// Adds a record to a transaction.
+pub(super) fn add(
+    transaction: &mut RowTransaction,
+    record: &Record,
+) -> Result<(), serde_json::Error> {
+    match record {
+        Record::Job(JobRecord { id, .. }) => put(transaction, job_row(&id.to_string()), record),
+        Record::Progress(ProgressRecord { id, .. }) => {
+            put(transaction, progress_row(&id.to_string()), record)
+        }
+        Record::LifeUsed(LifeRecord { id, .. }) => {
+            put(transaction, row(LIVES, id.as_str()), record)
+        }
+        Record::LifeOver(id) => {
+            transaction.removes.push(row(LIVES, id.as_str()));
+            Ok(())
+        }
+        Record::Forget(id) => {
+            transaction.removes.push(job_row(&id.to_string()));
+            transaction.removes.push(progress_row(&id.to_string()));
+            Ok(())
+        }
+    }
+}
+
+/// Reads what a row holds.
+pub(super) fn decode<T: DeserializeOwned>(row: &StoredRow) -> Result<T, serde_json::Error> {
+    serde_json::from_slice(&row.value)
+}
+
+fn put(
+    transaction: &mut RowTransaction,
+    name: RowName,
+    record: &Record,
+) -> Result<(), serde_json::Error> {
+    let value = match record {
+        Record::Job(job) => serde_json::to_vec(job)?,
+        Record::Progress(progress) => serde_json::to_vec(progress)?,
+        Record::LifeUsed(life) => serde_json::to_vec(life)?,
+        Record::LifeOver(_) | Record::Forget(_) => return Ok(()),
+    };
+    transaction.puts.push((name, value));
+    Ok(())
+}
+
+fn row(table: &'static str, key: &str) -> RowName {
+    RowName { table, part: PART.to_owned(), key: key.to_owned() }
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -0,0 +1,110 @@
+//! Puts the parts of a box together and stops them in order.
+
+use std::{
+    rc::Rc,
+    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    net::TcpListener,
+    runtime,
+    signal::unix::{Signal, SignalKind, signal},
+    task::LocalSet,
+};
+
+use super::{
+    FleetSettings, Platform, Services, config_watch, front, operators, ownership, peers,
+    shared::Shared,
+};
+use crate::{
+    clock::{Clock, incarnation},
+    daemon::DaemonError,
+    metrics::Metrics,
+};
+
+/// How long a box that is told to stop still takes new connections: the platform notices within
+/// two of its questions, a second apart, that it should give it none.
+const TAKE_CONNECTIONS: Duration = Duration::from_millis(2_600);
+/// How often a box that is told to stop looks whether it is done.
+const LOOK: Duration = Duration::from_millis(50);
+/// How often the answer to the platform's question is brought up to date.
+const READY_EVERY: Duration = Duration::from_millis(100);
+
+/// Runs a box until it is told to stop.
+pub fn run<P: Platform>(settings: FleetSettings, services: Services<P>) -> Result<(), DaemonError> {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|cause| io("the runtime can't be started", cause))?;
+    runtime.block_on(LocalSet::new().run_until(run_parts(settings, services)))
+}
+
+async fn run_parts<P: Platform>(
+    settings: FleetSettings,
+    services: Services<P>,
+) -> Result<(), DaemonError> {
+    let metrics = Metrics::new()?;
+    let mut terminate = watch(SignalKind::terminate())?;
+    let mut hang_up = watch(SignalKind::hangup())?;
+    let callers = settings.listen.callers;
+    let listener = TcpListener::bind(callers).await;
+    let listener =
+        listener.map_err(|cause| io(&format!("can't listen for callers on {callers}"), cause))?;
+    let ready = Arc::new(AtomicBool::new(false));
+    operators::start(&settings, Arc::clone(&ready), metrics.clone());
+    let shared = Shared::new(settings, services, Clock::start(), incarnation(), metrics);
+    log::info!(
+        name = shared.settings.box_name.as_str(), incarnation = shared.incarnation;
+        "daemon: starts, takes requests on {callers}"
+    );
+    tokio::task::spawn_local(peers::serve(Rc::clone(&shared)));
+    tokio::task::spawn_local(config_watch::run(Rc::clone(&shared)));
+    tokio::task::spawn_local(ownership::run(Rc::clone(&shared)));
+    tokio::task::spawn_local(front::accept(Rc::clone(&shared), listener));
+    tokio::task::spawn_local(keep_ready(Rc::clone(&shared), ready));
+    loop {
+        tokio::select! {
+            _ = hang_up.recv() => {
+                // Where the platform is, and what it promises, holds for the life of a process.
+                log::info!("daemon: told that its settings changed; those of its start hold");
+            }
+            _ = terminate.recv() => break,
+        }
+    }
+    stop(&shared).await;
+    Ok(())
+}
+
+async fn keep_ready<P: Platform>(shared: Rc<Shared<P>>, ready: Arc<AtomicBool>) {
+    loop {
+        if ready.swap(shared.is_ready(), Ordering::Relaxed) != shared.is_ready() {
+            log::info!(ready = shared.is_ready(); "daemon: takes new connections, or not");
+        }
+        tokio::time::sleep(READY_EVERY).await;
+    }
+}
+
+/// Gives the fleet up, finishes what is in progress, and returns.
+async fn stop<P: Platform>(shared: &Rc<Shared<P>>) {
+    let started = Instant::now();
+    log::info!(in_progress = shared.in_progress.get(); "daemon: stopping");
+    shared.draining.set(true);
+    ownership::give_up(shared).await;
+    let latest = shared.settings.stop_within;
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let (waited, busy) = (started.elapsed(), shared.in_progress.get() > 0);
+        let owns = shared.local_owner.borrow().is_some();
+        if waited >= latest || (waited >= TAKE_CONNECTIONS && !busy && !owns) {
+            break;
+        }
+    }
+    log::info!(in_progress = shared.in_progress.get(); "daemon: stopped");
+}
+
+fn watch(kind: SignalKind) -> Result<Signal, DaemonError> {
+    signal(kind).map_err(|cause| io("signals can't be watched", cause))
+}
+
+fn io(what: &str, cause: std::io::Error) -> DaemonError {
+    DaemonError::Io { what: what.to_owned(), cause }
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -0,0 +1,147 @@
+//! What the parts of one box share: all on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use kitetrail_core::{Time, fleet_config::FleetConfig};
+use kitetrail_platform::PlatformError;
+use tokio::sync::{Notify, mpsc};
+
+use super::{FleetSettings, Platform, Services, owner::OwnerMessage, peers::PeerClients};
+use crate::{clock::Clock, metrics::Metrics};
+
+/// Who owns the fleet, as far as this box knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct OwnerView {
+    pub(super) epoch: u64,
+    /// Where the owner answers other boxes.
+    pub(super) address: Option<SocketAddr>,
+}
+
+/// What the parts of one box share.
+pub(super) struct Shared<P: Platform> {
+    pub(super) settings: FleetSettings,
+    pub(super) services: Services<P>,
+    pub(super) clock: Clock,
+    pub(super) incarnation: u64,
+    pub(super) metrics: Metrics,
+    pub(super) peers: PeerClients,
+    config: RefCell<Option<Rc<FleetConfig>>>,
+    pub(super) config_changed: Notify,
+    owner: Cell<OwnerView>,
+    pub(super) owner_changed: Notify,
+    /// The owner's inbox, while this box owns the fleet.
+    pub(super) local_owner: RefCell<Option<(u64, mpsc::Sender<OwnerMessage>)>>,
+    /// Accepted jobs that have not begun, by queue, as the owner told last.
+    pub(super) pending: RefCell<BTreeMap<String, u64>>,
+    store_heard_at: Cell<Time>,
+    store_lost: Cell<bool>,
+    pub(super) draining: Cell<bool>,
+    /// Requests of callers that are not answered yet.
+    pub(super) in_progress: Cell<usize>,
+}
+
+impl<P: Platform> Shared<P> {
+    pub(super) fn new(
+        settings: FleetSettings,
+        services: Services<P>,
+        clock: Clock,
+        incarnation: u64,
+        metrics: Metrics,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            services,
+            clock,
+            incarnation,
+            metrics,
+            peers: PeerClients::default(),
+            config: RefCell::default(),
+            config_changed: Notify::new(),
+            owner: Cell::default(),
+            owner_changed: Notify::new(),
+            local_owner: RefCell::default(),
+            pending: RefCell::default(),
+            store_heard_at: Cell::new(clock.now()),
+            store_lost: Cell::new(false),
+            draining: Cell::new(false),
+            in_progress: Cell::new(0),
+        })
+    }
+
+    pub(super) fn config(&self) -> Option<Rc<FleetConfig>> {
+        self.config.borrow().clone()
+    }
+
+    pub(super) fn config_version(&self) -> u64 {
+        self.config.borrow().as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Puts a configuration in force if it is newer than the one in force.
+    pub(super) fn offer_config(&self, config: FleetConfig, source: &'static str) {
+        let before = self.config_version();
+        if self.config.borrow().is_some() && config.version <= before {
+            return;
+        }
+        log::info!(
+            version = config.version, before = before, source = source,
+            queues = config.routes.len();
+            "config: in force"
+        );
+        *self.config.borrow_mut() = Some(Rc::new(config));
+        self.config_changed.notify_waiters();
+    }
+
+    pub(super) fn owner(&self) -> OwnerView {
+        self.owner.get()
+    }
+
+    /// Believes in an owner if its epoch is higher than that of the one believed in.
+    pub(super) fn offer_owner(&self, view: OwnerView, source: &'static str) {
+        let before = self.owner.get();
+        if view.epoch < before.epoch || view == before {
+            return;
+        }
+        let address = view.address.map(|address| address.to_string()).unwrap_or_default();
+        log::info!(
+            epoch = view.epoch, before = before.epoch, address = address.as_str(), source = source;
+            "owner: another owner is believed in"
+        );
+        self.owner.set(view);
+        self.owner_changed.notify_waiters();
+    }
+
+    /// Takes note of what a call to the store brought.
+    pub(super) fn note_store<T>(&self, result: &Result<T, PlatformError>) {
+        let answered = match result {
+            Ok(_) => true,
+            Err(PlatformError::Refused { status, .. }) => *status != 503 && *status != 429,
+            Err(_) => false,
+        };
+        if answered {
+            self.store_heard_at.set(self.clock.now());
+        }
+        if self.store_lost.get() == answered {
+            self.store_lost.set(!answered);
+            let cause = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
+            match answered {
+                true => log::info!("store: regained"),
+                false => log::warn!(cause = cause.as_str(); "store: lost"),
+            }
+        }
+    }
+
+    /// How long the store has not answered, in milliseconds.
+    pub(super) fn store_silent_ms(&self) -> u64 {
+        self.clock.now().since(self.store_heard_at.get()).as_millis() as u64
+    }
+
+    /// Whether the platform may give this box new connections.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.config.borrow().is_some()
+    }
+}
--- a/crates/kitetraild/src/lib.rs
+++ b/crates/kitetraild/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod fleet;
 pub mod logging;
 pub mod metrics;
 pub mod operators;
