--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -60,7 +60,10 @@
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>) {
     loop {
         match watch_owner(&shared).await {
-            Ok(Some(claim)) => own(&shared, claim).await,
+            Ok(Some(claim)) => {
+                own(&shared, claim).await;
+                shared.claimed_epoch.set(0);
+            }
             Ok(None) => tokio::time::sleep(PING_EVERY).await,
             Err(error) => {
                 log::debug!("owner: can't be told: {error}");
@@ -109,11 +112,9 @@
 }
 
 async fn judge<P: Platform>(shared: &Rc<Shared<P>>, owner: &OwnerRow) -> Verdict {
-    if owner.released || owner.incarnation == shared.incarnation {
-        return Verdict::Stopped;
-    }
-    if owner.address == shared.settings.listen.peers {
-        // An earlier life of this box.
+    // This box, which does not own the fleet now, or an earlier life of it. Incarnations alone
+    // don't tell: boxes that start together may draw the same one.
+    if owner.released || owner.address == shared.settings.listen.peers {
         return Verdict::Stopped;
     }
     match ping(shared, owner.address).await {
@@ -284,6 +285,7 @@
         address: shared.settings.listen.peers,
         released: false,
     };
+    shared.claimed_epoch.set(row.epoch);
     let head = HeadRow { epoch: row.epoch, write: 0 };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row(), version), (rows::head_row(), claim.head_version)],
--- a/crates/kitetraild/src/fleet/peers.rs
+++ b/crates/kitetraild/src/fleet/peers.rs
@@ -172,7 +172,7 @@
         shared.offer_owner(told, "peer");
     }
     let owner = shared.owner();
-    let owns_epoch = shared.local_owner.borrow().as_ref().map_or(0, |(epoch, _)| *epoch);
+    let owns_epoch = shared.claimed_epoch.get();
     PingAnswer {
         incarnation: shared.incarnation,
         owns_epoch,
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -36,6 +36,10 @@
     pub(super) owner_changed: Notify,
     /// The owner's inbox, while this box owns the fleet.
     pub(super) local_owner: RefCell<Option<(u64, mpsc::Sender<OwnerMessage>)>>,
+    /// The epoch that this box owns the fleet in, or has just asked the store for; 0: neither.
+    ///
+    /// Set before the store is asked: other boxes may read the row before its answer is here.
+    pub(super) claimed_epoch: Cell<u64>,
     /// Accepted jobs that have not begun, by queue, as the owner told last.
     pub(super) pending: RefCell<BTreeMap<String, u64>>,
     store_heard_at: Cell<Time>,
@@ -65,6 +69,7 @@
             owner: Cell::default(),
             owner_changed: Notify::new(),
             local_owner: RefCell::default(),
+            claimed_epoch: Cell::new(0),
             pending: RefCell::default(),
             store_heard_at: Cell::new(clock.now()),
             store_lost: Cell::new(false),
