--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -10,6 +10,7 @@
 use super::{
     event::{Order, Report},
     names::{LifeId, TaskName},
+    scheduler::tails::Estimate,
 };
 use crate::{CpuMillis, MemoryMb, Resources, Time};
 
@@ -71,13 +72,16 @@
     pub(super) fills: bool,
     pub(super) serves: bool,
     pub(super) stopping: bool,
-    pub(super) started_at: Time,
     pub(super) tail_target_ms: Option<u64>,
     pub(super) image: Option<Arc<str>>,
     pub(super) percent: u32,
     pub(super) gauge: Option<u32>,
     /// The share of its speed that it was last told, in percent.
     pub(super) paced_percent: u8,
+    /// For a run that serves: the stress of its own load.
+    pub(super) own_stress: Estimate,
+    /// When its gauge was learned from.
+    pub(super) learned_at: Option<Time>,
 }
 
 /// One life of a worker.
@@ -109,9 +113,8 @@
     pub(super) failures: u32,
     pub(super) set_aside_until: Option<Time>,
     pub(super) set_aside_times: u32,
-    /// The share of their speed that its filling runs have, in percent.
-    pub(super) pace_percent: u8,
-    pub(super) pace_changed_at: Time,
+    /// The share of their speed that runs of an image that fills have, in percent, since when.
+    pub(super) paces: BTreeMap<Arc<str>, (u8, Time)>,
 }
 
 impl Life {
@@ -137,8 +140,7 @@
             failures: 0,
             set_aside_until: None,
             set_aside_times: 0,
-            pace_percent: 100,
-            pace_changed_at: now,
+            paces: BTreeMap::new(),
         }
     }
 
@@ -182,6 +184,11 @@
         self.runs.values().any(|run| run.fills)
     }
 
+    /// Whether something of an image that serves runs there.
+    pub(super) fn serves_image(&self, image: &str) -> bool {
+        self.runs.values().any(|run| run.serves && run.image.as_deref() == Some(image))
+    }
+
     /// The worker's clock at our moment `now`, in milliseconds; `None` before it was heard.
     pub(super) fn clock_ms(&self, now: Time) -> Option<u64> {
         let ahead_ms = self.clock_ahead_ms?;
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -14,6 +14,7 @@
         record::{LifeRecord, Outcome, Record},
     },
     Scheduler,
+    place::Full,
 };
 use crate::Time;
 
@@ -117,7 +118,7 @@
 
     pub(super) fn committed(&mut self, number: u64) {
         let Some(batch) = self.pending.sent.take_if(|batch| batch.number == number) else { return };
-        for id in batch.new_jobs {
+        for &id in &batch.new_jobs {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.kept = true;
             let waiters = std::mem::take(&mut job.submit_waiters);
@@ -143,6 +144,9 @@
                 life.ends_kept = life.ends_kept.max(kept);
             }
         }
+        for id in batch.new_jobs {
+            self.place_job(id, &mut Full::default());
+        }
         self.replan = true;
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -10,6 +10,7 @@
         names::TaskName,
     },
     Scheduler,
+    tails::Estimate,
 };
 use crate::Time;
 
@@ -140,12 +141,13 @@
             fills: step.is_some_and(|step| step.fills),
             serves: step.is_some_and(|step| step.tail_target_ms.is_some()),
             stopping: false,
-            started_at: now,
             tail_target_ms: step.and_then(|step| step.tail_target_ms),
             image: step.and_then(|step| step.image.as_deref().map(Into::into)),
             percent: running.percent,
             gauge: running.gauge,
             paced_percent: u8::MAX,
+            own_stress: Estimate::own(),
+            learned_at: None,
         };
         if let Some(life) = self.lives.get_mut(&no) {
             life.runs.insert(name, there);
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod pace;
 mod place;
 mod requests;
+pub(super) mod tails;
 mod workers;
 
 use std::{
@@ -35,6 +36,9 @@
 /// How many runs' numbers each owner leaves to the one before, which may have used some that
 /// nobody reports.
 const RUNS_PER_EPOCH: u32 = 1_000;
+/// How often all jobs that wait are looked at, at most. A job that was just accepted does not wait
+/// for it.
+const PLACE_EVERY: Duration = Duration::from_millis(20);
 /// How far the fencing token's counter reaches below the owner's epoch.
 const TOKEN_COUNTER_BITS: u32 = 20;
 
@@ -80,7 +84,10 @@
     /// Lives that the owner before used and that have not been heard or outwaited yet.
     unheard: BTreeSet<LifeNo>,
     pending: commit::Pending,
+    tails: tails::TailModel,
     replan: bool,
+    /// When all jobs were looked at last.
+    placed_at: Time,
     out: Vec<Action>,
 }
 
@@ -108,7 +115,9 @@
             next_life: 0,
             unheard: BTreeSet::new(),
             pending: commit::Pending::default(),
+            tails: tails::TailModel::default(),
             replan: true,
+            placed_at: Time::ZERO,
             out: Vec::new(),
         };
         scheduler.inherit(inheritance);
@@ -131,8 +140,9 @@
             Event::Committed(batch) => self.committed(batch),
             Event::Tick => self.tick(),
         }
-        if self.replan {
+        if self.replan && self.now.since(self.placed_at) >= PLACE_EVERY {
             self.replan = false;
+            self.placed_at = self.now;
             self.place_all();
         }
         self.commit_if_due();
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -1,63 +1,73 @@
-//! Keeps what serves below its target by slowing what fills beside it.
+//! Keeps what serves below its target by slowing what fills beside it, and no more than needed.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{
     super::{
         event::{Action, Note, Order},
-        life::{Life, LifeNo},
+        life::{Life, LifeNo, Phase, RunThere},
+        spec::StepSpec,
     },
     Scheduler,
+    tails::{Load, Tail, TailModel},
 };
 
-/// Above so much of its target, in percent, a tail slows what fills beside it. Below 100, since a
-/// gauge is rough and tells of the last half second.
-const SLOW_ABOVE_PERCENT: u32 = 90;
-/// Below so much, what fills is let go faster.
-const FASTER_BELOW_PERCENT: u32 = 65;
-/// How much faster at a time, in percentage points.
-const FASTER_STEP: u8 = 20;
-/// Below this share what fills is halted: it would hold memory for next to no work.
-const LEAST_PACE_PERCENT: u8 = 12;
-/// How long a change of pace takes to show in the gauges: 100 ms until it holds, and half a second
-/// of measuring.
-const SETTLE: Duration = Duration::from_millis(550);
+/// The share of its target that a tail is to stay below. Less than all of it: gauges are rough,
+/// tell of the last half second, and loads swing.
+const AIM: f64 = 0.8;
+/// Effects below this are not worth slowing anything for: they are within the noise of gauges.
+const SLIGHT_EFFECT: f64 = 0.08;
+/// Paces are multiples of this, in percent, so that small changes cost no orders.
+const PACE_STEP: u8 = 20;
+/// How long a pace holds at least before it is raised: the gauges tell of the last half second.
+const RAISE_AFTER: Duration = Duration::from_millis(600);
+/// While a tail is above its target, what may cause it loses at least this share of its pace,
+/// whatever the model says.
+const CUT_WHEN_OVER: f64 = 0.6;
 
 impl Scheduler {
+    /// Learns from the newest report of a worker and paces what fills there.
     pub(super) fn control_pace(&mut self, no: LifeNo) {
         let now = self.now;
         let Some(life) = self.lives.get_mut(&no) else { return };
+        let loads = loads_in_use(life);
+        learn(&mut self.tails, life, &loads, now);
         if !life.fills() {
-            life.pace_percent = 100;
+            life.paces.clear();
             return;
         }
-        let worst = worst_tail_percent(life).unwrap_or(0);
-        let settled = now.since(life.pace_changed_at) >= SETTLE;
-        let before = life.pace_percent;
-        let after = match worst {
-            worst if worst > SLOW_ABOVE_PERCENT && settled => before / 2,
-            worst if worst < FASTER_BELOW_PERCENT && settled => (before + FASTER_STEP).min(100),
-            _ => before,
-        };
-        let halted = worst > SLOW_ABOVE_PERCENT && after < LEAST_PACE_PERCENT;
-        life.pace_percent = if halted { 0 } else { after };
-        if life.pace_percent != before {
-            life.pace_changed_at = now;
+        let before = std::mem::take(&mut life.paces);
+        let wanted = paces(&self.tails, life, &before);
+        let mut worst_change = None;
+        for (image, pace) in wanted {
+            let held = before.get(&image).copied();
+            let (percent, changed_at) = held.unwrap_or((100, crate::Time::ZERO));
+            let target = quantise(pace);
+            let raise = target > percent && now.since(changed_at) >= RAISE_AFTER;
+            let entry =
+                if target < percent || raise { (target, now) } else { (percent, changed_at) };
+            if entry.0 != percent {
+                worst_change = Some(worst_change.map_or(entry.0, |worst: u8| worst.min(entry.0)));
+            }
+            life.paces.insert(image, entry);
+        }
+        if let Some(percent) = worst_change {
             let worker = life.id().clone();
-            let (percent, tail_of_target_percent) = (life.pace_percent, worst);
+            let tail_of_target_percent = worst_tail_percent(life).unwrap_or(0);
             self.out.push(Action::Note(Note::Paced { worker, percent, tail_of_target_percent }));
         }
         self.tell_pace(no);
     }
 
     /// Tells filling runs their share where it is not what they were told.
-    fn tell_pace(&mut self, no: LifeNo) {
+    pub(super) fn tell_pace(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get_mut(&no) else { return };
-        let percent = life.pace_percent;
         let mut orders = Vec::new();
         for (&task, there) in &mut life.runs {
+            let image = image_of(there);
+            let percent = life.paces.get(&image).map_or(100, |(percent, _)| *percent);
             let differs = there.fills && !there.stopping && there.paced_percent != percent;
-            if differs && matches!(there.phase, super::super::life::Phase::Running(_)) {
+            if differs && matches!(there.phase, Phase::Running(_)) {
                 there.paced_percent = percent;
                 orders.push(Order::Pace { task, run: there.run, percent });
             }
@@ -66,6 +76,123 @@
             self.order(no, order);
         }
     }
+
+    /// The share of its full speed that a task that fills would be let work at, 0 to 1.
+    pub(super) fn expected_pace(&self, life: &Life, spec: &StepSpec) -> f64 {
+        let image = spec.image.as_deref().unwrap_or("");
+        let capacity = capacity_millis(life);
+        let load = f64::from(spec.size.cpu_millis.0) / capacity;
+        let full = full_loads(life);
+        let pace_beside = |run: &RunThere| {
+            let serves = image_of(run);
+            let needs = self.tails.effect(image, &serves) * load;
+            if needs < SLIGHT_EFFECT * load {
+                return 1.0;
+            }
+            let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
+            let limit = self.tails.stress_at(&serves, target_ms, AIM);
+            let left = limit - run.own_stress.mean - added(&self.tails, &full, &serves);
+            (left / needs).clamp(0.0, 1.0)
+        };
+        life.runs.values().filter(|run| run.serves).map(pace_beside).fold(1.0, f64::min)
+    }
+
+    /// How much of its tail's room a serving task would lose to what fills there, 0 to 1.
+    pub(super) fn expected_stress(&self, life: &Life, spec: &StepSpec) -> f64 {
+        let serves = spec.image.as_deref().unwrap_or("");
+        added(&self.tails, &full_loads(life), serves).min(1.0)
+    }
+}
+
+/// The image of a run, empty if it names none.
+pub(super) fn image_of(run: &RunThere) -> Arc<str> {
+    run.image.clone().unwrap_or_else(|| "".into())
+}
+
+fn learn(tails: &mut TailModel, life: &mut Life, loads: &[Load], now: crate::Time) {
+    for run in life.runs.values_mut().filter(|run| run.serves) {
+        let (Some(tail_ms), Some(target_ms)) = (run.gauge, run.tail_target_ms) else { continue };
+        if tail_ms == 0 {
+            continue;
+        }
+        let gap_s = run.learned_at.map_or(0.0, |at| now.since(at).as_secs_f64());
+        run.learned_at = Some(now);
+        let tail = Tail { tail_ms: f64::from(tail_ms), target_ms: target_ms as f64, gap_s };
+        let image = image_of(run);
+        tails.learn(&image, &mut run.own_stress, loads, tail);
+    }
+}
+
+/// The pace of each image that fills, so that everything that serves stays below its aim.
+fn paces(
+    tails: &TailModel,
+    life: &Life,
+    before: &BTreeMap<Arc<str>, (u8, crate::Time)>,
+) -> BTreeMap<Arc<str>, f64> {
+    let full = full_loads(life);
+    let mut paces =
+        full.iter().map(|(image, _)| (Arc::clone(image), 1.0)).collect::<BTreeMap<_, _>>();
+    for run in life.runs.values().filter(|run| run.serves) {
+        let serves = image_of(run);
+        let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
+        let causes = full.iter().filter(|(fills, _)| tails.effect(fills, &serves) >= SLIGHT_EFFECT);
+        let causes = causes.collect::<Vec<_>>();
+        let limit = tails.stress_at(&serves, target_ms, AIM);
+        let stress =
+            causes.iter().map(|(fills, load)| tails.effect(fills, &serves) * load * paces[fills]);
+        let (stress, left) = (stress.sum::<f64>(), limit - run.own_stress.mean);
+        if stress > left {
+            let share = (left / stress).max(0.0);
+            for (fills, _) in &causes {
+                if let Some(pace) = paces.get_mut(fills) {
+                    *pace *= share;
+                }
+            }
+        }
+        if run.gauge.is_some_and(|tail_ms| f64::from(tail_ms) > target_ms) {
+            for (fills, _) in &causes {
+                let held = before.get(fills).map_or(100, |(percent, _)| *percent);
+                let cut = f64::from(held) / 100.0 * CUT_WHEN_OVER;
+                if let Some(pace) = paces.get_mut(fills) {
+                    *pace = pace.min(cut);
+                }
+            }
+        }
+    }
+    paces
+}
+
+/// What the tasks that fill used over the last half second, by image.
+fn loads_in_use(life: &Life) -> Vec<Load> {
+    let used = |run: &RunThere| f64::from(run.gauge.unwrap_or(0));
+    loads_by(life, used)
+}
+
+/// What the tasks that fill use at full speed, by image.
+fn full_loads(life: &Life) -> Vec<Load> {
+    loads_by(life, |run| f64::from(run.size.cpu_millis.0))
+}
+
+fn loads_by(life: &Life, millis: impl Fn(&RunThere) -> f64) -> Vec<Load> {
+    let capacity = capacity_millis(life);
+    let mut loads = BTreeMap::new();
+    for run in life.runs.values().filter(|run| run.fills) {
+        *loads.entry(image_of(run)).or_insert(0.0) += millis(run) / capacity;
+    }
+    loads.into_iter().collect()
+}
+
+fn added(tails: &TailModel, loads: &[Load], serves: &str) -> f64 {
+    loads.iter().map(|(fills, load)| tails.effect(fills, serves) * load).sum()
+}
+
+fn capacity_millis(life: &Life) -> f64 {
+    f64::from(life.entry.capacity.cpu_millis.0.max(1))
+}
+
+fn quantise(pace: f64) -> u8 {
+    let percent = (pace.clamp(0.0, 1.0) * 100.0) as u8;
+    percent / PACE_STEP * PACE_STEP
 }
 
 /// The worst tail of what serves there, in percent of its target.
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -9,6 +9,7 @@
         spec::StepSpec,
     },
     Scheduler,
+    tails::Estimate,
 };
 
 /// How much of the processor time that is reserved is used, for the room of what fills, in percent.
@@ -19,7 +20,12 @@
 /// Weight of a worker's fullness, 0 to 1, when workers are compared. The unit of the other weights.
 const FULLNESS: f64 = 1.0;
 /// Weight of something that would disturb, or be disturbed, by what the task does.
-const DISTURBANCE: f64 = 2.0;
+const DISTURBANCE: f64 = 3.0;
+/// What fills is started where it is let work at this share of its speed at least: it holds memory.
+const LEAST_PACE: f64 = 0.25;
+/// Weight of serving tasks of other images. Like beside like leaves, for each image that fills,
+/// workers where nothing minds it.
+const OTHER_IMAGE: f64 = 0.6;
 /// Weight of being away from the data: the task takes up to twice as long.
 const FAR: f64 = 4.0;
 /// Weight of the worker on which the task failed last.
@@ -29,12 +35,14 @@
     /// Places all tasks that wait, in the order of their queues, as far as there is room.
     pub(super) fn place_all(&mut self) {
         let open = self.open.iter().map(|&(_, _, id)| id).collect::<Vec<_>>();
+        let mut full = Full::default();
         for id in open {
-            self.place_job(id);
+            self.place_job(id, &mut full);
         }
     }
 
-    fn place_job(&mut self, id: JobId) {
+    /// Places what of one job waits.
+    pub(super) fn place_job(&mut self, id: JobId, full: &mut Full) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.kept) else { return };
         if job.inherited && !self.unheard.is_empty() {
             return;
@@ -44,15 +52,20 @@
             else {
                 continue;
             };
+            if full.has_no_room_for(spec) {
+                continue;
+            }
             let spec = spec.clone();
             match spec.gang {
                 true => self.place_gang(id, occurrence, step, &spec),
-                false => self.place_step(id, occurrence, step, &spec),
+                false if self.place_step(id, occurrence, step, &spec) => {}
+                false => full.note(spec),
             }
         }
     }
 
-    fn place_step(&mut self, id: JobId, occurrence: u32, step: u32, spec: &StepSpec) {
+    /// Places the tasks of a step. `false`: there is no room for some of them.
+    fn place_step(&mut self, id: JobId, occurrence: u32, step: u32, spec: &StepSpec) -> bool {
         for index in 0..spec.count {
             let name = TaskName { job: id, occurrence, step, index };
             let waits = |job: &Job| {
@@ -63,9 +76,10 @@
             }
             match self.choose(name, spec, &[]) {
                 Some(life) => self.start(name, life, spec, None),
-                None => break,
+                None => return false,
             }
         }
+        true
     }
 
     /// Places all members of a gang or none.
@@ -110,18 +124,35 @@
                 && spec.label.as_ref().is_none_or(|label| life.entry.labels.contains(label))
                 && has_room(**no, life, name, spec, members)
         });
-        let score = |no: LifeNo, life: &Life| {
+        let score = |no: LifeNo, life: &Life, disturbance: f64| {
             let far = spec.near_rack.as_ref().is_some_and(|near| !life.entry.labels.contains(near));
             let apart = spec.same_rack && rack.is_some_and(|rack| rack != life.entry.rack);
             FULLNESS * fullness(life, spec)
-                + DISTURBANCE * disturbance(life, spec)
+                + DISTURBANCE * disturbance
                 + if far || apart { FAR } else { 0.0 }
                 + if avoid == Some(no) { FAILED_THERE } else { 0.0 }
         };
-        let scored = candidates.map(|(&no, life)| (score(no, life), no));
+        let scored = candidates.filter_map(|(&no, life)| {
+            let disturbance = self.disturbance(life, spec);
+            let halted = spec.fills && 1.0 - disturbance < LEAST_PACE;
+            (!halted).then(|| (score(no, life, disturbance), no))
+        });
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, no)| no)
     }
 
+    /// How much of what the worker runs would disturb the task, or be disturbed by it.
+    fn disturbance(&self, life: &Life, spec: &StepSpec) -> f64 {
+        match (spec.fills, spec.tail_target_ms.is_some()) {
+            (true, _) => 1.0 - self.expected_pace(life, spec),
+            (_, true) => {
+                let image = spec.image.as_deref().unwrap_or("");
+                let mixed = life.serves() && !life.serves_image(image);
+                self.expected_stress(life, spec) + if mixed { OTHER_IMAGE } else { 0.0 }
+            }
+            _ => 0.0,
+        }
+    }
+
     fn start(&mut self, name: TaskName, no: LifeNo, spec: &StepSpec, run: Option<u32>) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
@@ -146,12 +177,13 @@
             fills: spec.fills,
             serves: spec.tail_target_ms.is_some(),
             stopping: false,
-            started_at: now,
             tail_target_ms: spec.tail_target_ms,
             image: spec.image.as_deref().map(Into::into),
             percent: 0,
             gauge: None,
             paced_percent: 100,
+            own_stress: Estimate::own(),
+            learned_at: None,
         };
         life.runs.insert(name, there);
         self.out.push(Action::Note(note));
@@ -160,6 +192,30 @@
     }
 }
 
+/// What was found to have no room in one pass over the jobs, so that it is not looked for again.
+#[derive(Debug, Default)]
+pub(super) struct Full {
+    steps: Vec<StepSpec>,
+}
+
+impl Full {
+    /// Whether a step asks for no less than one that found no room, and is like it in all else.
+    fn has_no_room_for(&self, spec: &StepSpec) -> bool {
+        self.steps.iter().any(|full| {
+            full.fills == spec.fills
+                && full.image == spec.image
+                && full.size.fits_in(&spec.size)
+                && (full.max_per_worker.is_none() && full.label.is_none())
+        })
+    }
+
+    fn note(&mut self, spec: StepSpec) {
+        if spec.label.is_none() && spec.max_per_worker.is_none() {
+            self.steps.push(spec);
+        }
+    }
+}
+
 /// The steps whose turn has come and that have tasks waiting.
 fn due_steps(job: &Job, now: crate::Time) -> Vec<(u32, u32)> {
     let mut due = Vec::new();
@@ -207,7 +263,6 @@
             spec.size.memory_mb <= free.memory_mb
                 && spec.size.accelerators <= free.accelerators
                 && left >= needs
-                && life.pace_percent >= 50
         }
         false => spec.size.fits_in(&free),
     }
@@ -230,12 +285,3 @@
     };
     1.0 - f64::from(left) / capacity
 }
-
-/// How much of what the worker runs would disturb the task, or be disturbed by it, 0 to 1.
-fn disturbance(life: &Life, spec: &StepSpec) -> f64 {
-    let serves = spec.tail_target_ms.is_some();
-    let hurts =
-        |run: &&RunThere| (serves && (run.fills || run.serves)) || (spec.fills && run.serves);
-    let cpu = life.runs.values().filter(hurts).map(|run| run.size.cpu_millis.0).sum::<u32>();
-    f64::from(cpu) / f64::from(life.entry.capacity.cpu_millis.0.max(1))
-}
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -21,7 +21,7 @@
 use crate::clock::unix_ms;
 
 /// How often time alone is looked at: leases, holds that are due, back-offs.
-const TICK: Duration = Duration::from_millis(40);
+const TICK: Duration = Duration::from_millis(20);
 /// An owner that the store has not answered for so long does not say that a job is unknown:
 /// another owner may have taken it.
 const SURE_WITHIN_MS: u64 = 1_200;
