--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -388,6 +388,17 @@
         /// Why.
         why: &'static str,
     },
+    /// A run is stopped to go on elsewhere.
+    RunMoved {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: LifeId,
+        /// Why.
+        why: &'static str,
+    },
     /// An order was refused or not answered.
     OrderFailed {
         /// The task.
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -159,7 +159,7 @@
             if let Some(job) = self.jobs.get_mut(&start.task.job) {
                 job.begun = true;
             }
-            self.tell_pace(no);
+            self.repace(no);
             self.hold_soon(no, HOLD_AFTER_START);
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -25,6 +25,17 @@
 /// whatever the model says.
 const CUT_WHEN_OVER: f64 = 0.6;
 
+/// What works at no more than this share of its speed is moved if it can be, in percent.
+const SLOWED_PERCENT: u8 = 40;
+/// After so long: a load that swings comes back by itself within seconds.
+const SLOWED_FOR: Duration = Duration::from_millis(700);
+/// The share of its speed that makes a move worth the time to stop and to start again, 0 to 1.
+const WORTH_MOVING: f64 = 0.85;
+/// What is done so far is not moved, in percent.
+const NEARLY_DONE_PERCENT: u32 = 85;
+/// How many tasks a worker is relieved of after one report.
+const MOVES_AT_ONCE: usize = 2;
+
 impl Scheduler {
     /// Learns from the newest report of a worker and paces what fills there.
     pub(super) fn control_pace(&mut self, no: LifeNo) {
@@ -32,26 +43,32 @@
         let Some(life) = self.lives.get_mut(&no) else { return };
         let loads = loads_in_use(life);
         learn(&mut self.tails, life, &loads, now);
+        self.repace(no);
+        self.move_slowed(no);
+    }
+
+    /// Paces what fills on a worker by what is known now, and tells it.
+    pub(super) fn repace(&mut self, no: LifeNo) {
+        let now = self.now;
+        let Some(life) = self.lives.get_mut(&no) else { return };
+        let before = std::mem::take(&mut life.paces);
         if !life.fills() {
-            life.paces.clear();
             return;
         }
-        let before = std::mem::take(&mut life.paces);
-        let wanted = paces(&self.tails, life, &before);
-        let mut worst_change = None;
-        for (image, pace) in wanted {
-            let held = before.get(&image).copied();
-            let (percent, changed_at) = held.unwrap_or((100, crate::Time::ZERO));
+        let mut lowest_change = None;
+        for (image, pace) in paces(&self.tails, life, &before) {
+            let (percent, changed_at) = before.get(&image).copied().unwrap_or((100, now));
             let target = quantise(pace);
             let raise = target > percent && now.since(changed_at) >= RAISE_AFTER;
             let entry =
                 if target < percent || raise { (target, now) } else { (percent, changed_at) };
             if entry.0 != percent {
-                worst_change = Some(worst_change.map_or(entry.0, |worst: u8| worst.min(entry.0)));
+                lowest_change =
+                    Some(lowest_change.map_or(entry.0, |lowest: u8| lowest.min(entry.0)));
             }
             life.paces.insert(image, entry);
         }
-        if let Some(percent) = worst_change {
+        if let Some(percent) = lowest_change {
             let worker = life.id().clone();
             let tail_of_target_percent = worst_tail_percent(life).unwrap_or(0);
             self.out.push(Action::Note(Note::Paced { worker, percent, tail_of_target_percent }));
@@ -59,6 +76,41 @@
         self.tell_pace(no);
     }
 
+    /// Stops what fills and is slowed for long, if it keeps its progress and would be let work
+    /// faster elsewhere.
+    fn move_slowed(&mut self, no: LifeNo) {
+        let Some(life) = self.lives.get(&no) else { return };
+        let slowed = |image: &Arc<str>| {
+            let held = life.paces.get(image);
+            held.is_some_and(|&(percent, since)| {
+                percent <= SLOWED_PERCENT && self.now.since(since) >= SLOWED_FOR
+            })
+        };
+        let worth_it = |run: &RunThere| {
+            run.fills && run.keeps_progress && !run.stopping && run.percent < NEARLY_DONE_PERCENT
+        };
+        let runs = life.runs.iter().filter(|(_, run)| worth_it(run) && slowed(&image_of(run)));
+        let runs = runs.map(|(&task, run)| (task, run.run)).take(MOVES_AT_ONCE);
+        for (task, run) in runs.collect::<Vec<_>>() {
+            let Some(spec) = self.step_of(task).cloned() else { continue };
+            let better = self.choose(task, &spec, &[]).filter(|&other| other != no);
+            let pace = better.and_then(|other| self.lives.get(&other));
+            if pace.is_none_or(|other| self.expected_pace(other, &spec) < WORTH_MOVING) {
+                continue;
+            }
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(task) =
+                job.and_then(|job| job.task_mut(task.occurrence, task.step, task.index))
+            {
+                task.avoid = Some(no);
+            }
+            let why = "moved: what it fills beside leaves it little";
+            let Some(worker) = self.lives.get(&no).map(|life| life.id().clone()) else { return };
+            self.out.push(Action::Note(Note::RunMoved { task, run, worker, why }));
+            self.stop_run(no, Order::Stop { task, run });
+        }
+    }
+
     /// Tells filling runs their share where it is not what they were told.
     pub(super) fn tell_pace(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get_mut(&no) else { return };
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -14,7 +14,7 @@
 
 /// How much of the processor time that is reserved is used, for the room of what fills, in percent.
 /// What serves is rarely fully loaded.
-const RESERVED_USED_PERCENT: u32 = 60;
+const RESERVED_USED_PERCENT: u32 = 50;
 /// What fills is started where at least this share of its processor time is left, in percent.
 const LEAST_LEFT_PERCENT: u32 = 60;
 /// Weight of a worker's fullness, 0 to 1, when workers are compared. The unit of the other weights.
@@ -23,6 +23,8 @@
 const DISTURBANCE: f64 = 3.0;
 /// What fills is started where it is let work at this share of its speed at least: it holds memory.
 const LEAST_PACE: f64 = 0.25;
+/// The same for a task that loses its progress when it is stopped: it can't be moved.
+const LEAST_PACE_UNMOVED: f64 = 0.7;
 /// Weight of serving tasks of other images. Like beside like leaves, for each image that fills,
 /// workers where nothing minds it.
 const OTHER_IMAGE: f64 = 0.6;
@@ -111,8 +113,17 @@
         }
     }
 
+    pub(super) fn step_of(&self, name: TaskName) -> Option<&StepSpec> {
+        self.jobs.get(&name.job)?.spec.steps.get(name.step as usize)
+    }
+
     /// The best worker for a task, beside members that are about to be placed.
-    fn choose(&self, name: TaskName, spec: &StepSpec, members: &[LifeNo]) -> Option<LifeNo> {
+    pub(super) fn choose(
+        &self,
+        name: TaskName,
+        spec: &StepSpec,
+        members: &[LifeNo],
+    ) -> Option<LifeNo> {
         let job = self.jobs.get(&name.job)?;
         let service = &job.queue.service;
         let avoid = job.task(name.occurrence, name.step, name.index).and_then(|task| task.avoid);
@@ -134,7 +145,8 @@
         };
         let scored = candidates.filter_map(|(&no, life)| {
             let disturbance = self.disturbance(life, spec);
-            let halted = spec.fills && 1.0 - disturbance < LEAST_PACE;
+            let least = if spec.keeps_progress { LEAST_PACE } else { LEAST_PACE_UNMOVED };
+            let halted = spec.fills && 1.0 - disturbance < least;
             (!halted).then(|| (score(no, life, disturbance), no))
         });
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, no)| no)
@@ -177,6 +189,7 @@
             fills: spec.fills,
             serves: spec.tail_target_ms.is_some(),
             stopping: false,
+            keeps_progress: spec.keeps_progress,
             tail_target_ms: spec.tail_target_ms,
             image: spec.image.as_deref().map(Into::into),
             percent: 0,
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -29,6 +29,11 @@
             why = *why;
             "run: given up"
         ),
+        Note::RunMoved { task, run, worker, why } => log::info!(
+            job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
+            why = *why;
+            "run: moved"
+        ),
         Note::OrderFailed { task, run, worker, answer } => log::warn!(
             job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
             answer:? = *answer;
