--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -73,6 +73,7 @@
     pub(super) serves: bool,
     pub(super) stopping: bool,
     pub(super) keeps_progress: bool,
+    pub(super) lasts: bool,
     pub(super) tail_target_ms: Option<u64>,
     pub(super) image: Option<Arc<str>>,
     pub(super) percent: u32,
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -141,6 +141,7 @@
             fills: step.is_some_and(|step| step.fills),
             serves: step.is_some_and(|step| step.tail_target_ms.is_some()),
             stopping: false,
+            lasts: step.is_some_and(|step| step.lasts),
             keeps_progress: step.is_some_and(|step| step.keeps_progress),
             tail_target_ms: step.and_then(|step| step.tail_target_ms),
             image: step.and_then(|step| step.image.as_deref().map(Into::into)),
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -190,6 +190,7 @@
             serves: spec.tail_target_ms.is_some(),
             stopping: false,
             keeps_progress: spec.keeps_progress,
+            lasts: spec.lasts,
             tail_target_ms: spec.tail_target_ms,
             image: spec.image.as_deref().map(Into::into),
             percent: 0,
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -4,8 +4,8 @@
 
 use super::{
     super::{
-        event::{Action, Discovery, Hold, Note},
-        life::{Life, LifeNo, WorkerEntry},
+        event::{Action, Discovery, Hold, Note, Order},
+        life::{Life, LifeNo, Phase, RunThere, WorkerEntry},
         names::LifeId,
         record::LifeRecord,
     },
@@ -27,6 +27,10 @@
 /// The longest of these.
 const HOLD_RETRY_MAX: Duration = Duration::from_millis(1_000);
 
+/// What is done so far is not moved off a worker that is about to leave, in percent: it has two
+/// seconds at least.
+const STAYS_ABOVE_PERCENT: u32 = 70;
+
 impl Scheduler {
     pub(super) fn discover(&mut self, changes: Vec<Discovery>) {
         for change in changes {
@@ -93,6 +97,27 @@
             _ => {}
         }
         self.hold_if_due(no);
+        self.evacuate(no);
+    }
+
+    /// Moves what would die with a worker that is about to leave, where there is room for it.
+    fn evacuate(&mut self, no: LifeNo) {
+        let Some(life) = self.lives.get(&no).filter(|life| life.entry.draining) else { return };
+        let leaves = |run: &RunThere| {
+            let saved = run.keeps_progress && run.percent < STAYS_ABOVE_PERCENT;
+            !run.stopping && matches!(run.phase, Phase::Running(_)) && (run.lasts || saved)
+        };
+        let runs = life.runs.iter().filter(|(_, run)| leaves(run));
+        for (task, run) in runs.map(|(&task, run)| (task, run.run)).collect::<Vec<_>>() {
+            let Some(spec) = self.step_of(task).cloned() else { continue };
+            if self.choose(task, &spec, &[]).is_none() {
+                continue;
+            }
+            let Some(worker) = self.lives.get(&no).map(|life| life.id().clone()) else { return };
+            let why = "moved: its worker is about to leave";
+            self.out.push(Action::Note(Note::RunMoved { task, run, worker, why }));
+            self.stop_run(no, Order::Stop { task, run });
+        }
     }
 
     pub(super) fn hold_if_due(&mut self, no: LifeNo) {
@@ -108,7 +133,9 @@
             (false, true) => HOLD_WAIT_SHARED_MS,
             (false, false) => HOLD_WAIT_MS,
         };
-        let lease_until_ms = life.clock_ms(now).map(|clock_ms| clock_ms + lease.as_millis() as u64);
+        // A silent worker's lease is left to run out: a renewal that is not answered may count.
+        let renews = life.clock_ms(now).filter(|_| life.silent == 0);
+        let lease_until_ms = renews.map(|clock_ms| clock_ms + lease.as_millis() as u64);
         if lease_until_ms.is_some() {
             life.note_leased(lapse_after, now);
         }
