--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -16,7 +16,7 @@
 /// tell of the last half second, and loads swing.
 const AIM: f64 = 0.8;
 /// Effects below this are not worth slowing anything for: they are within the noise of gauges.
-const SLIGHT_EFFECT: f64 = 0.08;
+const SLIGHT_EFFECT: f64 = 0.2;
 /// Paces are multiples of this, in percent, so that small changes cost no orders.
 const PACE_STEP: u8 = 20;
 /// How long a pace holds at least before it is raised: the gauges tell of the last half second.
@@ -235,7 +235,8 @@
 }
 
 fn added(tails: &TailModel, loads: &[Load], serves: &str) -> f64 {
-    loads.iter().map(|(fills, load)| tails.effect(fills, serves) * load).sum()
+    let effects = loads.iter().map(|(fills, load)| (tails.effect(fills, serves), load));
+    effects.filter(|(effect, _)| *effect >= SLIGHT_EFFECT).map(|(effect, load)| effect * load).sum()
 }
 
 fn capacity_millis(life: &Life) -> f64 {
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -5,7 +5,7 @@
 //! left. The *stress* of a task is the share that is taken. Stress adds up: the task's own load,
 //! which swings within seconds, and for each image that fills there the processor time it uses
 //! times an effect that holds for the pair of images. Both are learned from each report by a
-//! Kalman filter that leaves covariances out.
+//! Kalman filter.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -15,7 +15,7 @@
 /// How far off that may be, as a variance.
 const EFFECT_PRIOR_VARIANCE: f64 = 0.25;
 /// Effects drift this much a second, as a variance: what an image does changes slowly.
-const EFFECT_DRIFT_VARIANCE: f64 = 0.000_2;
+const EFFECT_DRIFT_VARIANCE: f64 = 0.000_5;
 /// What a task's own stress is before anything is known.
 const OWN_PRIOR: f64 = 0.55;
 /// How far off that may be, as a variance.
@@ -23,7 +23,7 @@
 /// How much a task's own load swings in a second, as a variance.
 const OWN_DRIFT_VARIANCE: f64 = 0.002_5;
 /// How rough a reported tail is, as a variance of the stress it stands for.
-const GAUGE_VARIANCE: f64 = 0.002;
+const GAUGE_VARIANCE: f64 = 0.004;
 /// Stress above this can't be told apart: the queue is full.
 const MOST_STRESS: f64 = 0.95;
 /// The lowest tail of an image, as a share of its target, before any was seen.
@@ -46,14 +46,10 @@
         Self { mean: OWN_PRIOR, variance: OWN_PRIOR_VARIANCE }
     }
 
-    const fn effect() -> Self {
-        Self { mean: EFFECT_PRIOR, variance: EFFECT_PRIOR_VARIANCE }
-    }
-
-    fn correct(&mut self, input: f64, error: f64, total_variance: f64) {
-        let gain = self.variance * input / total_variance;
+    fn correct(&mut self, error: f64, total_variance: f64) {
+        let gain = self.variance / total_variance;
         self.mean = (self.mean + gain * error).max(0.0);
-        self.variance *= 1.0 - gain * input;
+        self.variance *= 1.0 - gain;
     }
 }
 
@@ -72,22 +68,35 @@
 /// What is known of all pairs of images.
 #[derive(Debug, Default)]
 pub(super) struct TailModel {
-    /// By the image that fills, then the one that serves.
-    effects: HashMap<Arc<str>, HashMap<Arc<str>, Estimate>>,
-    /// The lowest tail of each image that serves, in milliseconds.
-    lowest_ms: HashMap<Arc<str>, f64>,
+    /// By the image that serves.
+    images: HashMap<Arc<str>, ServingImage>,
+}
+
+/// What is known of one image that serves.
+#[derive(Debug, Default)]
+struct ServingImage {
+    /// Its lowest tail, in milliseconds.
+    lowest_ms: Option<f64>,
+    /// The images that fill and were seen beside it.
+    fillers: Vec<Arc<str>>,
+    /// The effect of each of them.
+    effects: Vec<f64>,
+    /// How far off the effects may be, together: images that often run beside each other are told
+    /// apart only by what is known of both.
+    covariance: Vec<Vec<f64>>,
 }
 
 impl TailModel {
     /// How much stress an image that fills adds to one that serves, when it uses all processors.
     pub(super) fn effect(&self, fills: &str, serves: &str) -> f64 {
-        let known = self.effects.get(fills).and_then(|effects| effects.get(serves));
-        known.map_or(EFFECT_PRIOR, |effect| effect.mean)
+        let known = self.images.get(serves).and_then(|image| image.effect(fills));
+        known.unwrap_or(EFFECT_PRIOR)
     }
 
     /// The stress at which a tail is `share` of its target.
     pub(super) fn stress_at(&self, serves: &str, target_ms: f64, share: f64) -> f64 {
-        1.0 - self.unloaded_ms(serves, target_ms) / (target_ms * share)
+        let lowest_ms = self.images.get(serves).and_then(|image| image.lowest_ms);
+        1.0 - unloaded_ms(lowest_ms, target_ms) / (target_ms * share)
     }
 
     /// Learns from a report: corrects what is believed of the task's own stress and of the effects
@@ -99,37 +108,69 @@
         loads: &[Load],
         tail: Tail,
     ) {
-        let prior_ms = tail.target_ms * LOWEST_TAIL_PRIOR;
-        let lowest_ms = self.lowest_ms.entry(Arc::clone(serves)).or_insert(prior_ms);
-        *lowest_ms = lowest_ms.min(tail.tail_ms.max(1.0));
-        let unloaded_ms = self.unloaded_ms(serves, tail.target_ms);
-        let stress = (1.0 - unloaded_ms / tail.tail_ms.max(1.0)).clamp(0.0, MOST_STRESS);
+        let image = self.images.entry(Arc::clone(serves)).or_default();
+        let tail_ms = tail.tail_ms.max(1.0);
+        image.lowest_ms = Some(image.lowest_ms.unwrap_or(tail_ms).min(tail_ms));
+        let unloaded_ms = unloaded_ms(image.lowest_ms, tail.target_ms);
+        let stress = (1.0 - unloaded_ms / tail_ms).clamp(0.0, MOST_STRESS);
         let gap_s = tail.gap_s.min(LONGEST_GAP_S);
         own.variance = (own.variance + OWN_DRIFT_VARIANCE * gap_s).min(OWN_PRIOR_VARIANCE);
-        let added = loads.iter().map(|(fills, load)| self.effect(fills, serves) * load);
+        image.learn(own, loads, stress, gap_s);
+    }
+}
+
+impl ServingImage {
+    fn effect(&self, fills: &str) -> Option<f64> {
+        let at = self.fillers.iter().position(|known| **known == *fills)?;
+        self.effects.get(at).copied()
+    }
+
+    fn learn(&mut self, own: &mut Estimate, loads: &[Load], stress: f64, gap_s: f64) {
+        let mut input = vec![0.0; self.fillers.len()];
+        for (fills, load) in loads {
+            let at = self.index_of(fills);
+            input.resize(self.fillers.len(), 0.0);
+            input[at] = *load;
+        }
+        let added = input.iter().zip(&self.effects).map(|(load, effect)| load * effect);
         let error = stress - own.mean - added.sum::<f64>();
         if stress >= MOST_STRESS && error < 0.0 {
             return;
         }
-        let mut total_variance = own.variance + GAUGE_VARIANCE;
-        for (fills, load) in loads {
-            let effect = self.effect_mut(fills, serves);
-            effect.variance += EFFECT_DRIFT_VARIANCE * gap_s;
-            total_variance += effect.variance * load * load;
+        for (at, row) in self.covariance.iter_mut().enumerate() {
+            row[at] = (row[at] + EFFECT_DRIFT_VARIANCE * gap_s).min(EFFECT_PRIOR_VARIANCE);
         }
-        own.correct(1.0, error, total_variance);
-        for (fills, load) in loads {
-            self.effect_mut(fills, serves).correct(*load, error, total_variance);
+        let dot = |row: &Vec<f64>| row.iter().zip(&input).map(|(a, b)| a * b).sum::<f64>();
+        let spread = self.covariance.iter().map(dot).collect::<Vec<_>>();
+        let inputs_variance = dot(&spread);
+        let total_variance = inputs_variance + own.variance + GAUGE_VARIANCE;
+        own.correct(error, total_variance);
+        for (effect, spread) in self.effects.iter_mut().zip(&spread) {
+            *effect = (*effect + spread / total_variance * error).max(0.0);
+        }
+        for (row, &a) in self.covariance.iter_mut().zip(&spread) {
+            for (cell, &b) in row.iter_mut().zip(&spread) {
+                *cell -= a * b / total_variance;
+            }
         }
     }
 
-    fn effect_mut(&mut self, fills: &Arc<str>, serves: &Arc<str>) -> &mut Estimate {
-        let effects = self.effects.entry(Arc::clone(fills)).or_default();
-        effects.entry(Arc::clone(serves)).or_insert_with(Estimate::effect)
+    fn index_of(&mut self, fills: &Arc<str>) -> usize {
+        if let Some(at) = self.fillers.iter().position(|known| known == fills) {
+            return at;
+        }
+        self.fillers.push(Arc::clone(fills));
+        self.effects.push(EFFECT_PRIOR);
+        let count = self.fillers.len();
+        self.covariance.iter_mut().for_each(|row| row.push(0.0));
+        self.covariance.push(vec![0.0; count]);
+        self.covariance[count - 1][count - 1] = EFFECT_PRIOR_VARIANCE;
+        count - 1
     }
+}
 
-    fn unloaded_ms(&self, serves: &str, target_ms: f64) -> f64 {
-        let lowest_ms = self.lowest_ms.get(serves).copied();
-        lowest_ms.unwrap_or(target_ms * LOWEST_TAIL_PRIOR) * UNLOADED_OF_LOWEST
-    }
+/// A queue's tail with no load at all.
+fn unloaded_ms(lowest_ms: Option<f64>, target_ms: f64) -> f64 {
+    lowest_ms.unwrap_or(target_ms * LOWEST_TAIL_PRIOR).min(target_ms * LOWEST_TAIL_PRIOR)
+        * UNLOADED_OF_LOWEST
 }
