--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -115,6 +115,9 @@
     pub(super) failures: u32,
     pub(super) set_aside_until: Option<Time>,
     pub(super) set_aside_times: u32,
+    /// Runs that filled here and ended a moment ago: gauges still tell of them. The image, the
+    /// processor time in thousandths of a core, and when.
+    pub(super) just_ended: Vec<(Arc<str>, u32, Time)>,
     /// The share of their speed that runs of an image that fills have, in percent, since when.
     pub(super) paces: BTreeMap<Arc<str>, (u8, Time)>,
 }
@@ -142,6 +145,7 @@
             failures: 0,
             set_aside_until: None,
             set_aside_times: 0,
+            just_ended: Vec::new(),
             paces: BTreeMap::new(),
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -32,8 +32,12 @@
         }
         life.ends_seen = end.number;
         let there = life.runs.get(&end.task).filter(|there| there.run == end.run);
-        if there.is_some() {
-            life.runs.remove(&end.task);
+        if there.is_some()
+            && let Some(run) = life.runs.remove(&end.task)
+            && run.fills
+        {
+            let used = run.gauge.unwrap_or(run.size.cpu_millis.0);
+            life.just_ended.push((run.image.unwrap_or_else(|| "".into()), used, self.now));
         }
         let note = Note::RunEnded {
             task: end.task,
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -15,8 +15,10 @@
 /// The share of its target that a tail is to stay below. Less than all of it: gauges are rough,
 /// tell of the last half second, and loads swing.
 const AIM: f64 = 0.8;
+/// The time that a gauge tells of, as the platform says.
+const GAUGE_WINDOW: Duration = Duration::from_millis(500);
 /// Effects below this are not worth slowing anything for: they are within the noise of gauges.
-const SLIGHT_EFFECT: f64 = 0.2;
+const SLIGHT_EFFECT: f64 = 0.35;
 /// Paces are multiples of this, in percent, so that small changes cost no orders.
 const PACE_STEP: u8 = 20;
 /// How long a pace holds at least before it is raised: the gauges tell of the last half second.
@@ -41,7 +43,7 @@
     pub(super) fn control_pace(&mut self, no: LifeNo) {
         let now = self.now;
         let Some(life) = self.lives.get_mut(&no) else { return };
-        let loads = loads_in_use(life);
+        let loads = loads_in_use(life, now);
         learn(&mut self.tails, life, &loads, now);
         self.repace(no);
         self.move_slowed(no);
@@ -169,7 +171,8 @@
         }
         let gap_s = run.learned_at.map_or(0.0, |at| now.since(at).as_secs_f64());
         run.learned_at = Some(now);
-        let tail = Tail { tail_ms: f64::from(tail_ms), target_ms: target_ms as f64, gap_s };
+        let tail =
+            Tail { tail_ms: f64::from(tail_ms), target_ms: target_ms as f64, gap_s, at: now };
         let image = image_of(run);
         tails.learn(&image, &mut run.own_stress, loads, tail);
     }
@@ -214,10 +217,20 @@
     paces
 }
 
-/// What the tasks that fill used over the last half second, by image.
-fn loads_in_use(life: &Life) -> Vec<Load> {
-    let used = |run: &RunThere| f64::from(run.gauge.unwrap_or(0));
-    loads_by(life, used)
+/// What the tasks that fill used over the time that gauges tell of, by image.
+fn loads_in_use(life: &mut Life, now: crate::Time) -> Vec<Load> {
+    life.just_ended.retain(|(_, _, at)| now.since(*at) < GAUGE_WINDOW);
+    let mut loads = loads_by(life, |run| f64::from(run.gauge.unwrap_or(0)));
+    let capacity = capacity_millis(life);
+    for (image, used, at) in &life.just_ended {
+        let share = 1.0 - now.since(*at).as_secs_f64() / GAUGE_WINDOW.as_secs_f64();
+        let load = f64::from(*used) * share / capacity;
+        match loads.iter_mut().find(|(known, _)| known == image) {
+            Some((_, sum)) => *sum += load,
+            None => loads.push((Arc::clone(image), load)),
+        }
+    }
+    loads
 }
 
 /// What the tasks that fill use at full speed, by image.
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -9,6 +9,8 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use crate::Time;
+
 /// What a pair's effect is before anything is known: more than most pairs show, so that the first
 /// ones are placed with care.
 const EFFECT_PRIOR: f64 = 0.3;
@@ -63,6 +65,8 @@
     pub(super) target_ms: f64,
     /// Since the report before, in seconds.
     pub(super) gap_s: f64,
+    /// When it was heard.
+    pub(super) at: Time,
 }
 
 /// What is known of all pairs of images.
@@ -84,6 +88,8 @@
     /// How far off the effects may be, together: images that often run beside each other are told
     /// apart only by what is known of both.
     covariance: Vec<Vec<f64>>,
+    /// When the effects were last let drift.
+    drifted_at: Option<Time>,
 }
 
 impl TailModel {
@@ -115,7 +121,8 @@
         let stress = (1.0 - unloaded_ms / tail_ms).clamp(0.0, MOST_STRESS);
         let gap_s = tail.gap_s.min(LONGEST_GAP_S);
         own.variance = (own.variance + OWN_DRIFT_VARIANCE * gap_s).min(OWN_PRIOR_VARIANCE);
-        image.learn(own, loads, stress, gap_s);
+        image.drift(tail.at);
+        image.learn(own, loads, stress);
     }
 }
 
@@ -125,7 +132,16 @@
         self.effects.get(at).copied()
     }
 
-    fn learn(&mut self, own: &mut Estimate, loads: &[Load], stress: f64, gap_s: f64) {
+    /// Lets the effects become less sure with time, once for all tasks of the image.
+    fn drift(&mut self, now: Time) {
+        let gap_s = self.drifted_at.map_or(0.0, |at| now.since(at).as_secs_f64());
+        self.drifted_at = Some(now);
+        for (at, row) in self.covariance.iter_mut().enumerate() {
+            row[at] = (row[at] + EFFECT_DRIFT_VARIANCE * gap_s).min(EFFECT_PRIOR_VARIANCE);
+        }
+    }
+
+    fn learn(&mut self, own: &mut Estimate, loads: &[Load], stress: f64) {
         let mut input = vec![0.0; self.fillers.len()];
         for (fills, load) in loads {
             let at = self.index_of(fills);
@@ -137,9 +153,6 @@
         if stress >= MOST_STRESS && error < 0.0 {
             return;
         }
-        for (at, row) in self.covariance.iter_mut().enumerate() {
-            row[at] = (row[at] + EFFECT_DRIFT_VARIANCE * gap_s).min(EFFECT_PRIOR_VARIANCE);
-        }
         let dot = |row: &Vec<f64>| row.iter().zip(&input).map(|(a, b)| a * b).sum::<f64>();
         let spread = self.covariance.iter().map(dot).collect::<Vec<_>>();
         let inputs_variance = dot(&spread);
