--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -22,9 +22,9 @@
 /// Weight of something that would disturb, or be disturbed, by what the task does.
 const DISTURBANCE: f64 = 3.0;
 /// What fills is started where it is let work at this share of its speed at least: it holds memory.
-const LEAST_PACE: f64 = 0.25;
+const LEAST_PACE: f64 = 0.5;
 /// The same for a task that loses its progress when it is stopped: it can't be moved.
-const LEAST_PACE_UNMOVED: f64 = 0.7;
+const LEAST_PACE_UNMOVED: f64 = 0.8;
 /// Weight of serving tasks of other images. Like beside like leaves, for each image that fills,
 /// workers where nothing minds it.
 const OTHER_IMAGE: f64 = 0.6;
