--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -49,11 +49,14 @@
 pub(super) struct Step {
     pub(super) tasks: Vec<Task>,
     pub(super) done: u32,
+    /// Runs that did all of a task's work, and the time they took together.
+    pub(super) timed: u32,
+    pub(super) timed_ms: u64,
 }
 
 impl Step {
     fn new(spec: &StepSpec) -> Self {
-        Self { tasks: vec![Task::default(); spec.count as usize], done: 0 }
+        Self { tasks: vec![Task::default(); spec.count as usize], done: 0, timed: 0, timed_ms: 0 }
     }
 
     pub(super) fn is_done(&self) -> bool {
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -63,6 +63,22 @@
     Running(Time),
 }
 
+/// How the percent of a run has risen.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Progress {
+    /// Its percent when it was first heard of: above 0 if it went on from a checkpoint.
+    pub(super) from_percent: u32,
+    pub(super) percent: u32,
+    /// When it rose last, or the run began.
+    pub(super) rose_at: Time,
+}
+
+impl Progress {
+    pub(super) fn new(now: Time) -> Self {
+        Self { from_percent: 0, percent: 0, rose_at: now }
+    }
+}
+
 /// A run on a worker, as believed.
 #[derive(Debug, Clone)]
 pub(super) struct RunThere {
@@ -77,6 +93,7 @@
     pub(super) tail_target_ms: Option<u64>,
     pub(super) image: Option<Arc<str>>,
     pub(super) percent: u32,
+    pub(super) progress: Progress,
     pub(super) gauge: Option<u32>,
     /// The share of its speed that it was last told, in percent.
     pub(super) paced_percent: u8,
@@ -84,6 +101,8 @@
     pub(super) own_stress: Estimate,
     /// When its gauge was learned from.
     pub(super) learned_at: Option<Time>,
+    /// Since when every report shows its tail above its target.
+    pub(super) over_since: Option<Time>,
 }
 
 /// One life of a worker.
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -6,7 +6,7 @@
     super::{
         event::{Action, HowEnded, Note, Order, RunEnd},
         job::Placement,
-        life::LifeNo,
+        life::{LifeNo, Phase},
         names::TaskName,
         record::Outcome,
     },
@@ -32,10 +32,13 @@
         }
         life.ends_seen = end.number;
         let there = life.runs.get(&end.task).filter(|there| there.run == end.run);
-        if there.is_some()
-            && let Some(run) = life.runs.remove(&end.task)
-            && run.fills
-        {
+        let ended = there.is_some().then(|| life.runs.remove(&end.task)).flatten();
+        let took_ms = ended.as_ref().filter(|_| end.how == HowEnded::Done).and_then(|run| {
+            let Phase::Running(since) = run.phase else { return None };
+            let whole = run.progress.from_percent == 0 && !(run.fills && run.paced_percent < 100);
+            whole.then(|| self.now.since(since).as_millis() as u64)
+        });
+        if let Some(run) = ended.filter(|run| run.fills) {
             let used = run.gauge.unwrap_or(run.size.cpu_millis.0);
             life.just_ended.push((run.image.unwrap_or_else(|| "".into()), used, self.now));
         }
@@ -51,7 +54,10 @@
         self.unplace(end.task, Placement { life: no, run: end.run });
         self.note_checkpoint(end);
         match end.how {
-            HowEnded::Done => self.task_done(no, end.task),
+            HowEnded::Done => {
+                self.note_time(end.task, took_ms);
+                self.task_done(no, end.task);
+            }
             HowEnded::Failed => self.task_failed(no, end),
             HowEnded::Stopped | HowEnded::Lapsed | HowEnded::Broken | HowEnded::Alone => {}
         }
@@ -67,6 +73,16 @@
         }
     }
 
+    fn note_time(&mut self, name: TaskName, took_ms: Option<u64>) {
+        let Some(took_ms) = took_ms else { return };
+        let job = self.jobs.get_mut(&name.job);
+        let occurrence = job.and_then(|job| job.occurrences.get_mut(&name.occurrence));
+        if let Some(step) = occurrence.and_then(|it| it.steps.get_mut(name.step as usize)) {
+            step.timed += 1;
+            step.timed_ms += took_ms;
+        }
+    }
+
     fn task_done(&mut self, no: LifeNo, name: TaskName) {
         if let Some(life) = self.lives.get_mut(&no) {
             life.failures = 0;
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -6,7 +6,7 @@
     super::{
         event::{Action, Hold, HoldFailure, Note, Order, Report, RunningTask},
         job::Placement,
-        life::{LifeNo, Phase, RunThere},
+        life::{LifeNo, Phase, Progress, RunThere},
         names::TaskName,
     },
     Scheduler,
@@ -52,6 +52,7 @@
             self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
         }
         self.raise_token(no);
+        self.copy_from_silent(no);
     }
 
     fn heard(&mut self, no: LifeNo, hold: Hold, sent_at: Time, report: &Report) {
@@ -75,6 +76,7 @@
             self.compare_running(no, running);
         }
         self.compare_missing(no, hold, sent_at, report);
+        self.check_progress(no);
         self.control_pace(no);
         if first {
             self.replan = true;
@@ -146,10 +148,12 @@
             tail_target_ms: step.and_then(|step| step.tail_target_ms),
             image: step.and_then(|step| step.image.as_deref().map(Into::into)),
             percent: running.percent,
+            progress: Progress { from_percent: running.percent, ..Progress::new(now) },
             gauge: running.gauge,
             paced_percent: u8::MAX,
             own_stress: Estimate::own(),
             learned_at: None,
+            over_since: None,
         };
         if let Some(life) = self.lives.get_mut(&no) {
             life.runs.insert(name, there);
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod pace;
 mod place;
 mod requests;
+mod stragglers;
 pub(super) mod tails;
 mod workers;
 
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -155,6 +155,7 @@
             let run = self.lives.get_mut(&no).and_then(|life| life.runs.get_mut(&start.task));
             if let Some(there) = run.filter(|there| there.run == start.run) {
                 there.phase = Phase::Running(now);
+                there.progress.rose_at = now;
             }
             if let Some(job) = self.jobs.get_mut(&start.task.job) {
                 job.begun = true;
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -26,6 +26,11 @@
 /// While a tail is above its target, what may cause it loses at least this share of its pace,
 /// whatever the model says.
 const CUT_WHEN_OVER: f64 = 0.6;
+/// A tail that is above its target for so long, two reports or more, makes all that fills there
+/// suspect, whatever the model says.
+const DOUBT_WHEN_OVER_FOR: Duration = Duration::from_millis(900);
+/// After so long all that fills there is halted. Well below the time that the platform forgives.
+const HALT_WHEN_OVER_FOR: Duration = Duration::from_millis(1_700);
 
 /// What works at no more than this share of its speed is moved if it can be, in percent.
 const SLOWED_PERCENT: u8 = 40;
@@ -58,7 +63,7 @@
             return;
         }
         let mut lowest_change = None;
-        for (image, pace) in paces(&self.tails, life, &before) {
+        for (image, pace) in paces(&self.tails, life, &before, now) {
             let (percent, changed_at) = before.get(&image).copied().unwrap_or((100, now));
             let target = quantise(pace);
             let raise = target > percent && now.since(changed_at) >= RAISE_AFTER;
@@ -169,6 +174,8 @@
         if tail_ms == 0 {
             continue;
         }
+        let over = u64::from(tail_ms) > target_ms;
+        run.over_since = if over { run.over_since.or(Some(now)) } else { None };
         let gap_s = run.learned_at.map_or(0.0, |at| now.since(at).as_secs_f64());
         run.learned_at = Some(now);
         let tail =
@@ -183,6 +190,7 @@
     tails: &TailModel,
     life: &Life,
     before: &BTreeMap<Arc<str>, (u8, crate::Time)>,
+    now: crate::Time,
 ) -> BTreeMap<Arc<str>, f64> {
     let full = full_loads(life);
     let mut paces =
@@ -204,13 +212,17 @@
                 }
             }
         }
-        if run.gauge.is_some_and(|tail_ms| f64::from(tail_ms) > target_ms) {
-            for (fills, _) in &causes {
-                let held = before.get(fills).map_or(100, |(percent, _)| *percent);
-                let cut = f64::from(held) / 100.0 * CUT_WHEN_OVER;
-                if let Some(pace) = paces.get_mut(fills) {
-                    *pace = pace.min(cut);
-                }
+        let Some(over_for) = run.over_since.map(|since| now.since(since)) else { continue };
+        for (fills, _) in &full {
+            let blamed = causes.is_empty() || causes.iter().any(|(cause, _)| cause == fills);
+            let held = f64::from(before.get(fills).map_or(100, |(percent, _)| *percent)) / 100.0;
+            let most = match over_for {
+                over_for if over_for >= HALT_WHEN_OVER_FOR => 0.0,
+                over_for if over_for >= DOUBT_WHEN_OVER_FOR || blamed => held * CUT_WHEN_OVER,
+                _ => continue,
+            };
+            if let Some(pace) = paces.get_mut(fills) {
+                *pace = pace.min(most);
             }
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -4,7 +4,7 @@
     super::{
         event::{Action, Note, Order, StartOrder},
         job::{Job, Placement},
-        life::{Life, LifeNo, Phase, RunThere},
+        life::{Life, LifeNo, Phase, Progress, RunThere},
         names::{JobId, TaskName},
         spec::StepSpec,
     },
@@ -165,7 +165,7 @@
         }
     }
 
-    fn start(&mut self, name: TaskName, no: LifeNo, spec: &StepSpec, run: Option<u32>) {
+    pub(super) fn start(&mut self, name: TaskName, no: LifeNo, spec: &StepSpec, run: Option<u32>) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let payload = job.payload.clone();
@@ -194,10 +194,12 @@
             tail_target_ms: spec.tail_target_ms,
             image: spec.image.as_deref().map(Into::into),
             percent: 0,
+            progress: Progress::new(now),
             gauge: None,
             paced_percent: 100,
             own_stress: Estimate::own(),
             learned_at: None,
+            over_since: None,
         };
         life.runs.insert(name, there);
         self.out.push(Action::Note(note));
