--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -11,6 +11,7 @@
     life::LifeNo,
     names::JobId,
     record::{JobRecord, OccurrenceProgress, Outcome, ProgressRecord, StepProgress},
+    scheduler::tails::ImageNo,
     spec::{JobSpec, QueueTerms, StepSpec},
 };
 use crate::Time;
@@ -92,6 +93,8 @@
     pub(super) queue: QueueTerms,
     pub(super) spec: JobSpec,
     pub(super) payload: Arc<str>,
+    /// The image of each step.
+    pub(super) images: Vec<ImageNo>,
     pub(super) accepted_unix_ms: u64,
     pub(super) accepted_at: Time,
     /// What is decided, kept for good or not.
@@ -121,6 +124,7 @@
         let mut job = Self {
             id,
             payload: spec.payload.as_str().into(),
+            images: Vec::new(),
             queue,
             spec,
             accepted_unix_ms: unix_ms,
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -10,9 +10,12 @@
 use super::{
     event::{Order, Report},
     names::{LifeId, TaskName},
-    scheduler::tails::Estimate,
+    scheduler::{
+        room::Room,
+        tails::{Estimate, ImageNo},
+    },
 };
-use crate::{CpuMillis, MemoryMb, Resources, Time};
+use crate::{Resources, Time};
 
 /// The number of a worker's life in one scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -91,7 +94,7 @@
     pub(super) keeps_progress: bool,
     pub(super) lasts: bool,
     pub(super) tail_target_ms: Option<u64>,
-    pub(super) image: Option<Arc<str>>,
+    pub(super) image: ImageNo,
     pub(super) percent: u32,
     pub(super) progress: Progress,
     pub(super) gauge: Option<u32>,
@@ -120,7 +123,9 @@
     /// By now every run there has certainly lost its lease, unless it is renewed.
     pub(super) lapses_at: Time,
     pub(super) token: u64,
-    pub(super) runs: BTreeMap<TaskName, RunThere>,
+    runs: BTreeMap<TaskName, RunThere>,
+    /// What is left, unless something changed since.
+    pub(super) room: Option<Room>,
     pub(super) orders: VecDeque<Order>,
     pub(super) order_sent: bool,
     pub(super) hold_sent: bool,
@@ -136,9 +141,9 @@
     pub(super) set_aside_times: u32,
     /// Runs that filled here and ended a moment ago: gauges still tell of them. The image, the
     /// processor time in thousandths of a core, and when.
-    pub(super) just_ended: Vec<(Arc<str>, u32, Time)>,
+    pub(super) just_ended: Vec<(ImageNo, u32, Time)>,
     /// The share of their speed that runs of an image that fills have, in percent, since when.
-    pub(super) paces: BTreeMap<Arc<str>, (u8, Time)>,
+    pub(super) paces: BTreeMap<ImageNo, (u8, Time)>,
 }
 
 impl Life {
@@ -153,6 +158,7 @@
             lapses_at,
             token,
             runs: BTreeMap::new(),
+            room: None,
             orders: VecDeque::new(),
             order_sent: false,
             hold_sent: false,
@@ -184,21 +190,9 @@
             && !set_aside
     }
 
-    /// What is not reserved. Filling runs reserve memory, not processor time.
-    pub(super) fn free(&self) -> Resources {
-        let taken = self.runs.values().fold(Resources::default(), |sum, run| {
-            let cpu = if run.fills { CpuMillis(0) } else { run.size.cpu_millis };
-            sum.saturating_add(&Resources { cpu_millis: cpu, ..run.size })
-        });
-        let capacity = self.entry.capacity;
-        let left = |all: u32, taken: u32| all.saturating_sub(taken);
-        Resources {
-            cpu_millis: CpuMillis(left(capacity.cpu_millis.0, taken.cpu_millis.0)),
-            memory_mb: MemoryMb(left(capacity.memory_mb.0, taken.memory_mb.0)),
-            accelerators: crate::Accelerators(
-                capacity.accelerators.0.saturating_sub(taken.accelerators.0),
-            ),
-        }
+    /// What runs there, as believed.
+    pub(super) fn runs(&self) -> &BTreeMap<TaskName, RunThere> {
+        &self.runs
     }
 
     pub(super) fn serves(&self) -> bool {
@@ -209,17 +203,37 @@
         self.runs.values().any(|run| run.fills)
     }
 
-    /// Whether something of an image that serves runs there.
-    pub(super) fn serves_image(&self, image: &str) -> bool {
-        self.runs.values().any(|run| run.serves && run.image.as_deref() == Some(image))
-    }
-
     /// The worker's clock at our moment `now`, in milliseconds; `None` before it was heard.
     pub(super) fn clock_ms(&self, now: Time) -> Option<u64> {
         let ahead_ms = self.clock_ahead_ms?;
         Some(now.as_ms().saturating_add_signed(ahead_ms))
     }
 
+    /// A run, to note how it goes. What it takes stays the same.
+    pub(super) fn run_mut(&mut self, task: TaskName) -> Option<&mut RunThere> {
+        self.runs.get_mut(&task)
+    }
+
+    /// All runs, to note how they go.
+    pub(super) fn runs_mut(&mut self) -> impl Iterator<Item = (TaskName, &mut RunThere)> {
+        self.runs.iter_mut().map(|(&task, run)| (task, run))
+    }
+
+    pub(super) fn insert_run(&mut self, task: TaskName, run: RunThere) {
+        self.room = None;
+        self.runs.insert(task, run);
+    }
+
+    pub(super) fn remove_run(&mut self, task: TaskName) -> Option<RunThere> {
+        self.room = None;
+        self.runs.remove(&task)
+    }
+
+    pub(super) fn take_runs(&mut self) -> BTreeMap<TaskName, RunThere> {
+        self.room = None;
+        std::mem::take(&mut self.runs)
+    }
+
     /// Takes note that the worker answered.
     pub(super) fn note_heard(&mut self, clock_ms: u64, now: Time) {
         self.heard_at = Some(now);
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -31,8 +31,8 @@
             return;
         }
         life.ends_seen = end.number;
-        let there = life.runs.get(&end.task).filter(|there| there.run == end.run);
-        let ended = there.is_some().then(|| life.runs.remove(&end.task)).flatten();
+        let there = life.runs().get(&end.task).filter(|there| there.run == end.run);
+        let ended = there.is_some().then(|| life.remove_run(end.task)).flatten();
         let took_ms = ended.as_ref().filter(|_| end.how == HowEnded::Done).and_then(|run| {
             let Phase::Running(since) = run.phase else { return None };
             let whole = run.progress.from_percent == 0 && !(run.fills && run.paced_percent < 100);
@@ -40,7 +40,7 @@
         });
         if let Some(run) = ended.filter(|run| run.fills) {
             let used = run.gauge.unwrap_or(run.size.cpu_millis.0);
-            life.just_ended.push((run.image.unwrap_or_else(|| "".into()), used, self.now));
+            life.just_ended.push((run.image, used, self.now));
         }
         let note = Note::RunEnded {
             task: end.task,
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -5,12 +5,12 @@
 use super::{
     super::{
         event::{Action, Hold, HoldFailure, Note, Order, Report, RunningTask},
-        job::Placement,
+        job::{Job, Placement},
         life::{LifeNo, Phase, Progress, RunThere},
         names::TaskName,
     },
     Scheduler,
-    tails::Estimate,
+    tails::{Estimate, ImageNo, TailModel},
 };
 use crate::Time;
 
@@ -90,7 +90,7 @@
         let placement = Placement { life: no, run: running.run };
         let wanted = self.wants(name, placement);
         let Some(life) = self.lives.get_mut(&no) else { return };
-        match life.runs.get_mut(&name) {
+        match life.run_mut(name) {
             Some(there) if there.run == running.run => {
                 if !matches!(there.phase, Phase::Running(_)) {
                     there.phase = Phase::Running(now);
@@ -135,6 +135,7 @@
     fn adopt(&mut self, no: LifeNo, running: &RunningTask) {
         let name = running.task;
         let now = self.now;
+        let image = step_image(&mut self.tails, self.jobs.get(&name.job), name.step);
         let step = self.jobs.get(&name.job).and_then(|job| job.spec.steps.get(name.step as usize));
         let there = RunThere {
             run: running.run,
@@ -146,7 +147,7 @@
             lasts: step.is_some_and(|step| step.lasts),
             keeps_progress: step.is_some_and(|step| step.keeps_progress),
             tail_target_ms: step.and_then(|step| step.tail_target_ms),
-            image: step.and_then(|step| step.image.as_deref().map(Into::into)),
+            image,
             percent: running.percent,
             progress: Progress { from_percent: running.percent, ..Progress::new(now) },
             gauge: running.gauge,
@@ -156,7 +157,7 @@
             over_since: None,
         };
         if let Some(life) = self.lives.get_mut(&no) {
-            life.runs.insert(name, there);
+            life.insert_run(name, there);
         }
     }
 
@@ -166,7 +167,7 @@
         let reported = |name: &TaskName, run: u32| {
             report.running.iter().any(|running| running.task == *name && running.run == run)
         };
-        let missing = life.runs.iter().filter(|(name, there)| {
+        let missing = life.runs().iter().filter(|(name, there)| {
             let settled = match there.phase {
                 Phase::Ordered => false,
                 Phase::Doubtful { settled_by } => hold.token >= settled_by,
@@ -184,3 +185,8 @@
         }
     }
 }
+
+fn step_image(tails: &mut TailModel, job: Option<&Job>, step: u32) -> ImageNo {
+    let known = job.and_then(|job| job.images.get(step as usize)).copied();
+    known.unwrap_or_else(|| tails.number(None))
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod pace;
 mod place;
 mod requests;
+pub(super) mod room;
 mod stragglers;
 pub(super) mod tails;
 mod workers;
@@ -191,7 +192,9 @@
         }
     }
 
-    fn insert_job(&mut self, job: Job) {
+    fn insert_job(&mut self, mut job: Job) {
+        let images = job.spec.steps.iter().map(|step| self.tails.number(step.image.as_deref()));
+        job.images = images.collect();
         let id = job.id;
         match (job.is_open(), job.ended_unix_ms) {
             (true, _) => self.open.insert((job.queue.priority, job.due_at, id)),
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -31,8 +31,7 @@
     pub(super) fn stop_run(&mut self, no: LifeNo, order: Order) {
         let (task, run) = order.run();
         let Some(life) = self.lives.get_mut(&no) else { return };
-        let Some(there) = life.runs.get_mut(&task).filter(|there| there.run == run) else { return };
-        if there.stopping {
+        if !life.runs().get(&task).is_some_and(|there| there.run == run && !there.stopping) {
             return;
         }
         let waiting = life.orders.iter().position(|waiting| {
@@ -44,7 +43,9 @@
                 self.drop_run(no, task, run);
             }
             None => {
-                there.stopping = true;
+                if let Some(there) = life.run_mut(task) {
+                    there.stopping = true;
+                }
                 life.orders.push_front(order);
                 self.send_next_order(no);
             }
@@ -104,8 +105,8 @@
     /// Forgets a run that certainly is not there; its task waits again.
     pub(super) fn drop_run(&mut self, no: LifeNo, task: TaskName, run: u32) {
         let Some(life) = self.lives.get_mut(&no) else { return };
-        if life.runs.get(&task).is_some_and(|there| there.run == run) {
-            life.runs.remove(&task);
+        if life.runs().get(&task).is_some_and(|there| there.run == run) {
+            life.remove_run(task);
         }
         self.unplace(task, Placement { life: no, run });
         self.replan = true;
@@ -124,7 +125,7 @@
         let Some(life) = self.lives.get_mut(&no) else { return };
         let worker = life.id().clone();
         life.orders.clear();
-        let runs = std::mem::take(&mut life.runs);
+        let runs = life.take_runs();
         for (task, there) in runs {
             let (run, worker) = (there.run, worker.clone());
             self.out.push(Action::Note(Note::RunGivenUp { task, run, worker, why }));
@@ -138,7 +139,7 @@
         let (task, run) = order.run();
         let Some(life) = self.lives.get_mut(&no) else { return };
         let settled_by = life.token;
-        if let Some(there) = life.runs.get_mut(&task).filter(|there| there.run == run) {
+        if let Some(there) = life.run_mut(task).filter(|there| there.run == run) {
             match order {
                 Order::Start(_) => there.phase = Phase::Doubtful { settled_by },
                 Order::Stop { .. } => there.stopping = false,
@@ -152,7 +153,7 @@
     fn order_done(&mut self, no: LifeNo, order: &Order) {
         let now = self.now;
         if let Order::Start(start) = order {
-            let run = self.lives.get_mut(&no).and_then(|life| life.runs.get_mut(&start.task));
+            let run = self.lives.get_mut(&no).and_then(|life| life.run_mut(start.task));
             if let Some(there) = run.filter(|there| there.run == start.run) {
                 there.phase = Phase::Running(now);
                 there.progress.rose_at = now;
@@ -172,7 +173,7 @@
             Order::Start(_) => self.drop_run(no, task, run),
             Order::Stop { .. } | Order::Pace { .. } => {
                 let life = self.lives.get_mut(&no);
-                let there = life.and_then(|life| life.runs.get_mut(&task));
+                let there = life.and_then(|life| life.run_mut(task));
                 if let Some(there) = there.filter(|there| there.run == run) {
                     there.stopping = false;
                 }
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -1,24 +1,27 @@
 //! Keeps what serves below its target by slowing what fills beside it, and no more than needed.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
     super::{
         event::{Action, Note, Order},
         life::{Life, LifeNo, Phase, RunThere},
+        names::TaskName,
         spec::StepSpec,
     },
     Scheduler,
-    tails::{Load, Tail, TailModel},
+    room::{SLIGHT_EFFECT, capacity_millis, full_loads, loads_by},
+    tails::{ImageNo, Load, Tail, TailModel},
 };
 
 /// The share of its target that a tail is to stay below. Less than all of it: gauges are rough,
 /// tell of the last half second, and loads swing.
-const AIM: f64 = 0.8;
+pub(super) const AIM: f64 = 0.7;
 /// The time that a gauge tells of, as the platform says.
 const GAUGE_WINDOW: Duration = Duration::from_millis(500);
-/// Effects below this are not worth slowing anything for: they are within the noise of gauges.
-const SLIGHT_EFFECT: f64 = 0.35;
+/// How much a task's own stress may rise while what is placed beside it runs. Loads swing by some
+/// two tenths within seconds; where a task may go matters most at the top.
+pub(super) const SWING: f64 = 0.1;
 /// Paces are multiples of this, in percent, so that small changes cost no orders.
 const PACE_STEP: u8 = 20;
 /// How long a pace holds at least before it is raised: the gauges tell of the last half second.
@@ -87,8 +90,8 @@
     /// faster elsewhere.
     fn move_slowed(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get(&no) else { return };
-        let slowed = |image: &Arc<str>| {
-            let held = life.paces.get(image);
+        let slowed = |image: ImageNo| {
+            let held = life.paces.get(&image);
             held.is_some_and(|&(percent, since)| {
                 percent <= SLOWED_PERCENT && self.now.since(since) >= SLOWED_FOR
             })
@@ -96,13 +99,13 @@
         let worth_it = |run: &RunThere| {
             run.fills && run.keeps_progress && !run.stopping && run.percent < NEARLY_DONE_PERCENT
         };
-        let runs = life.runs.iter().filter(|(_, run)| worth_it(run) && slowed(&image_of(run)));
+        let runs = life.runs().iter().filter(|(_, run)| worth_it(run) && slowed(run.image));
         let runs = runs.map(|(&task, run)| (task, run.run)).take(MOVES_AT_ONCE);
         for (task, run) in runs.collect::<Vec<_>>() {
             let Some(spec) = self.step_of(task).cloned() else { continue };
             let better = self.choose(task, &spec, &[]).filter(|&other| other != no);
-            let pace = better.and_then(|other| self.lives.get(&other));
-            if pace.is_none_or(|other| self.expected_pace(other, &spec) < WORTH_MOVING) {
+            let pace = better.and_then(|other| self.expected_pace(other, task, &spec));
+            if pace.is_none_or(|pace| pace < WORTH_MOVING) {
                 continue;
             }
             let job = self.jobs.get_mut(&task.job);
@@ -122,9 +125,9 @@
     pub(super) fn tell_pace(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get_mut(&no) else { return };
         let mut orders = Vec::new();
-        for (&task, there) in &mut life.runs {
-            let image = image_of(there);
-            let percent = life.paces.get(&image).map_or(100, |(percent, _)| *percent);
+        let paces = life.paces.clone();
+        for (task, there) in life.runs_mut() {
+            let percent = paces.get(&there.image).map_or(100, |(percent, _)| *percent);
             let differs = there.fills && !there.stopping && there.paced_percent != percent;
             if differs && matches!(there.phase, Phase::Running(_)) {
                 there.paced_percent = percent;
@@ -136,40 +139,19 @@
         }
     }
 
-    /// The share of its full speed that a task that fills would be let work at, 0 to 1.
-    pub(super) fn expected_pace(&self, life: &Life, spec: &StepSpec) -> f64 {
-        let image = spec.image.as_deref().unwrap_or("");
-        let capacity = capacity_millis(life);
-        let load = f64::from(spec.size.cpu_millis.0) / capacity;
-        let full = full_loads(life);
-        let pace_beside = |run: &RunThere| {
-            let serves = image_of(run);
-            let needs = self.tails.effect(image, &serves) * load;
-            if needs < SLIGHT_EFFECT * load {
-                return 1.0;
-            }
-            let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
-            let limit = self.tails.stress_at(&serves, target_ms, AIM);
-            let left = limit - run.own_stress.mean - added(&self.tails, &full, &serves);
-            (left / needs).clamp(0.0, 1.0)
-        };
-        life.runs.values().filter(|run| run.serves).map(pace_beside).fold(1.0, f64::min)
-    }
-
-    /// How much of its tail's room a serving task would lose to what fills there, 0 to 1.
-    pub(super) fn expected_stress(&self, life: &Life, spec: &StepSpec) -> f64 {
-        let serves = spec.image.as_deref().unwrap_or("");
-        added(&self.tails, &full_loads(life), serves).min(1.0)
+    /// The share of its full speed that a task that fills would be let work at on a worker, 0 to 1.
+    fn expected_pace(&mut self, no: LifeNo, name: TaskName, spec: &StepSpec) -> Option<f64> {
+        self.refresh_rooms();
+        let life = self.lives.get(&no)?;
+        let image = *self.jobs.get(&name.job)?.images.get(name.step as usize)?;
+        let load = f64::from(spec.size.cpu_millis.0) / capacity_millis(life);
+        Some(life.room.as_ref()?.expected_pace(&self.tails, image, load, 0.0))
     }
 }
 
-/// The image of a run, empty if it names none.
-pub(super) fn image_of(run: &RunThere) -> Arc<str> {
-    run.image.clone().unwrap_or_else(|| "".into())
-}
-
 fn learn(tails: &mut TailModel, life: &mut Life, loads: &[Load], now: crate::Time) {
-    for run in life.runs.values_mut().filter(|run| run.serves) {
+    life.room = None;
+    for (_, run) in life.runs_mut().filter(|(_, run)| run.serves) {
         let (Some(tail_ms), Some(target_ms)) = (run.gauge, run.tail_target_ms) else { continue };
         if tail_ms == 0 {
             continue;
@@ -180,8 +162,7 @@
         run.learned_at = Some(now);
         let tail =
             Tail { tail_ms: f64::from(tail_ms), target_ms: target_ms as f64, gap_s, at: now };
-        let image = image_of(run);
-        tails.learn(&image, &mut run.own_stress, loads, tail);
+        tails.learn(run.image, &mut run.own_stress, loads, tail);
     }
 }
 
@@ -189,20 +170,19 @@
 fn paces(
     tails: &TailModel,
     life: &Life,
-    before: &BTreeMap<Arc<str>, (u8, crate::Time)>,
+    before: &BTreeMap<ImageNo, (u8, crate::Time)>,
     now: crate::Time,
-) -> BTreeMap<Arc<str>, f64> {
+) -> BTreeMap<ImageNo, f64> {
     let full = full_loads(life);
-    let mut paces =
-        full.iter().map(|(image, _)| (Arc::clone(image), 1.0)).collect::<BTreeMap<_, _>>();
-    for run in life.runs.values().filter(|run| run.serves) {
-        let serves = image_of(run);
+    let mut paces = full.iter().map(|&(image, _)| (image, 1.0)).collect::<BTreeMap<_, _>>();
+    for run in life.runs().values().filter(|run| run.serves) {
+        let serves = run.image;
         let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
-        let causes = full.iter().filter(|(fills, _)| tails.effect(fills, &serves) >= SLIGHT_EFFECT);
+        let causes = full.iter().filter(|(fills, _)| tails.effect(*fills, serves) >= SLIGHT_EFFECT);
         let causes = causes.collect::<Vec<_>>();
-        let limit = tails.stress_at(&serves, target_ms, AIM);
+        let limit = tails.stress_at(serves, target_ms, AIM);
         let stress =
-            causes.iter().map(|(fills, load)| tails.effect(fills, &serves) * load * paces[fills]);
+            causes.iter().map(|(fills, load)| tails.effect(*fills, serves) * load * paces[fills]);
         let (stress, left) = (stress.sum::<f64>(), limit - run.own_stress.mean);
         if stress > left {
             let share = (left / stress).max(0.0);
@@ -239,35 +219,12 @@
         let load = f64::from(*used) * share / capacity;
         match loads.iter_mut().find(|(known, _)| known == image) {
             Some((_, sum)) => *sum += load,
-            None => loads.push((Arc::clone(image), load)),
+            None => loads.push((*image, load)),
         }
     }
     loads
 }
 
-/// What the tasks that fill use at full speed, by image.
-fn full_loads(life: &Life) -> Vec<Load> {
-    loads_by(life, |run| f64::from(run.size.cpu_millis.0))
-}
-
-fn loads_by(life: &Life, millis: impl Fn(&RunThere) -> f64) -> Vec<Load> {
-    let capacity = capacity_millis(life);
-    let mut loads = BTreeMap::new();
-    for run in life.runs.values().filter(|run| run.fills) {
-        *loads.entry(image_of(run)).or_insert(0.0) += millis(run) / capacity;
-    }
-    loads.into_iter().collect()
-}
-
-fn added(tails: &TailModel, loads: &[Load], serves: &str) -> f64 {
-    let effects = loads.iter().map(|(fills, load)| (tails.effect(fills, serves), load));
-    effects.filter(|(effect, _)| *effect >= SLIGHT_EFFECT).map(|(effect, load)| effect * load).sum()
-}
-
-fn capacity_millis(life: &Life) -> f64 {
-    f64::from(life.entry.capacity.cpu_millis.0.max(1))
-}
-
 fn quantise(pace: f64) -> u8 {
     let percent = (pace.clamp(0.0, 1.0) * 100.0) as u8;
     percent / PACE_STEP * PACE_STEP
@@ -275,7 +232,7 @@
 
 /// The worst tail of what serves there, in percent of its target.
 fn worst_tail_percent(life: &Life) -> Option<u32> {
-    let percents = life.runs.values().filter_map(|run| {
+    let percents = life.runs().values().filter_map(|run| {
         let target_ms = run.tail_target_ms.filter(|&target_ms| target_ms > 0)?;
         let tail_ms = u64::from(run.gauge?);
         u32::try_from(tail_ms * 100 / target_ms).ok()
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -9,18 +9,20 @@
         spec::StepSpec,
     },
     Scheduler,
-    tails::Estimate,
+    pace::SWING,
+    room::{Room, added, capacity_millis, full_loads},
+    tails::{Estimate, ImageNo, TailModel},
 };
 
-/// How much of the processor time that is reserved is used, for the room of what fills, in percent.
-/// What serves is rarely fully loaded.
-const RESERVED_USED_PERCENT: u32 = 50;
 /// What fills is started where at least this share of its processor time is left, in percent.
-const LEAST_LEFT_PERCENT: u32 = 60;
+const LEAST_LEFT_PERCENT: u32 = 80;
 /// Weight of a worker's fullness, 0 to 1, when workers are compared. The unit of the other weights.
 const FULLNESS: f64 = 1.0;
 /// Weight of something that would disturb, or be disturbed, by what the task does.
 const DISTURBANCE: f64 = 3.0;
+/// Weight of a worker where other images could fill as well, beside one that is slowed: what has
+/// many places to go leaves those alone that others need.
+const SCARCITY: f64 = 0.25;
 /// What fills is started where it is let work at this share of its speed at least: it holds memory.
 const LEAST_PACE: f64 = 0.5;
 /// The same for a task that loses its progress when it is stopped: it can't be moved.
@@ -117,58 +119,42 @@
         self.jobs.get(&name.job)?.spec.steps.get(name.step as usize)
     }
 
+    /// Works out anew what workers have left where something changed.
+    pub(super) fn refresh_rooms(&mut self) {
+        for life in self.lives.values_mut().filter(|life| life.room.is_none()) {
+            life.room = Some(Room::of(life, &self.tails));
+        }
+    }
+
     /// The best worker for a task, beside members that are about to be placed.
     pub(super) fn choose(
-        &self,
+        &mut self,
         name: TaskName,
         spec: &StepSpec,
         members: &[LifeNo],
     ) -> Option<LifeNo> {
+        self.refresh_rooms();
         let job = self.jobs.get(&name.job)?;
-        let service = &job.queue.service;
+        let image = *job.images.get(name.step as usize)?;
         let avoid = job.task(name.occurrence, name.step, name.index).and_then(|task| task.avoid);
         let rack =
             members.first().and_then(|no| self.lives.get(no)).map(|life| life.entry.rack.as_str());
-        let candidates = self.lives.iter().filter(|(no, life)| {
-            life.takes_work(self.now)
-                && life.entry.service == *service
-                && spec.label.as_ref().is_none_or(|label| life.entry.labels.contains(label))
-                && has_room(**no, life, name, spec, members)
+        let fit = Fit { name, spec, image, members, rack, avoid, tails: &self.tails };
+        let candidates = self.lives.iter().filter(|(_, life)| {
+            life.takes_work(self.now) && life.entry.service == job.queue.service
         });
-        let score = |no: LifeNo, life: &Life, disturbance: f64| {
-            let far = spec.near_rack.as_ref().is_some_and(|near| !life.entry.labels.contains(near));
-            let apart = spec.same_rack && rack.is_some_and(|rack| rack != life.entry.rack);
-            FULLNESS * fullness(life, spec)
-                + DISTURBANCE * disturbance
-                + if far || apart { FAR } else { 0.0 }
-                + if avoid == Some(no) { FAILED_THERE } else { 0.0 }
-        };
         let scored = candidates.filter_map(|(&no, life)| {
-            let disturbance = self.disturbance(life, spec);
-            let least = if spec.keeps_progress { LEAST_PACE } else { LEAST_PACE_UNMOVED };
-            let halted = spec.fills && 1.0 - disturbance < least;
-            (!halted).then(|| (score(no, life, disturbance), no))
+            let room = life.room.as_ref()?;
+            fit.score(no, life, room).map(|score| (score, no))
         });
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, no)| no)
     }
 
-    /// How much of what the worker runs would disturb the task, or be disturbed by it.
-    fn disturbance(&self, life: &Life, spec: &StepSpec) -> f64 {
-        match (spec.fills, spec.tail_target_ms.is_some()) {
-            (true, _) => 1.0 - self.expected_pace(life, spec),
-            (_, true) => {
-                let image = spec.image.as_deref().unwrap_or("");
-                let mixed = life.serves() && !life.serves_image(image);
-                self.expected_stress(life, spec) + if mixed { OTHER_IMAGE } else { 0.0 }
-            }
-            _ => 0.0,
-        }
-    }
-
     pub(super) fn start(&mut self, name: TaskName, no: LifeNo, spec: &StepSpec, run: Option<u32>) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let payload = job.payload.clone();
+        let Some(&image) = job.images.get(name.step as usize) else { return };
         let Some(task) = job.task_mut(name.occurrence, name.step, name.index) else { return };
         let Some(life) = self.lives.get_mut(&no) else { return };
         let run = run.unwrap_or(task.last_run + 1);
@@ -179,7 +165,7 @@
             task: name,
             run,
             worker: life.id().clone(),
-            free: life.free(),
+            free: life.room.as_ref().map(|room| room.free).unwrap_or_default(),
             heard_ago_ms: life.heard_ago_ms(now),
         };
         let there = RunThere {
@@ -192,7 +178,7 @@
             keeps_progress: spec.keeps_progress,
             lasts: spec.lasts,
             tail_target_ms: spec.tail_target_ms,
-            image: spec.image.as_deref().map(Into::into),
+            image,
             percent: 0,
             progress: Progress::new(now),
             gauge: None,
@@ -201,7 +187,7 @@
             learned_at: None,
             over_since: None,
         };
-        life.runs.insert(name, there);
+        life.insert_run(name, there);
         self.out.push(Action::Note(note));
         let order = StartOrder { task: name, run, payload, checkpoint, ticket: None };
         self.order(no, Order::Start(order));
@@ -252,52 +238,84 @@
     step.tasks.iter().find_map(|task| task.checkpoint.clone())
 }
 
-fn has_room(no: LifeNo, life: &Life, name: TaskName, spec: &StepSpec, members: &[LifeNo]) -> bool {
-    if life.runs.contains_key(&name) {
-        return false;
-    }
-    let same_step = |other: &TaskName| {
-        (other.job, other.occurrence, other.step) == (name.job, name.occurrence, name.step)
-    };
-    let members_here = members.iter().filter(|&&member| member == no).count() as u32;
-    let siblings =
-        || life.runs.keys().filter(|other| same_step(other)).count() as u32 + members_here;
-    if spec.max_per_worker.is_some_and(|most| siblings() >= most) {
-        return false;
+/// A task that looks for a worker.
+struct Fit<'a> {
+    name: TaskName,
+    spec: &'a StepSpec,
+    image: ImageNo,
+    /// Where other members of its gang are about to be placed.
+    members: &'a [LifeNo],
+    /// The rack that they are in.
+    rack: Option<&'a str>,
+    /// Where it failed, or was slow.
+    avoid: Option<LifeNo>,
+    tails: &'a TailModel,
+}
+
+impl Fit<'_> {
+    /// How well a worker suits the task, less is better; `None` if it does not.
+    fn score(&self, no: LifeNo, life: &Life, room: &Room) -> Option<f64> {
+        let spec = self.spec;
+        let labelled = spec.label.as_ref().is_none_or(|label| life.entry.labels.contains(label));
+        if !labelled || !self.has_room(no, life, room) {
+            return None;
+        }
+        let disturbance = self.disturbance(life, room)?;
+        let fullness = 1.0 - if spec.fills { room.fill_share } else { room.free_share };
+        let far = spec.near_rack.as_ref().is_some_and(|near| !life.entry.labels.contains(near));
+        let apart = spec.same_rack && self.rack.is_some_and(|rack| rack != life.entry.rack);
+        let far = if far || apart { FAR } else { 0.0 };
+        let failed = if self.avoid == Some(no) { FAILED_THERE } else { 0.0 };
+        Some(FULLNESS * fullness + DISTURBANCE * disturbance + far + failed)
     }
-    let mut free = life.free();
-    for _ in 0..members_here {
-        match free.checked_sub(&spec.size) {
-            Some(left) => free = left,
-            None => return false,
+
+    /// How much of what the worker runs would disturb the task, or be disturbed by it; `None` if so
+    /// much that the task should wait instead.
+    fn disturbance(&self, life: &Life, room: &Room) -> Option<f64> {
+        let spec = self.spec;
+        let load = f64::from(spec.size.cpu_millis.0) / capacity_millis(life);
+        match (spec.fills, spec.tail_target_ms.is_some()) {
+            (true, _) => {
+                let least = if spec.keeps_progress { LEAST_PACE } else { LEAST_PACE_UNMOVED };
+                let pace = |swing| room.expected_pace(self.tails, self.image, load, swing);
+                let slowed = 1.0 - pace(SWING);
+                (pace(0.0) >= least).then_some(slowed + SCARCITY * room.tolerance)
+            }
+            (_, true) => {
+                let stress = added(self.tails, &full_loads(life), self.image).min(1.0);
+                Some(stress + if room.is_foreign(self.image) { OTHER_IMAGE } else { 0.0 })
+            }
+            _ => Some(0.0),
         }
     }
-    match spec.fills {
-        true => {
-            let left = cpu_left_to_fill(life);
+
+    fn has_room(&self, no: LifeNo, life: &Life, room: &Room) -> bool {
+        let (name, spec) = (self.name, self.spec);
+        if life.runs().contains_key(&name) {
+            return false;
+        }
+        let same_step = |other: &TaskName| {
+            (other.job, other.occurrence, other.step) == (name.job, name.occurrence, name.step)
+        };
+        let members_here = self.members.iter().filter(|&&member| member == no).count() as u32;
+        let siblings =
+            || life.runs().keys().filter(|other| same_step(other)).count() as u32 + members_here;
+        if spec.max_per_worker.is_some_and(|most| siblings() >= most) {
+            return false;
+        }
+        let mut free = room.free;
+        for _ in 0..members_here {
+            match free.checked_sub(&spec.size) {
+                Some(left) => free = left,
+                None => return false,
+            }
+        }
+        let fills_in = || {
             let needs = spec.size.cpu_millis.0 * LEAST_LEFT_PERCENT / 100;
             spec.size.memory_mb <= free.memory_mb
                 && spec.size.accelerators <= free.accelerators
-                && left >= needs
-        }
-        false => spec.size.fits_in(&free),
+                && room.cpu_left_to_fill >= needs
+        };
+        if spec.fills { fills_in() } else { spec.size.fits_in(&free) }
     }
 }
-
-/// The processor time that what fills finds there, in thousandths of a core.
-fn cpu_left_to_fill(life: &Life) -> u32 {
-    let taken = life.runs.values().map(|run| match run.fills {
-        true => run.size.cpu_millis.0,
-        false => run.size.cpu_millis.0 * RESERVED_USED_PERCENT / 100,
-    });
-    life.entry.capacity.cpu_millis.0.saturating_sub(taken.sum())
-}
-
-fn fullness(life: &Life, spec: &StepSpec) -> f64 {
-    let capacity = f64::from(life.entry.capacity.cpu_millis.0.max(1));
-    let left = match spec.fills {
-        true => cpu_left_to_fill(life),
-        false => life.free().cpu_millis.0,
-    };
-    1.0 - f64::from(left) / capacity
-}
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -118,7 +118,7 @@
 
     fn stop_all_of(&mut self, id: JobId) {
         let runs = self.lives.iter().flat_map(|(&life, there)| {
-            let of_job = there.runs.iter().filter(move |(task, _)| task.job == id);
+            let of_job = there.runs().iter().filter(move |(task, _)| task.job == id);
             of_job.map(move |(&task, run)| (life, task, run.run))
         });
         for (life, task, run) in runs.collect::<Vec<_>>() {
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -0,0 +1,144 @@
+//! What a worker has left, worked out once between two changes of what runs there.
+
+use super::{
+    super::life::{Life, RunThere},
+    pace::AIM,
+    tails::{ImageNo, Load, TailModel},
+};
+use crate::{Accelerators, CpuMillis, MemoryMb, Resources};
+
+/// How much of the processor time that is reserved is used, for the room of what fills, in percent.
+/// On the users' workers what fills keeps its full speed up to this.
+const RESERVED_USED_PERCENT: u32 = 40;
+/// Effects below this are not worth slowing anything for: they are within the noise of gauges.
+pub(in crate::jobs) const SLIGHT_EFFECT: f64 = 0.35;
+
+/// What a worker has left.
+#[derive(Debug, Clone)]
+pub(in crate::jobs) struct Room {
+    /// What is not reserved. What fills reserves memory, not processor time.
+    pub(super) free: Resources,
+    /// The processor time that what fills finds there, in thousandths of a core.
+    pub(super) cpu_left_to_fill: u32,
+    /// The share of the processor time that is not reserved, and that is left to fill.
+    pub(super) free_share: f64,
+    pub(super) fill_share: f64,
+    /// What serves there, by image.
+    serving: Vec<Serving>,
+    /// The share of all images that fill which nothing there minds, 0 to 1.
+    pub(super) tolerance: f64,
+}
+
+/// The tasks of one image that serve on a worker.
+#[derive(Debug, Clone)]
+struct Serving {
+    image: ImageNo,
+    /// How much stress the most stressed of them can take beside its own.
+    left: f64,
+    /// What fills there adds, at full speed.
+    added: f64,
+}
+
+impl Room {
+    pub(super) fn of(life: &Life, tails: &TailModel) -> Self {
+        let capacity = life.entry.capacity;
+        let (mut taken, mut filled, mut reserved) = (Resources::default(), 0_u32, 0_u32);
+        for run in life.runs().values() {
+            let cpu = run.size.cpu_millis.0;
+            let reserves = if run.fills { 0 } else { cpu };
+            filled += cpu - reserves;
+            reserved += reserves;
+            taken =
+                taken.saturating_add(&Resources { cpu_millis: CpuMillis(reserves), ..run.size });
+        }
+        let cpu = capacity.cpu_millis.0;
+        let free = Resources {
+            cpu_millis: CpuMillis(cpu.saturating_sub(taken.cpu_millis.0)),
+            memory_mb: MemoryMb(capacity.memory_mb.0.saturating_sub(taken.memory_mb.0)),
+            accelerators: Accelerators(
+                capacity.accelerators.0.saturating_sub(taken.accelerators.0),
+            ),
+        };
+        let cpu_left_to_fill = cpu.saturating_sub(reserved * RESERVED_USED_PERCENT / 100 + filled);
+        let share = |left: u32| f64::from(left) / f64::from(cpu.max(1));
+        let serving = serving(life, tails);
+        let images = serving.iter().map(|serving| serving.image).collect::<Vec<_>>();
+        Self {
+            free,
+            cpu_left_to_fill,
+            free_share: share(free.cpu_millis.0),
+            fill_share: share(cpu_left_to_fill),
+            tolerance: tails.tolerance(&images, SLIGHT_EFFECT),
+            serving,
+        }
+    }
+
+    /// The share of its full speed that a task that fills would be let work at, 0 to 1, if the own
+    /// stress of what serves there rises by `swing`.
+    pub(super) fn expected_pace(
+        &self,
+        tails: &TailModel,
+        image: ImageNo,
+        load: f64,
+        swing: f64,
+    ) -> f64 {
+        let beside = |serving: &Serving| {
+            let effect = tails.effect(image, serving.image);
+            let left = serving.left - swing - serving.added;
+            if effect < SLIGHT_EFFECT { 1.0 } else { (left / (effect * load)).clamp(0.0, 1.0) }
+        };
+        self.serving.iter().map(beside).fold(1.0, f64::min)
+    }
+
+    /// Whether something of another image serves there, and nothing of this one.
+    pub(super) fn is_foreign(&self, image: ImageNo) -> bool {
+        !self.serving.is_empty() && self.serving.iter().all(|serving| serving.image != image)
+    }
+}
+
+/// What the tasks that fill on a worker use at full speed, by image.
+pub(super) fn full_loads(life: &Life) -> Vec<Load> {
+    loads_by(life, |run| f64::from(run.size.cpu_millis.0))
+}
+
+/// What the tasks that fill on a worker use, by image, as a share of all it has.
+pub(super) fn loads_by(life: &Life, millis: impl Fn(&RunThere) -> f64) -> Vec<Load> {
+    let capacity = capacity_millis(life);
+    let mut loads = Vec::<Load>::new();
+    for run in life.runs().values().filter(|run| run.fills) {
+        let load = millis(run) / capacity;
+        match loads.iter_mut().find(|(image, _)| *image == run.image) {
+            Some((_, sum)) => *sum += load,
+            None => loads.push((run.image, load)),
+        }
+    }
+    loads
+}
+
+/// The stress that what fills adds to an image that serves.
+pub(super) fn added(tails: &TailModel, loads: &[Load], serves: ImageNo) -> f64 {
+    let effects = loads.iter().map(|&(fills, load)| (tails.effect(fills, serves), load));
+    effects.filter(|(effect, _)| *effect >= SLIGHT_EFFECT).map(|(effect, load)| effect * load).sum()
+}
+
+/// All processor time of a worker, in thousandths of a core.
+pub(super) fn capacity_millis(life: &Life) -> f64 {
+    f64::from(life.entry.capacity.cpu_millis.0.max(1))
+}
+
+fn serving(life: &Life, tails: &TailModel) -> Vec<Serving> {
+    let loads = full_loads(life);
+    let mut serving = Vec::<Serving>::new();
+    for run in life.runs().values().filter(|run| run.serves) {
+        let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
+        let left = tails.stress_at(run.image, target_ms, AIM) - run.own_stress.mean;
+        match serving.iter_mut().find(|serving| serving.image == run.image) {
+            Some(known) => known.left = known.left.min(left),
+            None => {
+                let added = added(tails, &loads, run.image);
+                serving.push(Serving { image: run.image, left, added });
+            }
+        }
+    }
+    serving
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -47,7 +47,7 @@
         let mut moving = 0;
         let mut still = Vec::new();
         let mut rest = Vec::new();
-        for (&task, run) in life.runs.iter_mut().filter(|(_, run)| is_measured(run)) {
+        for (task, run) in life.runs_mut().filter(|(_, run)| is_measured(run)) {
             if run.percent > run.progress.percent {
                 run.progress.percent = run.percent;
                 run.progress.rose_at = now;
@@ -83,7 +83,7 @@
     /// Starts copies of what may have copies and runs on a worker that has fallen silent.
     pub(super) fn copy_from_silent(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get(&no) else { return };
-        for task in life.runs.keys().copied().collect::<Vec<_>>() {
+        for task in life.runs().keys().copied().collect::<Vec<_>>() {
             if self.step_of(task).is_some_and(|step| step.copies_allowed) {
                 self.copy(no, task);
             }
@@ -92,7 +92,7 @@
 
     /// Whether the run will take much longer than others of its step, and than starting anew.
     fn is_slow(&self, no: LifeNo, task: TaskName) -> bool {
-        let run = self.lives.get(&no).and_then(|life| life.runs.get(&task));
+        let run = self.lives.get(&no).and_then(|life| life.runs().get(&task));
         let expected_ms = self.expected_ms(task);
         let (Some(run), Some(expected_ms)) = (run, expected_ms) else { return false };
         let Some(total_ms) = predicted_ms(run, self.now) else { return false };
@@ -125,7 +125,7 @@
             return;
         }
         let other = self.choose(task, &spec, &[]).filter(|&other| other != no);
-        let run = self.lives.get(&no).and_then(|life| life.runs.get(&task)).map(|run| run.run);
+        let run = self.lives.get(&no).and_then(|life| life.runs().get(&task)).map(|run| run.run);
         let (Some(_), Some(run)) = (other, run) else { return };
         self.avoid(task, no);
         let Some(worker) = self.lives.get(&no).map(|life| life.id().clone()) else { return };
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -7,7 +7,7 @@
 //! times an effect that holds for the pair of images. Both are learned from each report by a
 //! Kalman filter.
 
-use std::{collections::HashMap, sync::Arc};
+use std::collections::HashMap;
 
 use crate::Time;
 
@@ -55,8 +55,12 @@
     }
 }
 
+/// The number of an image in one scheduler.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(in crate::jobs) struct ImageNo(u32);
+
 /// How much processor time the tasks of an image use on a worker, as a share of all it has.
-pub(super) type Load = (Arc<str>, f64);
+pub(super) type Load = (ImageNo, f64);
 
 /// A reported tail of a serving task.
 #[derive(Debug, Clone, Copy)]
@@ -72,8 +76,11 @@
 /// What is known of all pairs of images.
 #[derive(Debug, Default)]
 pub(super) struct TailModel {
-    /// By the image that serves.
-    images: HashMap<Arc<str>, ServingImage>,
+    numbers: HashMap<String, ImageNo>,
+    /// By the number of the image that serves.
+    images: Vec<ServingImage>,
+    /// Images that were seen to fill.
+    fillers: Vec<ImageNo>,
 }
 
 /// What is known of one image that serves.
@@ -82,7 +89,7 @@
     /// Its lowest tail, in milliseconds.
     lowest_ms: Option<f64>,
     /// The images that fill and were seen beside it.
-    fillers: Vec<Arc<str>>,
+    fillers: Vec<ImageNo>,
     /// The effect of each of them.
     effects: Vec<f64>,
     /// How far off the effects may be, together: images that often run beside each other are told
@@ -93,15 +100,35 @@
 }
 
 impl TailModel {
+    /// The number of an image; an empty name stands for all that name none.
+    pub(super) fn number(&mut self, image: Option<&str>) -> ImageNo {
+        let name = image.unwrap_or("");
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let number = ImageNo(self.images.len() as u32);
+        self.images.push(ServingImage::default());
+        self.numbers.insert(name.to_owned(), number);
+        number
+    }
+
     /// How much stress an image that fills adds to one that serves, when it uses all processors.
-    pub(super) fn effect(&self, fills: &str, serves: &str) -> f64 {
-        let known = self.images.get(serves).and_then(|image| image.effect(fills));
+    pub(super) fn effect(&self, fills: ImageNo, serves: ImageNo) -> f64 {
+        let known = self.images.get(serves.0 as usize).and_then(|image| image.effect(fills));
         known.unwrap_or(EFFECT_PRIOR)
     }
 
+    /// The share of the images that fill whose effect on all of the given ones is below `slight`.
+    pub(super) fn tolerance(&self, serving: &[ImageNo], slight: f64) -> f64 {
+        let minded =
+            |fills: &&ImageNo| serving.iter().any(|&serves| self.effect(**fills, serves) >= slight);
+        let minded_count = self.fillers.iter().filter(minded).count();
+        1.0 - minded_count as f64 / self.fillers.len().max(1) as f64
+    }
+
     /// The stress at which a tail is `share` of its target.
-    pub(super) fn stress_at(&self, serves: &str, target_ms: f64, share: f64) -> f64 {
-        let lowest_ms = self.images.get(serves).and_then(|image| image.lowest_ms);
+    pub(super) fn stress_at(&self, serves: ImageNo, target_ms: f64, share: f64) -> f64 {
+        let lowest_ms = self.images.get(serves.0 as usize).and_then(|image| image.lowest_ms);
         1.0 - unloaded_ms(lowest_ms, target_ms) / (target_ms * share)
     }
 
@@ -109,12 +136,17 @@
     /// of what fills beside it.
     pub(super) fn learn(
         &mut self,
-        serves: &Arc<str>,
+        serves: ImageNo,
         own: &mut Estimate,
         loads: &[Load],
         tail: Tail,
     ) {
-        let image = self.images.entry(Arc::clone(serves)).or_default();
+        for (fills, _) in loads {
+            if !self.fillers.contains(fills) {
+                self.fillers.push(*fills);
+            }
+        }
+        let Some(image) = self.images.get_mut(serves.0 as usize) else { return };
         let tail_ms = tail.tail_ms.max(1.0);
         image.lowest_ms = Some(image.lowest_ms.unwrap_or(tail_ms).min(tail_ms));
         let unloaded_ms = unloaded_ms(image.lowest_ms, tail.target_ms);
@@ -127,8 +159,8 @@
 }
 
 impl ServingImage {
-    fn effect(&self, fills: &str) -> Option<f64> {
-        let at = self.fillers.iter().position(|known| **known == *fills)?;
+    fn effect(&self, fills: ImageNo) -> Option<f64> {
+        let at = self.fillers.iter().position(|&known| known == fills)?;
         self.effects.get(at).copied()
     }
 
@@ -143,10 +175,10 @@
 
     fn learn(&mut self, own: &mut Estimate, loads: &[Load], stress: f64) {
         let mut input = vec![0.0; self.fillers.len()];
-        for (fills, load) in loads {
+        for &(fills, load) in loads {
             let at = self.index_of(fills);
             input.resize(self.fillers.len(), 0.0);
-            input[at] = *load;
+            input[at] = load;
         }
         let added = input.iter().zip(&self.effects).map(|(load, effect)| load * effect);
         let error = stress - own.mean - added.sum::<f64>();
@@ -168,11 +200,11 @@
         }
     }
 
-    fn index_of(&mut self, fills: &Arc<str>) -> usize {
-        if let Some(at) = self.fillers.iter().position(|known| known == fills) {
+    fn index_of(&mut self, fills: ImageNo) -> usize {
+        if let Some(at) = self.fillers.iter().position(|&known| known == fills) {
             return at;
         }
-        self.fillers.push(Arc::clone(fills));
+        self.fillers.push(fills);
         self.effects.push(EFFECT_PRIOR);
         let count = self.fillers.len();
         self.covariance.iter_mut().for_each(|row| row.push(0.0));
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -107,7 +107,7 @@
             let saved = run.keeps_progress && run.percent < STAYS_ABOVE_PERCENT;
             !run.stopping && matches!(run.phase, Phase::Running(_)) && (run.lasts || saved)
         };
-        let runs = life.runs.iter().filter(|(_, run)| leaves(run));
+        let runs = life.runs().iter().filter(|(_, run)| leaves(run));
         for (task, run) in runs.map(|(&task, run)| (task, run.run)).collect::<Vec<_>>() {
             let Some(spec) = self.step_of(task).cloned() else { continue };
             if self.choose(task, &spec, &[]).is_none() {
@@ -126,7 +126,7 @@
         if life.hold_sent || life.next_hold_at.is_none_or(|at| at > now) {
             return;
         }
-        let quick = life.silent > 0 || !life.known || life.runs.is_empty();
+        let quick = life.silent > 0 || !life.known || life.runs().is_empty();
         let shared = life.serves() && life.fills();
         let wait_ms = match (quick, shared) {
             (true, _) => 0,
@@ -150,8 +150,8 @@
         let now = self.now;
         let Some(life) = self.lives.get_mut(&no) else { return };
         let pause = match life.silent {
-            0 if life.runs.is_empty() && life.ends_told >= life.ends_seen => HOLD_PAUSE_IDLE,
-            0 if life.runs.is_empty() => HOLD_PAUSE * 5,
+            0 if life.runs().is_empty() && life.ends_told >= life.ends_seen => HOLD_PAUSE_IDLE,
+            0 if life.runs().is_empty() => HOLD_PAUSE * 5,
             0 => HOLD_PAUSE,
             times => (HOLD_RETRY * times).min(HOLD_RETRY_MAX),
         };
@@ -178,6 +178,7 @@
             }
             life.listed = true;
             life.entry = Arc::new(entry);
+            life.room = None;
             return;
         }
         let same_place = |there: &WorkerEntry| {
