--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -91,6 +91,10 @@
         let Some(job) = self.jobs.get_mut(&name.job).filter(|job| job.is_open()) else { return };
         let Some(spec) = job.spec.steps.get(name.step as usize) else { return };
         let gang = spec.gang;
+        if spec.lasts {
+            // It was to run until its job is cancelled: it waits for a worker again.
+            return;
+        }
         let Some(step) = job
             .occurrences
             .get_mut(&name.occurrence)
--- /dev/null
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -0,0 +1,336 @@
+//! Jobs on a fleet of workers that lease what they run, on virtual time.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Mood, World, job, step, task};
+use kitetrail_core::jobs::{
+    Discovery, Event, InvalidJob, JobState, Note, Schedule, StepProgress, StepSpec,
+};
+
+#[test]
+fn steps_run_in_order_and_the_job_completes() {
+    let mut world = World::new(4);
+    let second = StepSpec { depends_on: vec![0], ..step(2) };
+    world.submit(1, job(vec![step(3), second]));
+    world.run_until("the first step runs", |world| !world.where_runs(task(1, 0, 0)).is_empty());
+    assert_eq!(world.state(1), Some(JobState::Running));
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+    let first_done = world.starts.iter().filter(|(_, task, ..)| task.step == 0).count();
+    assert_eq!((first_done, world.starts.len()), (3, 5));
+    let start_of_second = world.starts.iter().find(|(_, task, ..)| task.step == 1).unwrap().0;
+    assert!(world.starts.iter().all(|(at, task, ..)| {
+        task.step == 1 || start_of_second.since(*at) >= Duration::from_millis(1_000)
+    }));
+}
+
+#[test]
+fn a_job_is_accepted_once_it_is_kept_and_stays_one_job() {
+    let mut world = World::new(2);
+    world.store_down = true;
+    let first = world.submit(7, job(vec![step(1)]));
+    world.run_ms(500);
+    assert_eq!(world.answered(first), None, "accepted before it was kept");
+    assert!(world.starts.is_empty(), "started before it was kept");
+    let again = world.submit(7, job(vec![step(1)]));
+    world.store_down = false;
+    world.run_ms(100);
+    assert!(world.answered(first).is_some() && world.answered(again).is_some());
+    world.run_until("it completes", |world| world.state(7) == Some(JobState::Completed));
+    let late = world.submit(7, job(vec![step(1)]));
+    world.run_ms(1_500);
+    assert!(world.answered(late).is_some());
+    assert_eq!(world.starts.len(), 1, "the same id is one job");
+}
+
+#[test]
+fn what_a_silent_worker_runs_waits_for_its_lease_and_no_longer() {
+    let mut world = World::new(2);
+    world.work_ms = Some(30_000);
+    world.submit(1, job(vec![step(1)]));
+    world.run_ms(500);
+    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
+    world.workers.get_mut(&on).unwrap().mood = Mood::Cut;
+    let cut_at = world.now;
+    // The world itself panics if the task runs twice.
+    world.run_until("it is started elsewhere", |world| world.starts.len() == 2);
+    let waited = world.now.since(cut_at);
+    assert!(waited > Duration::from_millis(3_000), "before its lease was over: {waited:?}");
+    assert!(waited < Duration::from_millis(8_000), "long after its lease was over: {waited:?}");
+}
+
+#[test]
+fn an_order_that_is_carried_out_late_starts_nothing_twice() {
+    let mut world = World::new(3);
+    world.work_ms = Some(5_000);
+    for worker in world.workers.values_mut() {
+        worker.mood = Mood::Late;
+    }
+    world.submit(1, job(vec![step(4)]));
+    world.run_ms(400);
+    for worker in world.workers.values_mut() {
+        worker.mood = Mood::Well;
+    }
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+}
+
+#[test]
+fn a_task_that_fails_too_often_fails_its_job() {
+    let mut world = World::new(3);
+    for worker in world.workers.values_mut() {
+        worker.mood = Mood::Failing;
+    }
+    world.submit(1, job(vec![step(1)]));
+    world.run_until("it fails", |world| world.state(1) == Some(JobState::Failed));
+    assert_eq!(world.starts.len(), 3, "as many runs as the queue allows");
+    world.run_ms(3_000);
+    assert_eq!(world.starts.len(), 3, "none after that");
+}
+
+#[test]
+fn a_worker_that_fails_all_it_starts_is_set_aside() {
+    let mut world = World::new(4);
+    world.workers.get_mut("w0").unwrap().mood = Mood::Failing;
+    for id in 0..12 {
+        world.submit(id, job(vec![step(1)]));
+        world.run_ms(150);
+    }
+    let set_aside = |(_, note): &(_, Note)| {
+        matches!(note, Note::Worker { belief: "set aside: its runs fail", .. })
+    };
+    assert!(world.notes.iter().any(set_aside));
+    let on_it = world.starts.iter().filter(|(.., worker)| worker == "w0").count();
+    assert!(on_it <= 5, "it went on to get work: {on_it} starts");
+    world.run_ms(8_000);
+    assert!((0..12).all(|id| world.state(id) == Some(JobState::Completed)));
+}
+
+#[test]
+fn a_cancelled_job_stops_and_is_answered_once_that_is_kept() {
+    let mut world = World::new(2);
+    world.work_ms = Some(60_000);
+    world.submit(1, job(vec![step(3)]));
+    world.run_ms(500);
+    world.store_down = true;
+    let cancel = world.cancel(1);
+    world.run_ms(300);
+    assert_eq!(world.answered(cancel), None, "answered before it was kept");
+    world.store_down = false;
+    world.run_ms(500);
+    assert!(world.answered(cancel).is_some());
+    assert_eq!(world.state(1), Some(JobState::Cancelled));
+    assert!(world.workers.values().all(|worker| worker.running.is_empty()));
+}
+
+#[test]
+fn a_new_owner_starts_nothing_anew_before_it_heard_or_outwaited_every_worker() {
+    let mut world = World::new(3);
+    world.work_ms = Some(20_000);
+    world.submit(1, job(vec![step(3)]));
+    world.run_ms(500);
+    let cut = world.where_runs(task(1, 0, 1))[0].to_owned();
+    world.workers.get_mut(&cut).unwrap().mood = Mood::Cut;
+    world.take_over(2, true);
+    world.run_ms(2_000);
+    assert_eq!(world.starts.len(), 3, "what runs goes on, the silent worker is waited for");
+    assert_eq!(world.state(1), Some(JobState::Running));
+    // A job that came later can't run anywhere yet.
+    world.submit(2, job(vec![step(1)]));
+    world.run_ms(200);
+    assert_eq!(world.starts.len(), 4);
+    world.run_until("the silent worker's task runs elsewhere", |world| world.starts.len() == 5);
+    assert!(!world.deposed);
+}
+
+#[test]
+fn an_owner_whose_workers_saw_a_higher_token_knows_that_it_is_deposed() {
+    let mut world = World::new(1);
+    world.workers.get_mut("w0").unwrap().token = 9 << 20;
+    world.submit(1, job(vec![step(1)]));
+    world.run_ms(300);
+    assert!(world.deposed);
+}
+
+#[test]
+fn ends_are_dropped_by_workers_only_once_they_are_kept() {
+    let mut world = World::new(1);
+    world.submit(1, job(vec![step(2)]));
+    world.run_ms(900);
+    world.store_down = true;
+    world.run_ms(4_000);
+    assert_eq!(world.workers["w0"].ended.len(), 2, "kept by the worker while the store is down");
+    assert_ne!(world.state(1), Some(JobState::Completed), "shown before it was kept");
+    world.take_over(2, true);
+    world.store_down = false;
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 2, "nothing runs again");
+}
+
+#[test]
+fn copies_run_while_a_worker_is_silent_where_they_may() {
+    let mut world = World::new(3);
+    world.work_ms = Some(3_000);
+    world.submit(1, job(vec![StepSpec { copies_allowed: true, ..step(1) }]));
+    world.run_ms(500);
+    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
+    world.workers.get_mut(&on).unwrap().mood = Mood::Cut;
+    let cut_at = world.now;
+    world.run_until("a copy starts", |world| world.starts.len() == 2);
+    assert!(world.now.since(cut_at) < Duration::from_millis(3_000));
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+}
+
+#[test]
+fn what_hangs_is_moved_where_it_keeps_its_progress() {
+    let mut world = World::new(2);
+    world.work_ms = Some(4_000);
+    world.submit(1, job(vec![StepSpec { keeps_progress: true, ..step(2) }]));
+    world.run_ms(500);
+    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
+    world.workers.get_mut(&on).unwrap().mood = Mood::Hanging;
+    world.run_until("it runs elsewhere", |world| {
+        world.where_runs(task(1, 0, 0)).first().is_some_and(|there| *there != on)
+    });
+    assert!(world.now.as_ms() < 8_000, "at {}", world.now);
+}
+
+#[test]
+fn tasks_that_last_leave_a_worker_before_it_does() {
+    let mut world = World::new(2);
+    world.work_ms = Some(600_000);
+    world.submit(1, job(vec![StepSpec { lasts: true, ..step(1) }]));
+    world.run_ms(500);
+    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
+    let worker = world.workers.get_mut(&on).unwrap();
+    worker.entry.draining = true;
+    let entry = Box::new(worker.entry.clone());
+    world.tell(Event::Discovered(vec![Discovery::Listed(entry)]));
+    world.run_ms(1_500);
+    assert_ne!(world.where_runs(task(1, 0, 0)), [on.as_str()]);
+    assert_eq!(world.starts.len(), 2);
+}
+
+#[test]
+fn what_fills_is_halted_where_a_tail_stays_above_its_target() {
+    let mut world = World::new(1);
+    world.work_ms = Some(60_000);
+    // Above the target however slow the rest is: no model explains that.
+    world.tail_ms = |worker| if worker.running.len() > 1 { 90 } else { 12 };
+    let serving =
+        StepSpec { lasts: true, tail_target_ms: Some(50), image: Some("s".to_owned()), ..step(1) };
+    world.submit(1, job(vec![serving]));
+    world.run_ms(1_000);
+    let filling = StepSpec { fills: true, image: Some("f".to_owned()), ..step(1) };
+    world.submit(2, job(vec![filling]));
+    world.run_ms(3_500);
+    let paced = world.workers["w0"].running[&task(2, 0, 0)].percent;
+    assert_eq!(paced, 0, "still at {paced} % after 3.5 s");
+}
+
+#[test]
+fn what_fills_learns_which_services_mind_it() {
+    let mut world = World::new(2);
+    world.work_ms = Some(2_000);
+    // The image `mean` doubles the tail of what serves on w0; w1 does not mind.
+    world.tail_ms = |worker| {
+        let fills = worker.running.keys().filter(|name| name.job.0 >= 100).count() as u32;
+        let load = worker.running.values().map(|run| u32::from(run.percent)).sum::<u32>();
+        let minds = worker.running.keys().any(|name| name.job.0 == 1);
+        if minds && fills > 0 { 20 + 30 * fills * load.min(100) / 100 } else { 20 }
+    };
+    let serving = |image: &str| StepSpec {
+        lasts: true,
+        size: kitetrail_core::Resources::new(3_000, 512, 0),
+        tail_target_ms: Some(50),
+        image: Some(image.to_owned()),
+        ..step(1)
+    };
+    world.submit(1, job(vec![serving("touchy")]));
+    world.submit(2, job(vec![serving("calm")]));
+    world.run_ms(1_000);
+    let calm = world.where_runs(task(2, 0, 0))[0].to_owned();
+    assert_ne!(world.where_runs(task(1, 0, 0)), [calm.as_str()]);
+    let filling = StepSpec {
+        fills: true,
+        image: Some("mean".to_owned()),
+        size: kitetrail_core::Resources::new(1_500, 512, 0),
+        ..step(1)
+    };
+    for id in 100..130 {
+        world.submit(id, job(vec![filling.clone()]));
+        world.run_ms(1_500);
+    }
+    let last = world.starts.iter().filter(|(_, task, ..)| task.job.0 >= 115);
+    let (mut there, mut all) = (0, 0);
+    for (.., worker) in last {
+        all += 1;
+        there += u32::from(*worker == calm);
+    }
+    assert!(there * 10 >= all * 9, "{there} of {all} where nothing minds");
+}
+
+#[test]
+fn tasks_that_last_are_started_again_however_they_end() {
+    let mut world = World::new(1);
+    world.lasting_ms = 700;
+    world.submit(1, job(vec![StepSpec { lasts: true, ..step(1) }]));
+    world.run_ms(3_000);
+    assert!(world.starts.len() >= 3, "{} starts", world.starts.len());
+    assert_eq!(world.state(1), Some(JobState::Running));
+}
+
+#[test]
+fn times_of_a_schedule_start_when_they_are_due() {
+    let mut world = World::new(2);
+    let start_at_unix_ms = 1_780_000_000_000 + world.now.as_ms() + 1_000;
+    let schedule = Schedule { start_at_unix_ms, interval_ms: 500, count: 3 };
+    let mut spec = job(vec![step(1)]);
+    spec.schedule = Some(schedule);
+    let handed_in = world.now;
+    world.submit(1, spec);
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+    let at = world.starts.iter().map(|(at, ..)| at.since(handed_in).as_millis());
+    let at = at.collect::<Vec<_>>();
+    assert_eq!(at.len(), 3);
+    for (start, due) in at.iter().zip([1_000, 1_500, 2_000]) {
+        assert!((due..due + 100).contains(start), "{at:?}");
+    }
+}
+
+#[test]
+fn gangs_start_whole_or_not_at_all() {
+    let mut world = World::new(2);
+    world.submit(1, job(vec![StepSpec { gang: true, ..step(9) }]));
+    world.run_ms(1_000);
+    assert!(world.starts.is_empty(), "nine cores are not there");
+    world.submit(2, job(vec![StepSpec { gang: true, ..step(8) }]));
+    world.run_ms(300);
+    assert_eq!(world.starts.len(), 8);
+}
+
+#[test]
+fn malformed_jobs_are_told_what_is_wrong() {
+    let circle = vec![
+        StepSpec { depends_on: vec![1], ..step(1) },
+        StepSpec { depends_on: vec![0], ..step(1) },
+    ];
+    let unknown = vec![StepSpec { depends_on: vec![4], ..step(1) }];
+    assert_eq!(job(Vec::new()).check(), Err(InvalidJob::NoSteps));
+    assert_eq!(job(vec![step(0)]).check(), Err(InvalidJob::EmptyStep(0)));
+    assert_eq!(job(circle).check(), Err(InvalidJob::Circle(0)));
+    assert_eq!(job(unknown).check(), Err(InvalidJob::UnknownStep { step: 0, on: 4 }));
+    assert_eq!(job(vec![step(20_000)]).check(), Err(InvalidJob::TooManyTasks(20_000)));
+    assert_eq!(job(vec![step(2)]).check(), Ok(()));
+}
+
+#[test]
+fn done_tasks_survive_their_packing() {
+    let done = [true, false, true, true, false, false, true];
+    let progress =
+        StepProgress { done: StepProgress::pack_done(done.into_iter()), ..StepProgress::default() };
+    assert_eq!(progress.done, "d4");
+    let unpacked = (0..8).map(|index| progress.is_done(index)).collect::<Vec<_>>();
+    assert_eq!(unpacked, [true, false, true, true, false, false, true, false]);
+}
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -83,12 +83,13 @@
 /// Looks at the owner once. Returns a claim if this box should take over.
 async fn watch_owner<P: Platform>(shared: &Rc<Shared<P>>) -> Result<Option<Claim>, PlatformError> {
     let view = shared.owner();
-    if let Some(address) = view.address.filter(|&address| address != shared.settings.listen.peers) {
-        if let Ok(answer) = ping(shared, address).await {
-            note_ping(shared, address, &answer).await;
-            if answer.owns_epoch == view.epoch && answer.store_silent_ms < STORE_SILENT_MS {
-                return Ok(None);
-            }
+    let other = view.address.filter(|&address| address != shared.settings.listen.peers);
+    if let Some(address) = other
+        && let Ok(answer) = ping(shared, address).await
+    {
+        note_ping(shared, address, &answer).await;
+        if answer.owns_epoch == view.epoch && answer.store_silent_ms < STORE_SILENT_MS {
+            return Ok(None);
         }
     }
     let Some((owner, version)) = read::<_, OwnerRow>(shared, &rows::owner_row()).await? else {
