Serve first what can still be in time

Cause: under overload the order by due time served jobs that were late already and made the others late.

--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -14,6 +14,8 @@
     tails::{Estimate, ImageNo, TailModel},
 };
 
+use crate::Time;
+
 /// What fills is started where at least this share of its processor time is left, in percent.
 const LEAST_LEFT_PERCENT: u32 = 80;
 /// Weight of a worker's fullness, 0 to 1, when workers are compared. The unit of the other weights.
@@ -23,6 +25,8 @@
 /// Weight of a worker where other images could fill as well, beside one that is slowed: what has
 /// many places to go leaves those alone that others need.
 const SCARCITY: f64 = 0.25;
+/// A job that takes more than so many times what its queue promises is worth little to its caller.
+const LATEST: u32 = 3;
 /// What fills is started where it is let work at this share of its speed at least: it holds memory.
 const LEAST_PACE: f64 = 0.5;
 /// The same for a task that loses its progress when it is stopped: it can't be moved.
@@ -38,9 +42,15 @@
 impl Scheduler {
     /// Places all tasks that wait, in the order of their queues, as far as there is room.
     pub(super) fn place_all(&mut self) {
-        let open = self.open.iter().map(|&(_, _, id)| id).collect::<Vec<_>>();
+        let now = self.now;
+        let key = |&(priority, due_at, id): &(u32, Time, JobId)| {
+            let lateness = self.jobs.get(&id).map(|job| Lateness::of(job, now));
+            lateness.map(|lateness| (priority, lateness, due_at, id))
+        };
+        let mut open = self.open.iter().filter_map(key).collect::<Vec<_>>();
+        open.sort_unstable();
         let mut full = Full::default();
-        for id in open {
+        for (.., id) in open {
             self.place_job(id, &mut full);
         }
     }
@@ -194,6 +204,29 @@
     }
 }
 
+/// How far a job is behind what its queue promises. What can still be in time goes first: it is
+/// worth most, and under overload the late ones would make all others late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Lateness {
+    InTime,
+    Late,
+    /// Later than [`LATEST`] times what was promised.
+    Hopeless,
+}
+
+impl Lateness {
+    fn of(job: &Job, now: Time) -> Self {
+        let promised = job.due_at.since(job.accepted_at);
+        let lasts = job.spec.steps.iter().any(|step| step.lasts);
+        match now.since(job.accepted_at) {
+            _ if lasts || job.spec.schedule.is_some() => Self::InTime,
+            waited if waited <= promised => Self::InTime,
+            waited if waited <= promised * LATEST => Self::Late,
+            _ => Self::Hopeless,
+        }
+    }
+}
+
 /// What was found to have no room in one pass over the jobs, so that it is not looked for again.
 #[derive(Debug, Default)]
 pub(super) struct Full {
@@ -219,7 +252,7 @@
 }
 
 /// The steps whose turn has come and that have tasks waiting.
-fn due_steps(job: &Job, now: crate::Time) -> Vec<(u32, u32)> {
+fn due_steps(job: &Job, now: Time) -> Vec<(u32, u32)> {
     let mut due = Vec::new();
     for (&number, occurrence) in &job.occurrences {
         for (at, spec) in (0_u32..).zip(&job.spec.steps) {
