Keep what was learned of images for the next owner

Cause: after a takeover the new owner placed and paced by priors (a third of the fill's speed was paced away for ten seconds after each kill).

--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -18,7 +18,8 @@
 pub use life::{LifeNo, WorkerEntry};
 pub use names::{InvalidName, JobId, LifeId, QueueName, TaskName};
 pub use record::{
-    JobRecord, LifeRecord, OccurrenceProgress, Outcome, ProgressRecord, Record, StepProgress,
+    EffectsRecord, JobRecord, LifeRecord, OccurrenceProgress, Outcome, ProgressRecord, Record,
+    ServingEffects, StepProgress,
 };
 pub use scheduler::{Inheritance, Scheduler, SchedulerSettings};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec};
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -37,6 +37,26 @@
     LifeUsed(LifeRecord),
     /// A worker's life on which certainly nothing runs any more.
     LifeOver(LifeId),
+    /// What was learned of how images disturb each other.
+    Effects(EffectsRecord),
+}
+
+/// What was learned of how images disturb each other, so that a new owner need not learn it anew.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct EffectsRecord {
+    /// What is known of each image that serves.
+    pub serving: Vec<ServingEffects>,
+}
+
+/// What is known of an image that serves.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServingEffects {
+    /// The image.
+    pub image: String,
+    /// Its lowest tail, in milliseconds.
+    pub lowest_tail_ms: f64,
+    /// How much stress each image that fills adds to it, when it uses all processors.
+    pub effects: Vec<(String, f64)>,
 }
 
 /// A worker's life that tasks may be started on.
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -24,6 +24,10 @@
 /// How long ends of runs may wait for others before they are kept. Workers keep them meanwhile.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// How often what was learned of images is kept, beside what must be. It is learned anew within
+/// some ten seconds.
+const KEEP_EFFECTS_EVERY: Duration = Duration::from_millis(3_000);
+
 /// What waits to be kept for good.
 #[derive(Debug, Default)]
 pub(super) struct Pending {
@@ -35,6 +39,8 @@
     urgent: bool,
     /// Lives with ends that are taken note of but not kept.
     unkept_ends: BTreeSet<LifeNo>,
+    /// When what was learned of images was kept last.
+    effects_at: Time,
     next_batch: u64,
     sent: Option<Batch>,
     last_sent_at: Time,
@@ -183,6 +189,10 @@
         records.extend(progress.iter().filter_map(job).map(Job::progress).map(Record::Progress));
         records.extend(lives_over.into_iter().map(Record::LifeOver));
         records.extend(forgotten.into_iter().map(Record::Forget));
+        if self.now.since(self.pending.effects_at) >= KEEP_EFFECTS_EVERY {
+            self.pending.effects_at = self.now;
+            records.push(Record::Effects(self.tails.export()));
+        }
         let number = self.pending.next_batch;
         self.pending.next_batch += 1;
         self.pending.last_sent_at = self.now;
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -22,7 +22,7 @@
     job::Job,
     life::{Life, LifeNo},
     names::{JobId, LifeId, QueueName},
-    record::{JobRecord, LifeRecord, ProgressRecord},
+    record::{EffectsRecord, JobRecord, LifeRecord, ProgressRecord},
     spec::QueueTerms,
 };
 use crate::Time;
@@ -62,6 +62,8 @@
     pub jobs: Vec<(JobRecord, Option<ProgressRecord>)>,
     /// Workers' lives on which tasks may run.
     pub lives: Vec<LifeRecord>,
+    /// What was learned of how images disturb each other.
+    pub effects: EffectsRecord,
     /// The owner before certainly renews no leases any more.
     pub predecessor_stopped: bool,
 }
@@ -179,6 +181,7 @@
         let run_floor = u32::try_from(self.epoch.saturating_sub(1))
             .unwrap_or(u32::MAX / RUNS_PER_EPOCH)
             .saturating_mul(RUNS_PER_EPOCH);
+        self.tails.import(&inheritance.effects);
         for (record, progress) in inheritance.jobs {
             let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
             self.insert_job(job);
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashMap;
 
+use super::super::record::{EffectsRecord, ServingEffects};
 use crate::Time;
 
 /// What a pair's effect is before anything is known: more than most pairs show, so that the first
@@ -32,6 +33,10 @@
 const LOWEST_TAIL_PRIOR: f64 = 0.25;
 /// A queue's tail with no load at all, as a share of the lowest one seen: services are never idle.
 const UNLOADED_OF_LOWEST: f64 = 0.8;
+/// How far off an effect may be that an earlier owner learned, as a variance.
+const INHERITED_VARIANCE: f64 = 0.02;
+/// Of how many images that serve the effects are kept: bounds the record's size.
+const MOST_KEPT: usize = 64;
 /// Longest time between two reports that counts as drift, in seconds.
 const LONGEST_GAP_S: f64 = 5.0;
 
@@ -112,6 +117,40 @@
         number
     }
 
+    /// What is known, to be kept.
+    pub(super) fn export(&self) -> EffectsRecord {
+        let names = self.numbers.iter().map(|(name, number)| (*number, name.as_str()));
+        let names = names.collect::<HashMap<_, _>>();
+        let name = |image: ImageNo| names.get(&image).copied().unwrap_or("").to_owned();
+        let serving = (0..).zip(&self.images).filter_map(|(number, image)| {
+            let effects = image.fillers.iter().zip(&image.effects);
+            Some(ServingEffects {
+                image: name(ImageNo(number)),
+                lowest_tail_ms: image.lowest_ms?,
+                effects: effects.map(|(&fills, &effect)| (name(fills), effect)).collect(),
+            })
+        });
+        EffectsRecord { serving: serving.take(MOST_KEPT).collect() }
+    }
+
+    /// Takes over what an earlier owner knew.
+    pub(super) fn import(&mut self, record: &EffectsRecord) {
+        for serving in &record.serving {
+            let serves = self.number(Some(&serving.image));
+            for (fills, effect) in &serving.effects {
+                let fills = self.number(Some(fills));
+                if !self.fillers.contains(&fills) {
+                    self.fillers.push(fills);
+                }
+                let Some(image) = self.images.get_mut(serves.0 as usize) else { continue };
+                image.lowest_ms = Some(serving.lowest_tail_ms);
+                let at = image.index_of(fills);
+                image.effects[at] = *effect;
+                image.covariance[at][at] = INHERITED_VARIANCE;
+            }
+        }
+    }
+
     /// How much stress an image that fills adds to one that serves, when it uses all processors.
     pub(super) fn effect(&self, fills: ImageNo, serves: ImageNo) -> f64 {
         let known = self.images.get(serves.0 as usize).and_then(|image| image.effect(fills));
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -9,8 +9,8 @@
 use kitetrail_core::{
     Resources, Time,
     jobs::{
-        Action, Discovery, Event, Hold, HoldFailure, HowEnded, Inheritance, JobId, JobRecord,
-        JobSpec, JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord,
+        Action, Discovery, EffectsRecord, Event, Hold, HoldFailure, HowEnded, Inheritance, JobId,
+        JobRecord, JobSpec, JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord,
         QueueTerms, Record, Refusal, Report, RequestNo, RunEnd, RunningTask, Scheduler,
         SchedulerSettings, StepSpec, TaskName, WorkerEntry,
     },
@@ -90,6 +90,7 @@
     pub jobs: BTreeMap<JobId, JobRecord>,
     pub progress: BTreeMap<JobId, ProgressRecord>,
     pub lives: BTreeMap<String, LifeRecord>,
+    pub effects: EffectsRecord,
     /// The store answers nothing.
     pub store_down: bool,
     /// Work of a task, in milliseconds, if it is not its estimate.
@@ -149,6 +150,7 @@
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
             lives: BTreeMap::new(),
+            effects: EffectsRecord::default(),
             store_down: false,
             work_ms: None,
             lasting_ms: 600_000,
@@ -180,6 +182,7 @@
         let inheritance = Inheritance {
             jobs: self.jobs.values().map(inherit).collect(),
             lives: self.lives.values().cloned().collect(),
+            effects: self.effects.clone(),
             predecessor_stopped,
         };
         self.scheduler = scheduler(epoch, inheritance, self.now);
@@ -376,6 +379,7 @@
             Record::Progress(progress) => drop(self.progress.insert(progress.id, progress)),
             Record::LifeUsed(life) => drop(self.lives.insert(life.id.to_string(), life)),
             Record::LifeOver(id) => drop(self.lives.remove(id.as_str())),
+            Record::Effects(effects) => self.effects = effects,
             Record::Forget(id) => {
                 self.jobs.remove(&id);
                 self.progress.remove(&id);
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -262,6 +262,9 @@
         world.submit(id, job(vec![filling.clone()]));
         world.run_ms(1_500);
     }
+    let learned = world.effects.serving.iter().find(|serving| serving.image == "touchy").unwrap();
+    let effect = learned.effects.iter().find(|(fills, _)| fills == "mean").unwrap().1;
+    assert!(effect > 0.5, "kept for the next owner: {effect}");
     let last = world.starts.iter().filter(|(_, task, ..)| task.job.0 >= 115);
     let (mut there, mut all) = (0, 0);
     for (.., worker) in last {
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use kitetrail_core::jobs::{Inheritance, Scheduler, SchedulerSettings};
+use kitetrail_core::jobs::{EffectsRecord, Inheritance, Scheduler, SchedulerSettings};
 use kitetrail_platform::{
     PlatformError,
     fleet::{RowStore, RowTransaction, StoredRow, TransactionAnswer},
@@ -340,6 +340,8 @@
     )?;
     let mut progress = decode_all::<kitetrail_core::jobs::ProgressRecord>(&progress.0);
     let mut inheritance = Inheritance { predecessor_stopped, ..Inheritance::default() };
+    let effects = read::<_, EffectsRecord>(shared, &rows::effects_row()).await?;
+    inheritance.effects = effects.map(|(effects, _)| effects).unwrap_or_default();
     inheritance.lives = decode_all(&lives.0).into_values().collect();
     for (key, job) in decode_all(&jobs.0) {
         inheritance.jobs.push((job, progress.remove(&key)));
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -38,6 +38,9 @@
     pub(super) write: u64,
 }
 
+/// What was learned of how images disturb each other.
+pub(super) const EFFECTS: &str = "kt-effects";
+
 pub(super) fn owner_row() -> RowName {
     row(OWNERS, "owner")
 }
@@ -46,6 +49,10 @@
     row(HEADS, "head")
 }
 
+pub(super) fn effects_row() -> RowName {
+    row(EFFECTS, "effects")
+}
+
 pub(super) fn job_row(job: &str) -> RowName {
     row(JOBS, job)
 }
@@ -67,6 +74,7 @@
         Record::LifeUsed(LifeRecord { id, .. }) => {
             put(transaction, row(LIVES, id.as_str()), record)
         }
+        Record::Effects(_) => put(transaction, effects_row(), record),
         Record::LifeOver(id) => {
             transaction.removes.push(row(LIVES, id.as_str()));
             Ok(())
@@ -93,6 +101,7 @@
         Record::Job(job) => serde_json::to_vec(job)?,
         Record::Progress(progress) => serde_json::to_vec(progress)?,
         Record::LifeUsed(life) => serde_json::to_vec(life)?,
+        Record::Effects(effects) => serde_json::to_vec(effects)?,
         Record::LifeOver(_) | Record::Forget(_) => return Ok(()),
     };
     transaction.puts.push((name, value));
