--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -259,6 +259,8 @@
 pub enum SubmitAnswer {
     /// The job is kept.
     Accepted,
+    /// The job is not kept and never will be: the store does not answer.
+    Refused,
 }
 
 /// The answer to a caller who cancels a job.
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -24,6 +24,9 @@
 /// How long ends of runs may wait for others before they are kept. Workers keep them meanwhile.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// A store that takes so long over a batch is taken for stuck: jobs are refused at once, with when to
+/// come back. It takes 5 ms, and 300 when it is slow.
+const STUCK_AFTER: Duration = Duration::from_millis(700);
 /// How often what was learned of images is kept, beside what must be. It is learned anew within
 /// some ten seconds.
 const KEEP_EFFECTS_EVERY: Duration = Duration::from_millis(3_000);
@@ -94,6 +97,20 @@
         self.unkept_ends.insert(life);
     }
 
+    /// Whether the store takes too long over what was sent to it.
+    pub(super) fn is_stuck(&self, now: Time) -> bool {
+        self.sent.is_some() && now.since(self.last_sent_at) >= STUCK_AFTER
+    }
+
+    /// Takes back the jobs that were not sent: they certainly are not kept.
+    pub(super) fn take_unsent(&mut self) -> Vec<JobId> {
+        let unsent = std::mem::take(&mut self.new_jobs);
+        for id in &unsent {
+            self.progress.remove(id);
+        }
+        unsent.into_iter().collect()
+    }
+
     fn is_empty(&self) -> bool {
         self.new_jobs.is_empty()
             && self.progress.is_empty()
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -217,6 +217,7 @@
     }
 
     fn tick(&mut self) {
+        self.refuse_unsent();
         self.begin_due_occurrences();
         self.forget_old_jobs();
         let lives = self.lives.keys().copied().collect::<Vec<_>>();
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -31,6 +31,9 @@
                 self.out.push(Action::AnswerSubmit(request, SubmitAnswer::Accepted));
             }
             Some(job) => job.submit_waiters.push(request),
+            None if self.pending.is_stuck(self.now) => {
+                self.out.push(Action::AnswerSubmit(request, SubmitAnswer::Refused));
+            }
             None => {
                 let mut job = Job::new(id, queue, spec, self.now, self.unix_ms);
                 job.submit_waiters.push(request);
@@ -90,6 +93,21 @@
         self.stop_all_of(id);
     }
 
+    /// Refuses jobs that were not sent to the store yet, while it does not answer.
+    pub(super) fn refuse_unsent(&mut self) {
+        if !self.pending.is_stuck(self.now) {
+            return;
+        }
+        for id in self.pending.take_unsent() {
+            let Some(job) = self.jobs.remove(&id) else { continue };
+            self.open.remove(&(job.queue.priority, job.due_at, id));
+            let refuse = |request| Action::AnswerSubmit(request, SubmitAnswer::Refused);
+            self.out.extend(job.submit_waiters.into_iter().map(refuse));
+            let cancelled = |request| Action::AnswerCancel(request, CancelAnswer::Unknown);
+            self.out.extend(job.cancel_waiters.into_iter().map(cancelled));
+        }
+    }
+
     pub(super) fn begin_due_occurrences(&mut self) {
         let unix_ms = self.unix_ms;
         let scheduled = |job: &&mut Job| job.is_open() && job.spec.schedule.is_some();
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
         Action, Discovery, EffectsRecord, Event, Hold, HoldFailure, HowEnded, Inheritance, JobId,
         JobRecord, JobSpec, JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord,
         QueueTerms, Record, Refusal, Report, RequestNo, RunEnd, RunningTask, Scheduler,
-        SchedulerSettings, StepSpec, TaskName, WorkerEntry,
+        SchedulerSettings, StepSpec, SubmitAnswer, TaskName, WorkerEntry,
     },
 };
 
@@ -219,6 +219,16 @@
         self.answers.iter().find(|(_, action)| is_it(action)).map(|(at, _)| *at)
     }
 
+    /// Whether a job that was handed in was refused, `None` if there is no answer yet.
+    pub fn refused(&self, request: RequestNo) -> Option<bool> {
+        self.answers.iter().find_map(|(_, action)| match action {
+            Action::AnswerSubmit(no, answer) if *no == request => {
+                Some(*answer == SubmitAnswer::Refused)
+            }
+            _ => None,
+        })
+    }
+
     /// Lets time pass.
     pub fn run_ms(&mut self, ms: u64) {
         let until = self.now + Duration::from_millis(ms);
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -45,6 +45,25 @@
     assert_eq!(world.starts.len(), 1, "the same id is one job");
 }
 
+#[test]
+fn jobs_are_refused_at_once_while_the_store_does_not_answer() {
+    let mut world = World::new(1);
+    world.store_down = true;
+    let sent = world.submit(1, job(vec![step(1)]));
+    world.run_ms(100);
+    let unsent = world.submit(2, job(vec![step(1)]));
+    world.run_ms(800);
+    assert_eq!(world.refused(unsent), Some(true));
+    assert_eq!(world.answered(sent), None, "it may be kept: only its caller may give it up");
+    let late = world.submit(3, job(vec![step(1)]));
+    assert_eq!(world.refused(late), Some(true), "at once");
+    world.store_down = false;
+    world.run_ms(3_000);
+    assert_eq!(world.refused(sent), Some(false));
+    assert_eq!((world.state(2), world.state(3)), (None, None), "what was refused never runs");
+    assert_eq!(world.starts.len(), 1);
+}
+
 #[test]
 fn what_a_silent_worker_runs_waits_for_its_lease_and_no_longer() {
     let mut world = World::new(2);
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -40,6 +40,8 @@
     UnknownJob,
     /// How the job stands.
     State(JobState),
+    /// The owner can't keep it. Nothing was done, nor will be.
+    Refused,
     /// Nobody was found who owns the fleet. Nothing was done.
     NotRun,
     /// It may have been done.
@@ -69,6 +71,8 @@
         match answered {
             Answer::NotOwner | Answer::NotRun => {}
             Answer::InDoubt => in_doubt = true,
+            // An earlier try may be kept still.
+            Answer::Refused if in_doubt => return Answer::InDoubt,
             answer => return answer,
         }
         if let Call::State { job } = &call
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -212,6 +212,9 @@
             Action::AnswerSubmit(request, SubmitAnswer::Accepted) => {
                 self.reply(request, Answer::Accepted);
             }
+            Action::AnswerSubmit(request, SubmitAnswer::Refused) => {
+                self.reply(request, Answer::Refused);
+            }
             Action::AnswerCancel(request, CancelAnswer::Done) => {
                 self.reply(request, Answer::Cancelled);
             }
--- a/crates/kitetraild/src/fleet/peers.rs
+++ b/crates/kitetraild/src/fleet/peers.rs
@@ -280,6 +280,7 @@
         Answer::State(JobState::Completed) => Outcome::Completed,
         Answer::State(JobState::Failed) => Outcome::Failed,
         Answer::State(JobState::Cancelled) => Outcome::JobCancelled,
+        Answer::Refused => Outcome::Refused,
         Answer::NotOwner | Answer::NotRun => Outcome::NotOwner,
         Answer::InDoubt => Outcome::InDoubt,
     }
@@ -295,6 +296,7 @@
         Outcome::Completed => Answer::State(JobState::Completed),
         Outcome::Failed => Answer::State(JobState::Failed),
         Outcome::JobCancelled => Answer::State(JobState::Cancelled),
+        Outcome::Refused => Answer::Refused,
         Outcome::NotOwner => Answer::NotOwner,
         Outcome::InDoubt | Outcome::Unspecified => Answer::InDoubt,
     }
