Wait for the lease of a worker that left, not for what an owner lost in silence may renew

Workers that are not listed are to be taken for gone: their lease is waited for alone. An owner goes on without the store for 7 s now. Also: a write is sent again, up to five times, while its answer seems lost; the condition on the head makes that safe.

--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -87,6 +87,8 @@
     next_life: u32,
     /// Lives that the owner before used and that have not been heard or outwaited yet.
     unheard: BTreeSet<LifeNo>,
+    /// How long the owner before may go on to renew the leases of workers that are listed.
+    may_be_renewed_for: Duration,
     pending: commit::Pending,
     tails: tails::TailModel,
     replan: bool,
@@ -118,6 +120,7 @@
             life_by_id: HashMap::new(),
             next_life: 0,
             unheard: BTreeSet::new(),
+            may_be_renewed_for: Duration::ZERO,
             pending: commit::Pending::default(),
             tails: tails::TailModel::default(),
             replan: true,
@@ -186,12 +189,12 @@
             let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
             self.insert_job(job);
         }
-        let extra = match inheritance.predecessor_stopped {
+        self.may_be_renewed_for = match inheritance.predecessor_stopped {
             true => Duration::ZERO,
             false => self.settings.renew_without_store,
         };
         for record in inheritance.lives {
-            self.inherit_life(record, self.now + self.lapse_after() + extra);
+            self.inherit_life(record, self.now + self.lapse_after());
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -167,8 +167,8 @@
     }
 
     fn listed(&mut self, entry: WorkerEntry) {
-        let known = self.life_by_id.get(&entry.id).and_then(|no| self.lives.get_mut(no));
-        if let Some(life) = known {
+        let known = self.life_by_id.get(&entry.id).copied();
+        if let Some((no, life)) = known.and_then(|no| Some((no, self.lives.get_mut(&no)?))) {
             let draining_now = entry.draining && !life.entry.draining;
             if draining_now || !life.listed {
                 let belief = if draining_now { "draining" } else { "listed again" };
@@ -176,6 +176,11 @@
                 let heard_ago_ms = life.heard_ago_ms(self.now);
                 self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
             }
+            if !life.listed && self.unheard.contains(&no) {
+                // It lives, so the owner before may reach it still. One that is not listed is to
+                // be taken for gone once its lease is over.
+                life.lapses_at = life.lapses_at + self.may_be_renewed_for;
+            }
             life.listed = true;
             life.entry = Arc::new(entry);
             life.room = None;
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -68,6 +68,8 @@
 pub struct FakeWorker {
     pub entry: WorkerEntry,
     pub mood: Mood,
+    /// It left the list.
+    pub gone: bool,
     pub running: BTreeMap<TaskName, Running>,
     pub ended: Vec<RunEnd>,
     pub token: u64,
@@ -168,7 +170,7 @@
     /// Tells the scheduler of all workers.
     pub fn list_all(&mut self) {
         let entry = |worker: &FakeWorker| Discovery::Listed(Box::new(worker.entry.clone()));
-        let all = self.workers.values().map(entry).collect();
+        let all = self.workers.values().filter(|worker| !worker.gone).map(entry).collect();
         self.tell(Event::Discovered(all));
     }
 
@@ -415,6 +417,7 @@
         Self {
             entry,
             mood: Mood::Well,
+            gone: false,
             running: BTreeMap::new(),
             ended: Vec::new(),
             token: 0,
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -163,6 +163,35 @@
     assert!(!world.deposed);
 }
 
+#[test]
+fn a_worker_that_left_before_a_takeover_holds_nothing_up_for_long() {
+    let mut world = World::new(3);
+    world.work_ms = Some(20_000);
+    world.submit(1, job(vec![step(3)]));
+    world.run_ms(500);
+    let left = world.where_runs(task(1, 0, 1))[0].to_owned();
+    world.workers.get_mut(&left).unwrap().mood = Mood::Cut;
+    world.workers.get_mut(&left).unwrap().gone = true;
+    // The owner before was lost in silence: it may renew the leases of workers that live.
+    world.take_over(2, false);
+    world.run_ms(6_500);
+    assert_eq!(world.starts.len(), 4, "its task runs elsewhere once its lease is over");
+}
+
+#[test]
+fn an_owner_lost_in_silence_may_renew_the_leases_of_workers_that_live() {
+    let mut world = World::new(3);
+    world.work_ms = Some(30_000);
+    world.submit(1, job(vec![step(3)]));
+    world.run_ms(500);
+    let cut = world.where_runs(task(1, 0, 1))[0].to_owned();
+    world.workers.get_mut(&cut).unwrap().mood = Mood::Cut;
+    world.take_over(2, false);
+    world.run_ms(11_000);
+    assert_eq!(world.starts.len(), 3, "the owner before may reach it still");
+    world.run_until("its task runs elsewhere", |world| world.starts.len() == 4);
+}
+
 #[test]
 fn an_owner_whose_workers_saw_a_higher_token_knows_that_it_is_deposed() {
     let mut world = World::new(1);
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -1,14 +1,20 @@
 //! Writes the owner's batches to the store, one at a time, each on the condition that the one
 //! before is the last write there.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use kitetrail_core::jobs::Record;
 use kitetrail_platform::{
     PlatformError,
     fleet::{RowStore, RowTransaction, TransactionAnswer},
 };
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    task::{JoinError, JoinSet},
+};
 
 use super::{
     Platform,
@@ -25,6 +31,16 @@
 /// How long to wait after the store said that it has too much to do.
 const BUSY_RETRY: Duration = Duration::from_millis(150);
 
+/// A write whose answer has not come after so many times the usual time seems lost.
+const LOST_AFTER_USUAL: u32 = 4;
+/// But not before: the store takes 5 ms, and some writes wait in line.
+const LOST_AFTER_LEAST: Duration = Duration::from_millis(60);
+
+/// How many tries of one write may be on their way together.
+const MOST_TRIES: u32 = 5;
+
+type Tries = JoinSet<Result<TransactionAnswer, PlatformError>>;
+
 /// Records to keep for good.
 #[derive(Debug)]
 pub(super) struct Batch {
@@ -39,6 +55,8 @@
     pub(super) head_version: u64,
     pub(super) write: u64,
     pub(super) owner: mpsc::Sender<OwnerMessage>,
+    /// How long the store takes over a write, of late.
+    pub(super) usual: Duration,
 }
 
 impl<P: Platform> Committer<P> {
@@ -72,7 +90,7 @@
             }
         };
         loop {
-            let answer = self.shared.services.store.transact(&transaction).await;
+            let answer = self.transact(&transaction).await;
             self.shared.note_store(&answer);
             match answer {
                 Ok(TransactionAnswer::Done { version }) => {
@@ -100,6 +118,45 @@
         }
     }
 
+    /// Sends a transaction, and again while its answer seems to be lost.
+    ///
+    /// That is safe: all tries carry the same condition, which holds for one of them at most, and
+    /// the head tells whether an earlier one was done.
+    async fn transact(
+        &mut self,
+        transaction: &RowTransaction,
+    ) -> Result<TransactionAnswer, PlatformError> {
+        let started = Instant::now();
+        let wait = self.usual.saturating_mul(LOST_AFTER_USUAL).max(LOST_AFTER_LEAST);
+        let mut tries = JoinSet::new();
+        self.send(&mut tries, transaction);
+        let mut sent = 1;
+        loop {
+            match tokio::time::timeout(wait, tries.join_next()).await {
+                Ok(Some(Ok(Ok(answer)))) => {
+                    // An eighth of each new time: a slow store is believed in after ten writes.
+                    self.usual = (self.usual * 7 + started.elapsed()) / 8;
+                    return Ok(answer);
+                }
+                Ok(Some(Ok(Err(error)))) if tries.is_empty() => return Err(error),
+                Ok(Some(Err(error))) if tries.is_empty() => return Err(broken(&error)),
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) if sent < MOST_TRIES => {
+                    log::debug!(write = self.write; "owner: a write's answer seems lost, sent again");
+                    self.shared.metrics.note_commit("again");
+                    self.send(&mut tries, transaction);
+                    sent += 1;
+                }
+                Ok(None) | Err(_) => tokio::time::sleep(wait).await,
+            }
+        }
+    }
+
+    fn send(&self, tries: &mut Tries, transaction: &RowTransaction) {
+        let (store, transaction) = (self.shared.services.store.clone(), transaction.clone());
+        tries.spawn_local(async move { store.transact(&transaction).await });
+    }
+
     async fn note_failure(&self, error: &PlatformError) {
         self.shared.metrics.note_commit("failed");
         log::debug!(write = self.write; "owner: a write failed and is tried again: {error}");
@@ -121,3 +178,7 @@
         Ok(transaction)
     }
 }
+
+fn broken(error: &JoinError) -> PlatformError {
+    PlatformError::AnswerLost { service: "store", cause: error.to_string() }
+}
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -25,9 +25,9 @@
 /// An owner that the store has not answered for so long does not say that a job is unknown:
 /// another owner may have taken it.
 const SURE_WITHIN_MS: u64 = 1_200;
-/// How long an owner goes on without the store. Longer than the outages that the platform tells
-/// of; a new owner waits so much longer for workers it can't reach.
-pub(super) const WITHOUT_STORE: Duration = Duration::from_millis(12_000);
+/// How long an owner goes on without the store. Longer than most outages that the platform tells of
+/// (4 to 5 s); a new owner waits so much longer for workers that live and that it can't reach.
+pub(super) const WITHOUT_STORE: Duration = Duration::from_millis(7_000);
 
 /// What the owner's loop is told.
 #[derive(Debug)]
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -255,6 +255,7 @@
         head_version,
         write: 0,
         owner: sender.clone(),
+        usual: Duration::ZERO,
     };
     let committer = tokio::task::spawn_local(committer.run(to_write));
     let watcher = tokio::task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
