--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -19,7 +19,7 @@
 /// The same where something serves beside something that fills: tails change within seconds.
 const HOLD_WAIT_SHARED_MS: u32 = 500;
 /// How long to wait before the next hold, so that ends that come together are told together.
-const HOLD_PAUSE: Duration = Duration::from_millis(60);
+const HOLD_PAUSE: Duration = Duration::from_millis(120);
 /// The same for a worker that runs nothing: only its health is of interest.
 const HOLD_PAUSE_IDLE: Duration = Duration::from_millis(5_000);
 /// The same after a hold that brought nothing, for each one in a row.
