--- a/crates/kitetrail/src/args.rs
+++ b/crates/kitetrail/src/args.rs
@@ -63,6 +63,14 @@
     Status,
     /// Who changed what.
     Audit,
+    /// What happened to a job, from the logs of all boxes.
+    Explain {
+        /// The job's id.
+        job: String,
+        /// The logs, one file a box.
+        #[arg(long, num_args = 1.., required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Print completions for a shell.
     Completions {
         /// The shell.
--- a/crates/kitetrail/src/commands.rs
+++ b/crates/kitetrail/src/commands.rs
@@ -22,7 +22,7 @@
     },
     client::Client,
     error::CliError,
-    policy,
+    explain, policy,
     print::{Column, json as as_json, table},
 };
 
@@ -100,6 +100,7 @@
         Command::Box(BoxCommand::List) => boxes(&client, output).await,
         Command::Audit => Ok(table(output, &client.get("/v1/audit").await?, &AUDIT_COLUMNS)),
         Command::Status => status(&client, output).await,
+        Command::Explain { job, logs } => explain::explain(&job, &logs),
         Command::Completions { shell } => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Args::command(), "kitetrail", &mut text);
--- a/crates/kitetrail/src/lib.rs
+++ b/crates/kitetrail/src/lib.rs
@@ -4,6 +4,7 @@
 mod client;
 mod commands;
 mod error;
+mod explain;
 mod policy;
 mod print;
 
--- a/crates/kitetrail/tests/command_line.rs
+++ b/crates/kitetrail/tests/command_line.rs
@@ -47,6 +47,23 @@
     expect_file![concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/mistakes.txt")].assert_eq(&all);
 }
 
+#[test]
+fn explains_a_job_from_the_logs_of_all_boxes() {
+    let logs = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/explain");
+    let files = ["front-kgn-a-1", "front-kgn-d-1"].map(|name| format!("{logs}/{name}.log"));
+    let explain = |job: &str| {
+        let output = run(&["explain", job, "--logs", &files[0], &files[1]]);
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code(), String::from_utf8(text).unwrap())
+    };
+    let (code, story) = explain("bb7ef186578d6c15");
+    assert_eq!(code, Some(0));
+    expect_file!["golden/explain/story.txt"].assert_eq(&story);
+    let (code, error) = explain("0000000000000000");
+    assert_eq!(code, Some(3));
+    assert!(error.contains("no line speaks of job 0000000000000000"), "{error}");
+}
+
 #[test]
 fn completions() {
     for shell in ["bash", "zsh", "fish"] {
