--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -9,7 +9,7 @@
 use super::{
     event::{JobState, RequestNo},
     life::LifeNo,
-    names::JobId,
+    names::{JobId, StepName, TaskName},
     record::{JobRecord, OccurrenceProgress, Outcome, ProgressRecord, StepProgress},
     scheduler::tails::ImageNo,
     spec::{JobSpec, QueueTerms, StepSpec},
@@ -63,6 +63,19 @@
     pub(super) fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
+
+    /// Marks a task as done, or all members of a gang. Returns where what is done is still placed.
+    pub(super) fn mark_done(&mut self, name: TaskName, gang: bool) -> Vec<Placement> {
+        let mut placed = Vec::new();
+        for (index, task) in (0..).zip(&mut self.tasks) {
+            if (gang || index == name.index) && !task.done {
+                task.done = true;
+                self.done += 1;
+                placed.extend(&task.placed);
+            }
+        }
+        placed
+    }
 }
 
 /// One time of the schedule.
@@ -147,7 +160,7 @@
         job
     }
 
-    /// A job as the store keeps it.
+    /// A job as the store keeps it. Its next runs get numbers above `run_floor`.
     pub(super) fn restore(
         record: JobRecord,
         progress: Option<ProgressRecord>,
@@ -163,13 +176,7 @@
         job.kept = true;
         job.inherited = true;
         if let Some(progress) = progress {
-            job.outcome = progress.outcome;
-            job.kept_outcome = progress.outcome;
-            job.ended_unix_ms = progress.ended_unix_ms;
-            for (number, occurrence) in progress.occurrences {
-                job.begin(number);
-                job.restore_occurrence(number, &occurrence);
-            }
+            job.restore_progress(progress);
         }
         for step in job.occurrences.values_mut().flat_map(|occurrence| &mut occurrence.steps) {
             step.tasks.iter_mut().for_each(|task| task.last_run = task.last_run.max(run_floor));
@@ -198,13 +205,46 @@
         self.outcome == Outcome::Open
     }
 
-    pub(super) fn task(&self, occurrence: u32, step: u32, index: u32) -> Option<&Task> {
-        self.occurrences.get(&occurrence)?.steps.get(step as usize)?.tasks.get(index as usize)
+    pub(super) fn step(&self, name: StepName) -> Option<&Step> {
+        self.occurrences.get(&name.occurrence)?.steps.get(name.step as usize)
+    }
+
+    pub(super) fn step_mut(&mut self, name: StepName) -> Option<&mut Step> {
+        self.occurrences.get_mut(&name.occurrence)?.steps.get_mut(name.step as usize)
+    }
+
+    pub(super) fn task(&self, name: TaskName) -> Option<&Task> {
+        self.step(name.step_name())?.tasks.get(name.index as usize)
+    }
+
+    pub(super) fn task_mut(&mut self, name: TaskName) -> Option<&mut Task> {
+        self.step_mut(name.step_name())?.tasks.get_mut(name.index as usize)
+    }
+
+    /// What was asked for of a step.
+    pub(super) fn step_spec(&self, step: u32) -> Option<&StepSpec> {
+        self.spec.steps.get(step as usize)
+    }
+
+    /// The steps whose turn has come and that have tasks waiting.
+    pub(super) fn due_steps(&self, now: Time) -> Vec<StepName> {
+        let mut due = Vec::new();
+        for (&number, occurrence) in &self.occurrences {
+            for (at, spec) in (0_u32..).zip(&self.spec.steps) {
+                let step = &occurrence.steps[at as usize];
+                let waits = || step.tasks.iter().any(|task| task.waits(now));
+                if !step.is_done() && waits() && occurrence.is_due(spec) {
+                    due.push(StepName { job: self.id, occurrence: number, step: at });
+                }
+            }
+        }
+        due
     }
 
-    pub(super) fn task_mut(&mut self, occurrence: u32, step: u32, index: u32) -> Option<&mut Task> {
-        let steps = &mut self.occurrences.get_mut(&occurrence)?.steps;
-        steps.get_mut(step as usize)?.tasks.get_mut(index as usize)
+    /// The numbers of all failed runs of a gang's members, each counted once.
+    pub(super) fn failed_runs_of_gang(&self, name: StepName) -> u32 {
+        let tasks = self.step(name).into_iter().flat_map(|step| &step.tasks);
+        tasks.flat_map(|task| &task.failed_runs).collect::<BTreeSet<_>>().len() as u32
     }
 
     pub(super) fn begin(&mut self, occurrence: u32) {
@@ -252,6 +292,16 @@
         }
     }
 
+    fn restore_progress(&mut self, progress: ProgressRecord) {
+        self.outcome = progress.outcome;
+        self.kept_outcome = progress.outcome;
+        self.ended_unix_ms = progress.ended_unix_ms;
+        for (number, occurrence) in progress.occurrences {
+            self.begin(number);
+            self.restore_occurrence(number, &occurrence);
+        }
+    }
+
     fn restore_occurrence(&mut self, number: u32, progress: &OccurrenceProgress) {
         let Some(occurrence) = self.occurrences.get_mut(&number) else { return };
         for (step, kept) in occurrence.steps.iter_mut().zip(&progress.steps) {
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -8,12 +8,11 @@
 };
 
 use super::{
-    event::{Order, Report},
     names::{LifeId, TaskName},
-    scheduler::{
-        room::Room,
-        tails::{Estimate, ImageNo},
-    },
+    order::Order,
+    report::Report,
+    run::{Phase, RunThere},
+    scheduler::{room::Room, tails::ImageNo},
 };
 use crate::{Resources, Time};
 
@@ -52,98 +51,66 @@
     pub labels: Vec<String>,
 }
 
-/// How far the order to start a run is.
+/// The pace of the runs of an image that fills on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Phase {
-    /// The order waits or is on its way.
-    Ordered,
-    /// The order was not answered: it may run, now or later.
-    Doubtful {
-        /// A report under this token or a higher one tells for good.
-        settled_by: u64,
-    },
-    /// It runs, confirmed at the given moment.
-    Running(Time),
+pub(super) struct Pace {
+    /// The share of their speed, in percent.
+    pub(super) percent: u8,
+    /// When it was changed last.
+    pub(super) since: Time,
 }
 
-/// How the percent of a run has risen.
+/// A run that filled and ended a moment ago: gauges still tell of it.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Progress {
-    /// Its percent when it was first heard of: above 0 if it went on from a checkpoint.
-    pub(super) from_percent: u32,
-    pub(super) percent: u32,
-    /// When it rose last, or the run began.
-    pub(super) rose_at: Time,
-}
-
-impl Progress {
-    pub(super) fn new(now: Time) -> Self {
-        Self { from_percent: 0, percent: 0, rose_at: now }
-    }
-}
-
-/// A run on a worker, as believed.
-#[derive(Debug, Clone)]
-pub(super) struct RunThere {
-    pub(super) run: u32,
-    pub(super) phase: Phase,
-    pub(super) size: Resources,
-    pub(super) fills: bool,
-    pub(super) serves: bool,
-    pub(super) stopping: bool,
-    pub(super) keeps_progress: bool,
-    pub(super) lasts: bool,
-    pub(super) tail_target_ms: Option<u64>,
+pub(super) struct JustEnded {
     pub(super) image: ImageNo,
-    pub(super) percent: u32,
-    pub(super) progress: Progress,
-    pub(super) gauge: Option<u32>,
-    /// The share of its speed that it was last told, in percent.
-    pub(super) paced_percent: u8,
-    /// For a run that serves: the stress of its own load.
-    pub(super) own_stress: Estimate,
-    /// When its gauge was learned from.
-    pub(super) learned_at: Option<Time>,
-    /// Since when every report shows its tail above its target.
-    pub(super) over_since: Option<Time>,
+    /// The processor time it used, in thousandths of a core.
+    pub(super) cpu_millis: u32,
+    pub(super) at: Time,
 }
 
 /// One life of a worker.
 #[derive(Debug)]
 pub(super) struct Life {
     pub(super) entry: Arc<WorkerEntry>,
+    /// It stands in the list of workers.
     pub(super) listed: bool,
     /// The store holds that tasks may be started here.
     pub(super) recorded: bool,
     /// Its first report in this scheduler has come.
     pub(super) known: bool,
+    /// When it answered last.
     pub(super) heard_at: Option<Time>,
     /// The worker's clock minus ours, in milliseconds, as of its last answer.
     clock_ahead_ms: Option<i64>,
     /// By now every run there has certainly lost its lease, unless it is renewed.
     pub(super) lapses_at: Time,
+    /// The fencing token of the next order.
     pub(super) token: u64,
     runs: BTreeMap<TaskName, RunThere>,
     /// What is left, unless something changed since.
     pub(super) room: Option<Room>,
+    /// Orders that wait until the one on its way is answered.
     pub(super) orders: VecDeque<Order>,
     pub(super) order_sent: bool,
     pub(super) hold_sent: bool,
     pub(super) next_hold_at: Option<Time>,
     /// Holds in a row that brought nothing.
     pub(super) silent: u32,
+    /// The number of the last end that was heard of.
     pub(super) ends_seen: u64,
+    /// The number of the last end that is kept for good.
     pub(super) ends_kept: u64,
+    /// The number of the last end that the worker was told is kept.
     pub(super) ends_told: u64,
     /// Failed runs in a row, over all tasks.
     pub(super) failures: u32,
+    /// It gets no new work before.
     pub(super) set_aside_until: Option<Time>,
+    /// How often in a row it was set aside since its runs failed.
     pub(super) set_aside_times: u32,
-    /// Runs that filled here and ended a moment ago: gauges still tell of them. The image, the
-    /// processor time in thousandths of a core, and when.
-    pub(super) just_ended: Vec<(ImageNo, u32, Time)>,
-    /// The share of their speed that runs of an image that fills have, in percent, since when.
-    pub(super) paces: BTreeMap<ImageNo, (u8, Time)>,
+    pub(super) just_ended: Vec<JustEnded>,
+    pub(super) paces: BTreeMap<ImageNo, Pace>,
 }
 
 impl Life {
@@ -196,7 +163,7 @@
     }
 
     pub(super) fn serves(&self) -> bool {
-        self.runs.values().any(|run| run.serves)
+        self.runs.values().any(RunThere::serves)
     }
 
     pub(super) fn fills(&self) -> bool {
@@ -210,8 +177,8 @@
     }
 
     /// A run, to note how it goes. What it takes stays the same.
-    pub(super) fn run_mut(&mut self, task: TaskName) -> Option<&mut RunThere> {
-        self.runs.get_mut(&task)
+    pub(super) fn run_mut(&mut self, task: TaskName, run: u32) -> Option<&mut RunThere> {
+        self.runs.get_mut(&task).filter(|there| there.run == run)
     }
 
     /// All runs, to note how they go.
@@ -224,7 +191,9 @@
         self.runs.insert(task, run);
     }
 
-    pub(super) fn remove_run(&mut self, task: TaskName) -> Option<RunThere> {
+    /// Takes a run out, if it is there.
+    pub(super) fn remove_run(&mut self, task: TaskName, run: u32) -> Option<RunThere> {
+        self.run_mut(task, run)?;
         self.room = None;
         self.runs.remove(&task)
     }
@@ -250,11 +219,17 @@
         self.lapses_at = self.lapses_at.max(now + lease);
     }
 
+    /// Takes note that a run was confirmed to run.
+    pub(super) fn note_confirmed(&mut self, task: TaskName, run: u32, now: Time) {
+        if let Some(there) = self.run_mut(task, run).filter(|there| !there.is_running()) {
+            there.phase = Phase::Running(now);
+        }
+    }
+
     /// Copies what a report says of runs that are known to run.
     pub(super) fn note_running(&mut self, report: &Report) {
         for reported in &report.running {
-            let run = self.runs.get_mut(&reported.task).filter(|run| run.run == reported.run);
-            if let Some(run) = run {
+            if let Some(run) = self.run_mut(reported.task, reported.run) {
                 run.percent = reported.percent;
                 run.gauge = reported.gauge;
             }
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -7,19 +7,23 @@
 mod job;
 mod life;
 mod names;
+mod note;
+mod order;
 mod record;
+mod report;
+mod run;
 mod scheduler;
 mod spec;
 
-pub use event::{
-    Action, CancelAnswer, Discovery, Event, Hold, HoldFailure, HowEnded, JobState, Listing, Note,
-    Order, OrderAnswer, Refusal, Report, RequestNo, RunEnd, RunningTask, StartOrder, SubmitAnswer,
-};
+pub use event::{Action, CancelAnswer, Discovery, Event, JobState, RequestNo, SubmitAnswer};
 pub use life::{LifeNo, WorkerEntry};
 pub use names::{InvalidName, JobId, LifeId, QueueName, TaskName};
+pub use note::Note;
+pub use order::{Order, OrderAnswer, Refusal, StartOrder};
 pub use record::{
     EffectsRecord, JobRecord, LifeRecord, OccurrenceProgress, Outcome, ProgressRecord, Record,
     ServingEffects, StepProgress,
 };
+pub use report::{Hold, HoldFailure, HowEnded, Report, RunEnd, RunningTask};
 pub use scheduler::{Inheritance, Scheduler, SchedulerSettings};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec};
--- a/crates/kitetrail-core/src/jobs/names.rs
+++ b/crates/kitetrail-core/src/jobs/names.rs
@@ -9,6 +9,13 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+/// How much of a malformed job's id an error shows, in characters: more than twice a right one.
+const SHOWN_OF_JOB_ID: usize = 40;
+/// The same for a task's name, whose numbers may be long.
+const SHOWN_OF_TASK_NAME: usize = 80;
+/// The length of a job's id in hexadecimal digits, of a 64-bit number.
+const JOB_ID_DIGITS: usize = 16;
+
 /// A name that can't be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("`{text}` is not {expected}")]
@@ -35,10 +42,10 @@
 
     fn from_str(s: &str) -> Result<Self, InvalidName> {
         let lower_hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
-        let shaped = s.len() == 16 && s.bytes().all(lower_hex);
+        let shaped = s.len() == JOB_ID_DIGITS && s.bytes().all(lower_hex);
         let number = if shaped { u64::from_str_radix(s, 16).ok() } else { None };
         number.map(Self).ok_or_else(|| InvalidName {
-            text: s.chars().take(40).collect(),
+            text: s.chars().take(SHOWN_OF_JOB_ID).collect(),
             expected: "a job's id: write 16 lower-case hexadecimal digits",
         })
     }
@@ -82,7 +89,7 @@
 
     fn from_str(s: &str) -> Result<Self, InvalidName> {
         let invalid = || InvalidName {
-            text: s.chars().take(80).collect(),
+            text: s.chars().take(SHOWN_OF_TASK_NAME).collect(),
             expected: "a task's name: write job.occurrence.step.index",
         };
         let mut parts = s.split('.');
@@ -92,6 +99,28 @@
     }
 }
 
+impl TaskName {
+    /// The step that the task belongs to.
+    pub(super) fn step_name(self) -> StepName {
+        StepName { job: self.job, occurrence: self.occurrence, step: self.step }
+    }
+}
+
+/// One step at one time of its job's schedule.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct StepName {
+    pub(super) job: JobId,
+    pub(super) occurrence: u32,
+    pub(super) step: u32,
+}
+
+impl StepName {
+    /// The task with a number in the step.
+    pub(super) fn task(self, index: u32) -> TaskName {
+        TaskName { job: self.job, occurrence: self.occurrence, step: self.step, index }
+    }
+}
+
 /// Declares a newtype over shared text.
 macro_rules! text_type {
     ($(#[$doc:meta])* $name:ident) => {
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/note.rs
@@ -0,0 +1,111 @@
+//! The scheduler's decisions, as data for the log.
+
+use super::{
+    event::JobState,
+    names::{JobId, LifeId, QueueName, TaskName},
+    order::OrderAnswer,
+    report::HowEnded,
+};
+use crate::Resources;
+
+/// A decision, for the log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// A job was taken, or found to be known.
+    Submitted {
+        /// The job.
+        job: JobId,
+        /// The queue.
+        queue: QueueName,
+        /// Tasks over all steps.
+        tasks: u64,
+        /// Whether its id was known already.
+        known: bool,
+    },
+    /// A job ended.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: JobState,
+        /// The time since it was handed in, in milliseconds.
+        after_ms: u64,
+        /// The time that its queue promises, in milliseconds.
+        objective_ms: u64,
+    },
+    /// A run was given to a worker.
+    Placed {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: LifeId,
+        /// What the worker had left before, as processor thousandths and megabytes.
+        free: Resources,
+        /// How old our knowledge of the worker is, in milliseconds; `None`: never heard.
+        heard_ago_ms: Option<u64>,
+    },
+    /// A run ended.
+    RunEnded {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: LifeId,
+        /// How.
+        how: HowEnded,
+    },
+    /// A run was given up: where it was placed can't be running it any more.
+    RunGivenUp {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: LifeId,
+        /// Why.
+        why: &'static str,
+    },
+    /// A run is stopped to go on elsewhere.
+    RunMoved {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: LifeId,
+        /// Why.
+        why: &'static str,
+    },
+    /// An order was refused or not answered.
+    OrderFailed {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: LifeId,
+        /// What came back.
+        answer: OrderAnswer,
+    },
+    /// What is believed of a worker changed.
+    Worker {
+        /// The worker.
+        worker: LifeId,
+        /// What is believed now.
+        belief: &'static str,
+        /// How long ago it was heard, in milliseconds; `None`: never.
+        heard_ago_ms: Option<u64>,
+    },
+    /// The runs of a worker that fill were paced.
+    Paced {
+        /// The worker.
+        worker: LifeId,
+        /// Their share of their speed, in percent.
+        percent: u8,
+        /// The worst tail of what serves there, over its target, in percent.
+        tail_of_target_percent: u32,
+    },
+}
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -9,6 +9,9 @@
     spec::{JobSpec, QueueTerms},
 };
 
+/// How many tasks' bits one hexadecimal digit holds.
+const TASKS_PER_DIGIT: u32 = 4;
+
 /// How a job stands for good.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -124,12 +127,12 @@
     /// Packs the tasks that are done.
     pub fn pack_done(done: impl Iterator<Item = bool>) -> String {
         let bits = done.collect::<Vec<_>>();
-        let digit = |four: &[bool]| {
-            let value = four.iter().enumerate().map(|(at, &bit)| u32::from(bit) << at).sum();
+        let digit = |tasks: &[bool]| {
+            let value = tasks.iter().enumerate().map(|(at, &bit)| u32::from(bit) << at).sum();
             char::from_digit(value, 16).unwrap_or('0')
         };
         if bits.iter().any(|&bit| bit) {
-            bits.chunks(4).map(digit).collect()
+            bits.chunks(TASKS_PER_DIGIT as usize).map(digit).collect()
         } else {
             String::new()
         }
@@ -137,8 +140,8 @@
 
     /// Whether a task is done.
     pub fn is_done(&self, index: u32) -> bool {
-        let digit = self.done.as_bytes().get(index as usize / 4);
+        let digit = self.done.as_bytes().get((index / TASKS_PER_DIGIT) as usize);
         let value = digit.and_then(|&digit| char::from(digit).to_digit(16)).unwrap_or(0);
-        value >> (index % 4) & 1 == 1
+        value >> (index % TASKS_PER_DIGIT) & 1 == 1
     }
 }
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -0,0 +1,123 @@
+//! How well a worker suits a task.
+
+use super::{
+    super::{
+        life::{Life, LifeNo},
+        names::TaskName,
+        spec::StepSpec,
+    },
+    pace::SWING,
+    room::{Room, added, capacity_millis, full_loads},
+    tails::{ImageNo, TailModel},
+};
+use crate::Resources;
+
+/// What fills is started where at least this share of its processor time is left, in percent.
+const LEAST_LEFT_PERCENT: u32 = 80;
+/// Weight of a worker's fullness, 0 to 1, when workers are compared. The unit of the other weights.
+const FULLNESS: f64 = 1.0;
+/// Weight of something that would disturb, or be disturbed, by what the task does.
+const DISTURBANCE: f64 = 3.0;
+/// Weight of a worker where other images could fill as well, beside one that is slowed: what has
+/// many places to go leaves those alone that others need.
+const SCARCITY: f64 = 0.25;
+/// What fills is started where it is let work at this share of its speed at least: it holds memory.
+const LEAST_PACE: f64 = 0.5;
+/// The same for a task that loses its progress when it is stopped: it can't be moved.
+const LEAST_PACE_UNMOVED: f64 = 0.8;
+/// Weight of serving tasks of other images. Like beside like leaves, for each image that fills,
+/// workers where nothing minds it.
+const OTHER_IMAGE: f64 = 0.6;
+/// Weight of being away from the data: the task takes up to twice as long.
+const FAR: f64 = 4.0;
+/// Weight of the worker on which the task failed last.
+const FAILED_THERE: f64 = 8.0;
+
+/// A task that looks for a worker.
+pub(super) struct Fit<'a> {
+    pub(super) name: TaskName,
+    pub(super) spec: &'a StepSpec,
+    pub(super) image: ImageNo,
+    /// Where other members of its gang are about to be placed.
+    pub(super) members: &'a [LifeNo],
+    /// The rack that they are in.
+    pub(super) rack: Option<&'a str>,
+    /// Where it failed, or was slow.
+    pub(super) avoid: Option<LifeNo>,
+    pub(super) tails: &'a TailModel,
+}
+
+impl Fit<'_> {
+    /// How well a worker suits the task, less is better; `None` if it does not.
+    pub(super) fn score(&self, no: LifeNo, life: &Life, room: &Room) -> Option<f64> {
+        let spec = self.spec;
+        let labelled = spec.label.as_ref().is_none_or(|label| life.entry.labels.contains(label));
+        if !labelled || !self.has_room(no, life, room) {
+            return None;
+        }
+        let disturbance = self.disturbance(life, room)?;
+        let fullness = 1.0 - if spec.fills { room.fill_share } else { room.free_share };
+        let far = spec.near_rack.as_ref().is_some_and(|near| !life.entry.labels.contains(near));
+        let apart = spec.same_rack && self.rack.is_some_and(|rack| rack != life.entry.rack);
+        let far = if far || apart { FAR } else { 0.0 };
+        let failed = if self.avoid == Some(no) { FAILED_THERE } else { 0.0 };
+        Some(FULLNESS * fullness + DISTURBANCE * disturbance + far + failed)
+    }
+
+    /// How much of what the worker runs would disturb the task, or be disturbed by it; `None` if so
+    /// much that the task should wait instead.
+    fn disturbance(&self, life: &Life, room: &Room) -> Option<f64> {
+        let spec = self.spec;
+        let load = f64::from(spec.size.cpu_millis.0) / capacity_millis(life);
+        match (spec.fills, spec.tail_target_ms.is_some()) {
+            (true, _) => {
+                let least = if spec.keeps_progress { LEAST_PACE } else { LEAST_PACE_UNMOVED };
+                let pace = |swing| room.expected_pace(self.tails, self.image, load, swing);
+                let slowed = 1.0 - pace(SWING);
+                (pace(0.0) >= least).then_some(slowed + SCARCITY * room.tolerance)
+            }
+            (_, true) => {
+                let stress = added(self.tails, &full_loads(life), self.image).min(1.0);
+                Some(stress + if room.is_foreign(self.image) { OTHER_IMAGE } else { 0.0 })
+            }
+            _ => Some(0.0),
+        }
+    }
+
+    fn has_room(&self, no: LifeNo, life: &Life, room: &Room) -> bool {
+        if life.runs().contains_key(&self.name) {
+            return false;
+        }
+        let members_here = self.members.iter().filter(|&&member| member == no).count() as u32;
+        if self.has_most_siblings(life, members_here) {
+            return false;
+        }
+        let mut free = room.free;
+        for _ in 0..members_here {
+            match free.checked_sub(&self.spec.size) {
+                Some(left) => free = left,
+                None => return false,
+            }
+        }
+        match self.spec.fills {
+            true => self.fills_in(&free, room.cpu_left_to_fill),
+            false => self.spec.size.fits_in(&free),
+        }
+    }
+
+    /// Whether a worker has as many tasks of the step as it may have.
+    fn has_most_siblings(&self, life: &Life, members_here: u32) -> bool {
+        let Some(most) = self.spec.max_per_worker else { return false };
+        let same_step = |other: &&TaskName| other.step_name() == self.name.step_name();
+        let siblings = life.runs().keys().filter(same_step).count() as u32;
+        siblings + members_here >= most
+    }
+
+    /// Whether a task that fills finds memory, accelerators and enough processor time.
+    fn fills_in(&self, free: &Resources, cpu_left_to_fill: u32) -> bool {
+        let size = &self.spec.size;
+        size.memory_mb <= free.memory_mb
+            && size.accelerators <= free.accelerators
+            && cpu_left_to_fill >= size.cpu_millis.0 * LEAST_LEFT_PERCENT / 100
+    }
+}
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/gauges.rs
@@ -0,0 +1,48 @@
+//! What the gauges of a worker's runs tell of how much images disturb each other.
+
+use std::time::Duration;
+
+use super::{
+    super::life::Life,
+    room::{capacity_millis, loads_by},
+    tails::{Load, Tail, TailModel},
+};
+use crate::Time;
+
+/// The time that a gauge tells of, as the platform says.
+const GAUGE_WINDOW: Duration = Duration::from_millis(500);
+
+/// Learns from the newest report of a worker.
+pub(super) fn learn(tails: &mut TailModel, life: &mut Life, now: Time) {
+    let loads = loads_in_use(life, now);
+    life.room = None;
+    for (_, run) in life.runs_mut() {
+        let (Some(tail_ms), Some(target_ms)) = (run.gauge, run.tail_target_ms) else { continue };
+        if tail_ms == 0 {
+            continue;
+        }
+        let over = u64::from(tail_ms) > target_ms;
+        run.over_since = if over { run.over_since.or(Some(now)) } else { None };
+        let gap_s = run.learned_at.map_or(0.0, |at| now.since(at).as_secs_f64());
+        run.learned_at = Some(now);
+        let tail =
+            Tail { tail_ms: f64::from(tail_ms), target_ms: target_ms as f64, gap_s, at: now };
+        tails.learn(run.image, &mut run.own_stress, &loads, tail);
+    }
+}
+
+/// What the tasks that fill used over the time that gauges tell of, by image.
+fn loads_in_use(life: &mut Life, now: Time) -> Vec<Load> {
+    life.just_ended.retain(|ended| now.since(ended.at) < GAUGE_WINDOW);
+    let mut loads = loads_by(life, |run| f64::from(run.gauge.unwrap_or(0)));
+    let capacity = capacity_millis(life);
+    for ended in &life.just_ended {
+        let share = 1.0 - now.since(ended.at).as_secs_f64() / GAUGE_WINDOW.as_secs_f64();
+        let load = f64::from(ended.cpu_millis) * share / capacity;
+        match loads.iter_mut().find(|(known, _)| *known == ended.image) {
+            Some((_, sum)) => *sum += load,
+            None => loads.push((ended.image, load)),
+        }
+    }
+    loads
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -1,23 +1,24 @@
-//! Reports of workers: what they run and what ended there, against what is believed.
-
-use std::time::Duration;
+//! Answers to holds: what workers run, compared with what is believed.
 
 use super::{
     super::{
-        event::{Action, Hold, HoldFailure, Note, Order, Report, RunningTask},
-        job::{Job, Placement},
-        life::{LifeNo, Phase, Progress, RunThere},
+        event::Action,
+        job::Placement,
+        life::LifeNo,
         names::TaskName,
+        note::Note,
+        order::Order,
+        report::{Hold, HoldFailure, Report, RunningTask},
+        run::{Phase, Progress, RunThere, UNKNOWN_PACE_PERCENT},
+        spec::StepSpec,
     },
     Scheduler,
-    tails::{Estimate, ImageNo, TailModel},
+    tails::ImageNo,
 };
 use crate::Time;
 
-/// How long a worker that says it is not well gets no new work.
-const UNHEALTHY_PAUSE: Duration = Duration::from_millis(1_000);
-
 impl Scheduler {
+    /// Takes note of what came back to a hold.
     pub(super) fn held(
         &mut self,
         no: LifeNo,
@@ -34,8 +35,8 @@
             }
             Err(HoldFailure::Fenced) => self.hold_fenced(no, hold.token),
             Err(HoldFailure::Unhealthy) => {
-                life.set_aside_until = Some(self.now + UNHEALTHY_PAUSE);
                 life.silent += 1;
+                self.set_aside_unhealthy(no);
             }
             Err(HoldFailure::Unanswered) => self.note_silence(no),
         }
@@ -44,12 +45,8 @@
     }
 
     fn note_silence(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get(&no) else { return };
-        if life.silent == 0 {
-            let worker = life.id().clone();
-            let heard_ago_ms = life.heard_ago_ms(self.now);
-            let belief = "silent";
-            self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
+        if self.lives.get(&no).is_some_and(|life| life.silent == 0) {
+            self.note_belief(no, "silent");
         }
         self.raise_token(no);
         self.copy_from_silent(no);
@@ -57,16 +54,13 @@
 
     fn heard(&mut self, no: LifeNo, hold: Hold, sent_at: Time, report: &Report) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no) else { return };
-        if life.silent > 0 && life.known {
-            let worker = life.id().clone();
-            let heard_ago_ms = life.heard_ago_ms(now);
-            let belief = "heard again";
-            self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
+        if self.lives.get(&no).is_some_and(|life| life.silent > 0 && life.known) {
+            self.note_belief(no, "heard again");
         }
-        life.note_heard(report.clock_ms, now);
+        let Some(life) = self.lives.get_mut(&no) else { return };
         let first = !life.known;
         life.known = true;
+        life.note_heard(report.clock_ms, now);
         life.note_running(report);
         self.unheard.remove(&no);
         for end in &report.ended {
@@ -86,31 +80,26 @@
     /// A run that the worker reports: as believed, inherited, or one that should not be.
     fn compare_running(&mut self, no: LifeNo, running: &RunningTask) {
         let now = self.now;
-        let name = running.task;
-        let placement = Placement { life: no, run: running.run };
+        let (name, run) = (running.task, running.run);
+        let placement = Placement { life: no, run };
         let wanted = self.wants(name, placement);
         let Some(life) = self.lives.get_mut(&no) else { return };
-        match life.run_mut(name) {
-            Some(there) if there.run == running.run => {
-                if !matches!(there.phase, Phase::Running(_)) {
-                    there.phase = Phase::Running(now);
-                }
-            }
-            Some(_) => return,
+        match life.runs().get(&name).map(|there| there.run) {
+            Some(believed) if believed != run => return,
+            Some(_) => life.note_confirmed(name, run, now),
             None => self.adopt(no, running),
         }
         match wanted {
             true => self.note_runs(name, placement, running.checkpoint.as_deref()),
-            false => self.stop_run(no, Order::Stop { task: name, run: running.run }),
+            false => self.stop_run(no, Order::Stop { task: name, run }),
         }
     }
 
     /// Whether a run may go on: its job is open, its task not done and not placed elsewhere.
     fn wants(&self, name: TaskName, placement: Placement) -> bool {
         let Some(job) = self.jobs.get(&name.job).filter(|job| job.is_open()) else { return false };
-        let task = job.task(name.occurrence, name.step, name.index);
-        let copies = job.spec.steps.get(name.step as usize).is_some_and(|step| step.copies_allowed);
-        task.is_some_and(|task| {
+        let copies = job.step_spec(name.step).is_some_and(|step| step.copies_allowed);
+        job.task(name).is_some_and(|task| {
             let here = task.placed.contains(&placement);
             !task.done && (here || task.placed.is_empty() || copies)
         })
@@ -119,55 +108,49 @@
     fn note_runs(&mut self, name: TaskName, placement: Placement, checkpoint: Option<&str>) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         job.begun = true;
-        let Some(task) = job.task_mut(name.occurrence, name.step, name.index) else { return };
+        let Some(task) = job.task_mut(name) else { return };
         if !task.placed.contains(&placement) {
             task.placed.push(placement);
         }
         task.last_run = task.last_run.max(placement.run);
-        if let Some(checkpoint) =
-            checkpoint.filter(|&text| task.checkpoint.as_deref() != Some(text))
-        {
-            task.checkpoint = Some(checkpoint.to_owned());
+        if checkpoint.is_some() && checkpoint != task.checkpoint.as_deref() {
+            task.checkpoint = checkpoint.map(str::to_owned);
         }
     }
 
-    /// Enters a run that an earlier owner started into the books.
+    /// Takes over a run that an earlier owner started.
     fn adopt(&mut self, no: LifeNo, running: &RunningTask) {
-        let name = running.task;
         let now = self.now;
-        let image = step_image(&mut self.tails, self.jobs.get(&name.job), name.step);
-        let step = self.jobs.get(&name.job).and_then(|job| job.spec.steps.get(name.step as usize));
+        let name = running.task;
+        let image = self.image_of(name);
+        let unknown = StepSpec::default();
+        let spec = self.step_spec(name).unwrap_or(&unknown);
         let there = RunThere {
-            run: running.run,
             phase: Phase::Running(now),
-            size: step.map(|step| step.size).unwrap_or_default(),
-            fills: step.is_some_and(|step| step.fills),
-            serves: step.is_some_and(|step| step.tail_target_ms.is_some()),
-            stopping: false,
-            lasts: step.is_some_and(|step| step.lasts),
-            keeps_progress: step.is_some_and(|step| step.keeps_progress),
-            tail_target_ms: step.and_then(|step| step.tail_target_ms),
-            image,
             percent: running.percent,
             progress: Progress { from_percent: running.percent, ..Progress::new(now) },
             gauge: running.gauge,
-            paced_percent: u8::MAX,
-            own_stress: Estimate::own(),
-            learned_at: None,
-            over_since: None,
+            paced_percent: UNKNOWN_PACE_PERCENT,
+            ..RunThere::new(running.run, spec, image, now)
         };
         if let Some(life) = self.lives.get_mut(&no) {
             life.insert_run(name, there);
         }
     }
 
-    /// Runs that are believed there and not reported.
+    /// The image of a task; the one without a name for a task of no known job.
+    fn image_of(&mut self, name: TaskName) -> ImageNo {
+        let known = self.jobs.get(&name.job).and_then(|job| job.images.get(name.step as usize));
+        known.copied().unwrap_or_else(|| self.tails.number(None))
+    }
+
+    /// Gives up runs that are believed there and not reported.
     fn compare_missing(&mut self, no: LifeNo, hold: Hold, sent_at: Time, report: &Report) {
         let Some(life) = self.lives.get(&no) else { return };
-        let reported = |name: &TaskName, run: u32| {
-            report.running.iter().any(|running| running.task == *name && running.run == run)
+        let reported = |name: TaskName, run: u32| {
+            report.running.iter().any(|running| running.task == name && running.run == run)
         };
-        let missing = life.runs().iter().filter(|(name, there)| {
+        let missing = life.runs().iter().filter(|&(&name, there)| {
             let settled = match there.phase {
                 Phase::Ordered => false,
                 Phase::Doubtful { settled_by } => hold.token >= settled_by,
@@ -185,8 +168,3 @@
         }
     }
 }
-
-fn step_image(tails: &mut TailModel, job: Option<&Job>, step: u32) -> ImageNo {
-    let known = job.and_then(|job| job.images.get(step as usize)).copied();
-    known.unwrap_or_else(|| tails.number(None))
-}
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -2,28 +2,39 @@
 
 mod commit;
 mod ends;
+pub(super) mod filter;
+mod fit;
+mod gauges;
 mod hear;
+mod holds;
+mod lateness;
 mod orders;
 mod pace;
+mod pending;
 mod place;
 mod requests;
 pub(super) mod room;
+mod set_aside;
+mod slowed;
 mod stragglers;
 pub(super) mod tails;
 mod workers;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    mem,
     time::Duration,
 };
 
+use self::{pending::Pending, tails::TailModel};
 use super::{
     event::{Action, Event, JobState},
-    job::Job,
+    job::{Job, Task},
     life::{Life, LifeNo},
-    names::{JobId, LifeId, QueueName},
+    names::{JobId, LifeId, QueueName, TaskName},
+    note::Note,
     record::{EffectsRecord, JobRecord, LifeRecord, ProgressRecord},
-    spec::QueueTerms,
+    spec::{QueueTerms, StepSpec},
 };
 use crate::Time;
 
@@ -41,7 +52,8 @@
 /// How often all jobs that wait are looked at, at most. A job that was just accepted does not wait
 /// for it.
 const PLACE_EVERY: Duration = Duration::from_millis(20);
-/// How far the fencing token's counter reaches below the owner's epoch.
+/// How many bits of a fencing token lie below the owner's epoch: room for a million raises, far
+/// more than one owner makes.
 const TOKEN_COUNTER_BITS: u32 = 20;
 
 /// What the scheduler is told of its surroundings.
@@ -89,11 +101,13 @@
     unheard: BTreeSet<LifeNo>,
     /// How long the owner before may go on to renew the leases of workers that are listed.
     may_be_renewed_for: Duration,
-    pending: commit::Pending,
-    tails: tails::TailModel,
+    pending: Pending,
+    tails: TailModel,
+    /// Something changed, so that tasks that wait may find a worker.
     replan: bool,
     /// When all jobs were looked at last.
     placed_at: Time,
+    /// What is to be done, in order, gathered over one event.
     out: Vec<Action>,
 }
 
@@ -121,8 +135,8 @@
             next_life: 0,
             unheard: BTreeSet::new(),
             may_be_renewed_for: Duration::ZERO,
-            pending: commit::Pending::default(),
-            tails: tails::TailModel::default(),
+            pending: Pending::default(),
+            tails: TailModel::default(),
             replan: true,
             placed_at: Time::ZERO,
             out: Vec::new(),
@@ -139,7 +153,7 @@
             Event::Submit { request, job, queue, spec } => self.submit(request, job, queue, *spec),
             Event::Cancel { request, job } => self.cancel(request, job),
             Event::Queues(queues) => self.set_queues(queues),
-            Event::Discovered(listing) => self.discover(listing),
+            Event::Discovered(changes) => self.discover(changes),
             Event::OrderAnswered { life, order, answer } => {
                 self.order_answered(life, order, answer)
             }
@@ -147,13 +161,9 @@
             Event::Committed(batch) => self.committed(batch),
             Event::Tick => self.tick(),
         }
-        if self.replan && self.now.since(self.placed_at) >= PLACE_EVERY {
-            self.replan = false;
-            self.placed_at = self.now;
-            self.place_all();
-        }
+        self.place_if_due();
         self.commit_if_due();
-        std::mem::take(&mut self.out)
+        mem::take(&mut self.out)
     }
 
     /// What callers are told of a job, `None` if there is none.
@@ -161,15 +171,7 @@
         self.jobs.get(&job).filter(|job| job.kept).map(Job::state)
     }
 
-    /// How many accepted jobs of a queue have not begun.
-    pub fn pending(&self, queue: &QueueName) -> u64 {
-        let waits =
-            |job: &&Job| job.kept && !job.begun && job.is_open() && job.queue.name == *queue;
-        let open = self.open.iter().filter_map(|(_, _, id)| self.jobs.get(id));
-        open.filter(waits).count() as u64
-    }
-
-    /// The pending count of every queue that has any.
+    /// How many accepted jobs of each queue have not begun; queues with none are left out.
     pub fn pending_by_queue(&self) -> BTreeMap<QueueName, u64> {
         let mut counts = BTreeMap::new();
         for job in self.open.iter().filter_map(|(_, _, id)| self.jobs.get(id)) {
@@ -210,6 +212,39 @@
         self.replan = true;
     }
 
+    fn place_if_due(&mut self) {
+        if self.replan && self.now.since(self.placed_at) >= PLACE_EVERY {
+            self.replan = false;
+            self.placed_at = self.now;
+            self.place_all();
+        }
+    }
+
+    fn task_mut(&mut self, name: TaskName) -> Option<&mut Task> {
+        self.jobs.get_mut(&name.job)?.task_mut(name)
+    }
+
+    /// What was asked for of a task's step.
+    fn step_spec(&self, name: TaskName) -> Option<&StepSpec> {
+        self.jobs.get(&name.job)?.step_spec(name.step)
+    }
+
+    /// Makes a task avoid a worker when it is placed next.
+    fn avoid(&mut self, name: TaskName, no: LifeNo) {
+        if let Some(task) = self.task_mut(name) {
+            task.avoid = Some(no);
+        }
+    }
+
+    /// Writes to the log what is believed of a worker now.
+    fn note_belief(&mut self, no: LifeNo, belief: &'static str) {
+        let Some(life) = self.lives.get(&no) else { return };
+        let worker = life.id().clone();
+        let heard_ago_ms = life.heard_ago_ms(self.now);
+        self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
+    }
+
+    /// The fencing token that a worker's life starts with under this owner.
     fn first_token(&self) -> u64 {
         self.epoch << TOKEN_COUNTER_BITS
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -4,18 +4,20 @@
 
 use super::{
     super::{
-        event::{Action, Note, Order, OrderAnswer, Refusal},
+        event::Action,
         job::Placement,
-        life::{LifeNo, Phase},
+        life::LifeNo,
         names::TaskName,
+        note::Note,
+        order::{Order, OrderAnswer, Refusal},
+        run::{Phase, UNKNOWN_PACE_PERCENT},
     },
     Scheduler,
 };
+use crate::Time;
 
 /// How soon a worker is asked what runs, after a start was confirmed. Most tasks take longer.
 const HOLD_AFTER_START: Duration = Duration::from_millis(100);
-/// How long a worker that says it is not well gets no new work.
-const UNHEALTHY_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a task whose order a worker can't read waits before it is tried again.
 const MALFORMED_PAUSE: Duration = Duration::from_millis(2_000);
 
@@ -43,7 +45,7 @@
                 self.drop_run(no, task, run);
             }
             None => {
-                if let Some(there) = life.run_mut(task) {
+                if let Some(there) = life.run_mut(task, run) {
                     there.stopping = true;
                 }
                 life.orders.push_front(order);
@@ -52,6 +54,15 @@
         }
     }
 
+    /// Stops a run so that its task goes on elsewhere.
+    pub(super) fn move_run(&mut self, no: LifeNo, task: TaskName, run: u32, why: &'static str) {
+        let Some(life) = self.lives.get(&no) else { return };
+        let worker = life.id().clone();
+        self.out.push(Action::Note(Note::RunMoved { task, run, worker, why }));
+        self.stop_run(no, Order::Stop { task, run });
+    }
+
+    /// Sends the order that waits longest, if the worker can take one.
     pub(super) fn send_next_order(&mut self, no: LifeNo) {
         let (now, lease, lapse_after) = (self.now, self.lease, self.lapse_after());
         let Some(life) = self.lives.get_mut(&no) else { return };
@@ -74,6 +85,7 @@
         self.out.push(action);
     }
 
+    /// Takes note of what came back to an order.
     pub(super) fn order_answered(&mut self, no: LifeNo, order: Order, answer: OrderAnswer) {
         let now = self.now;
         let Some(life) = self.lives.get_mut(&no) else { return };
@@ -105,17 +117,14 @@
     /// Forgets a run that certainly is not there; its task waits again.
     pub(super) fn drop_run(&mut self, no: LifeNo, task: TaskName, run: u32) {
         let Some(life) = self.lives.get_mut(&no) else { return };
-        if life.runs().get(&task).is_some_and(|there| there.run == run) {
-            life.remove_run(task);
-        }
+        life.remove_run(task, run);
         self.unplace(task, Placement { life: no, run });
         self.replan = true;
     }
 
+    /// Takes a run out of the places of its task.
     pub(super) fn unplace(&mut self, name: TaskName, placement: Placement) {
-        let job = self.jobs.get_mut(&name.job);
-        let task = job.and_then(|job| job.task_mut(name.occurrence, name.step, name.index));
-        if let Some(task) = task {
+        if let Some(task) = self.task_mut(name) {
             task.placed.retain(|placed| *placed != placement);
         }
     }
@@ -125,8 +134,7 @@
         let Some(life) = self.lives.get_mut(&no) else { return };
         let worker = life.id().clone();
         life.orders.clear();
-        let runs = life.take_runs();
-        for (task, there) in runs {
+        for (task, there) in life.take_runs() {
             let (run, worker) = (there.run, worker.clone());
             self.out.push(Action::Note(Note::RunGivenUp { task, run, worker, why }));
             self.unplace(task, Placement { life: no, run });
@@ -134,16 +142,17 @@
         }
     }
 
+    /// An order was not answered: it may have been done, or be done later.
     fn doubt(&mut self, no: LifeNo, order: &Order) {
         self.raise_token(no);
         let (task, run) = order.run();
         let Some(life) = self.lives.get_mut(&no) else { return };
         let settled_by = life.token;
-        if let Some(there) = life.run_mut(task).filter(|there| there.run == run) {
+        if let Some(there) = life.run_mut(task, run) {
             match order {
                 Order::Start(_) => there.phase = Phase::Doubtful { settled_by },
                 Order::Stop { .. } => there.stopping = false,
-                Order::Pace { .. } => there.paced_percent = u8::MAX,
+                Order::Pace { .. } => there.paced_percent = UNKNOWN_PACE_PERCENT,
             }
         }
         self.hold_soon(no, Duration::ZERO);
@@ -153,8 +162,8 @@
     fn order_done(&mut self, no: LifeNo, order: &Order) {
         let now = self.now;
         if let Order::Start(start) = order {
-            let run = self.lives.get_mut(&no).and_then(|life| life.run_mut(start.task));
-            if let Some(there) = run.filter(|there| there.run == start.run) {
+            let life = self.lives.get_mut(&no);
+            if let Some(there) = life.and_then(|life| life.run_mut(start.task, start.run)) {
                 there.phase = Phase::Running(now);
                 there.progress.rose_at = now;
             }
@@ -167,26 +176,20 @@
     }
 
     fn order_refused(&mut self, no: LifeNo, order: &Order, refusal: Refusal) {
-        let now = self.now;
         let (task, run) = order.run();
         match order {
             Order::Start(_) => self.drop_run(no, task, run),
             Order::Stop { .. } | Order::Pace { .. } => {
                 let life = self.lives.get_mut(&no);
-                let there = life.and_then(|life| life.run_mut(task));
-                if let Some(there) = there.filter(|there| there.run == run) {
+                if let Some(there) = life.and_then(|life| life.run_mut(task, run)) {
                     there.stopping = false;
                 }
             }
         }
         match refusal {
             Refusal::Fenced => self.fenced(no),
-            Refusal::Unhealthy => {
-                if let Some(life) = self.lives.get_mut(&no) {
-                    life.set_aside_until = Some(now + UNHEALTHY_PAUSE);
-                }
-            }
-            Refusal::Malformed => self.hold_back(task, now + MALFORMED_PAUSE),
+            Refusal::Unhealthy => self.set_aside_unhealthy(no),
+            Refusal::Malformed => self.hold_back(task, self.now + MALFORMED_PAUSE),
             Refusal::Old | Refusal::Late | Refusal::Room | Refusal::Ticket => {}
         }
         // Something is not as believed: look.
@@ -201,16 +204,15 @@
         }
     }
 
+    /// The worker has seen a higher token than that of a hold.
     pub(super) fn hold_fenced(&mut self, no: LifeNo, token: u64) {
         if self.lives.get(&no).is_some_and(|life| life.token <= token) {
             self.out.push(Action::Deposed);
         }
     }
 
-    pub(super) fn hold_back(&mut self, name: TaskName, until: crate::Time) {
-        let job = self.jobs.get_mut(&name.job);
-        if let Some(task) = job.and_then(|job| job.task_mut(name.occurrence, name.step, name.index))
-        {
+    fn hold_back(&mut self, name: TaskName, until: Time) {
+        if let Some(task) = self.task_mut(name) {
             task.not_before = Some(until);
         }
     }
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -0,0 +1,157 @@
+//! What waits to be kept for good, and the batch of it that is on its way.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    time::Duration,
+};
+
+use super::super::{
+    life::LifeNo,
+    names::{JobId, LifeId},
+    record::Outcome,
+};
+use crate::Time;
+
+/// The most records of a batch: the store takes 100 entries a transaction and the owner's own
+/// rows need a few of them. A job that is forgotten takes two.
+const MAX_RECORDS: usize = 45;
+/// A store that takes so long over a batch is taken for stuck: jobs are refused at once, with when
+/// to come back. It takes 5 ms, and 300 when it is slow.
+const STUCK_AFTER: Duration = Duration::from_millis(700);
+
+/// What waits to be kept for good.
+#[derive(Debug, Default)]
+pub(super) struct Pending {
+    new_jobs: BTreeSet<JobId>,
+    progress: BTreeSet<JobId>,
+    forgotten: BTreeSet<JobId>,
+    new_lives: BTreeSet<LifeNo>,
+    lives_over: BTreeSet<LifeId>,
+    /// Something is to be kept at once.
+    pub(super) urgent: bool,
+    /// Lives with ends that are taken note of but not kept.
+    pub(super) unkept_ends: BTreeSet<LifeNo>,
+    /// When what was learned of images was kept last.
+    pub(super) effects_at: Time,
+    next_batch: u64,
+    pub(super) sent: Option<Batch>,
+    pub(super) last_sent_at: Time,
+}
+
+/// What a batch on its way will have settled.
+#[derive(Debug)]
+pub(super) struct Batch {
+    pub(super) number: u64,
+    pub(super) new_jobs: Vec<JobId>,
+    pub(super) outcomes: Vec<(JobId, Outcome)>,
+    pub(super) lives: Vec<LifeNo>,
+    pub(super) ends_kept: BTreeMap<LifeNo, u64>,
+}
+
+/// What one batch keeps.
+#[derive(Debug)]
+pub(super) struct Taken {
+    pub(super) new_jobs: Vec<JobId>,
+    pub(super) lives: Vec<LifeNo>,
+    pub(super) progress: Vec<JobId>,
+    pub(super) lives_over: Vec<LifeId>,
+    pub(super) forgotten: Vec<JobId>,
+    /// Lives all of whose ends are kept with this batch.
+    pub(super) ends: BTreeSet<LifeNo>,
+    /// Nothing else waits to be kept.
+    pub(super) complete: bool,
+}
+
+impl Pending {
+    /// Takes as much as a batch holds, what is most urgent first.
+    pub(super) fn take_batch(&mut self) -> Taken {
+        let mut room = MAX_RECORDS;
+        let new_jobs = take_some(&mut self.new_jobs, &mut room);
+        let lives = take_some(&mut self.new_lives, &mut room);
+        let progress = take_some(&mut self.progress, &mut room);
+        let lives_over = take_some(&mut self.lives_over, &mut room);
+        let forgotten = take_some(&mut self.forgotten, &mut room);
+        let complete = self.is_empty();
+        let ends = if complete { mem::take(&mut self.unkept_ends) } else { BTreeSet::new() };
+        Taken { new_jobs, lives, progress, lives_over, forgotten, ends, complete }
+    }
+
+    /// Takes note that a batch leaves, and returns its number.
+    pub(super) fn note_sent(&mut self, batch: impl FnOnce(u64) -> Batch, now: Time) -> u64 {
+        let number = self.next_batch;
+        self.next_batch += 1;
+        self.last_sent_at = now;
+        self.sent = Some(batch(number));
+        number
+    }
+
+    pub(super) fn add_job(&mut self, id: JobId) {
+        self.new_jobs.insert(id);
+        self.urgent = true;
+    }
+
+    /// Some task ended: to be kept soon.
+    pub(super) fn note(&mut self, id: JobId) {
+        self.progress.insert(id);
+    }
+
+    /// The job ended: to be kept at once.
+    pub(super) fn note_urgent(&mut self, id: JobId) {
+        self.progress.insert(id);
+        self.urgent = true;
+    }
+
+    pub(super) fn forget(&mut self, id: JobId) {
+        self.progress.remove(&id);
+        self.forgotten.insert(id);
+    }
+
+    pub(super) fn add_life(&mut self, life: LifeNo) {
+        self.new_lives.insert(life);
+        self.urgent = true;
+    }
+
+    pub(super) fn end_life(&mut self, life: LifeNo, id: LifeId) {
+        self.unkept_ends.remove(&life);
+        if !self.new_lives.remove(&life) {
+            self.lives_over.insert(id);
+        }
+    }
+
+    pub(super) fn note_ends(&mut self, life: LifeNo) {
+        self.unkept_ends.insert(life);
+    }
+
+    /// Whether the store takes too long over what was sent to it.
+    pub(super) fn is_stuck(&self, now: Time) -> bool {
+        self.sent.is_some() && now.since(self.last_sent_at) >= STUCK_AFTER
+    }
+
+    /// Takes back the jobs that were not sent: they certainly are not kept.
+    pub(super) fn take_unsent(&mut self) -> Vec<JobId> {
+        let unsent = mem::take(&mut self.new_jobs);
+        for id in &unsent {
+            self.progress.remove(id);
+        }
+        unsent.into_iter().collect()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.new_jobs.is_empty()
+            && self.progress.is_empty()
+            && self.forgotten.is_empty()
+            && self.new_lives.is_empty()
+            && self.lives_over.is_empty()
+    }
+}
+
+fn take_some<T: Ord + Clone>(from: &mut BTreeSet<T>, room: &mut usize) -> Vec<T> {
+    let mut taken = Vec::new();
+    while *room > 0 {
+        let Some(first) = from.pop_first() else { break };
+        taken.push(first);
+        *room -= 1;
+    }
+    taken
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -1,12 +1,12 @@
 //! Callers' requests: jobs handed in and cancelled, queues, schedules and forgetting.
 
-use std::collections::BTreeMap;
-
 use super::{
     super::{
-        event::{Action, CancelAnswer, JobState, Note, Order, RequestNo, SubmitAnswer},
+        event::{Action, CancelAnswer, JobState, RequestNo, SubmitAnswer},
         job::Job,
         names::JobId,
+        note::Note,
+        order::Order,
         record::Outcome,
         spec::{JobSpec, QueueTerms},
     },
@@ -14,6 +14,7 @@
 };
 
 impl Scheduler {
+    /// Takes a job, or answers that it is known or can't be kept.
     pub(super) fn submit(
         &mut self,
         request: RequestNo,
@@ -43,6 +44,7 @@
         }
     }
 
+    /// Cancels a job. The caller is answered once that is kept.
     pub(super) fn cancel(&mut self, request: RequestNo, id: JobId) {
         match self.jobs.get_mut(&id) {
             None => self.out.push(Action::AnswerCancel(request, CancelAnswer::Unknown)),
@@ -58,9 +60,9 @@
         }
     }
 
+    /// Puts the operators' queues in force, for open jobs as well.
     pub(super) fn set_queues(&mut self, queues: Vec<QueueTerms>) {
-        self.queues =
-            queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect::<BTreeMap<_, _>>();
+        self.queues = queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect();
         for job in self.jobs.values_mut().filter(|job| job.is_open()) {
             if let Some(queue) = self.queues.get(&job.queue.name) {
                 self.open.remove(&(job.queue.priority, job.due_at, job.id));
@@ -108,6 +110,7 @@
         }
     }
 
+    /// Begins the times of schedules that fell due.
     pub(super) fn begin_due_occurrences(&mut self) {
         let unix_ms = self.unix_ms;
         let scheduled = |job: &&mut Job| job.is_open() && job.spec.schedule.is_some();
@@ -121,6 +124,7 @@
         }
     }
 
+    /// Forgets jobs that ended long ago.
     pub(super) fn forget_old_jobs(&mut self) {
         let remembered_ms = self.settings.remember_ended.as_millis() as u64;
         while let Some(&(ended_unix_ms, id)) = self.ended.first() {
--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -1,7 +1,7 @@
 //! What a worker has left, worked out once between two changes of what runs there.
 
 use super::{
-    super::life::{Life, RunThere},
+    super::{life::Life, run::RunThere},
     pace::AIM,
     tails::{ImageNo, Load, TailModel},
 };
@@ -16,12 +16,13 @@
 /// What a worker has left.
 #[derive(Debug, Clone)]
 pub(in crate::jobs) struct Room {
-    /// What is not reserved. What fills reserves memory, not processor time.
+    /// What is not reserved.
     pub(super) free: Resources,
     /// The processor time that what fills finds there, in thousandths of a core.
     pub(super) cpu_left_to_fill: u32,
-    /// The share of the processor time that is not reserved, and that is left to fill.
+    /// The share of the processor time that is not reserved, 0 to 1.
     pub(super) free_share: f64,
+    /// The share of the processor time that what fills finds there, 0 to 1.
     pub(super) fill_share: f64,
     /// What serves there, by image.
     serving: Vec<Serving>,
@@ -41,25 +42,12 @@
 
 impl Room {
     pub(super) fn of(life: &Life, tails: &TailModel) -> Self {
+        let Taken { reserved, filled_millis } = Taken::of(life);
         let capacity = life.entry.capacity;
-        let (mut taken, mut filled, mut reserved) = (Resources::default(), 0_u32, 0_u32);
-        for run in life.runs().values() {
-            let cpu = run.size.cpu_millis.0;
-            let reserves = if run.fills { 0 } else { cpu };
-            filled += cpu - reserves;
-            reserved += reserves;
-            taken =
-                taken.saturating_add(&Resources { cpu_millis: CpuMillis(reserves), ..run.size });
-        }
-        let cpu = capacity.cpu_millis.0;
-        let free = Resources {
-            cpu_millis: CpuMillis(cpu.saturating_sub(taken.cpu_millis.0)),
-            memory_mb: MemoryMb(capacity.memory_mb.0.saturating_sub(taken.memory_mb.0)),
-            accelerators: Accelerators(
-                capacity.accelerators.0.saturating_sub(taken.accelerators.0),
-            ),
-        };
-        let cpu_left_to_fill = cpu.saturating_sub(reserved * RESERVED_USED_PERCENT / 100 + filled);
+        let (cpu, reserved_cpu) = (capacity.cpu_millis.0, reserved.cpu_millis.0);
+        let free = left(&capacity, &reserved);
+        let used = reserved_cpu * RESERVED_USED_PERCENT / 100 + filled_millis;
+        let cpu_left_to_fill = cpu.saturating_sub(used);
         let share = |left: u32| f64::from(left) / f64::from(cpu.max(1));
         let serving = serving(life, tails);
         let images = serving.iter().map(|serving| serving.image).collect::<Vec<_>>();
@@ -96,6 +84,40 @@
     }
 }
 
+/// What the runs on a worker take.
+#[derive(Debug, Clone, Copy, Default)]
+struct Taken {
+    /// What is reserved. What fills reserves memory, not processor time.
+    reserved: Resources,
+    /// The processor time of what fills, at full speed, in thousandths of a core.
+    filled_millis: u32,
+}
+
+impl Taken {
+    fn of(life: &Life) -> Self {
+        let mut taken = Self::default();
+        for run in life.runs().values() {
+            let cpu_millis = run.size.cpu_millis.0;
+            let reserved_millis = if run.fills { 0 } else { cpu_millis };
+            taken.filled_millis += cpu_millis - reserved_millis;
+            let reserved = Resources { cpu_millis: CpuMillis(reserved_millis), ..run.size };
+            taken.reserved = taken.reserved.saturating_add(&reserved);
+        }
+        taken
+    }
+}
+
+fn left(capacity: &Resources, reserved: &Resources) -> Resources {
+    let cpu_millis = capacity.cpu_millis.0.saturating_sub(reserved.cpu_millis.0);
+    let memory_mb = capacity.memory_mb.0.saturating_sub(reserved.memory_mb.0);
+    let accelerators = capacity.accelerators.0.saturating_sub(reserved.accelerators.0);
+    Resources {
+        cpu_millis: CpuMillis(cpu_millis),
+        memory_mb: MemoryMb(memory_mb),
+        accelerators: Accelerators(accelerators),
+    }
+}
+
 /// What the tasks that fill on a worker use at full speed, by image.
 pub(super) fn full_loads(life: &Life) -> Vec<Load> {
     loads_by(life, |run| f64::from(run.size.cpu_millis.0))
@@ -129,7 +151,7 @@
 fn serving(life: &Life, tails: &TailModel) -> Vec<Serving> {
     let loads = full_loads(life);
     let mut serving = Vec::<Serving>::new();
-    for run in life.runs().values().filter(|run| run.serves) {
+    for run in life.runs().values().filter(|run| run.serves()) {
         let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
         let left = tails.stress_at(run.image, target_ms, AIM) - run.own_stress.mean;
         match serving.iter_mut().find(|serving| serving.image == run.image) {
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -4,9 +4,9 @@
 
 use super::{
     super::{
-        event::{Action, Note, Order},
-        life::{LifeNo, Phase, RunThere},
+        life::{Life, LifeNo},
         names::TaskName,
+        run::{Phase, RunThere},
     },
     Scheduler,
 };
@@ -19,8 +19,6 @@
 const PACED_LOW_PERCENT: u8 = 40;
 /// So many runs that stand still on one worker, with none that moves, tell that the worker hangs.
 const STILL_RUNS_OF_A_HANG: usize = 2;
-/// How long a worker that hangs gets no new work. Then it is tried again.
-const HANG_PAUSE: Duration = Duration::from_millis(3_000);
 /// A run is slow if it will take so many times as long as others of its step.
 const SLOW_FACTOR: f64 = 2.0;
 /// And if what is left of it is longer than a whole other run, times this: starting anew must pay.
@@ -39,36 +37,25 @@
     Slow,
 }
 
+/// The runs of a worker whose progress can be told, after a report.
+#[derive(Debug, Default)]
+struct Measured {
+    /// Those that stand still.
+    still: Vec<TaskName>,
+    /// All others.
+    rest: Vec<TaskName>,
+    /// How many of them made progress since the report before.
+    moving: usize,
+}
+
 impl Scheduler {
     /// Looks at the progress of all runs of a worker after a report.
     pub(super) fn check_progress(&mut self, no: LifeNo) {
         let now = self.now;
         let Some(life) = self.lives.get_mut(&no) else { return };
-        let mut moving = 0;
-        let mut still = Vec::new();
-        let mut rest = Vec::new();
-        for (task, run) in life.runs_mut().filter(|(_, run)| is_measured(run)) {
-            if run.percent > run.progress.percent {
-                run.progress.percent = run.percent;
-                run.progress.rose_at = now;
-            }
-            match now.since(run.progress.rose_at) >= STANDS_STILL_AFTER {
-                true => still.push(task),
-                false => {
-                    moving += usize::from(run.progress.rose_at == now);
-                    rest.push(task);
-                }
-            }
-        }
+        let Measured { still, rest, moving } = measure(life, now);
         if still.len() >= STILL_RUNS_OF_A_HANG && moving == 0 {
-            let set_aside = life.set_aside_until.is_some_and(|until| until > now);
-            life.set_aside_until = Some(now + HANG_PAUSE);
-            if !set_aside {
-                let worker = life.id().clone();
-                let heard_ago_ms = life.heard_ago_ms(now);
-                let belief = "set aside: its runs stand still";
-                self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
-            }
+            self.set_aside_hanging(no);
         }
         for task in still {
             self.relieve(no, task, Trouble::StandsStill);
@@ -84,7 +71,7 @@
     pub(super) fn copy_from_silent(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get(&no) else { return };
         for task in life.runs().keys().copied().collect::<Vec<_>>() {
-            if self.step_of(task).is_some_and(|step| step.copies_allowed) {
+            if self.step_spec(task).is_some_and(|step| step.copies_allowed) {
                 self.copy(no, task);
             }
         }
@@ -106,14 +93,15 @@
     /// How long a task of the step takes, by those that are done, in milliseconds.
     fn expected_ms(&self, task: TaskName) -> Option<f64> {
         let job = self.jobs.get(&task.job)?;
-        let step = job.occurrences.get(&task.occurrence)?.steps.get(task.step as usize)?;
+        let step = job.step(task.step_name())?;
         // The first ones to end are the shortest ones.
         let enough = step.timed >= LEAST_TIMED && step.timed as usize * 2 >= step.tasks.len();
         enough.then(|| step.timed_ms as f64 / f64::from(step.timed))
     }
 
+    /// Starts a copy of a run that is in trouble, or moves it, if that pays.
     fn relieve(&mut self, no: LifeNo, task: TaskName, trouble: Trouble) {
-        let Some(spec) = self.step_of(task).cloned() else { return };
+        let Some(spec) = self.step_spec(task).cloned() else { return };
         if spec.gang {
             return;
         }
@@ -128,20 +116,18 @@
         let run = self.lives.get(&no).and_then(|life| life.runs().get(&task)).map(|run| run.run);
         let (Some(_), Some(run)) = (other, run) else { return };
         self.avoid(task, no);
-        let Some(worker) = self.lives.get(&no).map(|life| life.id().clone()) else { return };
         let why = match trouble {
             Trouble::StandsStill => "moved: it stands still",
             Trouble::Slow => "moved: it is slow",
         };
-        self.out.push(Action::Note(Note::RunMoved { task, run, worker, why }));
-        self.stop_run(no, Order::Stop { task, run });
+        self.move_run(no, task, run, why);
     }
 
     /// Starts a second run of a task beside the one there is.
     fn copy(&mut self, no: LifeNo, name: TaskName) {
-        let Some(spec) = self.step_of(name).cloned() else { return };
+        let Some(spec) = self.step_spec(name).cloned() else { return };
         let Some(job) = self.jobs.get(&name.job).filter(|job| job.is_open()) else { return };
-        let task = job.task(name.occurrence, name.step, name.index);
+        let task = job.task(name);
         if task.is_none_or(|task| task.done || task.placed.len() != 1) {
             return;
         }
@@ -150,20 +136,30 @@
             self.start(name, other, &spec, None);
         }
     }
+}
 
-    fn avoid(&mut self, name: TaskName, no: LifeNo) {
-        let job = self.jobs.get_mut(&name.job);
-        if let Some(task) = job.and_then(|job| job.task_mut(name.occurrence, name.step, name.index))
-        {
-            task.avoid = Some(no);
+fn measure(life: &mut Life, now: Time) -> Measured {
+    let mut measured = Measured::default();
+    for (task, run) in life.runs_mut().filter(|(_, run)| is_measured(run)) {
+        if run.percent > run.progress.percent {
+            run.progress.percent = run.percent;
+            run.progress.rose_at = now;
+        }
+        match now.since(run.progress.rose_at) >= STANDS_STILL_AFTER {
+            true => measured.still.push(task),
+            false => {
+                measured.moving += usize::from(run.progress.rose_at == now);
+                measured.rest.push(task);
+            }
         }
     }
+    measured
 }
 
 /// Whether the percent of a run tells how much of its work is done.
 fn is_measured(run: &RunThere) -> bool {
     let paced = run.fills && run.paced_percent < PACED_LOW_PERCENT;
-    matches!(run.phase, Phase::Running(_)) && !run.stopping && !run.lasts && !paced
+    run.is_running() && !run.stopping && !run.lasts && !paced
 }
 
 /// How long a run takes as a whole at its present speed, in milliseconds.
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -4,34 +4,22 @@
 
 use super::{
     super::{
-        event::{Action, Discovery, Hold, Note, Order},
-        life::{Life, LifeNo, Phase, RunThere, WorkerEntry},
+        event::Discovery,
+        life::{Life, LifeNo, WorkerEntry},
         names::LifeId,
         record::LifeRecord,
+        run::RunThere,
     },
     Scheduler,
 };
 use crate::{Resources, Time};
 
-/// How long a worker may wait for an end before it answers a hold. Bounds how late we learn of
-/// slow tasks; the platform takes up to 2,000 ms.
-const HOLD_WAIT_MS: u32 = 1_500;
-/// The same where something serves beside something that fills: tails change within seconds.
-const HOLD_WAIT_SHARED_MS: u32 = 500;
-/// How long to wait before the next hold, so that ends that come together are told together.
-const HOLD_PAUSE: Duration = Duration::from_millis(120);
-/// The same for a worker that runs nothing: only its health is of interest.
-const HOLD_PAUSE_IDLE: Duration = Duration::from_millis(5_000);
-/// The same after a hold that brought nothing, for each one in a row.
-const HOLD_RETRY: Duration = Duration::from_millis(150);
-/// The longest of these.
-const HOLD_RETRY_MAX: Duration = Duration::from_millis(1_000);
-
 /// What is done so far is not moved off a worker that is about to leave, in percent: it has two
 /// seconds at least.
 const STAYS_ABOVE_PERCENT: u32 = 70;
 
 impl Scheduler {
+    /// Takes note of changes in the list of workers.
     pub(super) fn discover(&mut self, changes: Vec<Discovery>) {
         for change in changes {
             match change {
@@ -66,13 +54,7 @@
 
     /// Everything that ran in this life is over for good.
     pub(super) fn end_life(&mut self, no: LifeNo, why: &'static str) {
-        let Some(life) = self.lives.get(&no) else { return };
-        let note = Note::Worker {
-            worker: life.id().clone(),
-            belief: why,
-            heard_ago_ms: life.heard_ago_ms(self.now),
-        };
-        self.out.push(Action::Note(note));
+        self.note_belief(no, why);
         self.give_up_runs(no, why);
         let Some(life) = self.lives.remove(&no) else { return };
         self.life_by_id.remove(life.id());
@@ -100,92 +82,53 @@
         self.evacuate(no);
     }
 
-    /// Moves what would die with a worker that is about to leave, where there is room for it.
+    /// Moves what would be lost with a worker that is about to leave, where there is room for it.
     fn evacuate(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get(&no).filter(|life| life.entry.draining) else { return };
         let leaves = |run: &RunThere| {
             let saved = run.keeps_progress && run.percent < STAYS_ABOVE_PERCENT;
-            !run.stopping && matches!(run.phase, Phase::Running(_)) && (run.lasts || saved)
+            !run.stopping && run.is_running() && (run.lasts || saved)
         };
         let runs = life.runs().iter().filter(|(_, run)| leaves(run));
         for (task, run) in runs.map(|(&task, run)| (task, run.run)).collect::<Vec<_>>() {
-            let Some(spec) = self.step_of(task).cloned() else { continue };
-            if self.choose(task, &spec, &[]).is_none() {
-                continue;
+            let Some(spec) = self.step_spec(task).cloned() else { continue };
+            if self.choose(task, &spec, &[]).is_some() {
+                self.move_run(no, task, run, "moved: its worker is about to leave");
             }
-            let Some(worker) = self.lives.get(&no).map(|life| life.id().clone()) else { return };
-            let why = "moved: its worker is about to leave";
-            self.out.push(Action::Note(Note::RunMoved { task, run, worker, why }));
-            self.stop_run(no, Order::Stop { task, run });
         }
     }
 
-    pub(super) fn hold_if_due(&mut self, no: LifeNo) {
-        let (now, lease, lapse_after) = (self.now, self.lease, self.lapse_after());
-        let Some(life) = self.lives.get_mut(&no) else { return };
-        if life.hold_sent || life.next_hold_at.is_none_or(|at| at > now) {
-            return;
-        }
-        let quick = life.silent > 0 || !life.known || life.runs().is_empty();
-        let shared = life.serves() && life.fills();
-        let wait_ms = match (quick, shared) {
-            (true, _) => 0,
-            (false, true) => HOLD_WAIT_SHARED_MS,
-            (false, false) => HOLD_WAIT_MS,
-        };
-        // A silent worker's lease is left to run out: a renewal that is not answered may count.
-        let renews = life.clock_ms(now).filter(|_| life.silent == 0);
-        let lease_until_ms = renews.map(|clock_ms| clock_ms + lease.as_millis() as u64);
-        if lease_until_ms.is_some() {
-            life.note_leased(lapse_after, now);
+    fn listed(&mut self, entry: WorkerEntry) {
+        match self.life_by_id.get(&entry.id).copied() {
+            Some(no) if self.lives.contains_key(&no) => self.listed_known(no, entry),
+            _ => self.listed_new(entry),
         }
-        life.hold_sent = true;
-        life.ends_told = life.ends_kept;
-        let hold = Hold { token: life.token, lease_until_ms, ends_kept: life.ends_kept, wait_ms };
-        self.out.push(Action::Hold { life: no, entry: Arc::clone(&life.entry), hold });
     }
 
-    /// Says when the worker is asked again.
-    pub(super) fn schedule_hold(&mut self, no: LifeNo) {
-        let now = self.now;
+    /// A life that is known stands in the list, perhaps with other words.
+    fn listed_known(&mut self, no: LifeNo, entry: WorkerEntry) {
         let Some(life) = self.lives.get_mut(&no) else { return };
-        let pause = match life.silent {
-            0 if life.runs().is_empty() && life.ends_told >= life.ends_seen => HOLD_PAUSE_IDLE,
-            0 if life.runs().is_empty() => HOLD_PAUSE * 5,
-            0 => HOLD_PAUSE,
-            times => (HOLD_RETRY * times).min(HOLD_RETRY_MAX),
+        let was_listed = life.listed;
+        let belief = match (entry.draining && !life.entry.draining, was_listed) {
+            (true, _) => Some("draining"),
+            (false, false) => Some("listed again"),
+            (false, true) => None,
         };
-        life.next_hold_at = Some(now + pause);
-    }
-
-    /// Asks the worker soon, since something is expected of it.
-    pub(super) fn hold_soon(&mut self, no: LifeNo, pause: Duration) {
-        let at = self.now + pause;
-        if let Some(life) = self.lives.get_mut(&no) {
-            life.next_hold_at = Some(life.next_hold_at.map_or(at, |due| due.min(at)));
+        if !was_listed && self.unheard.contains(&no) {
+            // It lives, so the owner before may reach it still. One that is not listed is to be
+            // taken for gone once its lease is over.
+            life.lapses_at = life.lapses_at + self.may_be_renewed_for;
+        }
+        life.listed = true;
+        life.entry = Arc::new(entry);
+        life.room = None;
+        if let Some(belief) = belief {
+            self.note_belief(no, belief);
         }
     }
 
-    fn listed(&mut self, entry: WorkerEntry) {
-        let known = self.life_by_id.get(&entry.id).copied();
-        if let Some((no, life)) = known.and_then(|no| Some((no, self.lives.get_mut(&no)?))) {
-            let draining_now = entry.draining && !life.entry.draining;
-            if draining_now || !life.listed {
-                let belief = if draining_now { "draining" } else { "listed again" };
-                let worker = entry.id.clone();
-                let heard_ago_ms = life.heard_ago_ms(self.now);
-                self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
-            }
-            if !life.listed && self.unheard.contains(&no) {
-                // It lives, so the owner before may reach it still. One that is not listed is to
-                // be taken for gone once its lease is over.
-                life.lapses_at = life.lapses_at + self.may_be_renewed_for;
-            }
-            life.listed = true;
-            life.entry = Arc::new(entry);
-            life.room = None;
-            return;
-        }
+    /// A life that is new stands in the list: others at its place are over.
+    fn listed_new(&mut self, entry: WorkerEntry) {
         let same_place = |there: &WorkerEntry| {
             there.address == entry.address
                 || (entry.machine.is_some() && there.machine == entry.machine)
@@ -194,11 +137,10 @@
         for no in before.map(|(&no, _)| no).collect::<Vec<_>>() {
             self.end_life(no, "over: its machine lives anew");
         }
-        let worker = entry.id.clone();
         // A worker that is new to the list has been leased by nobody else, or its record says so.
         let no = self.insert_life(entry, self.now);
         self.pending.add_life(no);
-        self.out.push(Action::Note(Note::Worker { worker, belief: "listed", heard_ago_ms: None }));
+        self.note_belief(no, "listed");
         self.hold_if_due(no);
     }
 
@@ -206,12 +148,7 @@
         let Some(&no) = self.life_by_id.get(id) else { return };
         let Some(life) = self.lives.get_mut(&no) else { return };
         life.listed = false;
-        let heard_ago_ms = life.heard_ago_ms(self.now);
-        self.out.push(Action::Note(Note::Worker {
-            worker: id.clone(),
-            belief: "not listed",
-            heard_ago_ms,
-        }));
+        self.note_belief(no, "not listed");
         self.hold_soon(no, Duration::ZERO);
     }
 
--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -12,7 +12,7 @@
 pub const MAX_TASKS: u64 = 10_000;
 /// The longest payload, in bytes, as the interface for callers promises.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
-/// The most times a schedule repeats.
+/// The most times a schedule repeats: as many as a job has tasks at most.
 pub const MAX_OCCURRENCES: u32 = 10_000;
 
 /// What is wrong with a job.
@@ -158,6 +158,11 @@
                 return Err(InvalidJob::UnknownStep { step, on });
             }
         }
+        self.first_in_a_circle().map_or(Ok(()), |step| Err(InvalidJob::Circle(step)))
+    }
+
+    /// The first step that waits for itself. All dependencies must exist.
+    fn first_in_a_circle(&self) -> Option<usize> {
         let mut settled = vec![false; self.steps.len()];
         loop {
             let can_settle = |number: &usize| {
@@ -166,13 +171,9 @@
             };
             match (0..self.steps.len()).find(can_settle) {
                 Some(number) => settled[number] = true,
-                None => break,
+                None => return settled.iter().position(|settled| !settled),
             }
         }
-        settled
-            .iter()
-            .position(|settled| !settled)
-            .map_or(Ok(()), |step| Err(InvalidJob::Circle(step)))
     }
 }
 
