--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -7,7 +7,10 @@
 
 use kitetrail_core::jobs::{JobId, JobSpec, JobState, Outcome, ProgressRecord, QueueTerms};
 use kitetrail_platform::fleet::RowStore;
-use tokio::sync::oneshot;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
 
 use super::{Platform, owner::OwnerMessage, rows, shared::Shared};
 
@@ -82,15 +85,16 @@
             return answer;
         }
         let changed = shared.owner_changed.notified();
-        let _ = tokio::time::timeout(RETRY.min(left), changed).await;
+        let _ = time::timeout(RETRY.min(left), changed).await;
     }
 }
 
+/// Asks the owner once, in this box or in another one.
 async fn try_once<P: Platform>(shared: &Rc<Shared<P>>, call: &Call, within: Duration) -> Answer {
     let local = shared.local_owner.borrow().clone();
     let owner = shared.owner();
     match (local, owner.address) {
-        (Some((_, owner)), _) => ask_local(owner, call.clone(), within).await,
+        (Some(owner), _) => ask_local(owner, call.clone(), within).await,
         (None, Some(address)) if address != shared.settings.listen.peers => {
             shared.peers.call(address, call, within).await
         }
@@ -100,7 +104,7 @@
 
 /// Asks the owner in this process.
 pub(super) async fn ask_local(
-    owner: tokio::sync::mpsc::Sender<OwnerMessage>,
+    owner: mpsc::Sender<OwnerMessage>,
     call: Call,
     within: Duration,
 ) -> Answer {
@@ -108,7 +112,7 @@
     if owner.try_send(OwnerMessage::Call(call, reply)).is_err() {
         return Answer::NotRun;
     }
-    match tokio::time::timeout(within, answer).await {
+    match time::timeout(within, answer).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(_)) | Err(_) => Answer::InDoubt,
     }
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -14,6 +14,7 @@
 use tokio::{
     sync::mpsc,
     task::{JoinError, JoinSet},
+    time,
 };
 
 use super::{
@@ -39,6 +40,10 @@
 /// How many tries of one write may be on their way together.
 const MOST_TRIES: u32 = 5;
 
+/// How much one write weighs in the usual time of writes, as one part in so many: a slow store is
+/// believed in after ten writes.
+const USUAL_PARTS: u32 = 8;
+
 type Tries = JoinSet<Result<TransactionAnswer, PlatformError>>;
 
 /// Records to keep for good.
@@ -52,7 +57,9 @@
 pub(super) struct Committer<P: Platform> {
     pub(super) shared: Rc<Shared<P>>,
     pub(super) epoch: u64,
+    /// The version of the head row as this owner wrote it last.
     pub(super) head_version: u64,
+    /// The number of the last write.
     pub(super) write: u64,
     pub(super) owner: mpsc::Sender<OwnerMessage>,
     /// How long the store takes over a write, of late.
@@ -63,7 +70,7 @@
     /// Writes until no more batches come or another owner has written.
     pub(super) async fn run(mut self, mut batches: mpsc::Receiver<Batch>) {
         loop {
-            let (number, records) = match tokio::time::timeout(HEARTBEAT, batches.recv()).await {
+            let (number, records) = match time::timeout(HEARTBEAT, batches.recv()).await {
                 Ok(Some(Batch { number, records })) => (Some(number), records),
                 Ok(None) => return,
                 Err(_) => (None, Vec::new()),
@@ -92,29 +99,24 @@
         loop {
             let answer = self.transact(&transaction).await;
             self.shared.note_store(&answer);
-            match answer {
-                Ok(TransactionAnswer::Done { version }) => {
-                    self.head_version = version;
-                    self.shared.metrics.note_commit("done");
-                    return true;
-                }
+            let version = match answer {
+                Ok(TransactionAnswer::Done { version }) => Some(version),
                 Ok(TransactionAnswer::Conflict { rows }) => {
                     // An earlier try, whose answer was lost, may have done it.
                     let ours = rows.iter().find(|row| rows::decode(row).ok() == Some(head));
-                    self.shared.metrics.note_commit(if ours.is_some() {
-                        "done"
-                    } else {
-                        "conflict"
-                    });
-                    let Some(row) = ours else { return false };
-                    self.head_version = row.version;
-                    return true;
+                    ours.map(|row| row.version)
                 }
-                Err(error) => self.note_failure(&error).await,
-            }
-            if self.owner.is_closed() {
-                return true;
-            }
+                Err(error) => {
+                    self.note_failure(&error).await;
+                    if self.owner.is_closed() {
+                        return true;
+                    }
+                    continue;
+                }
+            };
+            self.shared.metrics.note_commit(if version.is_some() { "done" } else { "conflict" });
+            self.head_version = version.unwrap_or(self.head_version);
+            return version.is_some();
         }
     }
 
@@ -132,10 +134,9 @@
         self.send(&mut tries, transaction);
         let mut sent = 1;
         loop {
-            match tokio::time::timeout(wait, tries.join_next()).await {
+            match time::timeout(wait, tries.join_next()).await {
                 Ok(Some(Ok(Ok(answer)))) => {
-                    // An eighth of each new time: a slow store is believed in after ten writes.
-                    self.usual = (self.usual * 7 + started.elapsed()) / 8;
+                    self.usual = (self.usual * (USUAL_PARTS - 1) + started.elapsed()) / USUAL_PARTS;
                     return Ok(answer);
                 }
                 Ok(Some(Ok(Err(error)))) if tries.is_empty() => return Err(error),
@@ -147,7 +148,7 @@
                     self.send(&mut tries, transaction);
                     sent += 1;
                 }
-                Ok(None) | Err(_) => tokio::time::sleep(wait).await,
+                Ok(None) | Err(_) => time::sleep(wait).await,
             }
         }
     }
@@ -161,7 +162,7 @@
         self.shared.metrics.note_commit("failed");
         log::debug!(write = self.write; "owner: a write failed and is tried again: {error}");
         let busy = matches!(error, PlatformError::Refused { .. });
-        tokio::time::sleep(if busy { BUSY_RETRY } else { RETRY }).await;
+        time::sleep(if busy { BUSY_RETRY } else { RETRY }).await;
     }
 
     fn transaction(
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -7,25 +7,26 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
-    server::conn::http1,
+    Method, Request, Response, StatusCode, body::Incoming, header::HOST, server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kitetrail_core::{
     fleet_config::{CallerLimits, FleetConfig, QueueRoute},
-    jobs::{JobId, JobState},
+    jobs::{JobId, JobSpec, JobState},
 };
 use kitetrail_platform::fleet::JobCodec;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task, time,
+};
 
 use super::{
     Platform,
     calls::{self, Answer, Call},
+    responses::{Body, closing, empty, json, refuse},
     shared::Shared,
 };
 
@@ -34,8 +35,9 @@
 const HOLD_AT_MOST: Duration = Duration::from_millis(1_300);
 /// Kept from the time that a caller waits, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(60);
-/// When a caller whose request was not run should come back, in seconds.
-const COME_BACK_S: &str = "1";
+/// How long to wait after a connection that could not be taken: most likely no file handle is free,
+/// and some come free as calls end.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// The smallest buffer that the HTTP library allows.
 const LEAST_BUFFER_BYTES: usize = 8_192;
 
@@ -44,11 +46,11 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(&shared), stream));
+                task::spawn_local(connection(Rc::clone(&shared), stream));
             }
             Err(error) => {
                 log::warn!("front: a connection can't be taken: {error}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                time::sleep(ACCEPT_RETRY).await;
             }
         }
     }
@@ -63,12 +65,9 @@
         let shared = Rc::clone(&shared);
         async move {
             shared.in_progress.set(shared.in_progress.get() + 1);
-            let mut response = answer(&shared, request, limits).await;
+            let response = answer(&shared, request, limits).await;
             shared.in_progress.set(shared.in_progress.get() - 1);
-            if shared.draining.get() {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(if shared.draining.get() { closing(response) } else { response })
         }
     });
     let served = http1::Builder::new()
@@ -82,11 +81,12 @@
     }
 }
 
+/// Answers a request and counts it.
 async fn answer<P: Platform>(
     shared: &Rc<Shared<P>>,
     request: Request<Incoming>,
     limits: CallerLimits,
-) -> Response<Full<Bytes>> {
+) -> Response<Body> {
     let started = Instant::now();
     let Some(config) = shared.config() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet");
@@ -97,13 +97,14 @@
     response
 }
 
+/// Does what a request asks for. Returns what that was, for the counters, and the answer.
 async fn route<P: Platform>(
     shared: &Rc<Shared<P>>,
     config: &FleetConfig,
     request: Request<Incoming>,
     limits: CallerLimits,
     started: Instant,
-) -> (&'static str, Response<Full<Bytes>>) {
+) -> (&'static str, Response<Body>) {
     let host = request.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
     let host = host.split(':').next().unwrap_or("");
     let path = request.uri().path().to_owned();
@@ -144,7 +145,7 @@
     limit.saturating_sub(WAY_BACK).min(HOLD_AT_MOST)
 }
 
-fn pending<P: Platform>(shared: &Shared<P>, route: &QueueRoute) -> Response<Full<Bytes>> {
+fn pending<P: Platform>(shared: &Shared<P>, route: &QueueRoute) -> Response<Body> {
     let pending = shared.pending.borrow().get(route.queue.name.as_str()).copied().unwrap_or(0);
     json(StatusCode::OK, shared.services.codec.write_pending(pending))
 }
@@ -156,14 +157,12 @@
     request: Request<Incoming>,
     limits: CallerLimits,
     give_up_at: Instant,
-) -> Response<Full<Bytes>> {
+) -> Response<Body> {
     let body = match read_body(request, limits).await {
         Ok(body) => body,
         Err(response) => return response,
     };
-    let spec = shared.services.codec.read_job(&body);
-    let spec = spec.and_then(|spec| spec.check().map(|()| spec).map_err(|error| error.to_string()));
-    let spec = match spec {
+    let spec = match read_job(shared, &body) {
         Ok(spec) => Rc::new(spec),
         Err(error) => {
             log::info!(job = job.to_string(), why = error.as_str(); "front: a job is malformed");
@@ -171,18 +170,22 @@
         }
     };
     let call = Call::Submit { job, queue: route.queue.clone(), spec };
-    let answer = calls::answer(shared, call, give_up_at).await;
-    match answer {
+    match calls::answer(shared, call, give_up_at).await {
         Answer::Accepted => empty(StatusCode::OK),
         answer => give_up("submit", job, answer),
     }
 }
 
+fn read_job<P: Platform>(shared: &Shared<P>, body: &[u8]) -> Result<JobSpec, String> {
+    let spec = shared.services.codec.read_job(body)?;
+    spec.check().map(|()| spec).map_err(|error| error.to_string())
+}
+
 async fn state<P: Platform>(
     shared: &Rc<Shared<P>>,
     job: JobId,
     give_up_at: Instant,
-) -> Response<Full<Bytes>> {
+) -> Response<Body> {
     match calls::answer(shared, Call::State { job }, give_up_at).await {
         Answer::State(state) => json(StatusCode::OK, shared.services.codec.write_state(state)),
         Answer::UnknownJob => refuse(StatusCode::GONE, "there is no such job"),
@@ -194,7 +197,7 @@
     shared: &Rc<Shared<P>>,
     job: JobId,
     give_up_at: Instant,
-) -> Response<Full<Bytes>> {
+) -> Response<Body> {
     match calls::answer(shared, Call::Cancel { job }, give_up_at).await {
         Answer::Cancelled => {
             json(StatusCode::OK, shared.services.codec.write_state(JobState::Cancelled))
@@ -205,7 +208,7 @@
 }
 
 /// The answer to a call that brought none in time.
-fn give_up(what: &str, job: JobId, answer: Answer) -> Response<Full<Bytes>> {
+fn give_up(what: &str, job: JobId, answer: Answer) -> Response<Body> {
     log::warn!(job = job.to_string(), call = what, answer:? = answer; "front: a call is given up");
     match answer {
         Answer::InDoubt => {
@@ -218,10 +221,10 @@
 async fn read_body(
     request: Request<Incoming>,
     limits: CallerLimits,
-) -> Result<Bytes, Response<Full<Bytes>>> {
+) -> Result<Bytes, Response<Body>> {
     let body = Limited::new(request.into_body(), limits.max_body_bytes).collect();
     let timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
-    match tokio::time::timeout(timeout, body).await {
+    match time::timeout(timeout, body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             Err(closing(refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")))
@@ -233,30 +236,3 @@
         Err(_) => Err(closing(refuse(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"))),
     }
 }
-
-fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-fn refuse(status: StatusCode, why: &str) -> Response<Full<Bytes>> {
-    let body = serde_json::json!({ "error": why }).to_string();
-    let mut response = json(status, Bytes::from(body));
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(COME_BACK_S));
-    }
-    response
-}
-
-fn json(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    response
-}
-
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -11,10 +11,12 @@
 mod owner;
 mod ownership;
 mod peers;
+mod responses;
 mod rows;
 mod run;
 mod settings;
 mod shared;
+mod takeover;
 mod workers_watch;
 
 use kitetrail_platform::fleet::{ConfigSource, JobCodec, RowStore, WorkerControl, WorkerList};
--- a/crates/kitetraild/src/fleet/operators.rs
+++ b/crates/kitetraild/src/fleet/operators.rs
@@ -1,8 +1,11 @@
 //! Whether the box takes new connections, and its counters.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use salvo::{
@@ -24,7 +27,7 @@
     serve(settings.listen.metrics, Router::with_path("metrics").get(Counters { metrics }));
 }
 
-fn serve(address: std::net::SocketAddr, routes: Router) {
+fn serve(address: SocketAddr, routes: Router) {
     tokio::task::spawn_local(async move {
         match TcpListener::new(address).try_bind().await {
             Ok(listener) => Server::new(listener).serve(routes).await,
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -1,14 +1,16 @@
 //! The owner of the fleet: one loop that feeds the scheduler and does what it asks for.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::HashMap, ops::ControlFlow, rc::Rc, sync::Arc, time::Duration};
 
 use kitetrail_core::jobs::{
-    Action, CancelAnswer, Discovery, Event, JobId, RequestNo, Scheduler, SubmitAnswer,
+    Action, CancelAnswer, Event, Hold, JobId, LifeNo, Order, RequestNo, Scheduler, SubmitAnswer,
+    WorkerEntry,
 };
 use kitetrail_platform::fleet::WorkerControl;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::MissedTickBehavior,
+    task,
+    time::{self, MissedTickBehavior},
 };
 
 use super::{
@@ -61,8 +63,12 @@
     sender: mpsc::Sender<OwnerMessage>,
     batches: mpsc::Sender<Batch>,
     next_request: u64,
-    submits: HashMap<RequestNo, oneshot::Sender<Answer>>,
+    /// Callers who handed a job in or cancelled one, and wait for the answer.
+    waiting: HashMap<RequestNo, oneshot::Sender<Answer>>,
+    /// A batch is on its way to the store.
     unkept: bool,
+    /// It was told to give the fleet up.
+    releasing: bool,
 }
 
 impl<P: Platform> Owner<P> {
@@ -72,16 +78,24 @@
         (sender, inbox): (mpsc::Sender<OwnerMessage>, mpsc::Receiver<OwnerMessage>),
         batches: mpsc::Sender<Batch>,
     ) -> Self {
-        let submits = HashMap::new();
-        Self { shared, scheduler, inbox, sender, batches, next_request: 0, submits, unkept: false }
+        Self {
+            shared,
+            scheduler,
+            inbox,
+            sender,
+            batches,
+            next_request: 0,
+            waiting: HashMap::new(),
+            unkept: false,
+            releasing: false,
+        }
     }
 
     /// Owns the fleet until told otherwise.
     pub(super) async fn run(mut self) -> Ended {
-        let mut ticks = tokio::time::interval(TICK);
+        let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.configure();
-        let mut releasing = false;
         loop {
             let message = tokio::select! {
                 biased;
@@ -92,40 +106,52 @@
                     continue;
                 }
             };
-            match message {
-                None => return Ended::Deposed,
-                Some(OwnerMessage::Deposed(why)) => {
-                    log::warn!(why = why; "owner: deposed");
-                    return Ended::Deposed;
-                }
-                Some(OwnerMessage::Release) => releasing = true,
-                Some(OwnerMessage::Call(call, reply)) if releasing => {
-                    let _ = (call, reply.send(Answer::NotOwner));
-                }
-                Some(OwnerMessage::Call(call, reply)) => self.call(call, reply),
-                Some(OwnerMessage::Event(event)) => {
-                    let tick = matches!(event, Event::Tick);
-                    if !self.handle(event) {
-                        return Ended::Deposed;
-                    }
-                    if tick {
-                        self.publish();
-                    }
-                    if tick && self.store_lost_too_long() {
-                        return Ended::Deposed;
-                    }
-                }
-                Some(OwnerMessage::Committed(batch)) => {
-                    self.unkept = false;
-                    self.handle(Event::Committed(batch));
-                }
+            let Some(message) = message else { return Ended::Deposed };
+            if let ControlFlow::Break(ended) = self.take(message) {
+                return ended;
             }
-            if releasing && !self.unkept {
+            if self.releasing && !self.unkept {
                 return Ended::Released;
             }
         }
     }
 
+    fn take(&mut self, message: OwnerMessage) -> ControlFlow<Ended> {
+        match message {
+            OwnerMessage::Deposed(why) => {
+                log::warn!(why = why; "owner: deposed");
+                return ControlFlow::Break(Ended::Deposed);
+            }
+            OwnerMessage::Release => self.releasing = true,
+            OwnerMessage::Call(_, reply) if self.releasing => {
+                let _ = reply.send(Answer::NotOwner);
+            }
+            OwnerMessage::Call(call, reply) => self.call(call, reply),
+            OwnerMessage::Event(Event::Tick) => return self.tick(),
+            OwnerMessage::Event(event) => {
+                if !self.handle(event) {
+                    return ControlFlow::Break(Ended::Deposed);
+                }
+            }
+            OwnerMessage::Committed(batch) => {
+                self.unkept = false;
+                self.handle(Event::Committed(batch));
+            }
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn tick(&mut self) -> ControlFlow<Ended> {
+        if !self.handle(Event::Tick) {
+            return ControlFlow::Break(Ended::Deposed);
+        }
+        self.publish();
+        match self.store_lost_too_long() {
+            true => ControlFlow::Break(Ended::Deposed),
+            false => ControlFlow::Continue(()),
+        }
+    }
+
     fn store_lost_too_long(&self) -> bool {
         let silent_ms = self.shared.store_silent_ms();
         let too_long = u128::from(silent_ms) > WITHOUT_STORE.as_millis();
@@ -146,12 +172,12 @@
         self.next_request += 1;
         match call {
             Call::Submit { job, queue, spec } => {
-                self.submits.insert(request, reply);
+                self.waiting.insert(request, reply);
                 let spec = Box::new(Rc::unwrap_or_clone(spec));
                 self.handle(Event::Submit { request, job, queue, spec });
             }
             Call::Cancel { job } => {
-                self.submits.insert(request, reply);
+                self.waiting.insert(request, reply);
                 self.handle(Event::Cancel { request, job });
             }
             Call::State { job } => {
@@ -160,6 +186,7 @@
         }
     }
 
+    /// How a job stands, as far as this owner can tell.
     fn state(&self, job: JobId) -> Answer {
         match self.scheduler.state(job) {
             Some(state) => Answer::State(state),
@@ -167,6 +194,7 @@
         }
     }
 
+    /// What is said of a job that this owner does not know.
     fn unknown(&self) -> Answer {
         match self.shared.store_silent_ms() {
             silent_ms if silent_ms <= SURE_WITHIN_MS => Answer::UnknownJob,
@@ -180,27 +208,13 @@
         actions.into_iter().all(|action| self.act(action))
     }
 
+    /// Does what the scheduler asks for. `false`: deposed.
     fn act(&mut self, action: Action) -> bool {
         match action {
             Action::Order { life, entry, token, lease_until_ms, order } => {
-                self.shared.metrics.note_decision("order");
-                let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
-                tokio::task::spawn_local(async move {
-                    let answer = workers.order(&entry, token, lease_until_ms, &order).await;
-                    let event = Event::OrderAnswered { life, order, answer };
-                    let _ = sender.send(OwnerMessage::Event(event)).await;
-                });
-            }
-            Action::Hold { life, entry, hold } => {
-                self.shared.metrics.note_decision("hold");
-                let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
-                let sent_at = self.shared.clock.now();
-                tokio::task::spawn_local(async move {
-                    let answer = workers.hold(&entry, &hold).await;
-                    let event = Event::Held { life, hold, sent_at, answer };
-                    let _ = sender.send(OwnerMessage::Event(event)).await;
-                });
+                self.send_order(life, entry, token, lease_until_ms, order);
             }
+            Action::Hold { life, entry, hold } => self.send_hold(life, entry, hold),
             Action::Commit { batch, records } => {
                 self.unkept = true;
                 // One batch is on its way at most, and the channel has room for one.
@@ -219,8 +233,7 @@
                 self.reply(request, Answer::Cancelled);
             }
             Action::AnswerCancel(request, CancelAnswer::Unknown) => {
-                let answer = self.unknown();
-                self.reply(request, answer);
+                self.reply(request, self.unknown());
             }
             Action::Note(note) => notes::write(&note),
             Action::Deposed => {
@@ -231,8 +244,36 @@
         true
     }
 
+    fn send_order(
+        &self,
+        life: LifeNo,
+        entry: Arc<WorkerEntry>,
+        token: u64,
+        lease_until_ms: u64,
+        order: Order,
+    ) {
+        self.shared.metrics.note_decision("order");
+        let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
+        task::spawn_local(async move {
+            let answer = workers.order(&entry, token, lease_until_ms, &order).await;
+            let event = Event::OrderAnswered { life, order, answer };
+            let _ = sender.send(OwnerMessage::Event(event)).await;
+        });
+    }
+
+    fn send_hold(&self, life: LifeNo, entry: Arc<WorkerEntry>, hold: Hold) {
+        self.shared.metrics.note_decision("hold");
+        let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
+        let sent_at = self.shared.clock.now();
+        task::spawn_local(async move {
+            let answer = workers.hold(&entry, &hold).await;
+            let event = Event::Held { life, hold, sent_at, answer };
+            let _ = sender.send(OwnerMessage::Event(event)).await;
+        });
+    }
+
     fn reply(&mut self, request: RequestNo, answer: Answer) {
-        if let Some(reply) = self.submits.remove(&request) {
+        if let Some(reply) = self.waiting.remove(&request) {
             let _ = reply.send(answer);
         }
     }
@@ -244,8 +285,3 @@
         *self.shared.pending.borrow_mut() = counts.collect();
     }
 }
-
-/// An event for the owner about the list of workers.
-pub(super) fn discovered(changes: Vec<Discovery>) -> OwnerMessage {
-    OwnerMessage::Event(Event::Discovered(changes))
-}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -0,0 +1,89 @@
+//! Calls to other boxes.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+
+use kitetrail_proto::jobs::{
+    Config, FetchConfigRequest, PingAnswer, PingRequest, jobs_client::JobsClient,
+};
+use tonic::{
+    Response, Status,
+    transport::{Channel, Endpoint},
+};
+
+use super::{
+    super::calls::{Answer, Call},
+    CALL_LIMIT,
+    codec::{call_request, decode_answer},
+};
+
+/// How long a connection to a box may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Connections to other boxes, made when first needed.
+#[derive(Debug, Default)]
+pub(in crate::fleet) struct PeerClients {
+    channels: RefCell<HashMap<SocketAddr, Channel>>,
+}
+
+impl PeerClients {
+    /// Brings a caller's request to the owner.
+    pub(in crate::fleet) async fn call(
+        &self,
+        peer: SocketAddr,
+        call: &Call,
+        within: Duration,
+    ) -> Answer {
+        let (Some(request), Ok(mut client)) = (call_request(call), self.client(peer)) else {
+            return Answer::NotRun;
+        };
+        match tokio::time::timeout(within, client.call(request)).await {
+            Ok(Ok(answer)) => decode_answer(answer.into_inner().outcome()),
+            Ok(Err(status)) => {
+                log::debug!(peer = peer.to_string(); "peer: a call failed: {status}");
+                Answer::InDoubt
+            }
+            Err(_) => Answer::InDoubt,
+        }
+    }
+
+    /// Asks a box how it stands.
+    pub(in crate::fleet) async fn ping(
+        &self,
+        peer: SocketAddr,
+        request: PingRequest,
+        within: Duration,
+    ) -> Result<PingAnswer, Status> {
+        let mut client = self.client(peer)?;
+        match tokio::time::timeout(within, client.ping(request)).await {
+            Ok(answer) => answer.map(Response::into_inner),
+            Err(_) => Err(Status::deadline_exceeded("nothing came in time")),
+        }
+    }
+
+    /// Asks a box for its configuration.
+    pub(in crate::fleet) async fn fetch_config(&self, peer: SocketAddr) -> Result<Config, Status> {
+        self.client(peer)?.fetch_config(FetchConfigRequest {}).await.map(Response::into_inner)
+    }
+
+    /// Tells a box a configuration.
+    pub(in crate::fleet) async fn offer_config(
+        &self,
+        peer: SocketAddr,
+        config: Config,
+    ) -> Result<(), Status> {
+        self.client(peer)?.offer_config(config).await.map(|_| ())
+    }
+
+    fn client(&self, peer: SocketAddr) -> Result<JobsClient<Channel>, Status> {
+        let mut channels = self.channels.borrow_mut();
+        if let Some(channel) = channels.get(&peer) {
+            return Ok(JobsClient::new(channel.clone()));
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{peer}"))
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).timeout(CALL_LIMIT);
+        let channel = endpoint.tcp_nodelay(true).connect_lazy();
+        channels.insert(peer, channel.clone());
+        Ok(JobsClient::new(channel))
+    }
+}
--- /dev/null
+++ b/crates/kitetraild/src/fleet/peers/mod.rs
@@ -0,0 +1,14 @@
+//! What boxes say to each other.
+
+mod client;
+mod codec;
+mod server;
+
+use std::time::Duration;
+
+pub(super) use client::PeerClients;
+pub(super) use codec::{encode_config, take_config};
+pub(super) use server::serve;
+
+/// How long the owner may take over a call from another box. Callers have given up by then.
+const CALL_LIMIT: Duration = Duration::from_millis(2_000);
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -1,11 +1,16 @@
-//! The rows that boxes keep in the store.
+//! The rows that boxes keep in the store: their names and what they hold.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use kitetrail_core::jobs::{JobRecord, LifeRecord, ProgressRecord, Record};
-use kitetrail_platform::fleet::{RowName, RowTransaction, StoredRow};
+use kitetrail_platform::{
+    PlatformError,
+    fleet::{RowName, RowStore, RowTransaction, StoredRow},
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use super::{Platform, shared::Shared};
+
 /// The part of every table that holds the fleet's rows: one owner, one part, one transaction.
 pub(super) const PART: &str = "fleet-0";
 /// Who owns the fleet. Changes with the owner alone, so that watching it is cheap.
@@ -18,6 +23,8 @@
 pub(super) const PROGRESS: &str = "kt-progress";
 /// Workers' lives on which tasks may run.
 pub(super) const LIVES: &str = "kt-lives";
+/// What was learned of how images disturb each other.
+pub(super) const EFFECTS: &str = "kt-effects";
 
 /// Who owns the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,9 +45,6 @@
     pub(super) write: u64,
 }
 
-/// What was learned of how images disturb each other.
-pub(super) const EFFECTS: &str = "kt-effects";
-
 pub(super) fn owner_row() -> RowName {
     row(OWNERS, "owner")
 }
@@ -92,6 +96,39 @@
     serde_json::from_slice(&row.value)
 }
 
+/// Reads what rows hold, by their keys. Those that can't be read are left out.
+pub(super) fn decode_all<T: DeserializeOwned>(rows: &[StoredRow]) -> BTreeMap<String, T> {
+    let decode = |row: &StoredRow| {
+        let decoded = decode(row).map(|value| (row.key.clone(), value));
+        let key = row.key.as_str();
+        decoded
+            .inspect_err(|error| log::error!(key = key; "store: a row can't be read: {error}"))
+            .ok()
+    };
+    rows.iter().filter_map(decode).collect()
+}
+
+/// Reads a row from the store, with its version; `None` if it is absent.
+pub(super) async fn read<P: Platform, T: DeserializeOwned>(
+    shared: &Rc<Shared<P>>,
+    name: &RowName,
+) -> Result<Option<(T, u64)>, PlatformError> {
+    let row = shared.services.store.read(name).await;
+    shared.note_store(&row);
+    let Some(row) = row? else { return Ok(None) };
+    let value = decode(&row).map_err(malformed)?;
+    Ok(Some((value, row.version)))
+}
+
+/// A value as a row holds it.
+pub(super) fn encode(value: &impl Serialize) -> Result<Vec<u8>, PlatformError> {
+    serde_json::to_vec(value).map_err(malformed)
+}
+
+fn malformed(error: serde_json::Error) -> PlatformError {
+    PlatformError::Malformed { service: "store", cause: error.to_string() }
+}
+
 fn put(
     transaction: &mut RowTransaction,
     name: RowName,
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -1,8 +1,12 @@
 //! Puts the parts of a box together and stops them in order.
 
 use std::{
+    io,
     rc::Rc,
-    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -10,12 +14,16 @@
     net::TcpListener,
     runtime,
     signal::unix::{Signal, SignalKind, signal},
-    task::LocalSet,
+    task::{self, LocalSet},
+    time,
 };
 
 use super::{
-    FleetSettings, Platform, Services, config_watch, front, operators, ownership, peers,
+    FleetSettings, Platform, Services, config_watch, front,
+    operators::{self, ReadyFlag},
+    ownership, peers,
     shared::Shared,
+    takeover,
 };
 use crate::{
     clock::{Clock, incarnation},
@@ -34,7 +42,7 @@
 /// Runs a box until it is told to stop.
 pub fn run<P: Platform>(settings: FleetSettings, services: Services<P>) -> Result<(), DaemonError> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|cause| io("the runtime can't be started", cause))?;
+    let runtime = runtime.map_err(|cause| io_error("the runtime can't be started", cause))?;
     runtime.block_on(LocalSet::new().run_until(run_parts(settings, services)))
 }
 
@@ -47,8 +55,8 @@
     let mut hang_up = watch(SignalKind::hangup())?;
     let callers = settings.listen.callers;
     let listener = TcpListener::bind(callers).await;
-    let listener =
-        listener.map_err(|cause| io(&format!("can't listen for callers on {callers}"), cause))?;
+    let listener = listener
+        .map_err(|cause| io_error(&format!("can't listen for callers on {callers}"), cause))?;
     let ready = Arc::new(AtomicBool::new(false));
     operators::start(&settings, Arc::clone(&ready), metrics.clone());
     let shared = Shared::new(settings, services, Clock::start(), incarnation(), metrics);
@@ -56,11 +64,7 @@
         name = shared.settings.box_name.as_str(), incarnation = shared.incarnation;
         "daemon: starts, takes requests on {callers}"
     );
-    tokio::task::spawn_local(peers::serve(Rc::clone(&shared)));
-    tokio::task::spawn_local(config_watch::run(Rc::clone(&shared)));
-    tokio::task::spawn_local(ownership::run(Rc::clone(&shared)));
-    tokio::task::spawn_local(front::accept(Rc::clone(&shared), listener));
-    tokio::task::spawn_local(keep_ready(Rc::clone(&shared), ready));
+    spawn_parts(&shared, listener, ready);
     loop {
         tokio::select! {
             _ = hang_up.recv() => {
@@ -74,12 +78,20 @@
     Ok(())
 }
 
-async fn keep_ready<P: Platform>(shared: Rc<Shared<P>>, ready: Arc<AtomicBool>) {
+fn spawn_parts<P: Platform>(shared: &Rc<Shared<P>>, listener: TcpListener, ready: ReadyFlag) {
+    task::spawn_local(peers::serve(Rc::clone(shared)));
+    task::spawn_local(config_watch::run(Rc::clone(shared)));
+    task::spawn_local(ownership::run(Rc::clone(shared)));
+    task::spawn_local(front::accept(Rc::clone(shared), listener));
+    task::spawn_local(keep_ready(Rc::clone(shared), ready));
+}
+
+async fn keep_ready<P: Platform>(shared: Rc<Shared<P>>, ready: ReadyFlag) {
     loop {
         if ready.swap(shared.is_ready(), Ordering::Relaxed) != shared.is_ready() {
             log::info!(ready = shared.is_ready(); "daemon: takes new connections, or not");
         }
-        tokio::time::sleep(READY_EVERY).await;
+        time::sleep(READY_EVERY).await;
     }
 }
 
@@ -88,10 +100,10 @@
     let started = Instant::now();
     log::info!(in_progress = shared.in_progress.get(); "daemon: stopping");
     shared.draining.set(true);
-    ownership::give_up(shared).await;
+    takeover::give_up(shared).await;
     let latest = shared.settings.stop_within;
     loop {
-        tokio::time::sleep(LOOK).await;
+        time::sleep(LOOK).await;
         let (waited, busy) = (started.elapsed(), shared.in_progress.get() > 0);
         let owns = shared.local_owner.borrow().is_some();
         if waited >= latest || (waited >= TAKE_CONNECTIONS && !busy && !owns) {
@@ -102,9 +114,9 @@
 }
 
 fn watch(kind: SignalKind) -> Result<Signal, DaemonError> {
-    signal(kind).map_err(|cause| io("signals can't be watched", cause))
+    signal(kind).map_err(|cause| io_error("signals can't be watched", cause))
 }
 
-fn io(what: &str, cause: std::io::Error) -> DaemonError {
+fn io_error(what: &str, cause: io::Error) -> DaemonError {
     DaemonError::Io { what: what.to_owned(), cause }
 }
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -14,6 +14,10 @@
 use super::{FleetSettings, Platform, Services, owner::OwnerMessage, peers::PeerClients};
 use crate::{clock::Clock, metrics::Metrics};
 
+/// The statuses by which a store says that it can't serve now: too many requests, and unavailable.
+/// Any other refusal shows that it is at work.
+const BUSY_STATUSES: [u16; 2] = [429, 503];
+
 /// Who owns the fleet, as far as this box knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct OwnerView {
@@ -22,6 +26,13 @@
     pub(super) address: Option<SocketAddr>,
 }
 
+impl OwnerView {
+    /// The address as it is written to other boxes and to the log; empty if there is none.
+    pub(super) fn address_text(&self) -> String {
+        self.address.map(|address| address.to_string()).unwrap_or_default()
+    }
+}
+
 /// What the parts of one box share.
 pub(super) struct Shared<P: Platform> {
     pub(super) settings: FleetSettings,
@@ -35,15 +46,18 @@
     owner: Cell<OwnerView>,
     pub(super) owner_changed: Notify,
     /// The owner's inbox, while this box owns the fleet.
-    pub(super) local_owner: RefCell<Option<(u64, mpsc::Sender<OwnerMessage>)>>,
+    pub(super) local_owner: RefCell<Option<mpsc::Sender<OwnerMessage>>>,
     /// The epoch that this box owns the fleet in, or has just asked the store for; 0: neither.
     ///
     /// Set before the store is asked: other boxes may read the row before its answer is here.
     pub(super) claimed_epoch: Cell<u64>,
     /// Accepted jobs that have not begun, by queue, as the owner told last.
     pub(super) pending: RefCell<BTreeMap<String, u64>>,
+    /// When the store answered last.
     store_heard_at: Cell<Time>,
+    /// The last call to the store brought no answer.
     store_lost: Cell<bool>,
+    /// The box was told to stop.
     pub(super) draining: Cell<bool>,
     /// Requests of callers that are not answered yet.
     pub(super) in_progress: Cell<usize>,
@@ -111,7 +125,7 @@
         if view.epoch < before.epoch || view == before {
             return;
         }
-        let address = view.address.map(|address| address.to_string()).unwrap_or_default();
+        let address = view.address_text();
         log::info!(
             epoch = view.epoch, before = before.epoch, address = address.as_str(), source = source;
             "owner: another owner is believed in"
@@ -120,11 +134,19 @@
         self.owner_changed.notify_waiters();
     }
 
+    /// Takes note of the owner that another box tells of.
+    pub(super) fn note_told_owner(&self, epoch: u64, address: &str) {
+        let told = OwnerView { epoch, address: address.parse().ok() };
+        if told.epoch > self.owner().epoch && told.address.is_some() {
+            self.offer_owner(told, "peer");
+        }
+    }
+
     /// Takes note of what a call to the store brought.
     pub(super) fn note_store<T>(&self, result: &Result<T, PlatformError>) {
         let answered = match result {
             Ok(_) => true,
-            Err(PlatformError::Refused { status, .. }) => *status != 503 && *status != 429,
+            Err(PlatformError::Refused { status, .. }) => !BUSY_STATUSES.contains(status),
             Err(_) => false,
         };
         if answered {
--- /dev/null
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -0,0 +1,221 @@
+//! Takes the fleet over, owns it, and gives it up in order.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kitetrail_core::jobs::{
+    EffectsRecord, Inheritance, ProgressRecord, Scheduler, SchedulerSettings,
+};
+use kitetrail_platform::{
+    PlatformError,
+    fleet::{RowStore, RowTransaction, TransactionAnswer},
+};
+use tokio::{sync::mpsc, task, time};
+
+use super::{
+    Platform,
+    committer::{Committer, HEARTBEAT},
+    owner::{Ended, Owner, OwnerMessage, WITHOUT_STORE},
+    ownership::RETRY,
+    rows::{self, HeadRow, OwnerRow},
+    shared::{OwnerView, Shared},
+    workers_watch,
+};
+use crate::clock::unix_ms;
+
+/// How many messages to the owner may wait.
+const INBOX: usize = 8_192;
+/// How many batches may wait for the writer: the scheduler makes the next one after an answer.
+const BATCHES: usize = 1;
+/// How long an owner that gives the fleet up waits for its writer: two heartbeats, after which other
+/// boxes take it for lost anyway.
+const LAST_WRITE_LIMIT: Duration = HEARTBEAT.saturating_mul(2);
+
+/// What a takeover replaces: rows with their versions.
+pub(super) struct Claim {
+    pub(super) owner: Option<(OwnerRow, u64)>,
+    pub(super) head_version: u64,
+    /// The owner before certainly renews no leases any more.
+    pub(super) predecessor_stopped: bool,
+}
+
+/// Takes the fleet over, if nobody else is quicker, and owns it until it is lost or given up.
+pub(super) async fn own<P: Platform>(shared: &Rc<Shared<P>>, claim: Claim) {
+    let started = Instant::now();
+    let predecessor_stopped = claim.predecessor_stopped;
+    let (row, version) = match take(shared, claim).await {
+        Ok(Some(taken)) => taken,
+        Ok(None) => return,
+        Err(error) => {
+            log::warn!("owner: the fleet can't be taken over: {error}");
+            return time::sleep(RETRY).await;
+        }
+    };
+    let Some(inheritance) = load_until_read(shared, predecessor_stopped).await else { return };
+    log::info!(
+        epoch = row.epoch, jobs = inheritance.jobs.len(), lives = inheritance.lives.len(),
+        predecessor_stopped = predecessor_stopped, after_ms = started.elapsed().as_millis() as u64;
+        "owner: owns the fleet"
+    );
+    let ended = serve(shared, &row, version, inheritance).await;
+    *shared.local_owner.borrow_mut() = None;
+    log::info!(epoch = row.epoch, ended:? = ended; "owner: owns the fleet no more");
+}
+
+/// Reads what the owner before has left, however often that fails; `None` if this box is stopping.
+async fn load_until_read<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    predecessor_stopped: bool,
+) -> Option<Inheritance> {
+    loop {
+        match load(shared, predecessor_stopped).await {
+            Ok(inheritance) => return Some(inheritance),
+            Err(error) if shared.draining.get() => {
+                log::warn!("owner: stops before it could read the jobs: {error}");
+                return None;
+            }
+            Err(error) => {
+                log::warn!("owner: the jobs can't be read: {error}");
+                time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Runs the owner and its helpers until the fleet is lost or given up.
+async fn serve<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    row: &OwnerRow,
+    head_version: u64,
+    inheritance: Inheritance,
+) -> Ended {
+    let scheduler = scheduler(shared, row.epoch, inheritance);
+    let (sender, inbox) = mpsc::channel(INBOX);
+    let (batches, to_write) = mpsc::channel(BATCHES);
+    let committer = Committer {
+        shared: Rc::clone(shared),
+        epoch: row.epoch,
+        head_version,
+        write: 0,
+        owner: sender.clone(),
+        usual: Duration::ZERO,
+    };
+    let committer = task::spawn_local(committer.run(to_write));
+    let watcher = task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
+    *shared.local_owner.borrow_mut() = Some(sender.clone());
+    shared.offer_owner(OwnerView { epoch: row.epoch, address: Some(row.address) }, "self");
+    let ended = Owner::new(Rc::clone(shared), scheduler, (sender, inbox), batches).run().await;
+    watcher.abort();
+    match ended {
+        Ended::Released => {
+            // The batches' channel is closed: the writer ends after what it has in hand.
+            let _ = time::timeout(LAST_WRITE_LIMIT, committer).await;
+            release(shared, row).await;
+        }
+        Ended::Deposed => committer.abort(),
+    }
+    ended
+}
+
+fn scheduler<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    epoch: u64,
+    inheritance: Inheritance,
+) -> Scheduler {
+    let settings = SchedulerSettings {
+        longest_lease: shared.settings.longest_lease,
+        remember_ended: shared.settings.remember_ended,
+        renew_without_store: WITHOUT_STORE,
+    };
+    let now = shared.clock.now();
+    Scheduler::new(settings, epoch, inheritance, now, unix_ms())
+}
+
+/// Writes that this box owns the fleet. `None`: somebody else was quicker.
+async fn take<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    claim: Claim,
+) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
+    let (epoch, version) = claim.owner.map_or((0, 0), |(row, version)| (row.epoch, version));
+    let row = OwnerRow {
+        epoch: epoch + 1,
+        box_name: shared.settings.box_name.clone(),
+        incarnation: shared.incarnation,
+        address: shared.settings.listen.peers,
+        released: false,
+    };
+    shared.claimed_epoch.set(row.epoch);
+    let head = HeadRow { epoch: row.epoch, write: 0 };
+    let transaction = RowTransaction {
+        expected: vec![(rows::owner_row(), version), (rows::head_row(), claim.head_version)],
+        puts: vec![
+            (rows::owner_row(), rows::encode(&row)?),
+            (rows::head_row(), rows::encode(&head)?),
+        ],
+        removes: Vec::new(),
+    };
+    let answer = shared.services.store.transact(&transaction).await;
+    shared.note_store(&answer);
+    match answer? {
+        TransactionAnswer::Done { version } => Ok(Some((row, version))),
+        TransactionAnswer::Conflict { rows } => {
+            // An earlier try, whose answer was lost, may have done it.
+            let ours = rows.iter().find(|it| rows::decode(it).ok().as_ref() == Some(&row));
+            Ok(ours.map(|it| (row.clone(), it.version)))
+        }
+    }
+}
+
+/// Writes that the fleet may be taken over at once.
+async fn release<P: Platform>(shared: &Rc<Shared<P>>, row: &OwnerRow) {
+    if let Err(error) = write_release(shared, row).await {
+        log::warn!(epoch = row.epoch; "owner: can't say that the fleet is free: {error}");
+    }
+}
+
+async fn write_release<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    row: &OwnerRow,
+) -> Result<(), PlatformError> {
+    let found = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?;
+    let Some((_, version)) = found.filter(|(found, _)| found == row) else { return Ok(()) };
+    let row = OwnerRow { released: true, ..row.clone() };
+    let transaction = RowTransaction {
+        expected: vec![(rows::owner_row(), version)],
+        puts: vec![(rows::owner_row(), rows::encode(&row)?)],
+        removes: Vec::new(),
+    };
+    shared.services.store.transact(&transaction).await.map(|_| ())
+}
+
+/// Reads what the owner before has left.
+async fn load<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    predecessor_stopped: bool,
+) -> Result<Inheritance, PlatformError> {
+    let store = &shared.services.store;
+    let (jobs, progress, lives) = tokio::try_join!(
+        store.scan(rows::JOBS, rows::PART),
+        store.scan(rows::PROGRESS, rows::PART),
+        store.scan(rows::LIVES, rows::PART),
+    )?;
+    let mut progress = rows::decode_all::<ProgressRecord>(&progress.0);
+    let mut inheritance = Inheritance { predecessor_stopped, ..Inheritance::default() };
+    let effects = rows::read::<_, EffectsRecord>(shared, &rows::effects_row()).await?;
+    inheritance.effects = effects.map(|(effects, _)| effects).unwrap_or_default();
+    inheritance.lives = rows::decode_all(&lives.0).into_values().collect();
+    for (key, job) in rows::decode_all(&jobs.0) {
+        inheritance.jobs.push((job, progress.remove(&key)));
+    }
+    Ok(inheritance)
+}
+
+/// Gives the fleet up in order, if this box owns it.
+pub(super) async fn give_up<P: Platform>(shared: &Rc<Shared<P>>) {
+    let owner = shared.local_owner.borrow().clone();
+    if let Some(owner) = owner {
+        let _ = owner.send(OwnerMessage::Release).await;
+    }
+}
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -2,15 +2,11 @@
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use kitetrail_core::jobs::{Discovery, WorkerEntry};
+use kitetrail_core::jobs::{Discovery, Event, WorkerEntry};
 use kitetrail_platform::fleet::{WorkerChanges, WorkerList};
 use tokio::sync::mpsc;
 
-use super::{
-    Platform,
-    owner::{OwnerMessage, discovered},
-    shared::Shared,
-};
+use super::{Platform, owner::OwnerMessage, shared::Shared};
 
 /// How long a call waits for changes. The store takes up to 30 s; shorter, so that a connection
 /// that died in silence is noticed.
@@ -18,6 +14,9 @@
 /// How long to wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(250);
 
+/// What changed and where to go on, `None` there to list anew; `None` at all if the call failed.
+type Changes = Option<(Vec<Discovery>, Option<u64>)>;
+
 /// Follows the list until the owner is gone.
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>, owner: mpsc::Sender<OwnerMessage>) {
     let mut known = BTreeSet::new();
@@ -30,7 +29,9 @@
         match changes {
             Some((changes, next)) => {
                 version = next;
-                if !changes.is_empty() && owner.send(discovered(changes)).await.is_err() {
+                let any = !changes.is_empty();
+                let discovered = OwnerMessage::Event(Event::Discovered(changes));
+                if any && owner.send(discovered).await.is_err() {
                     return;
                 }
             }
@@ -39,8 +40,6 @@
     }
 }
 
-type Changes = Option<(Vec<Discovery>, Option<u64>)>;
-
 async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut BTreeSet<String>) -> Changes {
     let listed = shared.services.store.workers().await;
     shared.note_store(&listed);
