Tests of jobs: a fake worker in a file of its own, waits and limits with names

The world's unused check_once is gone; the one that runs at every step has its name. Checks are the same: actions of all scenarios as before, event by event.

--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -1,6 +1,8 @@
-//! A fleet on virtual time: workers that lease what they run, a store, and the scheduler.
+//! A fleet on virtual time: workers, a store, and the scheduler.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod worker;
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
@@ -9,76 +11,24 @@
 use kitetrail_core::{
     Resources, Time,
     jobs::{
-        Action, Discovery, EffectsRecord, Event, Hold, HoldFailure, HowEnded, Inheritance, JobId,
-        JobRecord, JobSpec, JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord,
-        QueueTerms, Record, Refusal, Report, RequestNo, RunEnd, RunningTask, Scheduler,
-        SchedulerSettings, StepSpec, SubmitAnswer, TaskName, WorkerEntry,
+        Action, Discovery, EffectsRecord, Event, Hold, Inheritance, JobId, JobRecord, JobSpec,
+        JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord, QueueTerms, Record,
+        RequestNo, Scheduler, SchedulerSettings, StepSpec, SubmitAnswer, TaskName,
     },
 };
 
+use worker::Work;
+pub use worker::{FakeWorker, Mood};
+
 /// The time of day when the virtual clock stands at zero, in milliseconds since 1970.
 const DAY_UNIX_MS: u64 = 1_780_000_000_000;
 /// One step of the virtual clock.
-const STEP: Duration = Duration::from_millis(10);
+pub const STEP: Duration = Duration::from_millis(10);
+/// How much later a worker that is late carries an order out.
+const LATE: Duration = Duration::from_millis(1_000);
 /// How long the store takes.
 const STORE: Duration = Duration::from_millis(10);
 
-/// How a worker behaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Mood {
-    /// It answers and works.
-    Well,
-    /// Nothing reaches it and nothing comes back; it works on.
-    Cut,
-    /// It answers, and what it runs stands still.
-    Hanging,
-    /// It answers, and all that it starts fails after 100 ms.
-    Failing,
-    /// It does not answer orders to start; it carries them out after 1 s unless they are void.
-    Late,
-}
-
-/// A run on a worker.
-#[derive(Debug, Clone)]
-pub struct Running {
-    /// The run.
-    pub run: u32,
-    /// How much of its work is done, in milliseconds.
-    pub done_ms: u64,
-    /// How much there is, in milliseconds.
-    pub work_ms: u64,
-    /// Its share of its speed, in percent.
-    pub percent: u8,
-    /// What it uses at full speed, in thousandths of a core.
-    pub cpu_millis: u32,
-    /// It serves users: its gauge tells its tail.
-    pub serves: bool,
-}
-
-/// What a task is to the worker that runs it.
-#[derive(Debug, Clone, Copy)]
-struct Work {
-    work_ms: u64,
-    cpu_millis: u32,
-    serves: bool,
-}
-
-/// A worker.
-#[derive(Debug)]
-pub struct FakeWorker {
-    pub entry: WorkerEntry,
-    pub mood: Mood,
-    /// It left the list.
-    pub gone: bool,
-    pub running: BTreeMap<TaskName, Running>,
-    pub ended: Vec<RunEnd>,
-    pub token: u64,
-    pub leased_until_ms: u64,
-    late: VecDeque<(Time, u64, u64, Order, Work)>,
-    next_end: u64,
-    held: Option<(LifeNo, Hold, Time)>,
-}
-
 /// The fleet.
 pub struct World {
     pub now: Time,
@@ -257,14 +207,7 @@
         runs.map(|(id, _)| id.as_str()).collect()
     }
 
-    /// Panics if a task runs in two places.
-    pub fn check_once(&self) {
-        let mut seen = BTreeSet::new();
-        for name in self.workers.values().flat_map(|worker| worker.running.keys()) {
-            assert!(seen.insert(*name), "{name} runs twice at {}", self.now);
-        }
-    }
-
+    /// Tells the scheduler of an event and does what it asks for.
     pub fn tell(&mut self, event: Event) {
         let unix_ms = DAY_UNIX_MS + self.now.as_ms();
         let actions = self.scheduler.handle(event, self.now, unix_ms);
@@ -301,8 +244,7 @@
         match (worker.mood, order) {
             (Mood::Cut, _) => OrderAnswer::Unanswered,
             (Mood::Late, Order::Start(_)) => {
-                let at = now + Duration::from_millis(1_000);
-                worker.late.push_back((at, token, lease_until_ms, order.clone(), work));
+                worker.take_later(now + LATE, token, lease_until_ms, order, work);
                 OrderAnswer::Unanswered
             }
             _ => {
@@ -339,19 +281,11 @@
         let mut answers = Vec::new();
         for (id, worker) in &mut self.workers {
             worker.work(now);
-            while let Some((at, token, until_ms, order, work)) = worker.late.pop_front() {
-                if at > now {
-                    worker.late.push_front((at, token, until_ms, order, work));
-                    break;
-                }
-                let answer = worker.take(now, token, until_ms, &order, work);
-                if let (OrderAnswer::Done { .. }, Order::Start(start)) = (answer, &order) {
-                    self.starts.push((now, start.task, start.run, id.clone()));
-                }
+            for start in worker.take_late(now) {
+                self.starts.push((now, start.task, start.run, id.clone()));
             }
             let Some((life, hold, sent_at)) = worker.held else { continue };
-            let answer = worker.answer_hold(now, hold, sent_at, tail_ms);
-            if let Some(answer) = answer {
+            if let Some(answer) = worker.answer_hold(now, hold, sent_at, tail_ms) {
                 worker.held = None;
                 answers.push(Event::Held { life, hold, sent_at, answer });
             }
@@ -359,10 +293,11 @@
         for answer in answers {
             self.tell(answer);
         }
-        self.check_once_unless_copied();
+        self.check_once();
     }
 
-    fn check_once_unless_copied(&self) {
+    /// Panics if a task runs in two places, unless its step allows copies.
+    fn check_once(&self) {
         let copied = |name: &TaskName| {
             let spec =
                 self.specs.get(&name.job).and_then(|spec| spec.steps.get(name.step as usize));
@@ -400,145 +335,6 @@
     }
 }
 
-impl FakeWorker {
-    fn new(no: u32) -> Self {
-        let entry = WorkerEntry {
-            id: format!("w{no}").as_str().into(),
-            machine: Some(format!("m{no}")),
-            service: "desk".to_owned(),
-            address: format!("10.0.0.{no}:80"),
-            zone: "a".to_owned(),
-            rack: format!("r{}", no / 4),
-            draining: false,
-            remaining_ms: None,
-            capacity: Resources::new(4_000, 8_192, 0),
-            labels: vec!["plain".to_owned(), format!("r{}", no / 4)],
-        };
-        Self {
-            entry,
-            mood: Mood::Well,
-            gone: false,
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            token: 0,
-            leased_until_ms: 0,
-            late: VecDeque::new(),
-            next_end: 1,
-            held: None,
-        }
-    }
-
-    fn take(
-        &mut self,
-        now: Time,
-        token: u64,
-        lease_until_ms: u64,
-        order: &Order,
-        work: Work,
-    ) -> OrderAnswer {
-        if token < self.token {
-            return OrderAnswer::Refused(Refusal::Fenced);
-        }
-        self.token = token;
-        let clock_ms = now.as_ms();
-        match order {
-            Order::Start(_) if lease_until_ms <= clock_ms => {
-                return OrderAnswer::Refused(Refusal::Late);
-            }
-            Order::Start(start) => {
-                self.leased_until_ms = self.leased_until_ms.max(lease_until_ms);
-                let Work { work_ms, cpu_millis, serves } = work;
-                let run = Running {
-                    run: start.run,
-                    done_ms: 0,
-                    work_ms,
-                    percent: 100,
-                    cpu_millis,
-                    serves,
-                };
-                self.running.insert(start.task, run);
-            }
-            Order::Stop { task, run } => {
-                if self.running.get(task).is_some_and(|running| running.run == *run) {
-                    self.end(*task, HowEnded::Stopped);
-                }
-            }
-            Order::Pace { task, percent, .. } => {
-                if let Some(running) = self.running.get_mut(task) {
-                    running.percent = *percent;
-                }
-            }
-        }
-        OrderAnswer::Done { clock_ms }
-    }
-
-    fn answer_hold(
-        &mut self,
-        now: Time,
-        hold: Hold,
-        sent_at: Time,
-        tail_ms: fn(&FakeWorker) -> u32,
-    ) -> Option<Result<Report, HoldFailure>> {
-        let waited = now.since(sent_at);
-        if self.mood == Mood::Cut {
-            let gives_up = Duration::from_millis(u64::from(hold.wait_ms) + 700);
-            return (waited >= gives_up).then_some(Err(HoldFailure::Unanswered));
-        }
-        if hold.token < self.token {
-            return Some(Err(HoldFailure::Fenced));
-        }
-        self.token = hold.token;
-        if let Some(until_ms) = hold.lease_until_ms {
-            self.leased_until_ms = self.leased_until_ms.max(until_ms);
-        }
-        self.ended.retain(|end| end.number > hold.ends_kept);
-        if self.ended.is_empty() && waited < Duration::from_millis(hold.wait_ms.into()) {
-            return None;
-        }
-        let tail_ms = tail_ms(self);
-        let running = self.running.iter().map(|(&task, running)| RunningTask {
-            task,
-            run: running.run,
-            checkpoint: Some(format!("{task}@{}", running.done_ms)),
-            percent: (running.done_ms * 100 / running.work_ms) as u32,
-            gauge: Some(match running.serves {
-                true => tail_ms,
-                false => running.cpu_millis * u32::from(running.percent) / 100,
-            }),
-        });
-        let running = running.collect();
-        Some(Ok(Report { clock_ms: now.as_ms(), running, ended: self.ended.clone() }))
-    }
-
-    fn work(&mut self, now: Time) {
-        if !self.running.is_empty() && self.leased_until_ms <= now.as_ms() {
-            for task in self.running.keys().copied().collect::<Vec<_>>() {
-                self.end(task, HowEnded::Lapsed);
-            }
-        }
-        let mood = self.mood;
-        for running in self.running.values_mut().filter(|_| mood != Mood::Hanging) {
-            running.done_ms += STEP.as_millis() as u64 * u64::from(running.percent) / 100;
-        }
-        let over = self.running.iter().filter_map(|(&task, running)| match mood {
-            Mood::Failing if running.done_ms >= 100 => Some((task, HowEnded::Failed)),
-            _ if running.done_ms >= running.work_ms => Some((task, HowEnded::Done)),
-            _ => None,
-        });
-        for (task, how) in over.collect::<Vec<_>>() {
-            self.end(task, how);
-        }
-    }
-
-    fn end(&mut self, task: TaskName, how: HowEnded) {
-        let Some(running) = self.running.remove(&task) else { return };
-        let checkpoint = Some(format!("{task}@{}", running.done_ms));
-        let number = self.next_end;
-        self.next_end += 1;
-        self.ended.push(RunEnd { number, task, run: running.run, how, checkpoint });
-    }
-}
-
 fn scheduler(epoch: u64, inheritance: Inheritance, now: Time) -> Scheduler {
     let settings = SchedulerSettings {
         longest_lease: Duration::from_secs(6),
--- /dev/null
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -0,0 +1,256 @@
+//! A worker on virtual time, which leases what it runs.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use kitetrail_core::{
+    Resources, Time,
+    jobs::{
+        Hold, HoldFailure, HowEnded, LifeNo, Order, OrderAnswer, Refusal, Report, RunEnd,
+        RunningTask, StartOrder, TaskName, WorkerEntry,
+    },
+};
+
+use super::STEP;
+
+/// How much longer than it may wait a hold may take before the owner gives it up.
+const HOLD_SLACK: Duration = Duration::from_millis(700);
+/// A run that fails does so after this much work.
+const FAILS_AFTER_MS: u64 = 100;
+
+/// How a worker behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mood {
+    /// It answers and works.
+    Well,
+    /// Nothing reaches it and nothing comes back; it works on.
+    Cut,
+    /// It answers, and what it runs stands still.
+    Hanging,
+    /// It answers, and all that it starts fails after 100 ms.
+    Failing,
+    /// It does not answer orders to start; it carries them out after 1 s unless they are void.
+    Late,
+}
+
+/// A run on a worker.
+#[derive(Debug, Clone)]
+pub struct Running {
+    /// The run.
+    pub run: u32,
+    /// How much of its work is done, in milliseconds.
+    pub done_ms: u64,
+    /// How much there is, in milliseconds.
+    pub work_ms: u64,
+    /// Its share of its speed, in percent.
+    pub percent: u8,
+    /// What it uses at full speed, in thousandths of a core.
+    pub cpu_millis: u32,
+    /// It serves users: its gauge tells its tail.
+    pub serves: bool,
+}
+
+impl Running {
+    fn new(run: u32, Work { work_ms, cpu_millis, serves }: Work) -> Self {
+        Self { run, done_ms: 0, work_ms, percent: 100, cpu_millis, serves }
+    }
+}
+
+/// What a task is to the worker that runs it.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    pub work_ms: u64,
+    pub cpu_millis: u32,
+    pub serves: bool,
+}
+
+/// An order that is carried out later.
+#[derive(Debug)]
+struct LateOrder {
+    at: Time,
+    token: u64,
+    lease_until_ms: u64,
+    order: Order,
+    work: Work,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct FakeWorker {
+    pub entry: WorkerEntry,
+    /// How it behaves.
+    pub mood: Mood,
+    /// It left the list.
+    pub gone: bool,
+    pub running: BTreeMap<TaskName, Running>,
+    pub ended: Vec<RunEnd>,
+    pub token: u64,
+    pub leased_until_ms: u64,
+    /// The hold that waits for an answer, and when it was sent.
+    pub held: Option<(LifeNo, Hold, Time)>,
+    late: VecDeque<LateOrder>,
+    next_end: u64,
+}
+
+impl FakeWorker {
+    /// The worker with a number, well and idle.
+    pub fn new(no: u32) -> Self {
+        let entry = WorkerEntry {
+            id: format!("w{no}").as_str().into(),
+            machine: Some(format!("m{no}")),
+            service: "desk".to_owned(),
+            address: format!("10.0.0.{no}:80"),
+            zone: "a".to_owned(),
+            rack: format!("r{}", no / 4),
+            draining: false,
+            remaining_ms: None,
+            capacity: Resources::new(4_000, 8_192, 0),
+            labels: vec!["plain".to_owned(), format!("r{}", no / 4)],
+        };
+        Self {
+            entry,
+            mood: Mood::Well,
+            gone: false,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            token: 0,
+            leased_until_ms: 0,
+            held: None,
+            late: VecDeque::new(),
+            next_end: 1,
+        }
+    }
+
+    /// Carries an order out, or refuses it.
+    pub fn take(
+        &mut self,
+        now: Time,
+        token: u64,
+        lease_until_ms: u64,
+        order: &Order,
+        work: Work,
+    ) -> OrderAnswer {
+        if token < self.token {
+            return OrderAnswer::Refused(Refusal::Fenced);
+        }
+        self.token = token;
+        let clock_ms = now.as_ms();
+        match order {
+            Order::Start(_) if lease_until_ms <= clock_ms => {
+                return OrderAnswer::Refused(Refusal::Late);
+            }
+            Order::Start(start) => {
+                self.leased_until_ms = self.leased_until_ms.max(lease_until_ms);
+                self.running.insert(start.task, Running::new(start.run, work));
+            }
+            Order::Stop { task, run } => {
+                if self.running.get(task).is_some_and(|running| running.run == *run) {
+                    self.end(*task, HowEnded::Stopped);
+                }
+            }
+            Order::Pace { task, percent, .. } => {
+                if let Some(running) = self.running.get_mut(task) {
+                    running.percent = *percent;
+                }
+            }
+        }
+        OrderAnswer::Done { clock_ms }
+    }
+
+    /// Keeps an order to carry it out at a later moment.
+    pub fn take_later(
+        &mut self,
+        at: Time,
+        token: u64,
+        lease_until_ms: u64,
+        order: &Order,
+        work: Work,
+    ) {
+        let order = order.clone();
+        self.late.push_back(LateOrder { at, token, lease_until_ms, order, work });
+    }
+
+    /// Carries out the late orders whose moment has come. Returns what was started.
+    pub fn take_late(&mut self, now: Time) -> Vec<StartOrder> {
+        let mut started = Vec::new();
+        while let Some(late) = self.late.pop_front_if(|late| late.at <= now) {
+            let answer = self.take(now, late.token, late.lease_until_ms, &late.order, late.work);
+            if let (OrderAnswer::Done { .. }, Order::Start(start)) = (answer, late.order) {
+                started.push(start);
+            }
+        }
+        started
+    }
+
+    /// Answers a hold, or `None` while it may wait.
+    pub fn answer_hold(
+        &mut self,
+        now: Time,
+        hold: Hold,
+        sent_at: Time,
+        tail_ms: fn(&FakeWorker) -> u32,
+    ) -> Option<Result<Report, HoldFailure>> {
+        let waited = now.since(sent_at);
+        if self.mood == Mood::Cut {
+            let gives_up = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
+            return (waited >= gives_up).then_some(Err(HoldFailure::Unanswered));
+        }
+        if hold.token < self.token {
+            return Some(Err(HoldFailure::Fenced));
+        }
+        self.token = hold.token;
+        if let Some(until_ms) = hold.lease_until_ms {
+            self.leased_until_ms = self.leased_until_ms.max(until_ms);
+        }
+        self.ended.retain(|end| end.number > hold.ends_kept);
+        if self.ended.is_empty() && waited < Duration::from_millis(hold.wait_ms.into()) {
+            return None;
+        }
+        Some(Ok(self.report(now, tail_ms(self))))
+    }
+
+    fn report(&self, now: Time, tail_ms: u32) -> Report {
+        let running = self.running.iter().map(|(&task, running)| RunningTask {
+            task,
+            run: running.run,
+            checkpoint: Some(format!("{task}@{}", running.done_ms)),
+            percent: (running.done_ms * 100 / running.work_ms) as u32,
+            gauge: Some(match running.serves {
+                true => tail_ms,
+                false => running.cpu_millis * u32::from(running.percent) / 100,
+            }),
+        });
+        Report { clock_ms: now.as_ms(), running: running.collect(), ended: self.ended.clone() }
+    }
+
+    /// Lets the worker work for one step of the clock.
+    pub fn work(&mut self, now: Time) {
+        if !self.running.is_empty() && self.leased_until_ms <= now.as_ms() {
+            for task in self.running.keys().copied().collect::<Vec<_>>() {
+                self.end(task, HowEnded::Lapsed);
+            }
+        }
+        let mood = self.mood;
+        for running in self.running.values_mut().filter(|_| mood != Mood::Hanging) {
+            running.done_ms += STEP.as_millis() as u64 * u64::from(running.percent) / 100;
+        }
+        let over = self.running.iter().filter_map(|(&task, running)| match mood {
+            Mood::Failing if running.done_ms >= FAILS_AFTER_MS => Some((task, HowEnded::Failed)),
+            _ if running.done_ms >= running.work_ms => Some((task, HowEnded::Done)),
+            _ => None,
+        });
+        for (task, how) in over.collect::<Vec<_>>() {
+            self.end(task, how);
+        }
+    }
+
+    fn end(&mut self, task: TaskName, how: HowEnded) {
+        let Some(running) = self.running.remove(&task) else { return };
+        let checkpoint = Some(format!("{task}@{}", running.done_ms));
+        let number = self.next_end;
+        self.next_end += 1;
+        self.ended.push(RunEnd { number, task, run: running.run, how, checkpoint });
+    }
+}
