--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     fmt::{self, Display, Formatter},
+    mem,
     sync::Arc,
     time::Duration,
 };
@@ -200,7 +201,7 @@
 
     pub(super) fn take_runs(&mut self) -> BTreeMap<TaskName, RunThere> {
         self.room = None;
-        std::mem::take(&mut self.runs)
+        mem::take(&mut self.runs)
     }
 
     /// Takes note that the worker answered.
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -66,11 +66,7 @@
         if left.is_zero() {
             return if in_doubt { Answer::InDoubt } else { Answer::NotRun };
         }
-        let changed = shared.owner_changed.notified();
-        let answered = tokio::select! {
-            answer = try_once(shared, &call, left.min(TRY)) => answer,
-            () = changed => Answer::InDoubt,
-        };
+        let answered = try_while_owner_stays(shared, &call, left.min(TRY)).await;
         match answered {
             Answer::NotOwner | Answer::NotRun => {}
             Answer::InDoubt => in_doubt = true,
@@ -89,6 +85,19 @@
     }
 }
 
+/// Asks the owner once, and gives up when another owner is believed in.
+async fn try_while_owner_stays<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    call: &Call,
+    within: Duration,
+) -> Answer {
+    let changed = shared.owner_changed.notified();
+    tokio::select! {
+        answer = try_once(shared, call, within) => answer,
+        () = changed => Answer::InDoubt,
+    }
+}
+
 /// Asks the owner once, in this box or in another one.
 async fn try_once<P: Platform>(shared: &Rc<Shared<P>>, call: &Call, within: Duration) -> Answer {
     let local = shared.local_owner.borrow().clone();
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -55,18 +55,27 @@
 
 /// The owner's writer.
 pub(super) struct Committer<P: Platform> {
-    pub(super) shared: Rc<Shared<P>>,
-    pub(super) epoch: u64,
+    shared: Rc<Shared<P>>,
+    epoch: u64,
     /// The version of the head row as this owner wrote it last.
-    pub(super) head_version: u64,
+    head_version: u64,
     /// The number of the last write.
-    pub(super) write: u64,
-    pub(super) owner: mpsc::Sender<OwnerMessage>,
+    write: u64,
+    owner: mpsc::Sender<OwnerMessage>,
     /// How long the store takes over a write, of late.
-    pub(super) usual: Duration,
+    usual: Duration,
 }
 
 impl<P: Platform> Committer<P> {
+    pub(super) fn new(
+        shared: Rc<Shared<P>>,
+        epoch: u64,
+        head_version: u64,
+        owner: mpsc::Sender<OwnerMessage>,
+    ) -> Self {
+        Self { shared, epoch, head_version, write: 0, owner, usual: Duration::ZERO }
+    }
+
     /// Writes until no more batches come or another owner has written.
     pub(super) async fn run(mut self, mut batches: mpsc::Receiver<Batch>) {
         loop {
@@ -99,27 +108,31 @@
         loop {
             let answer = self.transact(&transaction).await;
             self.shared.note_store(&answer);
-            let version = match answer {
-                Ok(TransactionAnswer::Done { version }) => Some(version),
-                Ok(TransactionAnswer::Conflict { rows }) => {
-                    // An earlier try, whose answer was lost, may have done it.
-                    let ours = rows.iter().find(|row| rows::decode(row).ok() == Some(head));
-                    ours.map(|row| row.version)
-                }
-                Err(error) => {
-                    self.note_failure(&error).await;
-                    if self.owner.is_closed() {
-                        return true;
-                    }
-                    continue;
-                }
-            };
-            self.shared.metrics.note_commit(if version.is_some() { "done" } else { "conflict" });
-            self.head_version = version.unwrap_or(self.head_version);
-            return version.is_some();
+            match answer {
+                Ok(answer) => return self.note_answer(&answer, head),
+                Err(error) => self.note_failure(&error).await,
+            }
+            if self.owner.is_closed() {
+                return true;
+            }
         }
     }
 
+    /// Whether a write is done, by what the store answered.
+    fn note_answer(&mut self, answer: &TransactionAnswer, head: HeadRow) -> bool {
+        let version = match answer {
+            TransactionAnswer::Done { version } => Some(*version),
+            TransactionAnswer::Conflict { rows } => {
+                // An earlier try, whose answer was lost, may have done it.
+                let ours = rows.iter().find(|row| rows::decode(row).ok() == Some(head));
+                ours.map(|row| row.version)
+            }
+        };
+        self.shared.metrics.note_commit(if version.is_some() { "done" } else { "conflict" });
+        self.head_version = version.unwrap_or(self.head_version);
+        version.is_some()
+    }
+
     /// Sends a transaction, and again while its answer seems to be lost.
     ///
     /// That is safe: all tries carry the same condition, which holds for one of them at most, and
@@ -143,7 +156,10 @@
                 Ok(Some(Err(error))) if tries.is_empty() => return Err(broken(&error)),
                 Ok(Some(_)) => {}
                 Ok(None) | Err(_) if sent < MOST_TRIES => {
-                    log::debug!(write = self.write; "owner: a write's answer seems lost, sent again");
+                    log::debug!(
+                        write = self.write;
+                        "owner: a write's answer seems lost, sent again"
+                    );
                     self.shared.metrics.note_commit("again");
                     self.send(&mut tries, transaction);
                     sent += 1;
--- a/crates/kitetraild/src/fleet/config_watch.rs
+++ b/crates/kitetraild/src/fleet/config_watch.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use kitetrail_platform::fleet::ConfigSource;
+use tokio::time;
 
 use super::{Platform, shared::Shared};
 
@@ -22,7 +23,7 @@
             Some(version) => follow(&shared, version).await,
         };
         if version.is_none() {
-            tokio::time::sleep(RETRY).await;
+            time::sleep(RETRY).await;
         }
     }
 }
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -35,8 +35,8 @@
 const HOLD_AT_MOST: Duration = Duration::from_millis(1_300);
 /// Kept from the time that a caller waits, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(60);
-/// How long to wait after a connection that could not be taken: most likely no file handle is free,
-/// and some come free as calls end.
+/// How long to wait after a connection that could not be taken. Most likely no file handle is
+/// free; some come free as calls end.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// The smallest buffer that the HTTP library allows.
 const LEAST_BUFFER_BYTES: usize = 8_192;
--- a/crates/kitetraild/src/fleet/operators.rs
+++ b/crates/kitetraild/src/fleet/operators.rs
@@ -12,6 +12,7 @@
     Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait,
     conn::TcpListener, http::StatusCode, writing::Text,
 };
+use tokio::task;
 
 use super::FleetSettings;
 use crate::metrics::Metrics;
@@ -28,7 +29,7 @@
 }
 
 fn serve(address: SocketAddr, routes: Router) {
-    tokio::task::spawn_local(async move {
+    task::spawn_local(async move {
         match TcpListener::new(address).try_bind().await {
             Ok(listener) => Server::new(listener).serve(routes).await,
             Err(error) => log::error!("operators: can't answer on {address}: {error}"),
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -8,6 +8,7 @@
 
 use kitetrail_platform::PlatformError;
 use kitetrail_proto::jobs::{PingAnswer, PingRequest};
+use tokio::time;
 use tonic::{Code, Status};
 
 use super::{
@@ -54,10 +55,10 @@
                 takeover::own(&shared, claim).await;
                 shared.claimed_epoch.set(0);
             }
-            Ok(None) => tokio::time::sleep(PING_EVERY).await,
+            Ok(None) => time::sleep(PING_EVERY).await,
             Err(error) => {
                 log::debug!("owner: can't be told: {error}");
-                tokio::time::sleep(RETRY).await;
+                time::sleep(RETRY).await;
             }
         }
     }
@@ -160,7 +161,7 @@
     let first =
         rows::read::<_, HeadRow>(shared, &rows::head_row()).await?.map(|(_, version)| version);
     while started.elapsed() < patience {
-        tokio::time::sleep(READ_EVERY).await;
+        time::sleep(READ_EVERY).await;
         let head = rows::read::<_, HeadRow>(shared, &rows::head_row()).await?;
         if head.map(|(_, version)| version) != first {
             return Ok(true);
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -5,6 +5,7 @@
 use kitetrail_proto::jobs::{
     Config, FetchConfigRequest, PingAnswer, PingRequest, jobs_client::JobsClient,
 };
+use tokio::time;
 use tonic::{
     Response, Status,
     transport::{Channel, Endpoint},
@@ -36,7 +37,7 @@
         let (Some(request), Ok(mut client)) = (call_request(call), self.client(peer)) else {
             return Answer::NotRun;
         };
-        match tokio::time::timeout(within, client.call(request)).await {
+        match time::timeout(within, client.call(request)).await {
             Ok(Ok(answer)) => decode_answer(answer.into_inner().outcome()),
             Ok(Err(status)) => {
                 log::debug!(peer = peer.to_string(); "peer: a call failed: {status}");
@@ -54,7 +55,7 @@
         within: Duration,
     ) -> Result<PingAnswer, Status> {
         let mut client = self.client(peer)?;
-        match tokio::time::timeout(within, client.ping(request)).await {
+        match time::timeout(within, client.ping(request)).await {
             Ok(answer) => answer.map(Response::into_inner),
             Err(_) => Err(Status::deadline_exceeded("nothing came in time")),
         }
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -7,7 +7,10 @@
     PingRequest,
     jobs_server::{Jobs, JobsServer},
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task,
+};
 use tonic::{Request, Response, Status, async_trait, transport::Server};
 
 use super::{
@@ -36,7 +39,7 @@
     let (sender, mut messages) = mpsc::channel(QUEUE);
     let address = shared.settings.listen.peers;
     let server = Server::builder().add_service(JobsServer::new(Handler { sender })).serve(address);
-    tokio::task::spawn_local(async move {
+    task::spawn_local(async move {
         if let Err(error) = server.await {
             log::error!("peer: can't answer on {address}: {error}");
         }
@@ -44,7 +47,7 @@
     while let Some(message) = messages.recv().await {
         match message {
             PeerMessage::Call(request, reply) => {
-                tokio::task::spawn_local(answer_call(Rc::clone(&shared), request, reply));
+                task::spawn_local(answer_call(Rc::clone(&shared), request, reply));
             }
             PeerMessage::Ping(request, reply) => {
                 let _ = reply.send(ping_answer(&shared, &request));
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -29,8 +29,8 @@
 const INBOX: usize = 8_192;
 /// How many batches may wait for the writer: the scheduler makes the next one after an answer.
 const BATCHES: usize = 1;
-/// How long an owner that gives the fleet up waits for its writer: two heartbeats, after which other
-/// boxes take it for lost anyway.
+/// How long an owner that gives the fleet up waits for its writer: two heartbeats. A little later
+/// other boxes take it for lost anyway.
 const LAST_WRITE_LIMIT: Duration = HEARTBEAT.saturating_mul(2);
 
 /// What a takeover replaces: rows with their versions.
@@ -94,14 +94,7 @@
     let scheduler = scheduler(shared, row.epoch, inheritance);
     let (sender, inbox) = mpsc::channel(INBOX);
     let (batches, to_write) = mpsc::channel(BATCHES);
-    let committer = Committer {
-        shared: Rc::clone(shared),
-        epoch: row.epoch,
-        head_version,
-        write: 0,
-        owner: sender.clone(),
-        usual: Duration::ZERO,
-    };
+    let committer = Committer::new(Rc::clone(shared), row.epoch, head_version, sender.clone());
     let committer = task::spawn_local(committer.run(to_write));
     let watcher = task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
     *shared.local_owner.borrow_mut() = Some(sender.clone());
@@ -139,13 +132,7 @@
     claim: Claim,
 ) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
     let (epoch, version) = claim.owner.map_or((0, 0), |(row, version)| (row.epoch, version));
-    let row = OwnerRow {
-        epoch: epoch + 1,
-        box_name: shared.settings.box_name.clone(),
-        incarnation: shared.incarnation,
-        address: shared.settings.listen.peers,
-        released: false,
-    };
+    let row = own_row(shared, epoch + 1);
     shared.claimed_epoch.set(row.epoch);
     let head = HeadRow { epoch: row.epoch, write: 0 };
     let transaction = RowTransaction {
@@ -168,6 +155,17 @@
     }
 }
 
+/// This box as the owner of an epoch.
+fn own_row<P: Platform>(shared: &Shared<P>, epoch: u64) -> OwnerRow {
+    OwnerRow {
+        epoch,
+        box_name: shared.settings.box_name.clone(),
+        incarnation: shared.incarnation,
+        address: shared.settings.listen.peers,
+        released: false,
+    }
+}
+
 /// Writes that the fleet may be taken over at once.
 async fn release<P: Platform>(shared: &Rc<Shared<P>>, row: &OwnerRow) {
     if let Err(error) = write_release(shared, row).await {
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -4,7 +4,7 @@
 
 use kitetrail_core::jobs::{Discovery, Event, WorkerEntry};
 use kitetrail_platform::fleet::{WorkerChanges, WorkerList};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time};
 
 use super::{Platform, owner::OwnerMessage, shared::Shared};
 
@@ -35,7 +35,7 @@
                     return;
                 }
             }
-            None => tokio::time::sleep(RETRY).await,
+            None => time::sleep(RETRY).await,
         }
     }
 }
