Tidy jobs further: steps, what is inherited and workers' entries have files of their own

Only stops are given to stop_run, so it takes the run. The limits of callers' connections have names; where two of them come from is not written anywhere.

--- a/crates/kitetrail-core/src/fleet_config.rs
+++ b/crates/kitetrail-core/src/fleet_config.rs
@@ -4,6 +4,18 @@
 
 use crate::jobs::QueueTerms;
 
+/// The longest head of a request, in bytes, until operators say otherwise: as in the settings of
+/// the daemon for requests.
+const MAX_HEADER_BYTES: usize = 16 * 1_024;
+/// The longest body of a request, in bytes, until operators say otherwise: room for the largest job
+/// that is accepted.
+const MAX_BODY_BYTES: usize = 256 * 1_024;
+/// How long a caller may take to send a head or a body, in milliseconds, until operators say
+/// otherwise.
+const HEADER_TIMEOUT_MS: u64 = 3_000;
+/// How long a connection may stay unused, in milliseconds, until operators say otherwise.
+const IDLE_TIMEOUT_MS: u64 = 15_000;
+
 /// A queue and where callers reach it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueueRoute {
@@ -32,13 +44,12 @@
 }
 
 impl Default for CallerLimits {
-    /// What holds until operators say otherwise: room for the largest job we accept.
     fn default() -> Self {
         Self {
-            max_header_bytes: 16 * 1_024,
-            max_body_bytes: 256 * 1_024,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
+            max_header_bytes: MAX_HEADER_BYTES,
+            max_body_bytes: MAX_BODY_BYTES,
+            header_timeout_ms: HEADER_TIMEOUT_MS,
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
         }
     }
 }
--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -5,13 +5,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    life::{LifeNo, WorkerEntry},
+    life::LifeNo,
     names::{JobId, LifeId},
     note::Note,
     order::{Order, OrderAnswer},
     record::Record,
     report::{Hold, HoldFailure, Report},
     spec::{JobSpec, QueueTerms},
+    worker_entry::WorkerEntry,
 };
 use crate::Time;
 
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -14,8 +14,9 @@
     report::Report,
     run::{Phase, RunThere},
     scheduler::{room::Room, tails::ImageNo},
+    worker_entry::WorkerEntry,
 };
-use crate::{Resources, Time};
+use crate::Time;
 
 /// The number of a worker's life in one scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -27,31 +28,6 @@
     }
 }
 
-/// What a worker says of itself in the list of workers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WorkerEntry {
-    /// This life of it.
-    pub id: LifeId,
-    /// The machine it lives on, if it names one.
-    pub machine: Option<String>,
-    /// The service whose tasks it runs.
-    pub service: String,
-    /// Where it answers, as host and port.
-    pub address: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// The rack it stands in, empty if it names none.
-    pub rack: String,
-    /// It is about to leave.
-    pub draining: bool,
-    /// While it drains: how long it stays at least, in milliseconds.
-    pub remaining_ms: Option<u64>,
-    /// What it has.
-    pub capacity: Resources,
-    /// What steps may ask for.
-    pub labels: Vec<String>,
-}
-
 /// The pace of the runs of an image that fills on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Pace {
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -14,9 +14,11 @@
 mod run;
 mod scheduler;
 mod spec;
+mod steps;
+mod worker_entry;
 
 pub use event::{Action, CancelAnswer, Discovery, Event, JobState, RequestNo, SubmitAnswer};
-pub use life::{LifeNo, WorkerEntry};
+pub use life::LifeNo;
 pub use names::{InvalidName, JobId, LifeId, QueueName, TaskName};
 pub use note::Note;
 pub use order::{Order, OrderAnswer, Refusal, StartOrder};
@@ -27,3 +29,4 @@
 pub use report::{Hold, HoldFailure, HowEnded, Report, RunEnd, RunningTask};
 pub use scheduler::{Inheritance, Scheduler, SchedulerSettings};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec};
+pub use worker_entry::WorkerEntry;
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -5,14 +5,13 @@
 use super::{
     super::{
         event::Action,
-        job::Placement,
         life::{JustEnded, LifeNo},
         names::TaskName,
         note::Note,
-        order::Order,
         record::Outcome,
         report::{HowEnded, RunEnd},
         run::{FULL_PACE_PERCENT, Phase, RunThere},
+        steps::Placement,
     },
     Scheduler,
 };
@@ -90,7 +89,7 @@
         self.pending.note(name.job);
         // The other members of a gang end by themselves; other copies of a task don't.
         for placed in copies.into_iter().filter(|_| !gang) {
-            self.stop_run(placed.life, Order::Stop { task: name, run: placed.run });
+            self.stop_run(placed.life, name, placed.run);
         }
         if all_done {
             self.end_job(name.job, Outcome::Completed);
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -18,15 +18,15 @@
 const FULLNESS: f64 = 1.0;
 /// Weight of something that would disturb, or be disturbed, by what the task does.
 const DISTURBANCE: f64 = 3.0;
-/// Weight of a worker where other images could fill as well, beside one that is slowed: what has
-/// many places to go leaves those alone that others need.
+/// Weight of a worker where other images could fill as well: a task that many workers suit leaves
+/// those free that suit many images.
 const SCARCITY: f64 = 0.25;
 /// What fills is started where it is let work at this share of its speed at least: it holds memory.
 const LEAST_PACE: f64 = 0.5;
 /// The same for a task that loses its progress when it is stopped: it can't be moved.
 const LEAST_PACE_UNMOVED: f64 = 0.8;
-/// Weight of serving tasks of other images. Like beside like leaves, for each image that fills,
-/// workers where nothing minds it.
+/// Weight of serving tasks of other images. Where tasks of one image serve together, each image that
+/// fills finds workers where it disturbs nothing.
 const OTHER_IMAGE: f64 = 0.6;
 /// Weight of being away from the data: the task takes up to twice as long.
 const FAR: f64 = 4.0;
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -3,14 +3,13 @@
 use super::{
     super::{
         event::Action,
-        job::Placement,
         life::LifeNo,
         names::TaskName,
         note::Note,
-        order::Order,
         report::{Hold, HoldFailure, Report, RunningTask},
         run::{Phase, Progress, RunThere, UNKNOWN_PACE_PERCENT},
         spec::StepSpec,
+        steps::Placement,
     },
     Scheduler,
     tails::ImageNo,
@@ -91,7 +90,7 @@
         }
         match wanted {
             true => self.note_runs(name, placement, running.checkpoint.as_deref()),
-            false => self.stop_run(no, Order::Stop { task: name, run }),
+            false => self.stop_run(no, name, run),
         }
     }
 
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -0,0 +1,72 @@
+//! What an owner takes over from the one before.
+
+use std::time::Duration;
+
+use super::{
+    super::{
+        job::Job,
+        record::{EffectsRecord, JobRecord, LifeRecord, ProgressRecord},
+        worker_entry::WorkerEntry,
+    },
+    Scheduler,
+};
+use crate::{Resources, Time};
+
+/// How many runs' numbers each owner leaves to the one before, which may have used some that
+/// nobody reports.
+const RUNS_PER_EPOCH: u32 = 1_000;
+
+/// What an owner takes over from the one before.
+#[derive(Debug, Default)]
+pub struct Inheritance {
+    /// The jobs, each with its progress if any was kept.
+    pub jobs: Vec<(JobRecord, Option<ProgressRecord>)>,
+    /// Workers' lives on which tasks may run.
+    pub lives: Vec<LifeRecord>,
+    /// What was learned of how images disturb each other.
+    pub effects: EffectsRecord,
+    /// The owner before certainly renews no leases any more.
+    pub predecessor_stopped: bool,
+}
+
+impl Scheduler {
+    pub(super) fn inherit(&mut self, inheritance: Inheritance) {
+        let run_floor = u32::try_from(self.epoch.saturating_sub(1))
+            .unwrap_or(u32::MAX / RUNS_PER_EPOCH)
+            .saturating_mul(RUNS_PER_EPOCH);
+        self.tails.import(&inheritance.effects);
+        for (record, progress) in inheritance.jobs {
+            let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
+            self.insert_job(job);
+        }
+        self.may_be_renewed_for = match inheritance.predecessor_stopped {
+            true => Duration::ZERO,
+            false => self.settings.renew_without_store,
+        };
+        for record in inheritance.lives {
+            self.inherit_life(record, self.now + self.lapse_after());
+        }
+    }
+
+    /// A life that an earlier owner used; where it answers is all we know.
+    fn inherit_life(&mut self, record: LifeRecord, lapses_at: Time) {
+        let entry = WorkerEntry {
+            id: record.id,
+            machine: None,
+            service: record.service,
+            address: record.address,
+            zone: String::new(),
+            rack: String::new(),
+            draining: false,
+            remaining_ms: None,
+            capacity: Resources::default(),
+            labels: Vec::new(),
+        };
+        let no = self.insert_life(entry, lapses_at);
+        if let Some(life) = self.lives.get_mut(&no) {
+            life.listed = false;
+            life.recorded = true;
+        }
+        self.unheard.insert(no);
+    }
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod gauges;
 mod hear;
 mod holds;
+mod inherit;
 mod lateness;
 mod orders;
 mod pace;
@@ -26,15 +27,16 @@
     time::Duration,
 };
 
+pub use self::inherit::Inheritance;
 use self::{pending::Pending, tails::TailModel};
 use super::{
     event::{Action, Event, JobState},
-    job::{Job, Task},
+    job::Job,
     life::{Life, LifeNo},
     names::{JobId, LifeId, QueueName, TaskName},
     note::Note,
-    record::{EffectsRecord, JobRecord, LifeRecord, ProgressRecord},
     spec::{QueueTerms, StepSpec},
+    steps::Task,
 };
 use crate::Time;
 
@@ -46,9 +48,6 @@
 const CLOCK_SLOW_PERCENT: u32 = 2;
 /// Added to the end of every lease before it counts as over: delays on our side.
 const LEASE_SLACK: Duration = Duration::from_millis(100);
-/// How many runs' numbers each owner leaves to the one before, which may have used some that
-/// nobody reports.
-const RUNS_PER_EPOCH: u32 = 1_000;
 /// How often all jobs that wait are looked at, at most. A job that was just accepted does not wait
 /// for it.
 const PLACE_EVERY: Duration = Duration::from_millis(20);
@@ -67,19 +66,6 @@
     pub renew_without_store: Duration,
 }
 
-/// What an owner takes over from the one before.
-#[derive(Debug, Default)]
-pub struct Inheritance {
-    /// The jobs, each with its progress if any was kept.
-    pub jobs: Vec<(JobRecord, Option<ProgressRecord>)>,
-    /// Workers' lives on which tasks may run.
-    pub lives: Vec<LifeRecord>,
-    /// What was learned of how images disturb each other.
-    pub effects: EffectsRecord,
-    /// The owner before certainly renews no leases any more.
-    pub predecessor_stopped: bool,
-}
-
 /// Decides for one fleet.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -182,24 +168,6 @@
         counts
     }
 
-    fn inherit(&mut self, inheritance: Inheritance) {
-        let run_floor = u32::try_from(self.epoch.saturating_sub(1))
-            .unwrap_or(u32::MAX / RUNS_PER_EPOCH)
-            .saturating_mul(RUNS_PER_EPOCH);
-        self.tails.import(&inheritance.effects);
-        for (record, progress) in inheritance.jobs {
-            let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
-            self.insert_job(job);
-        }
-        self.may_be_renewed_for = match inheritance.predecessor_stopped {
-            true => Duration::ZERO,
-            false => self.settings.renew_without_store,
-        };
-        for record in inheritance.lives {
-            self.inherit_life(record, self.now + self.lapse_after());
-        }
-    }
-
     fn insert_job(&mut self, mut job: Job) {
         let images = job.spec.steps.iter().map(|step| self.tails.number(step.image.as_deref()));
         job.images = images.collect();
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -5,12 +5,12 @@
 use super::{
     super::{
         event::Action,
-        job::Placement,
         life::LifeNo,
         names::TaskName,
         note::Note,
         order::{Order, OrderAnswer, Refusal},
         run::{Phase, UNKNOWN_PACE_PERCENT},
+        steps::Placement,
     },
     Scheduler,
 };
@@ -30,8 +30,7 @@
     }
 
     /// Stops a run, or takes back the order to start it if it has not left.
-    pub(super) fn stop_run(&mut self, no: LifeNo, order: Order) {
-        let (task, run) = order.run();
+    pub(super) fn stop_run(&mut self, no: LifeNo, task: TaskName, run: u32) {
         let Some(life) = self.lives.get_mut(&no) else { return };
         if !life.runs().get(&task).is_some_and(|there| there.run == run && !there.stopping) {
             return;
@@ -48,7 +47,7 @@
                 if let Some(there) = life.run_mut(task, run) {
                     there.stopping = true;
                 }
-                life.orders.push_front(order);
+                life.orders.push_front(Order::Stop { task, run });
                 self.send_next_order(no);
             }
         }
@@ -59,7 +58,7 @@
         let Some(life) = self.lives.get(&no) else { return };
         let worker = life.id().clone();
         self.out.push(Action::Note(Note::RunMoved { task, run, worker, why }));
-        self.stop_run(no, Order::Stop { task, run });
+        self.stop_run(no, task, run);
     }
 
     /// Sends the order that waits longest, if the worker can take one.
@@ -161,20 +160,20 @@
 
     fn order_done(&mut self, no: LifeNo, order: &Order) {
         let now = self.now;
-        if let Order::Start(start) = order {
-            let life = self.lives.get_mut(&no);
-            if let Some(there) = life.and_then(|life| life.run_mut(start.task, start.run)) {
-                there.phase = Phase::Running(now);
-                there.progress.rose_at = now;
-            }
-            if let Some(job) = self.jobs.get_mut(&start.task.job) {
-                job.begun = true;
-            }
-            self.repace(no);
-            self.hold_soon(no, HOLD_AFTER_START);
+        let Order::Start(start) = order else { return };
+        let life = self.lives.get_mut(&no);
+        if let Some(there) = life.and_then(|life| life.run_mut(start.task, start.run)) {
+            there.phase = Phase::Running(now);
+            there.progress.rose_at = now;
+        }
+        if let Some(job) = self.jobs.get_mut(&start.task.job) {
+            job.begun = true;
         }
+        self.repace(no);
+        self.hold_soon(no, HOLD_AFTER_START);
     }
 
+    /// The worker has done nothing.
     fn order_refused(&mut self, no: LifeNo, order: &Order, refusal: Refusal) {
         let (task, run) = order.run();
         match order {
@@ -211,6 +210,7 @@
         }
     }
 
+    /// Places a task no earlier than a moment.
     fn hold_back(&mut self, name: TaskName, until: Time) {
         if let Some(task) = self.task_mut(name) {
             task.not_before = Some(until);
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -129,10 +129,7 @@
     let added =
         causes.iter().map(|(fills, load)| tails.effect(*fills, run.image) * load * shares[fills]);
     let stress = added.sum::<f64>();
-    if stress <= left {
-        return;
-    }
-    let kept = (left / stress).max(0.0);
+    let kept = if stress > left { (left / stress).max(0.0) } else { 1.0 };
     for (fills, _) in causes {
         if let Some(share) = shares.get_mut(fills) {
             *share *= kept;
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -5,13 +5,14 @@
 use super::{
     super::{
         event::Action,
-        job::{Job, Placement},
+        job::Job,
         life::LifeNo,
         names::{JobId, StepName, TaskName},
         note::Note,
         order::{Order, StartOrder},
         run::RunThere,
         spec::StepSpec,
+        steps::Placement,
     },
     Scheduler,
     fit::Fit,
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -6,7 +6,6 @@
         job::Job,
         names::JobId,
         note::Note,
-        order::Order,
         record::Outcome,
         spec::{JobSpec, QueueTerms},
     },
@@ -144,7 +143,7 @@
             of_job.map(move |(&task, run)| (life, task, run.run))
         });
         for (life, task, run) in runs.collect::<Vec<_>>() {
-            self.stop_run(life, Order::Stop { task, run });
+            self.stop_run(life, task, run);
         }
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -26,7 +26,7 @@
     pub(super) fill_share: f64,
     /// What serves there, by image.
     serving: Vec<Serving>,
-    /// The share of all images that fill which nothing there minds, 0 to 1.
+    /// The share of all images that fill which disturb nothing there, 0 to 1.
     pub(super) tolerance: f64,
 }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -102,10 +102,10 @@
 
     /// The share of the images that fill whose effect on all of the given ones is below `slight`.
     pub(super) fn tolerance(&self, serving: &[ImageNo], slight: f64) -> f64 {
-        let minded =
+        let disturbs =
             |fills: &&ImageNo| serving.iter().any(|&serves| self.effect(**fills, serves) >= slight);
-        let minded_count = self.fillers.iter().filter(minded).count();
-        1.0 - minded_count as f64 / self.fillers.len().max(1) as f64
+        let disturbing = self.fillers.iter().filter(disturbs).count();
+        1.0 - disturbing as f64 / self.fillers.len().max(1) as f64
     }
 
     /// The stress at which a tail is `share` of its target.
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -5,14 +5,14 @@
 use super::{
     super::{
         event::Discovery,
-        life::{Life, LifeNo, WorkerEntry},
+        life::{Life, LifeNo},
         names::LifeId,
-        record::LifeRecord,
         run::RunThere,
+        worker_entry::WorkerEntry,
     },
     Scheduler,
 };
-use crate::{Resources, Time};
+use crate::Time;
 
 /// What is done so far is not moved off a worker that is about to leave, in percent: it has two
 /// seconds at least.
@@ -30,28 +30,6 @@
         self.replan = true;
     }
 
-    /// A life that an earlier owner used; where it answers is all we know.
-    pub(super) fn inherit_life(&mut self, record: LifeRecord, lapses_at: Time) {
-        let entry = WorkerEntry {
-            id: record.id,
-            machine: None,
-            service: record.service,
-            address: record.address,
-            zone: String::new(),
-            rack: String::new(),
-            draining: false,
-            remaining_ms: None,
-            capacity: Resources::default(),
-            labels: Vec::new(),
-        };
-        let no = self.insert_life(entry, lapses_at);
-        if let Some(life) = self.lives.get_mut(&no) {
-            life.listed = false;
-            life.recorded = true;
-        }
-        self.unheard.insert(no);
-    }
-
     /// Everything that ran in this life is over for good.
     pub(super) fn end_life(&mut self, no: LifeNo, why: &'static str) {
         self.note_belief(no, why);
@@ -105,7 +83,7 @@
         }
     }
 
-    /// A life that is known stands in the list, perhaps with other words.
+    /// A life that is known stands in the list, perhaps with another entry.
     fn listed_known(&mut self, no: LifeNo, entry: WorkerEntry) {
         let Some(life) = self.lives.get_mut(&no) else { return };
         let was_listed = life.listed;
@@ -152,7 +130,7 @@
         self.hold_soon(no, Duration::ZERO);
     }
 
-    fn insert_life(&mut self, entry: WorkerEntry, lapses_at: Time) -> LifeNo {
+    pub(super) fn insert_life(&mut self, entry: WorkerEntry, lapses_at: Time) -> LifeNo {
         let no = LifeNo(self.next_life);
         self.next_life += 1;
         self.life_by_id.insert(entry.id.clone(), no);
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -0,0 +1,121 @@
+//! The tasks of a job's steps: where they are and how far.
+
+use std::collections::BTreeSet;
+
+use super::{
+    life::LifeNo,
+    names::TaskName,
+    record::StepProgress,
+    spec::{JobSpec, StepSpec},
+};
+use crate::Time;
+
+/// Where a run of a task is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Placement {
+    pub(super) life: LifeNo,
+    pub(super) run: u32,
+}
+
+/// One task of a step.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Task {
+    pub(super) done: bool,
+    pub(super) failed_runs: BTreeSet<u32>,
+    pub(super) last_run: u32,
+    /// Where it is placed: more than one only where copies are allowed.
+    pub(super) placed: Vec<Placement>,
+    pub(super) checkpoint: Option<String>,
+    /// Not to be placed before, after a failure.
+    pub(super) not_before: Option<Time>,
+    /// Where its last failed run was.
+    pub(super) avoid: Option<LifeNo>,
+}
+
+impl Task {
+    /// Whether it waits for a worker.
+    pub(super) fn waits(&self, now: Time) -> bool {
+        !self.done && self.placed.is_empty() && self.not_before.is_none_or(|at| at <= now)
+    }
+}
+
+/// The tasks of one step at one time of the schedule.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Step {
+    pub(super) tasks: Vec<Task>,
+    /// How many tasks are done.
+    pub(super) done: u32,
+    /// Runs that did all of a task's work, and the time they took together.
+    pub(super) timed: u32,
+    pub(super) timed_ms: u64,
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        Self { tasks: vec![Task::default(); spec.count as usize], done: 0, timed: 0, timed_ms: 0 }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Marks a task as done, or all members of a gang. Returns where what is done is still placed.
+    pub(super) fn mark_done(&mut self, name: TaskName, gang: bool) -> Vec<Placement> {
+        let mut placed = Vec::new();
+        for (index, task) in (0..).zip(&mut self.tasks) {
+            if (gang || index == name.index) && !task.done {
+                task.done = true;
+                self.done += 1;
+                placed.extend(&task.placed);
+            }
+        }
+        placed
+    }
+
+    /// How far the step is, to be kept.
+    pub(super) fn progress(&self) -> StepProgress {
+        let failed = |(index, task): (u32, &Task)| {
+            (!task.failed_runs.is_empty())
+                .then(|| (index, task.failed_runs.iter().copied().collect()))
+        };
+        StepProgress {
+            done: StepProgress::pack_done(self.tasks.iter().map(|task| task.done)),
+            failed_runs: (0..).zip(&self.tasks).filter_map(failed).collect(),
+        }
+    }
+
+    /// Takes over how far the step was. Returns whether any task had begun.
+    pub(super) fn restore(&mut self, kept: &StepProgress) -> bool {
+        let mut begun = false;
+        for (index, task) in (0..).zip(&mut self.tasks) {
+            task.done = kept.is_done(index);
+            self.done += u32::from(task.done);
+            let failed = kept.failed_runs.get(&index).into_iter().flatten().copied();
+            task.failed_runs = failed.collect();
+            task.last_run = task.failed_runs.last().copied().unwrap_or(0);
+            begun |= task.done || !task.failed_runs.is_empty();
+        }
+        begun
+    }
+}
+
+/// One time of the schedule.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Occurrence {
+    pub(super) steps: Vec<Step>,
+}
+
+impl Occurrence {
+    pub(super) fn new(spec: &JobSpec) -> Self {
+        Self { steps: spec.steps.iter().map(Step::new).collect() }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+
+    /// Whether all steps that `step` depends on are done.
+    pub(super) fn is_due(&self, step: &StepSpec) -> bool {
+        step.depends_on.iter().all(|&on| self.steps[on as usize].is_done())
+    }
+}
