--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -21,7 +21,9 @@
 pub use worker::{FakeWorker, Mood};
 
 /// The time of day when the virtual clock stands at zero, in milliseconds since 1970.
-const DAY_UNIX_MS: u64 = 1_780_000_000_000;
+pub const DAY_UNIX_MS: u64 = 1_780_000_000_000;
+/// A fencing token of the owner with epoch 9: owners count above 2^20 times their epoch.
+pub const TOKEN_OF_LATER_OWNER: u64 = 9 << 20;
 /// One step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(10);
 /// How much later a worker that is late carries an order out.
@@ -201,6 +203,21 @@
         }
     }
 
+    /// A worker, to change how it behaves.
+    pub fn worker(&mut self, id: &str) -> &mut FakeWorker {
+        self.workers.get_mut(id).expect("the fleet has this worker")
+    }
+
+    /// Changes how all workers behave.
+    pub fn set_moods(&mut self, mood: Mood) {
+        self.workers.values_mut().for_each(|worker| worker.mood = mood);
+    }
+
+    /// The worker that runs a task; panics if none does.
+    pub fn worker_of(&self, name: TaskName) -> String {
+        self.where_runs(name)[0].to_owned()
+    }
+
     /// Where a task runs.
     pub fn where_runs(&self, name: TaskName) -> Vec<&str> {
         let runs = self.workers.iter().filter(|(_, worker)| worker.running.contains_key(&name));
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -5,9 +5,10 @@
 
 use std::time::Duration;
 
-use fleet::{Mood, World, job, step, task};
-use kitetrail_core::jobs::{
-    Discovery, Event, InvalidJob, JobState, Note, Schedule, StepProgress, StepSpec,
+use fleet::{DAY_UNIX_MS, Mood, TOKEN_OF_LATER_OWNER, World, job, step, task};
+use kitetrail_core::{
+    Resources,
+    jobs::{Discovery, Event, InvalidJob, JobState, Note, Schedule, StepProgress, StepSpec},
 };
 
 #[test]
@@ -70,8 +71,8 @@
     world.work_ms = Some(30_000);
     world.submit(1, job(vec![step(1)]));
     world.run_ms(500);
-    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
-    world.workers.get_mut(&on).unwrap().mood = Mood::Cut;
+    let on = world.worker_of(task(1, 0, 0));
+    world.worker(&on).mood = Mood::Cut;
     let cut_at = world.now;
     // The world itself panics if the task runs twice.
     world.run_until("it is started elsewhere", |world| world.starts.len() == 2);
@@ -84,23 +85,17 @@
 fn an_order_that_is_carried_out_late_starts_nothing_twice() {
     let mut world = World::new(3);
     world.work_ms = Some(5_000);
-    for worker in world.workers.values_mut() {
-        worker.mood = Mood::Late;
-    }
+    world.set_moods(Mood::Late);
     world.submit(1, job(vec![step(4)]));
     world.run_ms(400);
-    for worker in world.workers.values_mut() {
-        worker.mood = Mood::Well;
-    }
+    world.set_moods(Mood::Well);
     world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
 }
 
 #[test]
 fn a_task_that_fails_too_often_fails_its_job() {
     let mut world = World::new(3);
-    for worker in world.workers.values_mut() {
-        worker.mood = Mood::Failing;
-    }
+    world.set_moods(Mood::Failing);
     world.submit(1, job(vec![step(1)]));
     world.run_until("it fails", |world| world.state(1) == Some(JobState::Failed));
     assert_eq!(world.starts.len(), 3, "as many runs as the queue allows");
@@ -111,7 +106,7 @@
 #[test]
 fn a_worker_that_fails_all_it_starts_is_set_aside() {
     let mut world = World::new(4);
-    world.workers.get_mut("w0").unwrap().mood = Mood::Failing;
+    world.worker("w0").mood = Mood::Failing;
     for id in 0..12 {
         world.submit(id, job(vec![step(1)]));
         world.run_ms(150);
@@ -149,8 +144,8 @@
     world.work_ms = Some(20_000);
     world.submit(1, job(vec![step(3)]));
     world.run_ms(500);
-    let cut = world.where_runs(task(1, 0, 1))[0].to_owned();
-    world.workers.get_mut(&cut).unwrap().mood = Mood::Cut;
+    let cut = world.worker_of(task(1, 0, 1));
+    world.worker(&cut).mood = Mood::Cut;
     world.take_over(2, true);
     world.run_ms(2_000);
     assert_eq!(world.starts.len(), 3, "what runs goes on, the silent worker is waited for");
@@ -169,9 +164,9 @@
     world.work_ms = Some(20_000);
     world.submit(1, job(vec![step(3)]));
     world.run_ms(500);
-    let left = world.where_runs(task(1, 0, 1))[0].to_owned();
-    world.workers.get_mut(&left).unwrap().mood = Mood::Cut;
-    world.workers.get_mut(&left).unwrap().gone = true;
+    let left = world.worker_of(task(1, 0, 1));
+    world.worker(&left).mood = Mood::Cut;
+    world.worker(&left).gone = true;
     // The owner before was lost in silence: it may renew the leases of workers that live.
     world.take_over(2, false);
     world.run_ms(6_500);
@@ -184,8 +179,8 @@
     world.work_ms = Some(30_000);
     world.submit(1, job(vec![step(3)]));
     world.run_ms(500);
-    let cut = world.where_runs(task(1, 0, 1))[0].to_owned();
-    world.workers.get_mut(&cut).unwrap().mood = Mood::Cut;
+    let cut = world.worker_of(task(1, 0, 1));
+    world.worker(&cut).mood = Mood::Cut;
     world.take_over(2, false);
     world.run_ms(11_000);
     assert_eq!(world.starts.len(), 3, "the owner before may reach it still");
@@ -195,7 +190,7 @@
 #[test]
 fn an_owner_whose_workers_saw_a_higher_token_knows_that_it_is_deposed() {
     let mut world = World::new(1);
-    world.workers.get_mut("w0").unwrap().token = 9 << 20;
+    world.worker("w0").token = TOKEN_OF_LATER_OWNER;
     world.submit(1, job(vec![step(1)]));
     world.run_ms(300);
     assert!(world.deposed);
@@ -222,8 +217,8 @@
     world.work_ms = Some(3_000);
     world.submit(1, job(vec![StepSpec { copies_allowed: true, ..step(1) }]));
     world.run_ms(500);
-    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
-    world.workers.get_mut(&on).unwrap().mood = Mood::Cut;
+    let on = world.worker_of(task(1, 0, 0));
+    world.worker(&on).mood = Mood::Cut;
     let cut_at = world.now;
     world.run_until("a copy starts", |world| world.starts.len() == 2);
     assert!(world.now.since(cut_at) < Duration::from_millis(3_000));
@@ -236,8 +231,8 @@
     world.work_ms = Some(4_000);
     world.submit(1, job(vec![StepSpec { keeps_progress: true, ..step(2) }]));
     world.run_ms(500);
-    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
-    world.workers.get_mut(&on).unwrap().mood = Mood::Hanging;
+    let on = world.worker_of(task(1, 0, 0));
+    world.worker(&on).mood = Mood::Hanging;
     world.run_until("it runs elsewhere", |world| {
         world.where_runs(task(1, 0, 0)).first().is_some_and(|there| *there != on)
     });
@@ -250,8 +245,8 @@
     world.work_ms = Some(600_000);
     world.submit(1, job(vec![StepSpec { lasts: true, ..step(1) }]));
     world.run_ms(500);
-    let on = world.where_runs(task(1, 0, 0))[0].to_owned();
-    let worker = world.workers.get_mut(&on).unwrap();
+    let on = world.worker_of(task(1, 0, 0));
+    let worker = world.worker(&on);
     worker.entry.draining = true;
     let entry = Box::new(worker.entry.clone());
     world.tell(Event::Discovered(vec![Discovery::Listed(entry)]));
@@ -290,7 +285,7 @@
     };
     let serving = |image: &str| StepSpec {
         lasts: true,
-        size: kitetrail_core::Resources::new(3_000, 512, 0),
+        size: Resources::new(3_000, 512, 0),
         tail_target_ms: Some(50),
         image: Some(image.to_owned()),
         ..step(1)
@@ -298,12 +293,12 @@
     world.submit(1, job(vec![serving("touchy")]));
     world.submit(2, job(vec![serving("calm")]));
     world.run_ms(1_000);
-    let calm = world.where_runs(task(2, 0, 0))[0].to_owned();
+    let calm = world.worker_of(task(2, 0, 0));
     assert_ne!(world.where_runs(task(1, 0, 0)), [calm.as_str()]);
     let filling = StepSpec {
         fills: true,
         image: Some("mean".to_owned()),
-        size: kitetrail_core::Resources::new(1_500, 512, 0),
+        size: Resources::new(1_500, 512, 0),
         ..step(1)
     };
     for id in 100..130 {
@@ -335,7 +330,7 @@
 #[test]
 fn times_of_a_schedule_start_when_they_are_due() {
     let mut world = World::new(2);
-    let start_at_unix_ms = 1_780_000_000_000 + world.now.as_ms() + 1_000;
+    let start_at_unix_ms = DAY_UNIX_MS + world.now.as_ms() + 1_000;
     let schedule = Schedule { start_at_unix_ms, interval_ms: 500, count: 3 };
     let mut spec = job(vec![step(1)]);
     spec.schedule = Some(schedule);
--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use kitetrail_core::{
     fleet_config::FleetConfig,
-    jobs::{Hold, HoldFailure, JobSpec, JobState, Order, OrderAnswer, Report, WorkerEntry},
+    jobs::{Hold, HoldFailure, JobSpec, JobState, LifeId, Order, OrderAnswer, Report, WorkerEntry},
 };
 
 use crate::PlatformError;
@@ -114,7 +114,7 @@
         /// The entries.
         listed: Vec<WorkerEntry>,
         /// The ids.
-        gone: Vec<String>,
+        gone: Vec<LifeId>,
         /// Where to go on.
         version: u64,
     },
@@ -140,9 +140,10 @@
     /// The newest configuration, `None` if there is none yet, and where to go on for changes.
     fn config(&self) -> impl Future<Output = Result<(Option<FleetConfig>, u64), PlatformError>>;
 
-    /// Waits until the configuration may have changed after a version, or `wait` is over.
+    /// The configuration if it changed after a version, and where to go on; waits until there is
+    /// something, or `wait` is over.
     ///
-    /// `None` asks to read it anew.
+    /// `None` for where to go on asks to read it anew: what changed since is no longer known.
     fn config_changes(
         &self,
         after: u64,
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use kitetrail_core::jobs::{Discovery, Event, WorkerEntry};
+use kitetrail_core::jobs::{Discovery, Event, LifeId, WorkerEntry};
 use kitetrail_platform::fleet::{WorkerChanges, WorkerList};
 use tokio::{sync::mpsc, time};
 
@@ -40,12 +40,12 @@
     }
 }
 
-async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut BTreeSet<String>) -> Changes {
+async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut BTreeSet<LifeId>) -> Changes {
     let listed = shared.services.store.workers().await;
     shared.note_store(&listed);
     let (entries, version) = listed.ok()?;
-    let ids = entries.iter().map(|entry| entry.id.to_string()).collect::<BTreeSet<_>>();
-    let gone = known.difference(&ids).map(|id| Discovery::Gone(id.as_str().into()));
+    let ids = entries.iter().map(|entry| entry.id.clone()).collect::<BTreeSet<_>>();
+    let gone = known.difference(&ids).cloned().map(Discovery::Gone);
     let mut changes = gone.collect::<Vec<_>>();
     changes.extend(entries.into_iter().map(listed_as));
     *known = ids;
@@ -55,7 +55,7 @@
 async fn follow<P: Platform>(
     shared: &Rc<Shared<P>>,
     version: u64,
-    known: &mut BTreeSet<String>,
+    known: &mut BTreeSet<LifeId>,
 ) -> Changes {
     let changes = shared.services.store.worker_changes(version, WAIT).await;
     shared.note_store(&changes);
@@ -65,11 +65,11 @@
             Some((Vec::new(), None))
         }
         WorkerChanges::Changed { listed, gone, version } => {
-            known.extend(listed.iter().map(|entry| entry.id.to_string()));
+            known.extend(listed.iter().map(|entry| entry.id.clone()));
             for id in &gone {
                 known.remove(id);
             }
-            let gone = gone.into_iter().map(|id| Discovery::Gone(id.into()));
+            let gone = gone.into_iter().map(Discovery::Gone);
             Some((gone.chain(listed.into_iter().map(listed_as)).collect(), Some(version)))
         }
     }
