--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -1,4 +1,4 @@
-//! One accepted job: its tasks, where they are and how they ended.
+//! One accepted job: what was asked for, and how far it is.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -8,84 +8,14 @@
 
 use super::{
     event::{JobState, RequestNo},
-    life::LifeNo,
-    names::JobId,
-    record::{JobRecord, OccurrenceProgress, Outcome, ProgressRecord, StepProgress},
+    names::{JobId, StepName, TaskName},
+    record::{JobRecord, OccurrenceProgress, Outcome, ProgressRecord},
     scheduler::tails::ImageNo,
     spec::{JobSpec, QueueTerms, StepSpec},
+    steps::{Occurrence, Step, Task},
 };
 use crate::Time;
 
-/// Where a run of a task is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Placement {
-    pub(super) life: LifeNo,
-    pub(super) run: u32,
-}
-
-/// One task of a step.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Task {
-    pub(super) done: bool,
-    pub(super) failed_runs: BTreeSet<u32>,
-    pub(super) last_run: u32,
-    /// Where it is placed: more than one only where copies are allowed.
-    pub(super) placed: Vec<Placement>,
-    pub(super) checkpoint: Option<String>,
-    /// Not to be placed before, after a failure.
-    pub(super) not_before: Option<Time>,
-    /// Where its last failed run was.
-    pub(super) avoid: Option<LifeNo>,
-}
-
-impl Task {
-    /// Whether it waits for a worker.
-    pub(super) fn waits(&self, now: Time) -> bool {
-        !self.done && self.placed.is_empty() && self.not_before.is_none_or(|at| at <= now)
-    }
-}
-
-/// The tasks of one step at one time of the schedule.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Step {
-    pub(super) tasks: Vec<Task>,
-    pub(super) done: u32,
-    /// Runs that did all of a task's work, and the time they took together.
-    pub(super) timed: u32,
-    pub(super) timed_ms: u64,
-}
-
-impl Step {
-    fn new(spec: &StepSpec) -> Self {
-        Self { tasks: vec![Task::default(); spec.count as usize], done: 0, timed: 0, timed_ms: 0 }
-    }
-
-    pub(super) fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-}
-
-/// One time of the schedule.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Occurrence {
-    pub(super) steps: Vec<Step>,
-}
-
-impl Occurrence {
-    pub(super) fn new(spec: &JobSpec) -> Self {
-        Self { steps: spec.steps.iter().map(Step::new).collect() }
-    }
-
-    pub(super) fn is_done(&self) -> bool {
-        self.steps.iter().all(Step::is_done)
-    }
-
-    /// Whether all steps that `step` depends on are done.
-    pub(super) fn is_due(&self, step: &StepSpec) -> bool {
-        step.depends_on.iter().all(|&on| self.steps[on as usize].is_done())
-    }
-}
-
 /// An accepted job.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -147,7 +77,7 @@
         job
     }
 
-    /// A job as the store keeps it.
+    /// A job as the store keeps it. Its next runs get numbers above `run_floor`.
     pub(super) fn restore(
         record: JobRecord,
         progress: Option<ProgressRecord>,
@@ -163,13 +93,7 @@
         job.kept = true;
         job.inherited = true;
         if let Some(progress) = progress {
-            job.outcome = progress.outcome;
-            job.kept_outcome = progress.outcome;
-            job.ended_unix_ms = progress.ended_unix_ms;
-            for (number, occurrence) in progress.occurrences {
-                job.begin(number);
-                job.restore_occurrence(number, &occurrence);
-            }
+            job.restore_progress(progress);
         }
         for step in job.occurrences.values_mut().flat_map(|occurrence| &mut occurrence.steps) {
             step.tasks.iter_mut().for_each(|task| task.last_run = task.last_run.max(run_floor));
@@ -198,13 +122,46 @@
         self.outcome == Outcome::Open
     }
 
-    pub(super) fn task(&self, occurrence: u32, step: u32, index: u32) -> Option<&Task> {
-        self.occurrences.get(&occurrence)?.steps.get(step as usize)?.tasks.get(index as usize)
+    pub(super) fn step(&self, name: StepName) -> Option<&Step> {
+        self.occurrences.get(&name.occurrence)?.steps.get(name.step as usize)
+    }
+
+    pub(super) fn step_mut(&mut self, name: StepName) -> Option<&mut Step> {
+        self.occurrences.get_mut(&name.occurrence)?.steps.get_mut(name.step as usize)
+    }
+
+    pub(super) fn task(&self, name: TaskName) -> Option<&Task> {
+        self.step(name.step_name())?.tasks.get(name.index as usize)
     }
 
-    pub(super) fn task_mut(&mut self, occurrence: u32, step: u32, index: u32) -> Option<&mut Task> {
-        let steps = &mut self.occurrences.get_mut(&occurrence)?.steps;
-        steps.get_mut(step as usize)?.tasks.get_mut(index as usize)
+    pub(super) fn task_mut(&mut self, name: TaskName) -> Option<&mut Task> {
+        self.step_mut(name.step_name())?.tasks.get_mut(name.index as usize)
+    }
+
+    /// What was asked for of a step.
+    pub(super) fn step_spec(&self, step: u32) -> Option<&StepSpec> {
+        self.spec.steps.get(step as usize)
+    }
+
+    /// The steps whose turn has come and that have tasks waiting.
+    pub(super) fn due_steps(&self, now: Time) -> Vec<StepName> {
+        let mut due = Vec::new();
+        for (&number, occurrence) in &self.occurrences {
+            for (at, spec) in (0_u32..).zip(&self.spec.steps) {
+                let step = &occurrence.steps[at as usize];
+                let waits = || step.tasks.iter().any(|task| task.waits(now));
+                if !step.is_done() && waits() && occurrence.is_due(spec) {
+                    due.push(StepName { job: self.id, occurrence: number, step: at });
+                }
+            }
+        }
+        due
+    }
+
+    /// The numbers of all failed runs of a gang's members, each counted once.
+    pub(super) fn failed_runs_of_gang(&self, name: StepName) -> u32 {
+        let tasks = self.step(name).into_iter().flat_map(|step| &step.tasks);
+        tasks.flat_map(|task| &task.failed_runs).collect::<BTreeSet<_>>().len() as u32
     }
 
     pub(super) fn begin(&mut self, occurrence: u32) {
@@ -237,7 +194,7 @@
 
     pub(super) fn progress(&self) -> ProgressRecord {
         let pack = |(&number, occurrence): (&u32, &Occurrence)| {
-            let steps = occurrence.steps.iter().map(pack_step).collect();
+            let steps = occurrence.steps.iter().map(Step::progress).collect();
             (number, OccurrenceProgress { steps })
         };
         let occurrences = match self.outcome {
@@ -252,27 +209,20 @@
         }
     }
 
+    fn restore_progress(&mut self, progress: ProgressRecord) {
+        self.outcome = progress.outcome;
+        self.kept_outcome = progress.outcome;
+        self.ended_unix_ms = progress.ended_unix_ms;
+        for (number, occurrence) in progress.occurrences {
+            self.begin(number);
+            self.restore_occurrence(number, &occurrence);
+        }
+    }
+
     fn restore_occurrence(&mut self, number: u32, progress: &OccurrenceProgress) {
         let Some(occurrence) = self.occurrences.get_mut(&number) else { return };
         for (step, kept) in occurrence.steps.iter_mut().zip(&progress.steps) {
-            for (index, task) in (0..).zip(&mut step.tasks) {
-                task.done = kept.is_done(index);
-                step.done += u32::from(task.done);
-                let failed = kept.failed_runs.get(&index).into_iter().flatten().copied();
-                task.failed_runs = failed.collect();
-                task.last_run = task.failed_runs.last().copied().unwrap_or(0);
-                self.begun |= task.done || !task.failed_runs.is_empty();
-            }
+            self.begun |= step.restore(kept);
         }
     }
 }
-
-fn pack_step(step: &Step) -> StepProgress {
-    let failed = |(index, task): (u32, &Task)| {
-        (!task.failed_runs.is_empty()).then(|| (index, task.failed_runs.iter().copied().collect()))
-    };
-    StepProgress {
-        done: StepProgress::pack_done(step.tasks.iter().map(|task| task.done)),
-        failed_runs: (0..).zip(&step.tasks).filter_map(failed).collect(),
-    }
-}
--- a/crates/kitetraild/src/fleet/operators.rs
+++ b/crates/kitetraild/src/fleet/operators.rs
@@ -1,14 +1,18 @@
 //! Whether the box takes new connections, and its counters.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use salvo::{
     Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait,
     conn::TcpListener, http::StatusCode, writing::Text,
 };
+use tokio::task;
 
 use super::FleetSettings;
 use crate::metrics::Metrics;
@@ -24,8 +28,8 @@
     serve(settings.listen.metrics, Router::with_path("metrics").get(Counters { metrics }));
 }
 
-fn serve(address: std::net::SocketAddr, routes: Router) {
-    tokio::task::spawn_local(async move {
+fn serve(address: SocketAddr, routes: Router) {
+    task::spawn_local(async move {
         match TcpListener::new(address).try_bind().await {
             Ok(listener) => Server::new(listener).serve(routes).await,
             Err(error) => log::error!("operators: can't answer on {address}: {error}"),
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -2,15 +2,11 @@
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use kitetrail_core::jobs::{Discovery, WorkerEntry};
+use kitetrail_core::jobs::{Discovery, Event, LifeId, WorkerEntry};
 use kitetrail_platform::fleet::{WorkerChanges, WorkerList};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time};
 
-use super::{
-    Platform,
-    owner::{OwnerMessage, discovered},
-    shared::Shared,
-};
+use super::{Platform, owner::OwnerMessage, shared::Shared};
 
 /// How long a call waits for changes. The store takes up to 30 s; shorter, so that a connection
 /// that died in silence is noticed.
@@ -18,6 +14,9 @@
 /// How long to wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(250);
 
+/// What changed and where to go on, `None` there to list anew; `None` at all if the call failed.
+type Changes = Option<(Vec<Discovery>, Option<u64>)>;
+
 /// Follows the list until the owner is gone.
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>, owner: mpsc::Sender<OwnerMessage>) {
     let mut known = BTreeSet::new();
@@ -30,23 +29,23 @@
         match changes {
             Some((changes, next)) => {
                 version = next;
-                if !changes.is_empty() && owner.send(discovered(changes)).await.is_err() {
+                let any = !changes.is_empty();
+                let discovered = OwnerMessage::Event(Event::Discovered(changes));
+                if any && owner.send(discovered).await.is_err() {
                     return;
                 }
             }
-            None => tokio::time::sleep(RETRY).await,
+            None => time::sleep(RETRY).await,
         }
     }
 }
 
-type Changes = Option<(Vec<Discovery>, Option<u64>)>;
-
-async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut BTreeSet<String>) -> Changes {
+async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut BTreeSet<LifeId>) -> Changes {
     let listed = shared.services.store.workers().await;
     shared.note_store(&listed);
     let (entries, version) = listed.ok()?;
-    let ids = entries.iter().map(|entry| entry.id.to_string()).collect::<BTreeSet<_>>();
-    let gone = known.difference(&ids).map(|id| Discovery::Gone(id.as_str().into()));
+    let ids = entries.iter().map(|entry| entry.id.clone()).collect::<BTreeSet<_>>();
+    let gone = known.difference(&ids).cloned().map(Discovery::Gone);
     let mut changes = gone.collect::<Vec<_>>();
     changes.extend(entries.into_iter().map(listed_as));
     *known = ids;
@@ -56,7 +55,7 @@
 async fn follow<P: Platform>(
     shared: &Rc<Shared<P>>,
     version: u64,
-    known: &mut BTreeSet<String>,
+    known: &mut BTreeSet<LifeId>,
 ) -> Changes {
     let changes = shared.services.store.worker_changes(version, WAIT).await;
     shared.note_store(&changes);
@@ -66,11 +65,11 @@
             Some((Vec::new(), None))
         }
         WorkerChanges::Changed { listed, gone, version } => {
-            known.extend(listed.iter().map(|entry| entry.id.to_string()));
+            known.extend(listed.iter().map(|entry| entry.id.clone()));
             for id in &gone {
                 known.remove(id);
             }
-            let gone = gone.into_iter().map(|id| Discovery::Gone(id.into()));
+            let gone = gone.into_iter().map(Discovery::Gone);
             Some((gone.chain(listed.into_iter().map(listed_as)).collect(), Some(version)))
         }
     }
