Mend three faults found in reading: a caller that hangs up, a refused job, a starved tick

A job refused after it was cancelled was forgotten 120 s after that, whatever became of its id later (test red before). The owner's loop took messages before ticks, so under load leases and holds waited; it takes either now (no test). A short pause no longer cuts a longer one short.

--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -102,6 +102,8 @@
         for id in self.pending.take_unsent() {
             let Some(job) = self.jobs.remove(&id) else { continue };
             self.open.remove(&(job.queue.priority, job.due_at, id));
+            // It may have been cancelled already.
+            self.ended.retain(|&(_, ended)| ended != id);
             let refuse = |request| Action::AnswerSubmit(request, SubmitAnswer::Refused);
             self.out.extend(job.submit_waiters.into_iter().map(refuse));
             let cancelled = |request| Action::AnswerCancel(request, CancelAnswer::Unknown);
--- a/crates/kitetrail-core/src/jobs/scheduler/set_aside.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/set_aside.rs
@@ -23,7 +23,7 @@
     /// Sets a worker aside that says it is not well.
     pub(super) fn set_aside_unhealthy(&mut self, no: LifeNo) {
         if let Some(life) = self.lives.get_mut(&no) {
-            life.set_aside_until = Some(self.now + UNHEALTHY_PAUSE);
+            life.set_aside_until = life.set_aside_until.max(Some(self.now + UNHEALTHY_PAUSE));
         }
     }
 
@@ -32,7 +32,7 @@
         let now = self.now;
         let Some(life) = self.lives.get_mut(&no) else { return };
         let set_aside = life.set_aside_until.is_some_and(|until| until > now);
-        life.set_aside_until = Some(now + HANG_PAUSE);
+        life.set_aside_until = life.set_aside_until.max(Some(now + HANG_PAUSE));
         if !set_aside {
             self.note_belief(no, "set aside: its runs stand still");
         }
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -65,6 +65,24 @@
     assert_eq!(world.starts.len(), 1);
 }
 
+#[test]
+fn a_job_refused_after_it_was_cancelled_leaves_nothing_behind() {
+    let mut world = World::new(1);
+    world.store_down = true;
+    world.submit(1, job(vec![step(1)]));
+    world.run_ms(100);
+    let refused = world.submit(2, job(vec![step(1)]));
+    world.cancel(2);
+    world.run_ms(800);
+    assert_eq!(world.refused(refused), Some(true));
+    world.store_down = false;
+    world.run_ms(30_000);
+    world.submit(2, job(vec![step(1)]));
+    world.run_until("it completes", |world| world.state(2) == Some(JobState::Completed));
+    world.run_ms(100_000);
+    assert_eq!(world.state(2), Some(JobState::Completed), "forgotten before its time");
+}
+
 #[test]
 fn what_a_silent_worker_runs_waits_for_its_lease_and_no_longer() {
     let mut world = World::new(2);
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -1,6 +1,7 @@
 //! Takes callers' requests over HTTP.
 
 use std::{
+    cell::Cell,
     convert::Infallible,
     rc::Rc,
     time::{Duration, Instant},
@@ -64,9 +65,8 @@
     let service = service_fn(move |request| {
         let shared = Rc::clone(&shared);
         async move {
-            shared.in_progress.set(shared.in_progress.get() + 1);
+            let _in_progress = InProgress::begin(&shared.in_progress);
             let response = answer(&shared, request, limits).await;
-            shared.in_progress.set(shared.in_progress.get() - 1);
             Ok::<_, Infallible>(if shared.draining.get() { closing(response) } else { response })
         }
     });
@@ -82,6 +82,22 @@
 }
 
 /// Answers a request and counts it.
+/// Counts a request until it is answered, or its caller hangs up.
+struct InProgress<'a>(&'a Cell<usize>);
+
+impl<'a> InProgress<'a> {
+    fn begin(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 async fn answer<P: Platform>(
     shared: &Rc<Shared<P>>,
     request: Request<Incoming>,
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -98,7 +98,6 @@
         self.configure();
         loop {
             let message = tokio::select! {
-                biased;
                 message = self.inbox.recv() => message,
                 _ = ticks.tick() => Some(OwnerMessage::Event(Event::Tick)),
                 () = self.shared.config_changed.notified() => {
