--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -56,7 +56,12 @@
             return None;
         }
         let disturbance = self.disturbance(life, room)?;
-        let fullness = 1.0 - if spec.fills { room.fill_share } else { room.free_share };
+        let fullness = match (spec.fills, spec.lasts) {
+            (true, _) => 1.0 - room.fill_share,
+            // What lasts is packed, so that room for large tasks stays in one piece.
+            (false, true) => room.free_share,
+            (false, false) => 1.0 - room.free_share,
+        };
         let far = spec.near_rack.as_ref().is_some_and(|near| !life.entry.labels.contains(near));
         let apart = spec.same_rack && self.rack.is_some_and(|rack| rack != life.entry.rack);
         let far = if far || apart { FAR } else { 0.0 };
--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -13,7 +13,7 @@
 
 /// How long a worker may wait for an end before it answers a hold. Bounds how late we learn of
 /// slow tasks; the platform takes up to 2,000 ms.
-const HOLD_WAIT_MS: u32 = 1_500;
+const HOLD_WAIT_MS: u32 = 900;
 /// The same where something serves beside something that fills: tails change within seconds.
 const HOLD_WAIT_SHARED_MS: u32 = 500;
 /// How long to wait before the next hold, so that ends that come together are told together.
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -43,7 +43,7 @@
 /// Longest time that runs are leased. Long enough that a killed owner is replaced (about 2.5 s)
 /// and every worker heard before leases end; short, because what ran on a silent worker waits
 /// for it.
-const LEASE: Duration = Duration::from_millis(5_000);
+const LEASE: Duration = Duration::from_millis(4_000);
 /// How much slower than ours a worker's clock may run, in percent, as the platform promises.
 const CLOCK_SLOW_PERCENT: u32 = 2;
 /// Added to the end of every lease before it counts as over: delays on our side.
