--- a/crates/kitetrail-core/src/routing/router/endpoints.rs
+++ b/crates/kitetrail-core/src/routing/router/endpoints.rs
@@ -1,6 +1,13 @@
 //! What the router knows of endpoints, and how their slots are shared.
 
-use super::*;
+use std::collections::BTreeSet;
+
+use super::{KnownSet, Router};
+use crate::{
+    Time, WorkerId,
+    routing::{Balancer, EndpointId, EndpointState, service::Service},
+    shard::{EndpointSet, PlacedEndpoint},
+};
 
 impl<B: Balancer> Router<B> {
     /// Follows the number of boxes that share the endpoints, and the place of this one
--- a/crates/kitetrail-core/src/shard/owner.rs
+++ b/crates/kitetrail-core/src/shard/owner.rs
@@ -10,22 +10,19 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
-    ops::Bound,
     time::Duration,
 };
 
 use super::{
-    Action, Decision, EndpointSet, Grant, PlacedEndpoint, ShardSettings,
-    event::RequeueReason,
-    worker_state::{Heard, WorkerState},
+    Action, Decision, Grant, PlacedEndpoint, ShardSettings, event::RequeueReason,
+    worker_state::WorkerState,
 };
 use crate::{
-    Attempt, Epoch, Resources, ShardId, SpecName, TaskId, TeamId, Time, Version, WorkerId,
+    Attempt, Epoch, ShardId, TaskId, Time, Version, WorkerId,
     fleet::{Liveness, WorkerInfo},
-    placement::{Band, Candidate, Choice, Placer, ReliefSettings, Resident, Sacrifice},
-    table::{Condition, Key, Record, Write},
-    task::{Ending, InboxItem, Kind, Spec, Stage, TaskRow},
-    worker::{Order, Phase, SyncReply, SyncRequest, TaskReport, Want, Wants},
+    placement::{Placer, ReliefSettings},
+    table::{Condition, Key, Write},
+    task::{Stage, TaskRow},
 };
 
 /// How long a replaced replica may finish its requests.
--- a/crates/kitetrail-core/src/shard/owner/commit.rs
+++ b/crates/kitetrail-core/src/shard/owner/commit.rs
@@ -1,6 +1,12 @@
 //! Sends changed rows to the table, many to a transaction.
 
-use super::*;
+use super::{CommitContent, Owner};
+use crate::{
+    Time, Version,
+    shard::ShardSettings,
+    table::{Condition, Key, Record, Write},
+    task::TaskRow,
+};
 
 impl Owner {
     /// Whether a transaction should be sent now.
--- a/crates/kitetrail-core/src/shard/owner/inbox.rs
+++ b/crates/kitetrail-core/src/shard/owner/inbox.rs
@@ -1,6 +1,14 @@
 //! Acts on the messages in the inbox.
 
-use super::*;
+use super::{Owner, queue_key};
+use crate::{
+    SpecName, TaskId, Time, Version,
+    placement::Placer,
+    shard::{Action, Decision, ShardSettings},
+    table::Key,
+    task::{Ending, InboxItem, Stage, TaskRow},
+    worker::Want,
+};
 
 impl Owner {
     /// Asks for the inbox at the next step.
--- a/crates/kitetrail-core/src/shard/owner/place.rs
+++ b/crates/kitetrail-core/src/shard/owner/place.rs
@@ -1,6 +1,18 @@
 //! Gives waiting tasks to workers.
 
-use super::*;
+use std::{collections::BTreeMap, ops::Bound};
+
+use super::{MAX_TRIES, Owner, PREEMPTION_PATIENCE, QueueKey};
+use crate::{
+    Attempt, Resources, SpecName, TaskId, TeamId, Time, WorkerId,
+    placement::{Candidate, Choice, Placer, Sacrifice},
+    shard::{
+        Action, Decision, Grant, ShardSettings,
+        worker_state::{Heard, WorkerState},
+    },
+    task::{Kind, Spec, Stage, TaskRow},
+    worker::Want,
+};
 
 impl Owner {
     /// Gives waiting tasks to workers, the ones that matter most first.
--- a/crates/kitetrail-core/src/shard/owner/relieve.rs
+++ b/crates/kitetrail-core/src/shard/owner/relieve.rs
@@ -1,7 +1,14 @@
 //! Takes work off workers that are silent, about to go, or under pressure.
 
-use super::*;
+use super::{DRAIN, EndedRun, Owner, RunEnd};
 use crate::placement::Step;
+use crate::{
+    Time,
+    placement::{Band, Placer, ReliefSettings, Resident},
+    shard::{Action, Decision, ShardSettings, event::RequeueReason, worker_state::WorkerState},
+    task::Kind,
+    worker::Want,
+};
 
 impl Owner {
     /// Gives up runs that have certainly stopped, and replaces services sooner.
--- a/crates/kitetrail-core/src/shard/owner/reply.rs
+++ b/crates/kitetrail-core/src/shard/owner/reply.rs
@@ -1,6 +1,13 @@
 //! Takes in what workers say.
 
-use super::*;
+use super::{AVOID_AFTER_EVICTION, EndedRun, MAX_RUNS_ANYWHERE, Owner, RunEnd, queue_key};
+use crate::{
+    TaskId, Time, WorkerId,
+    placement::{Band, Placer},
+    shard::{Action, Decision, Grant, ShardSettings, event::RequeueReason},
+    task::{Ending, Kind, Stage},
+    worker::{Phase, SyncReply, TaskReport, Want},
+};
 
 impl Owner {
     /// Takes in that a worker did not answer.
--- a/crates/kitetrail-core/src/shard/owner/speak.rs
+++ b/crates/kitetrail-core/src/shard/owner/speak.rs
@@ -1,6 +1,13 @@
 //! Speaks to workers, and tells all boxes where services answer.
 
-use super::*;
+use super::Owner;
+use crate::{
+    Time, WorkerId,
+    fleet::Liveness,
+    shard::{Action, EndpointSet, PlacedEndpoint, ShardSettings},
+    task::Kind,
+    worker::{Order, SyncRequest, Want, Wants},
+};
 
 impl Owner {
     pub(super) fn sync_workers(
--- a/crates/kitetrail-standins/tests/world/checks.rs
+++ b/crates/kitetrail-standins/tests/world/checks.rs
@@ -1,6 +1,11 @@
 //! The promises, checked on what workers really do.
 
-use super::*;
+use std::collections::BTreeMap;
+
+use kitetrail_core::{TaskId, placement::Placer, task::Kind};
+use kitetrail_standins::journal::WorkerEvent;
+
+use super::World;
 
 impl<P: Placer + Clone> World<P> {
     pub(super) fn collect_events(&mut self, worker: usize) {
--- a/crates/kitetrail-standins/tests/world/faults.rs
+++ b/crates/kitetrail-standins/tests/world/faults.rs
@@ -1,6 +1,9 @@
 //! What can be made to go wrong in the world.
 
-use super::*;
+use kitetrail_core::{fleet::Liveness, placement::Placer, shard::Event};
+use kitetrail_standins::worker::WorkerModel;
+
+use super::{World, new_shard};
 
 impl<P: Placer + Clone> World<P> {
     pub fn kill_owner(&mut self, node: usize) {
--- a/crates/kitetrail-standins/tests/world/mod.rs
+++ b/crates/kitetrail-standins/tests/world/mod.rs
@@ -20,11 +20,10 @@
     placement::{InterferenceAware, Placer, ReliefSettings},
     shard::{Action, Event, Shard, ShardSettings},
     table::{CommitAnswer, Key, Prefix, Record, Transaction, Write},
-    task::{InboxItem, Kind, Spec, TaskRow},
+    task::{InboxItem, Kind, Spec},
     worker::SyncRequest,
 };
 use kitetrail_standins::{
-    journal::WorkerEvent,
     table::{OpaqueTransaction, TableModel},
     worker::{Effects, WorkerModel, WorkerSettings},
 };
--- a/crates/kitetrail-standins/tests/world/views.rs
+++ b/crates/kitetrail-standins/tests/world/views.rs
@@ -1,6 +1,13 @@
 //! What can be seen of the world.
 
-use super::*;
+use kitetrail_core::{
+    Attempt, SpecName,
+    placement::Placer,
+    table::{Prefix, Record},
+    task::TaskRow,
+};
+
+use super::World;
 
 impl<P: Placer + Clone> World<P> {
     /// How many tasks of a spec ran to their end, as workers saw it.
--- a/crates/kitetraild/src/callers/entry.rs
+++ b/crates/kitetraild/src/callers/entry.rs
@@ -13,7 +13,6 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
@@ -25,8 +24,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kitetrail_core::{
     Time,
-    calls::ClaimAnswer,
-    routing::{Arrival, EndpointId, Exchange, Outcome, RequestNumber, Verdict},
+    routing::{Outcome, RequestNumber, Verdict},
 };
 use kitetrail_platform::{HttpTable, headers};
 use tokio::{
@@ -35,15 +33,7 @@
     sync::{Notify, oneshot, watch},
 };
 
-use super::{
-    SharedRouter, answer,
-    body::{AnswerBody, AnswerStream, RequestBody},
-    call::Call,
-    claims::{Claim, Claims},
-    exchange::{Exchanged, MAX_WHOLE_BYTES, Outgoing, exchange},
-    in_flight::InFlight,
-    pool::Pool,
-};
+use super::{SharedRouter, answer, body::AnswerBody, call::Call, claims::Claims, pool::Pool};
 use crate::{clock::Clock, metrics::Metrics, settings::Settings};
 
 /// How often requests that waited too long are answered.
--- a/crates/kitetraild/src/callers/entry/serving.rs
+++ b/crates/kitetraild/src/callers/entry/serving.rs
@@ -1,6 +1,25 @@
 //! Sees one call to its final answer: body, claim, exchanges.
 
-use super::*;
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Response, StatusCode, body::Incoming, header::HeaderName, http::request::Parts};
+use kitetrail_core::{
+    Time,
+    calls::ClaimAnswer,
+    routing::{Arrival, EndpointId, Exchange, Outcome, RequestNumber, Verdict},
+};
+use kitetrail_platform::headers;
+
+use super::{Answered, Entry, RANK, Sending, Told};
+use crate::callers::{
+    answer,
+    body::{AnswerBody, AnswerStream, RequestBody},
+    call::Call,
+    claims::Claim,
+    exchange::{Exchanged, MAX_WHOLE_BYTES, Outgoing, exchange},
+    in_flight::InFlight,
+};
 
 impl Entry {
     pub(super) async fn serve_call(
--- a/crates/kitetraild/src/control/state.rs
+++ b/crates/kitetraild/src/control/state.rs
@@ -13,25 +13,17 @@
 
 use kitetrail_core::{
     ShardId, Time,
-    config::{Revision, RevisionInForce},
+    config::RevisionInForce,
     fleet::{Fleet, Liveness},
-    membership::{Heartbeat, Membership},
+    membership::Membership,
     placement::{Placer, PolicyTable, ReliefSettings},
-    shard::{Action, EndpointSet, Event, Shard},
-    table::{Key, Record},
+    shard::{Action, Event, Shard},
 };
-use kitetrail_platform::{BoxList, HttpBoxList, HttpTable, HttpWorkers, TableService};
-use kitetrail_policy::{Program, TaskFacts, evaluate};
-use kitetrail_proto::peer;
+use kitetrail_platform::{BoxList, HttpBoxList, HttpTable, HttpWorkers};
+use kitetrail_policy::{Program, TaskFacts};
 use tokio::sync::mpsc;
 
-use super::{
-    Message, OperatorRequest, PeerMessage,
-    operations::{Operations, revision_of},
-    placer::ChosenPlacer,
-    requests::{Author, BoxRevision, BoxStatus, OperatorError},
-    shard_io::ShardIo,
-};
+use super::{Message, placer::ChosenPlacer, shard_io::ShardIo};
 use crate::{
     callers::SharedRouter,
     clock::{Clock, unix_ms},
--- a/crates/kitetraild/src/control/state/answers.rs
+++ b/crates/kitetraild/src/control/state/answers.rs
@@ -1,6 +1,20 @@
 //! Answers operators, from the loop's state or by starting an operation.
 
-use super::*;
+use std::rc::Rc;
+
+use kitetrail_core::{ShardId, Time, config::Revision};
+use kitetrail_proto::peer;
+use tokio::sync::mpsc;
+
+use super::Control;
+use crate::{
+    control::{
+        Message, OperatorRequest, PeerMessage,
+        operations::Operations,
+        requests::{Author, BoxRevision, BoxStatus, OperatorError},
+    },
+    peers::PeerClients,
+};
 
 impl Control {
     pub(super) fn handle_operator(&mut self, request: OperatorRequest) {
--- a/crates/kitetraild/src/control/state/gossip.rs
+++ b/crates/kitetraild/src/control/state/gossip.rs
@@ -1,6 +1,20 @@
 //! Swaps what boxes know: heartbeats, endpoints, revisions.
 
-use super::*;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+use kitetrail_core::{
+    ShardId, Time,
+    config::Revision,
+    membership::Heartbeat,
+    shard::{EndpointSet, Event},
+};
+use kitetrail_proto::peer;
+
+use super::Control;
+use crate::control::{Message, PeerMessage};
 
 impl Control {
     pub(super) fn publish(&mut self, set: EndpointSet, now: Time) {
--- a/crates/kitetraild/src/control/state/revision.rs
+++ b/crates/kitetraild/src/control/state/revision.rs
@@ -1,6 +1,17 @@
 //! Learns configuration revisions and asks their policies.
 
-use super::*;
+use std::collections::BTreeSet;
+
+use kitetrail_core::{
+    config::Revision,
+    shard::Shard,
+    table::{Key, Record},
+};
+use kitetrail_platform::TableService;
+use kitetrail_policy::{Program, TaskFacts, evaluate};
+
+use super::Control;
+use crate::control::{Message, operations::revision_of};
 
 impl Control {
     /// Reads the revision in force from the table.
