--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -60,6 +60,15 @@
     },
 }
 
+/// Some rows of a part of a table, in the order of their keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RowPage {
+    /// The rows.
+    pub rows: Vec<StoredRow>,
+    /// Where the next page begins; `None` after the last one.
+    pub next: Option<String>,
+}
+
 /// What changed in a table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TableChanges {
@@ -82,12 +91,14 @@
         name: &RowName,
     ) -> impl Future<Output = Result<Option<StoredRow>, PlatformError>>;
 
-    /// All rows of a part of a table.
-    fn scan(
+    /// The rows of a part of a table from a key on, `limit` at most.
+    fn page(
         &self,
         table: &'static str,
         part: &str,
-    ) -> impl Future<Output = Result<(Vec<StoredRow>, u64), PlatformError>>;
+        from: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<RowPage, PlatformError>>;
 
     /// Does all of a transaction or nothing.
     ///
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod responses;
 mod rows;
 mod run;
+mod scan;
 mod settings;
 mod shared;
 mod takeover;
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -20,6 +20,7 @@
     owner::{Ended, Owner, OwnerMessage, WITHOUT_STORE},
     ownership::RETRY,
     rows::{self, HeadRow, OwnerRow},
+    scan,
     shared::{OwnerView, Shared},
     workers_watch,
 };
@@ -193,18 +194,16 @@
     shared: &Rc<Shared<P>>,
     predecessor_stopped: bool,
 ) -> Result<Inheritance, PlatformError> {
-    let store = &shared.services.store;
-    let (jobs, progress, lives) = tokio::try_join!(
-        store.scan(rows::JOBS, rows::PART),
-        store.scan(rows::PROGRESS, rows::PART),
-        store.scan(rows::LIVES, rows::PART),
-    )?;
-    let mut progress = rows::decode_all::<ProgressRecord>(&progress.0);
+    // One after the other: all share the box's link.
+    let lives = scan::part(shared, rows::LIVES).await?;
+    let progress = scan::part(shared, rows::PROGRESS).await?;
+    let jobs = scan::part(shared, rows::JOBS).await?;
+    let mut progress = rows::decode_all::<ProgressRecord>(&progress);
     let mut inheritance = Inheritance { predecessor_stopped, ..Inheritance::default() };
     let effects = rows::read::<_, EffectsRecord>(shared, &rows::effects_row()).await?;
     inheritance.effects = effects.map(|(effects, _)| effects).unwrap_or_default();
-    inheritance.lives = rows::decode_all(&lives.0).into_values().collect();
-    for (key, job) in rows::decode_all(&jobs.0) {
+    inheritance.lives = rows::decode_all(&lives).into_values().collect();
+    for (key, job) in rows::decode_all(&jobs) {
         inheritance.jobs.push((job, progress.remove(&key)));
     }
     Ok(inheritance)
