Hand the fleet over to a chosen box: at a stop, to a stronger one, or when the owner alone loses the store

Cause: an owner that was stopped left its place to whoever asked first, up to 400 ms later; one that the store turned away was taken for lost by others only after some 2.4 s; and boxes of an eighth of a core came to own 490 workers. Ruled out: relaying the owner's writes through other boxes (keeps the owner, but every read, feed and takeover would need the same way). Change: boxes tell the owner what they can carry and when they started; the owner names a successor and asks it to follow; boxes that are weak beside the strongest owner known wait 600 ms; an owner whose write waits 200 ms asks four boxes whether they reach the store. Heartbeats every 300 ms, so that a silent owner is doubted after 0.8 s instead of 1.1 s.

--- a/crates/kitetrail-core/src/lib.rs
+++ b/crates/kitetrail-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod routing;
 pub mod shard;
+pub mod succession;
 pub mod table;
 pub mod task;
 pub mod time;
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -105,7 +105,9 @@
     match (local, owner.address) {
         (Some(owner), _) => ask_local(owner, call.clone(), within).await,
         (None, Some(address)) if address != shared.settings.listen.peers => {
-            shared.peers.call(address, call, within).await
+            let (answer, view) = shared.peers.call(address, call, within).await;
+            shared.note_told_view(view);
+            answer
         }
         _ => Answer::NotRun,
     }
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -26,7 +26,7 @@
 
 /// How often the owner writes at least. Other boxes take an owner for lost that has not written
 /// for more than twice as long.
-pub(super) const HEARTBEAT: Duration = Duration::from_millis(500);
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(300);
 /// How long to wait after a call that brought no answer. Short: the store may be back.
 const RETRY: Duration = Duration::from_millis(60);
 /// How long to wait after the store said that it has too much to do.
@@ -84,7 +84,10 @@
                 Ok(None) => return,
                 Err(_) => (None, Vec::new()),
             };
-            if !self.write(&records).await {
+            self.shared.writes_since.set(Some(self.shared.clock.now()));
+            let written = self.write(&records).await;
+            self.shared.writes_since.set(None);
+            if !written {
                 let _ = self.owner.send(OwnerMessage::Deposed("another owner wrote")).await;
                 return;
             }
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod scan;
 mod settings;
 mod shared;
+mod store_doubt;
 mod takeover;
 mod workers_watch;
 
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -1,6 +1,8 @@
 //! The owner of the fleet: one loop that feeds the scheduler and does what it asks for.
 
-use std::{collections::HashMap, ops::ControlFlow, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap, net::SocketAddr, ops::ControlFlow, rc::Rc, sync::Arc, time::Duration,
+};
 
 use kitetrail_core::jobs::{
     Action, CancelAnswer, Event, Hold, JobId, LifeNo, Order, RequestNo, Scheduler, SubmitAnswer,
@@ -19,6 +21,7 @@
     committer::Batch,
     notes,
     shared::Shared,
+    store_doubt,
 };
 use crate::clock::unix_ms;
 
@@ -44,6 +47,9 @@
     Deposed(&'static str),
     /// Give the fleet up in order.
     Release,
+    /// The store was asked by this box and others: one of them reaches it and this one does not, or
+    /// none.
+    StoreAsked(Option<SocketAddr>),
 }
 
 /// How an owner ended.
@@ -51,8 +57,10 @@
 pub(super) enum Ended {
     /// Another owner took over.
     Deposed,
-    /// It was told to give the fleet up, and has.
+    /// It gave the fleet up in order.
     Released,
+    /// It does not reach the store and left the fleet to a box that does.
+    LeftTo(SocketAddr),
 }
 
 /// The owner of the fleet.
@@ -69,6 +77,7 @@
     unkept: bool,
     /// It was told to give the fleet up.
     releasing: bool,
+    doubt: store_doubt::StoreDoubt,
 }
 
 impl<P: Platform> Owner<P> {
@@ -88,6 +97,7 @@
             waiting: HashMap::new(),
             unkept: false,
             releasing: false,
+            doubt: store_doubt::StoreDoubt::default(),
         }
     }
 
@@ -122,6 +132,14 @@
                 return ControlFlow::Break(Ended::Deposed);
             }
             OwnerMessage::Release => self.releasing = true,
+            OwnerMessage::StoreAsked(Some(successor)) => {
+                log::warn!(
+                    peer = successor.to_string(), waits_ms = self.shared.write_waits_ms();
+                    "owner: leaves the fleet to a box that reaches the store"
+                );
+                return ControlFlow::Break(Ended::LeftTo(successor));
+            }
+            OwnerMessage::StoreAsked(None) => self.doubt.note_asked(self.shared.clock.now()),
             OwnerMessage::Call(_, reply) if self.releasing => {
                 let _ = reply.send(Answer::NotOwner);
             }
@@ -145,12 +163,30 @@
             return ControlFlow::Break(Ended::Deposed);
         }
         self.publish();
+        self.doubt.ask_if_due(&self.shared, &self.sender);
+        self.make_way();
         match self.store_lost_too_long() {
             true => ControlFlow::Break(Ended::Deposed),
             false => ControlFlow::Continue(()),
         }
     }
 
+    /// Gives the fleet up if a box that can carry much more asks how this one stands.
+    fn make_way(&mut self) {
+        let own = self.shared.settings.strength;
+        let candidates = self.shared.candidates.borrow();
+        if self.releasing {
+            return;
+        }
+        if let Some(stronger) = candidates.much_stronger(own, self.shared.clock.now()) {
+            log::info!(
+                peer = stronger.to_string(), own = own.to_string();
+                "owner: makes way for a stronger box"
+            );
+            self.releasing = true;
+        }
+    }
+
     fn store_lost_too_long(&self) -> bool {
         let silent_ms = self.shared.store_silent_ms();
         let too_long = u128::from(silent_ms) > WITHOUT_STORE.as_millis();
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -20,13 +20,15 @@
 
 /// How often the owner is asked how it stands.
 const PING_EVERY: Duration = Duration::from_millis(400);
-/// How long the owner may take to answer that.
-const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long the owner may take to answer that. A wrong doubt costs a few reads of the store.
+const PING_TIMEOUT: Duration = Duration::from_millis(250);
 /// An owner that does not answer, and has written nothing for so long, is taken for lost: more
 /// than two of its heartbeats.
-const LOST_AFTER: Duration = Duration::from_millis(1_100);
-/// The same for an owner whose box answers that nothing listens there.
-const LOST_AFTER_REFUSAL: Duration = Duration::from_millis(550);
+const LOST_AFTER: Duration = Duration::from_millis(800);
+/// The same for an owner whose box answers that nothing listens there: more than one heartbeat.
+const LOST_AFTER_REFUSAL: Duration = Duration::from_millis(400);
+/// How long other boxes leave the place to the one that the owner left it to: it takes some 100 ms.
+const SUCCESSOR_WAIT: Duration = Duration::from_millis(400);
 /// An owner that has not reached the store for so long is taken for lost if others reach it.
 const STORE_SILENT_MS: u64 = 1_200;
 /// How often the owner's last write is read while the owner is in doubt.
@@ -55,7 +57,9 @@
                 takeover::own(&shared, claim).await;
                 shared.claimed_epoch.set(0);
             }
-            Ok(None) => time::sleep(PING_EVERY).await,
+            Ok(None) => {
+                let _ = time::timeout(PING_EVERY, shared.follow_asked.notified()).await;
+            }
             Err(error) => {
                 log::debug!("owner: can't be told: {error}");
                 time::sleep(RETRY).await;
@@ -66,7 +70,8 @@
 
 /// Looks at the owner once. Returns a claim if this box should take over.
 async fn watch_owner<P: Platform>(shared: &Rc<Shared<P>>) -> Result<Option<Claim>, PlatformError> {
-    if believed_owner_is_fine(shared).await {
+    let asked = shared.asked_to_follow.get() >= shared.owner().epoch.max(1);
+    if !asked && believed_owner_is_fine(shared).await {
         return Ok(None);
     }
     let Some((owner, version)) = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?
@@ -83,13 +88,38 @@
         Verdict::Silent => LOST_AFTER,
     };
     log::info!(epoch = owner.epoch, verdict:? = verdict; "owner: in doubt");
-    if !patience.is_zero() && writes_within(shared, patience).await? {
+    if !patience.is_zero() && writes_within(shared, &owner, patience).await? {
+        return Ok(None);
+    }
+    if leaves_to_others(shared, &owner, version).await? {
         return Ok(None);
     }
     let stopped = matches!(verdict, Verdict::Stopped | Verdict::Refused);
     claim(shared, Some((owner, version)), stopped).await
 }
 
+/// Waits where others should come first; whether one of them did.
+async fn leaves_to_others<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    owner: &OwnerRow,
+    version: u64,
+) -> Result<bool, PlatformError> {
+    let own = shared.settings.listen.peers;
+    let wait = match owner.successor {
+        Some(successor) if owner.released && successor == own => return Ok(false),
+        _ if shared.asked_to_follow.get() == owner.epoch => return Ok(false),
+        Some(_) if owner.released => SUCCESSOR_WAIT,
+        _ => Duration::ZERO,
+    };
+    let wait = wait.max(shared.settings.strength.claim_wait(owner.strongest));
+    if wait.is_zero() {
+        return Ok(false);
+    }
+    time::sleep(wait).await;
+    let found = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?;
+    Ok(found.is_some_and(|(_, found)| found != version))
+}
+
 /// Asks the owner that this box believes in how it stands.
 async fn believed_owner_is_fine<P: Platform>(shared: &Rc<Shared<P>>) -> bool {
     let view = shared.owner();
@@ -104,7 +134,8 @@
 async fn judge<P: Platform>(shared: &Rc<Shared<P>>, owner: &OwnerRow) -> Verdict {
     // This box, which does not own the fleet now, or an earlier life of it. Incarnations alone
     // don't tell: boxes that start together may draw the same one.
-    if owner.released || owner.address == shared.settings.listen.peers {
+    let asked = shared.asked_to_follow.get() == owner.epoch;
+    if owner.released || asked || owner.address == shared.settings.listen.peers {
         return Verdict::Stopped;
     }
     match ping(shared, owner.address).await {
@@ -126,6 +157,10 @@
         epoch: view.epoch,
         owner_address: view.address_text(),
         config_version: shared.config_version(),
+        address: shared.settings.listen.peers.to_string(),
+        strength_workers: shared.settings.strength.0,
+        up_ms: shared.up_ms(),
+        stopping: shared.draining.get(),
     };
     shared.peers.ping(address, request, PING_TIMEOUT).await
 }
@@ -152,15 +187,19 @@
     }
 }
 
-/// Whether the owner writes within a time.
+/// Whether the owner writes within a time and has not asked this box to follow it.
 async fn writes_within<P: Platform>(
     shared: &Rc<Shared<P>>,
+    owner: &OwnerRow,
     patience: Duration,
 ) -> Result<bool, PlatformError> {
-    let started = Instant::now();
     let first =
         rows::read::<_, HeadRow>(shared, &rows::head_row()).await?.map(|(_, version)| version);
+    let started = Instant::now();
     while started.elapsed() < patience {
+        if shared.asked_to_follow.get() == owner.epoch {
+            return Ok(false);
+        }
         time::sleep(READ_EVERY).await;
         let head = rows::read::<_, HeadRow>(shared, &rows::head_row()).await?;
         if head.map(|(_, version)| version) != first {
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -3,7 +3,8 @@
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
 
 use kitetrail_proto::jobs::{
-    Config, FetchConfigRequest, PingAnswer, PingRequest, jobs_client::JobsClient,
+    Config, FetchConfigRequest, PingAnswer, PingRequest, ReachStoreRequest, TakeOverAnswer,
+    TakeOverRequest, jobs_client::JobsClient,
 };
 use tokio::time;
 use tonic::{
@@ -12,7 +13,10 @@
 };
 
 use super::{
-    super::calls::{Answer, Call},
+    super::{
+        calls::{Answer, Call},
+        shared::OwnerView,
+    },
     CALL_LIMIT,
     codec::{call_request, decode_answer},
 };
@@ -27,23 +31,27 @@
 }
 
 impl PeerClients {
-    /// Brings a caller's request to the owner.
+    /// Brings a caller's request to the owner. Returns also which owner the asked box believes in.
     pub(in crate::fleet) async fn call(
         &self,
         peer: SocketAddr,
         call: &Call,
         within: Duration,
-    ) -> Answer {
+    ) -> (Answer, OwnerView) {
         let (Some(request), Ok(mut client)) = (call_request(call), self.client(peer)) else {
-            return Answer::NotRun;
+            return (Answer::NotRun, OwnerView::default());
         };
         match time::timeout(within, client.call(request)).await {
-            Ok(Ok(answer)) => decode_answer(answer.into_inner().outcome()),
+            Ok(Ok(answer)) => {
+                let answer = answer.into_inner();
+                let view = OwnerView::told(answer.epoch, &answer.owner_address);
+                (decode_answer(answer.outcome()), view)
+            }
             Ok(Err(status)) => {
                 log::debug!(peer = peer.to_string(); "peer: a call failed: {status}");
-                Answer::InDoubt
+                (Answer::InDoubt, OwnerView::default())
             }
-            Err(_) => Answer::InDoubt,
+            Err(_) => (Answer::InDoubt, OwnerView::default()),
         }
     }
 
@@ -61,6 +69,33 @@
         }
     }
 
+    /// Whether a box reaches the store, as it says in time.
+    pub(in crate::fleet) async fn reaches_store(&self, peer: SocketAddr, within: Duration) -> bool {
+        let Ok(mut client) = self.client(peer) else { return false };
+        match time::timeout(within, client.reach_store(ReachStoreRequest {})).await {
+            Ok(Ok(answer)) => answer.into_inner().reached,
+            Ok(Err(status)) => {
+                log::debug!(peer = peer.to_string(); "peer: can't be asked for the store: {status}");
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Asks a box to own the fleet after the owner of an epoch, which has stopped.
+    pub(in crate::fleet) async fn take_over(
+        &self,
+        peer: SocketAddr,
+        epoch: u64,
+        within: Duration,
+    ) -> Result<TakeOverAnswer, Status> {
+        let mut client = self.client(peer)?;
+        match time::timeout(within, client.take_over(TakeOverRequest { epoch })).await {
+            Ok(answer) => answer.map(Response::into_inner),
+            Err(_) => Err(Status::deadline_exceeded("nothing came in time")),
+        }
+    }
+
     /// Asks a box for its configuration.
     pub(in crate::fleet) async fn fetch_config(&self, peer: SocketAddr) -> Result<Config, Status> {
         self.client(peer)?.fetch_config(FetchConfigRequest {}).await.map(Response::into_inner)
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -1,15 +1,16 @@
 //! Answers to other boxes.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use kitetrail_core::succession::{BoxStrength, Candidate};
 use kitetrail_proto::jobs::{
     CallAnswer, CallRequest, Config, FetchConfigRequest, OfferConfigAnswer, PingAnswer,
-    PingRequest,
+    PingRequest, ReachStoreAnswer, ReachStoreRequest, TakeOverAnswer, TakeOverRequest,
     jobs_server::{Jobs, JobsServer},
 };
 use tokio::{
     sync::{mpsc, oneshot},
-    task,
+    task, time,
 };
 use tonic::{Request, Response, Status, async_trait, transport::Server};
 
@@ -17,6 +18,7 @@
     super::{
         Platform,
         calls::{self, Answer},
+        rows::{self, OwnerRow},
         shared::Shared,
     },
     CALL_LIMIT,
@@ -26,12 +28,17 @@
 /// How many messages from other boxes may wait.
 const QUEUE: usize = 1_024;
 
+/// How long a box that was asked to own the fleet may take before it answers. It takes some 100 ms.
+const TAKE_OVER_LIMIT: Duration = Duration::from_millis(800);
+
 /// A message from another box. The server's threads may be others than the one of the shared state.
 enum PeerMessage {
     Call(CallRequest, oneshot::Sender<CallAnswer>),
     Ping(PingRequest, oneshot::Sender<PingAnswer>),
     FetchConfig(oneshot::Sender<Config>),
     OfferConfig(Config),
+    ReachStore(oneshot::Sender<ReachStoreAnswer>),
+    TakeOver(TakeOverRequest, oneshot::Sender<TakeOverAnswer>),
 }
 
 /// Answers other boxes until the process ends.
@@ -56,6 +63,12 @@
                 let _ = reply.send(encode_config(&shared));
             }
             PeerMessage::OfferConfig(config) => take_config(&shared, &config),
+            PeerMessage::ReachStore(reply) => {
+                task::spawn_local(reach_store(Rc::clone(&shared), reply));
+            }
+            PeerMessage::TakeOver(request, reply) => {
+                task::spawn_local(take_over(Rc::clone(&shared), request.epoch, reply));
+            }
         }
     }
 }
@@ -72,11 +85,53 @@
         (_, None) => Answer::NotRun,
     };
     let outcome = encode_answer(answer).into();
-    let _ = reply.send(CallAnswer { outcome });
+    let view = shared.owner();
+    let owner_address = view.address_text();
+    let _ = reply.send(CallAnswer { outcome, epoch: view.epoch, owner_address });
+}
+
+/// Asks the store for the smallest thing there is.
+async fn reach_store<P: Platform>(shared: Rc<Shared<P>>, reply: oneshot::Sender<ReachStoreAnswer>) {
+    let read = rows::read::<_, OwnerRow>(&shared, &rows::owner_row()).await;
+    let _ = reply.send(ReachStoreAnswer { reached: read.is_ok() });
+}
+
+/// Lets this box follow an owner that has stopped, and tells who owns the fleet then.
+async fn take_over<P: Platform>(
+    shared: Rc<Shared<P>>,
+    epoch: u64,
+    reply: oneshot::Sender<TakeOverAnswer>,
+) {
+    log::info!(epoch = epoch; "owner: asked to follow an owner that has stopped");
+    shared.asked_to_follow.set(epoch);
+    shared.follow_asked.notify_one();
+    let followed = async {
+        while shared.owner().epoch <= epoch {
+            shared.owner_changed.notified().await;
+        }
+    };
+    let _ = time::timeout(TAKE_OVER_LIMIT, followed).await;
+    let view = shared.owner();
+    let owner_address = view.address_text();
+    let _ = reply.send(TakeOverAnswer { epoch: view.epoch, owner_address });
+}
+
+/// Takes note of a box that could own the fleet after this one.
+fn note_candidate<P: Platform>(shared: &Shared<P>, request: &PingRequest) {
+    let Ok(address) = request.address.parse::<SocketAddr>() else { return };
+    let mut candidates = shared.candidates.borrow_mut();
+    if request.stopping {
+        return candidates.remove(address);
+    }
+    let now = shared.clock.now();
+    let started_at = now - Duration::from_millis(request.up_ms);
+    let strength = BoxStrength(request.strength_workers);
+    candidates.note(address, Candidate { strength, started_at, heard_at: now });
 }
 
 fn ping_answer<P: Platform>(shared: &Shared<P>, request: &PingRequest) -> PingAnswer {
     shared.note_told_owner(request.epoch, &request.owner_address);
+    note_candidate(shared, request);
     let owner = shared.owner();
     let owns_epoch = shared.claimed_epoch.get();
     PingAnswer {
@@ -135,6 +190,20 @@
         sent.map_err(|_| stopping())?;
         Ok(Response::new(OfferConfigAnswer {}))
     }
+
+    async fn reach_store(
+        &self,
+        _: Request<ReachStoreRequest>,
+    ) -> Result<Response<ReachStoreAnswer>, Status> {
+        self.ask(PeerMessage::ReachStore).await
+    }
+
+    async fn take_over(
+        &self,
+        request: Request<TakeOverRequest>,
+    ) -> Result<Response<TakeOverAnswer>, Status> {
+        self.ask(|reply| PeerMessage::TakeOver(request.into_inner(), reply)).await
+    }
 }
 
 fn stopping() -> Status {
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
-use kitetrail_core::jobs::{JobRecord, LifeRecord, ProgressRecord, Record};
+use kitetrail_core::{
+    jobs::{JobRecord, LifeRecord, ProgressRecord, Record},
+    succession::BoxStrength,
+};
 use kitetrail_platform::{
     PlatformError,
     fleet::{RowName, RowStore, RowTransaction, StoredRow},
@@ -36,6 +39,12 @@
     pub(super) address: SocketAddr,
     /// It gave the fleet up in order: nothing of it is on its way any more.
     pub(super) released: bool,
+    /// The box that it left the fleet to, if it did.
+    #[serde(default)]
+    pub(super) successor: Option<SocketAddr>,
+    /// The greatest strength of any owner so far.
+    #[serde(default)]
+    pub(super) strongest: BoxStrength,
 }
 
 /// The last write of an owner.
--- a/crates/kitetraild/src/fleet/settings.rs
+++ b/crates/kitetraild/src/fleet/settings.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use kitetrail_core::succession::BoxStrength;
+
 /// Where a box answers.
 #[derive(Debug, Clone)]
 pub struct Listen {
@@ -28,6 +30,8 @@
     pub longest_lease: Duration,
     /// How long the state of a job that ended is told.
     pub remember_ended: Duration,
+    /// How many workers the box can own.
+    pub strength: BoxStrength,
     /// How long a box that is told to stop may take.
     pub stop_within: Duration,
 }
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -7,7 +7,7 @@
     rc::Rc,
 };
 
-use kitetrail_core::{Time, fleet_config::FleetConfig};
+use kitetrail_core::{Time, fleet_config::FleetConfig, succession::Candidates};
 use kitetrail_platform::PlatformError;
 use tokio::sync::{Notify, mpsc};
 
@@ -27,6 +27,11 @@
 }
 
 impl OwnerView {
+    /// What another box tells of the owner.
+    pub(super) fn told(epoch: u64, address: &str) -> Self {
+        Self { epoch, address: address.parse().ok() }
+    }
+
     /// The address as it is written to other boxes and to the log; empty if there is none.
     pub(super) fn address_text(&self) -> String {
         self.address.map(|address| address.to_string()).unwrap_or_default()
@@ -38,6 +43,7 @@
     pub(super) settings: FleetSettings,
     pub(super) services: Services<P>,
     pub(super) clock: Clock,
+    started_at: Time,
     pub(super) incarnation: u64,
     pub(super) metrics: Metrics,
     pub(super) peers: PeerClients,
@@ -53,6 +59,13 @@
     pub(super) claimed_epoch: Cell<u64>,
     /// Accepted jobs that have not begun, by queue, as the owner told last.
     pub(super) pending: RefCell<BTreeMap<String, u64>>,
+    /// The boxes that ask this one how it stands: those that could own the fleet after it.
+    pub(super) candidates: RefCell<Candidates<SocketAddr>>,
+    /// The epoch of an owner that has stopped and asked this box to follow it; 0: none.
+    pub(super) asked_to_follow: Cell<u64>,
+    pub(super) follow_asked: Notify,
+    /// Since when a write of the owner waits for the store.
+    pub(super) writes_since: Cell<Option<Time>>,
     /// When the store answered last.
     store_heard_at: Cell<Time>,
     /// The last call to the store brought no answer.
@@ -74,6 +87,7 @@
         Rc::new(Self {
             settings,
             services,
+            started_at: clock.now(),
             clock,
             incarnation,
             metrics,
@@ -85,6 +99,10 @@
             local_owner: RefCell::default(),
             claimed_epoch: Cell::new(0),
             pending: RefCell::default(),
+            candidates: RefCell::default(),
+            asked_to_follow: Cell::new(0),
+            follow_asked: Notify::new(),
+            writes_since: Cell::new(None),
             store_heard_at: Cell::new(clock.now()),
             store_lost: Cell::new(false),
             draining: Cell::new(false),
@@ -136,7 +154,11 @@
 
     /// Takes note of the owner that another box tells of.
     pub(super) fn note_told_owner(&self, epoch: u64, address: &str) {
-        let told = OwnerView { epoch, address: address.parse().ok() };
+        self.note_told_view(OwnerView::told(epoch, address));
+    }
+
+    /// The same, for a view that was read already.
+    pub(super) fn note_told_view(&self, told: OwnerView) {
         if told.epoch > self.owner().epoch && told.address.is_some() {
             self.offer_owner(told, "peer");
         }
@@ -162,6 +184,17 @@
         }
     }
 
+    /// How long a write of the owner has waited for the store, in milliseconds.
+    pub(super) fn write_waits_ms(&self) -> u64 {
+        let now = self.clock.now();
+        self.writes_since.get().map_or(0, |since| now.since(since).as_millis() as u64)
+    }
+
+    /// How long ago this box started, in milliseconds.
+    pub(super) fn up_ms(&self) -> u64 {
+        self.clock.now().since(self.started_at).as_millis() as u64
+    }
+
     /// How long the store has not answered, in milliseconds.
     pub(super) fn store_silent_ms(&self) -> u64 {
         self.clock.now().since(self.store_heard_at.get()).as_millis() as u64
--- /dev/null
+++ b/crates/kitetraild/src/fleet/store_doubt.rs
@@ -0,0 +1,76 @@
+//! Tells a store that no box reaches from one that the owner alone does not reach.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use kitetrail_core::Time;
+use tokio::{sync::mpsc, task, time};
+
+use super::{
+    Platform,
+    owner::OwnerMessage,
+    rows::{self, OwnerRow},
+    shared::Shared,
+};
+
+/// A write that waits for so long puts the store in doubt. The store takes 5 ms; where answers are
+/// lost, several tries of one write fit in.
+const DOUBT_AFTER_MS: u64 = 200;
+/// How soon an answer of the store counts as reaching it. When the store is slow for all, it takes
+/// longer, and the owner stays.
+const REACHED_WITHIN: Duration = Duration::from_millis(200);
+/// How long to wait before the boxes are asked again, if none reached the store.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+/// How many boxes are asked.
+const BOXES_ASKED: usize = 4;
+
+/// Whether the owner reaches the store, and whether others were asked.
+#[derive(Debug, Default)]
+pub(super) struct StoreDoubt {
+    asking: bool,
+    asked_at: Option<Time>,
+}
+
+impl StoreDoubt {
+    /// Asks other boxes whether they reach the store, if this one seems not to.
+    pub(super) fn ask_if_due<P: Platform>(
+        &mut self,
+        shared: &Rc<Shared<P>>,
+        owner: &mpsc::Sender<OwnerMessage>,
+    ) {
+        let now = shared.clock.now();
+        let lately = self.asked_at.is_some_and(|at| now.since(at) < ASK_AGAIN);
+        if self.asking || lately || shared.write_waits_ms() < DOUBT_AFTER_MS {
+            return;
+        }
+        self.asking = true;
+        let (shared, owner) = (Rc::clone(shared), owner.clone());
+        task::spawn_local(async move {
+            let _ = owner.send(OwnerMessage::StoreAsked(ask(&shared).await)).await;
+        });
+    }
+
+    /// Takes note that no other box reaches the store, or this one does.
+    pub(super) fn note_asked(&mut self, now: Time) {
+        self.asking = false;
+        self.asked_at = Some(now);
+    }
+}
+
+/// A box that reaches the store, if this one does not.
+async fn ask<P: Platform>(shared: &Rc<Shared<P>>) -> Option<SocketAddr> {
+    let candidates = shared.candidates.borrow().successors(shared.clock.now());
+    let mut asked = task::JoinSet::new();
+    for peer in candidates.into_iter().take(BOXES_ASKED) {
+        let shared = Rc::clone(shared);
+        asked.spawn_local(async move {
+            shared.peers.reaches_store(peer, REACHED_WITHIN).await.then_some(peer)
+        });
+    }
+    let row = rows::owner_row();
+    let own = time::timeout(REACHED_WITHIN, rows::read::<_, OwnerRow>(shared, &row)).await;
+    if matches!(own, Ok(Ok(_))) {
+        return None;
+    }
+    let answers = asked.join_all().await;
+    answers.into_iter().flatten().next()
+}
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -1,12 +1,14 @@
 //! Takes the fleet over, owns it, and gives it up in order.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use kitetrail_core::jobs::{
-    EffectsRecord, Inheritance, ProgressRecord, Scheduler, SchedulerSettings,
+use kitetrail_core::{
+    jobs::{EffectsRecord, Inheritance, ProgressRecord, Scheduler, SchedulerSettings},
+    succession::BoxStrength,
 };
 use kitetrail_platform::{
     PlatformError,
@@ -34,6 +36,9 @@
 /// other boxes take it for lost anyway.
 const LAST_WRITE_LIMIT: Duration = HEARTBEAT.saturating_mul(2);
 
+/// How long the box that follows may take to say so. Longer than it takes itself.
+const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// What a takeover replaces: rows with their versions.
 pub(super) struct Claim {
     pub(super) owner: Option<(OwnerRow, u64)>,
@@ -106,13 +111,40 @@
         Ended::Released => {
             // The batches' channel is closed: the writer ends after what it has in hand.
             let _ = time::timeout(LAST_WRITE_LIMIT, committer).await;
-            release(shared, row).await;
+            let successor = successor(shared);
+            release(shared, row, successor).await;
+            if let Some(successor) = successor {
+                ask_to_follow(shared, successor, row.epoch).await;
+            }
+        }
+        Ended::LeftTo(successor) => {
+            committer.abort();
+            ask_to_follow(shared, successor, row.epoch).await;
         }
         Ended::Deposed => committer.abort(),
     }
     ended
 }
 
+/// The best box to follow this one.
+fn successor<P: Platform>(shared: &Shared<P>) -> Option<SocketAddr> {
+    shared.candidates.borrow().successors(shared.clock.now()).into_iter().next()
+}
+
+/// Asks a box to own the fleet, now that this one has stopped, and learns whether it does.
+async fn ask_to_follow<P: Platform>(shared: &Shared<P>, successor: SocketAddr, epoch: u64) {
+    let peer = successor.to_string();
+    match shared.peers.take_over(successor, epoch, FOLLOW_LIMIT).await {
+        Ok(answer) => {
+            log::info!(peer = peer, epoch = epoch, by = answer.epoch; "owner: followed");
+            shared.note_told_owner(answer.epoch, &answer.owner_address);
+        }
+        Err(status) => {
+            log::warn!(peer = peer, epoch = epoch; "owner: can't ask a box to follow: {status}");
+        }
+    }
+}
+
 fn scheduler<P: Platform>(
     shared: &Rc<Shared<P>>,
     epoch: u64,
@@ -132,8 +164,10 @@
     shared: &Rc<Shared<P>>,
     claim: Claim,
 ) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
-    let (epoch, version) = claim.owner.map_or((0, 0), |(row, version)| (row.epoch, version));
-    let row = own_row(shared, epoch + 1);
+    let owner = claim.owner.as_ref();
+    let (epoch, version) = owner.map_or((0, 0), |(row, version)| (row.epoch, *version));
+    let strongest = claim.owner.as_ref().map(|(row, _)| row.strongest).unwrap_or_default();
+    let row = own_row(shared, epoch + 1, strongest);
     shared.claimed_epoch.set(row.epoch);
     let head = HeadRow { epoch: row.epoch, write: 0 };
     let transaction = RowTransaction {
@@ -156,20 +190,28 @@
     }
 }
 
-/// This box as the owner of an epoch.
-fn own_row<P: Platform>(shared: &Shared<P>, epoch: u64) -> OwnerRow {
+/// This box as the owner of an epoch, after owners of the given strength at most.
+fn own_row<P: Platform>(shared: &Shared<P>, epoch: u64, strongest: BoxStrength) -> OwnerRow {
     OwnerRow {
         epoch,
         box_name: shared.settings.box_name.clone(),
         incarnation: shared.incarnation,
         address: shared.settings.listen.peers,
         released: false,
+        successor: None,
+        strongest: strongest.max(shared.settings.strength),
     }
 }
 
-/// Writes that the fleet may be taken over at once.
-async fn release<P: Platform>(shared: &Rc<Shared<P>>, row: &OwnerRow) {
-    if let Err(error) = write_release(shared, row).await {
+/// Writes that the fleet may be taken over at once, by a box or by any.
+async fn release<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    row: &OwnerRow,
+    successor: Option<SocketAddr>,
+) {
+    let strongest = shared.candidates.borrow().strongest(shared.clock.now()).max(row.strongest);
+    let released = OwnerRow { released: true, successor, strongest, ..row.clone() };
+    if let Err(error) = write_release(shared, row, &released).await {
         log::warn!(epoch = row.epoch; "owner: can't say that the fleet is free: {error}");
     }
 }
@@ -177,13 +219,13 @@
 async fn write_release<P: Platform>(
     shared: &Rc<Shared<P>>,
     row: &OwnerRow,
+    released: &OwnerRow,
 ) -> Result<(), PlatformError> {
     let found = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?;
     let Some((_, version)) = found.filter(|(found, _)| found == row) else { return Ok(()) };
-    let row = OwnerRow { released: true, ..row.clone() };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row(), version)],
-        puts: vec![(rows::owner_row(), rows::encode(&row)?)],
+        puts: vec![(rows::owner_row(), rows::encode(released)?)],
         removes: Vec::new(),
     };
     shared.services.store.transact(&transaction).await.map(|_| ())
