Leave the fleet only to a box that hears from the store much sooner; test both ways of making way

Change: peers must hear within 80 ms, the owner's own read has 600 ms. Tests: boxes::an_owner_that_alone_loses_the_store_leaves_the_fleet_to_a_box_that_reaches_it, ::a_weak_owner_makes_way_for_a_box_that_can_carry_much_more.

--- a/crates/kitetraild/src/fleet/store_doubt.rs
+++ b/crates/kitetraild/src/fleet/store_doubt.rs
@@ -15,9 +15,11 @@
 /// A write that waits for so long puts the store in doubt. The store takes 5 ms; where answers are
 /// lost, several tries of one write fit in.
 const DOUBT_AFTER_MS: u64 = 200;
-/// How soon an answer of the store counts as reaching it. When the store is slow for all, it takes
-/// longer, and the owner stays.
-const REACHED_WITHIN: Duration = Duration::from_millis(200);
+/// How soon another box must have heard from the store to be left the fleet. Well below
+/// [`OWN_ANSWER_WITHIN`]: when the store is slow for all, the owner stays.
+const REACHED_WITHIN: Duration = Duration::from_millis(80);
+/// How soon the store must answer this box. It takes up to half a second when it is slow.
+const OWN_ANSWER_WITHIN: Duration = Duration::from_millis(600);
 /// How long to wait before the boxes are asked again, if none reached the store.
 const ASK_AGAIN: Duration = Duration::from_millis(400);
 /// How many boxes are asked.
@@ -66,11 +68,8 @@
             shared.peers.reaches_store(peer, REACHED_WITHIN).await.then_some(peer)
         });
     }
+    let reached = asked.join_all().await.into_iter().flatten().next()?;
     let row = rows::owner_row();
-    let own = time::timeout(REACHED_WITHIN, rows::read::<_, OwnerRow>(shared, &row)).await;
-    if matches!(own, Ok(Ok(_))) {
-        return None;
-    }
-    let answers = asked.join_all().await;
-    answers.into_iter().flatten().next()
+    let own = time::timeout(OWN_ANSWER_WITHIN, rows::read::<_, OwnerRow>(shared, &row)).await;
+    (!matches!(own, Ok(Ok(_)))).then_some(reached)
 }
