Of jobs that ended keep only how; rows without fields that say nothing

Cause: a takeover read every job of the last two minutes with all its steps: 1,158 on grown sites, most of them ended. Ruled out: larger pages (they brought no less). Change: the row of a job goes in the transaction that keeps its end; in memory its outcome alone stays. Fields of steps that say nothing are not written; times of a schedule that are done are counted, not listed; a job that no row would hold and a batch above the store's bytes are bounded; a job handed in as it is forgotten writes over its end.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -27,13 +27,14 @@
     pub(super) images: Vec<ImageNo>,
     pub(super) accepted_unix_ms: u64,
     pub(super) accepted_at: Time,
-    /// What is decided, kept for good or not.
+    /// What is decided, and not kept for good yet unless it is open.
     pub(super) outcome: Outcome,
     pub(super) ended_unix_ms: Option<u64>,
-    /// What is kept for good.
+    /// It is kept for good.
     pub(super) kept: bool,
-    pub(super) kept_outcome: Outcome,
     pub(super) begun: bool,
+    /// The times of its schedule before this one are done and forgotten.
+    done_before: u32,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     /// When the job should have ended, for the order of the queue.
     pub(super) due_at: Time,
@@ -62,8 +63,8 @@
             outcome: Outcome::Open,
             ended_unix_ms: None,
             kept: false,
-            kept_outcome: Outcome::Open,
             begun: false,
+            done_before: 0,
             occurrences: BTreeMap::new(),
             due_at: now,
             submit_waiters: Vec::new(),
@@ -107,15 +108,9 @@
         (self.queue.stretch * chain_ms) as u64 + self.queue.target_latency_ms
     }
 
-    /// What callers are told: only what is kept for good counts as an end.
+    /// What callers are told until its end is kept for good.
     pub(super) fn state(&self) -> JobState {
-        match self.kept_outcome {
-            Outcome::Completed => JobState::Completed,
-            Outcome::Failed => JobState::Failed,
-            Outcome::Cancelled => JobState::Cancelled,
-            Outcome::Open if self.begun => JobState::Running,
-            Outcome::Open => JobState::Queued,
-        }
+        if self.begun { JobState::Running } else { JobState::Queued }
     }
 
     pub(super) fn is_open(&self) -> bool {
@@ -173,16 +168,27 @@
     /// When the next time of the schedule that is not begun falls due, since 1970.
     pub(super) fn next_due_unix_ms(&self) -> Option<(u32, u64)> {
         let schedule = self.spec.schedule?;
-        let next = self.occurrences.keys().next_back().map_or(0, |last| last + 1);
+        let next = self.occurrences.keys().next_back().map_or(self.done_before, |last| last + 1);
         let due_ms = schedule.start_at_unix_ms + u64::from(next) * schedule.interval_ms;
         (next < schedule.count.max(1)).then_some((next, due_ms))
     }
 
     pub(super) fn all_done(&self) -> bool {
-        self.occurrences.len() == self.spec.occurrences() as usize
+        self.done_before as usize + self.occurrences.len() == self.spec.occurrences() as usize
             && self.occurrences.values().all(Occurrence::is_done)
     }
 
+    /// Forgets the times of the schedule that are done, up to the first one that is not.
+    pub(super) fn forget_done_occurrences(&mut self) {
+        while let Some(first) = self.occurrences.first_entry()
+            && *first.key() == self.done_before
+            && first.get().is_done()
+        {
+            first.remove();
+            self.done_before += 1;
+        }
+    }
+
     pub(super) fn record(&self) -> JobRecord {
         JobRecord {
             id: self.id,
@@ -205,14 +211,15 @@
             id: self.id,
             outcome: self.outcome,
             ended_unix_ms: self.ended_unix_ms,
+            done_before: self.done_before,
             occurrences,
         }
     }
 
     fn restore_progress(&mut self, progress: ProgressRecord) {
-        self.outcome = progress.outcome;
-        self.kept_outcome = progress.outcome;
-        self.ended_unix_ms = progress.ended_unix_ms;
+        self.done_before = progress.done_before;
+        self.begun |= self.done_before > 0;
+        self.occurrences.retain(|&number, _| number >= progress.done_before);
         for (number, occurrence) in progress.occurrences {
             self.begin(number);
             self.restore_occurrence(number, &occurrence);
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -32,9 +32,10 @@
 pub enum Record {
     /// An accepted job. Written once.
     Job(JobRecord),
-    /// How far a job is. Written at each change that must be kept.
+    /// How far a job is. Written at each change that must be kept. Once it ended, what was asked for
+    /// goes: nobody needs it any more.
     Progress(ProgressRecord),
-    /// A job whose time of being remembered is over: both rows go.
+    /// A job that ended and whose time of being remembered is over: its progress goes.
     Forget(JobId),
     /// A worker's life that tasks may be started on. Written before the first of them.
     LifeUsed(LifeRecord),
@@ -100,11 +101,18 @@
     /// When it ended, in milliseconds since 1970.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended_unix_ms: Option<u64>,
-    /// The times of its schedule that were begun.
-    #[serde(default)]
+    /// The times of its schedule before this one are done.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub done_before: u32,
+    /// The other times of its schedule that were begun.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub occurrences: BTreeMap<u32, OccurrenceProgress>,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// How far one time of a job's schedule is.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OccurrenceProgress {
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -47,7 +47,9 @@
             self.note_kept(id);
         }
         for (id, outcome) in batch.outcomes {
-            self.note_outcome_kept(id, outcome);
+            if outcome != Outcome::Open {
+                self.note_end_kept(id);
+            }
         }
         for life in batch.lives {
             if let Some(life) = self.lives.get_mut(&life) {
@@ -73,18 +75,17 @@
         self.out.extend(waiters.into_iter().map(answer));
     }
 
-    fn note_outcome_kept(&mut self, id: JobId, outcome: Outcome) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.kept_outcome = outcome;
-        if outcome != Outcome::Open {
-            let waiters = mem::take(&mut job.cancel_waiters);
-            let answer = |request| Action::AnswerCancel(request, CancelAnswer::Done);
-            self.out.extend(waiters.into_iter().map(answer));
-        }
+    /// The end of a job is kept: of the job no more than that is needed from now on.
+    fn note_end_kept(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        let answer = |request| Action::AnswerCancel(request, CancelAnswer::Done);
+        self.out.extend(job.cancel_waiters.into_iter().map(answer));
+        self.insert_ended(id, job.outcome, job.ended_unix_ms);
     }
 
     fn send_batch(&mut self) {
-        let taken = self.pending.take_batch();
+        let kept_bytes = |id: JobId| self.jobs.get(&id).map_or(0, |job| job.spec.kept_bytes());
+        let taken = self.pending.take_batch(kept_bytes);
         let mut records = self.records(&taken);
         if self.now.since(self.pending.effects_at) >= KEEP_EFFECTS_EVERY {
             self.pending.effects_at = self.now;
@@ -111,7 +112,8 @@
             let service = life.entry.service.clone();
             Some(Record::LifeUsed(LifeRecord { id, address, service }))
         };
-        let new_jobs = taken.new_jobs.iter().filter_map(job);
+        // Of one that ended meanwhile the progress alone is kept.
+        let new_jobs = taken.new_jobs.iter().filter_map(job).filter(|job| job.is_open());
         let progress = taken.progress.iter().filter_map(job);
         let mut records = Vec::new();
         records.extend(new_jobs.map(Job::record).map(Record::Job));
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -86,6 +86,7 @@
         let Some(step) = job.step_mut(name.step_name()) else { return };
         let copies = step.mark_done(name, gang);
         let all_done = job.all_done();
+        job.forget_done_occurrences();
         self.pending.note(name.job);
         // The other members of a gang end by themselves; other copies of a task don't.
         for placed in copies.into_iter().filter(|_| !gang) {
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -122,7 +122,9 @@
         let now = self.now;
         let name = running.task;
         let image = self.image_of(name);
-        let unknown = StepSpec::default();
+        // Of what is not known, its job having ended, all that can be said is that it fits.
+        let size = self.lives.get(&no).map(|life| life.entry.capacity).unwrap_or_default();
+        let unknown = StepSpec { size, ..StepSpec::default() };
         let spec = self.step_spec(name).unwrap_or(&unknown);
         let there = RunThere {
             phase: Phase::Running(now),
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -19,8 +19,10 @@
 /// What an owner takes over from the one before.
 #[derive(Debug, Default)]
 pub struct Inheritance {
-    /// The jobs, each with its progress if any was kept.
+    /// The open jobs, each with its progress if any was kept.
     pub jobs: Vec<(JobRecord, Option<ProgressRecord>)>,
+    /// The jobs that ended.
+    pub ended: Vec<ProgressRecord>,
     /// Workers' lives on which tasks may run.
     pub lives: Vec<LifeRecord>,
     /// What was learned of how images disturb each other.
@@ -39,6 +41,9 @@
             let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
             self.insert_job(job);
         }
+        for ProgressRecord { id, outcome, ended_unix_ms, .. } in inheritance.ended {
+            self.insert_ended(id, outcome, ended_unix_ms);
+        }
         self.may_be_renewed_for = match inheritance.predecessor_stopped {
             true => Duration::ZERO,
             false => self.settings.renew_without_store,
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -35,6 +35,7 @@
     life::{Life, LifeNo},
     names::{JobId, LifeId, QueueName, TaskName},
     note::Note,
+    record::Outcome,
     spec::{QueueTerms, StepSpec},
     steps::Task,
 };
@@ -77,8 +78,10 @@
     jobs: BTreeMap<JobId, Job>,
     /// Open jobs, in the order in which they are served.
     open: BTreeSet<(u32, Time, JobId)>,
-    /// Jobs that ended, in the order of their end.
-    ended: BTreeSet<(u64, JobId)>,
+    /// How jobs ended whose end is kept.
+    ended_jobs: HashMap<JobId, Outcome>,
+    /// The same jobs, in the order of their end.
+    ended_in_order: BTreeSet<(u64, JobId)>,
     queues: BTreeMap<QueueName, QueueTerms>,
     lives: BTreeMap<LifeNo, Life>,
     life_by_id: HashMap<LifeId, LifeNo>,
@@ -114,7 +117,8 @@
             unix_ms,
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
-            ended: BTreeSet::new(),
+            ended_jobs: HashMap::new(),
+            ended_in_order: BTreeSet::new(),
             queues: BTreeMap::new(),
             lives: BTreeMap::new(),
             life_by_id: HashMap::new(),
@@ -154,7 +158,14 @@
 
     /// What callers are told of a job, `None` if there is none.
     pub fn state(&self, job: JobId) -> Option<JobState> {
-        self.jobs.get(&job).filter(|job| job.kept).map(Job::state)
+        match self.ended_jobs.get(&job) {
+            Some(Outcome::Completed) => Some(JobState::Completed),
+            Some(Outcome::Failed) => Some(JobState::Failed),
+            Some(Outcome::Cancelled) => Some(JobState::Cancelled),
+            Some(Outcome::Open) | None => {
+                self.jobs.get(&job).filter(|job| job.kept).map(Job::state)
+            }
+        }
     }
 
     /// How many accepted jobs of each queue have not begun; queues with none are left out.
@@ -172,14 +183,17 @@
         let images = job.spec.steps.iter().map(|step| self.tails.number(step.image.as_deref()));
         job.images = images.collect();
         let id = job.id;
-        match (job.is_open(), job.ended_unix_ms) {
-            (true, _) => self.open.insert((job.queue.priority, job.due_at, id)),
-            (false, ended) => self.ended.insert((ended.unwrap_or(self.unix_ms), id)),
-        };
+        self.open.insert((job.queue.priority, job.due_at, id));
         self.jobs.insert(id, job);
         self.replan = true;
     }
 
+    /// Remembers how a job ended, which is kept for good.
+    fn insert_ended(&mut self, id: JobId, outcome: Outcome, ended_unix_ms: Option<u64>) {
+        self.ended_jobs.insert(id, outcome);
+        self.ended_in_order.insert((ended_unix_ms.unwrap_or(self.unix_ms), id));
+    }
+
     fn place_if_due(&mut self) {
         if self.replan && self.now.since(self.placed_at) >= PLACE_EVERY {
             self.replan = false;
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -16,6 +16,9 @@
 /// The most records of a batch: the store takes 100 entries a transaction and the owner's own
 /// rows need a few of them. A job that is forgotten takes two.
 const MAX_RECORDS: usize = 45;
+/// The most bytes of new jobs in a batch. The store takes 1 MB a transaction, in which each byte
+/// becomes 1.4; half of the rest is left to other records.
+const MAX_JOB_BYTES_OF_BATCH: usize = 350_000;
 /// A store that takes so long over a batch is taken for stuck: jobs are refused at once, with when
 /// to come back. It takes 5 ms, and 300 when it is slow.
 const STUCK_AFTER: Duration = Duration::from_millis(700);
@@ -65,9 +68,11 @@
 
 impl Pending {
     /// Takes as much as a batch holds, what is most urgent first.
-    pub(super) fn take_batch(&mut self) -> Taken {
+    ///
+    /// `kept_bytes` tells how much of the batch a new job takes.
+    pub(super) fn take_batch(&mut self, kept_bytes: impl Fn(JobId) -> usize) -> Taken {
         let mut room = MAX_RECORDS;
-        let new_jobs = take_some(&mut self.new_jobs, &mut room);
+        let new_jobs = self.take_new_jobs(&mut room, kept_bytes);
         let lives = take_some(&mut self.new_lives, &mut room);
         let progress = take_some(&mut self.progress, &mut room);
         let lives_over = take_some(&mut self.lives_over, &mut room);
@@ -77,6 +82,21 @@
         Taken { new_jobs, lives, progress, lives_over, forgotten, ends, complete }
     }
 
+    fn take_new_jobs(
+        &mut self,
+        room: &mut usize,
+        kept_bytes: impl Fn(JobId) -> usize,
+    ) -> Vec<JobId> {
+        let (mut taken, mut bytes) = (Vec::new(), 0);
+        while *room > 0 && bytes < MAX_JOB_BYTES_OF_BATCH {
+            let Some(first) = self.new_jobs.pop_first() else { break };
+            bytes += kept_bytes(first);
+            taken.push(first);
+            *room -= 1;
+        }
+        taken
+    }
+
     /// Takes note that a batch leaves, and returns its number.
     pub(super) fn note_sent(&mut self, batch: impl FnOnce(u64) -> Batch, now: Time) -> u64 {
         let number = self.next_batch;
@@ -103,10 +123,16 @@
     }
 
     pub(super) fn forget(&mut self, id: JobId) {
-        self.progress.remove(&id);
         self.forgotten.insert(id);
     }
 
+    /// A job that was about to be forgotten is handed in again: its row is written over instead.
+    pub(super) fn keep_forgotten(&mut self, id: JobId) {
+        if self.forgotten.remove(&id) {
+            self.progress.insert(id);
+        }
+    }
+
     pub(super) fn add_life(&mut self, life: LifeNo) {
         self.new_lives.insert(life);
         self.urgent = true;
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -22,11 +22,13 @@
         spec: JobSpec,
     ) {
         let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
+        let ended = self.ended_jobs.contains_key(&id);
         let known = self.jobs.get_mut(&id);
-        let note =
-            Note::Submitted { job: id, queue: queue.name.clone(), tasks, known: known.is_some() };
+        let is_known = ended || known.is_some();
+        let note = Note::Submitted { job: id, queue: queue.name.clone(), tasks, known: is_known };
         self.out.push(Action::Note(note));
         match known {
+            _ if ended => self.out.push(Action::AnswerSubmit(request, SubmitAnswer::Accepted)),
             Some(job) if job.kept => {
                 self.out.push(Action::AnswerSubmit(request, SubmitAnswer::Accepted));
             }
@@ -39,6 +41,7 @@
                 job.submit_waiters.push(request);
                 self.insert_job(job);
                 self.pending.add_job(id);
+                self.pending.keep_forgotten(id);
             }
         }
     }
@@ -46,10 +49,10 @@
     /// Cancels a job. The caller is answered once that is kept.
     pub(super) fn cancel(&mut self, request: RequestNo, id: JobId) {
         match self.jobs.get_mut(&id) {
-            None => self.out.push(Action::AnswerCancel(request, CancelAnswer::Unknown)),
-            Some(job) if job.kept_outcome != Outcome::Open => {
+            None if self.ended_jobs.contains_key(&id) => {
                 self.out.push(Action::AnswerCancel(request, CancelAnswer::Done));
             }
+            None => self.out.push(Action::AnswerCancel(request, CancelAnswer::Unknown)),
             Some(job) => {
                 job.cancel_waiters.push(request);
                 if job.is_open() {
@@ -76,7 +79,6 @@
     pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         self.open.remove(&(job.queue.priority, job.due_at, id));
-        self.ended.insert((self.unix_ms, id));
         job.outcome = outcome;
         job.ended_unix_ms = Some(self.unix_ms);
         let state = match outcome {
@@ -102,8 +104,6 @@
         for id in self.pending.take_unsent() {
             let Some(job) = self.jobs.remove(&id) else { continue };
             self.open.remove(&(job.queue.priority, job.due_at, id));
-            // It may have been cancelled already.
-            self.ended.retain(|&(_, ended)| ended != id);
             let refuse = |request| Action::AnswerSubmit(request, SubmitAnswer::Refused);
             self.out.extend(job.submit_waiters.into_iter().map(refuse));
             let cancelled = |request| Action::AnswerCancel(request, CancelAnswer::Unknown);
@@ -128,13 +128,11 @@
     /// Forgets jobs that ended long ago.
     pub(super) fn forget_old_jobs(&mut self) {
         let remembered_ms = self.settings.remember_ended.as_millis() as u64;
-        while let Some(&(ended_unix_ms, id)) = self.ended.first() {
-            let kept = self.jobs.get(&id).is_none_or(|job| job.kept_outcome != Outcome::Open);
-            if ended_unix_ms + remembered_ms > self.unix_ms || !kept {
-                break;
-            }
-            self.ended.pop_first();
-            self.jobs.remove(&id);
+        while let Some(&(ended_unix_ms, id)) = self.ended_in_order.first()
+            && ended_unix_ms + remembered_ms <= self.unix_ms
+        {
+            self.ended_in_order.pop_first();
+            self.ended_jobs.remove(&id);
             self.pending.forget(id);
         }
     }
--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -14,6 +14,12 @@
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 /// The most times a schedule repeats: as many as a job has tasks at most.
 pub const MAX_OCCURRENCES: u32 = 10_000;
+/// The most tasks over all times of a schedule, which may all be due at once. Bounds the memory that
+/// one job takes to some 10 MB.
+pub const MAX_SCHEDULED_TASKS: u64 = 100_000;
+/// The longest job, in bytes as it is kept: rows of the store hold 64 KiB, and the terms of its
+/// queue are kept with it.
+pub const MAX_JOB_BYTES: usize = 56 * 1_024;
 
 /// What is wrong with a job.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -44,6 +50,12 @@
     /// Steps wait for each other.
     #[error("step {0} waits for itself, over its dependencies")]
     Circle(usize),
+    /// Too many tasks over all times of the schedule.
+    #[error("a schedule has at most {MAX_SCHEDULED_TASKS} tasks over all its times, not {0}")]
+    TooManyScheduledTasks(u64),
+    /// Too long to keep.
+    #[error("a job takes at most {MAX_JOB_BYTES} bytes as it is kept, this one {0}: split it")]
+    TooLong(usize),
     /// A schedule that repeats too often.
     #[error("a schedule has at most {MAX_OCCURRENCES} times, this one has {0}")]
     TooManyTimes(u32),
@@ -58,35 +70,54 @@
     /// What each task takes.
     pub size: Resources,
     /// The caller's guess of how long a task takes, in milliseconds. Often far off.
+    #[serde(skip_serializing_if = "is_default")]
     pub estimate_ms: u64,
     /// Steps whose tasks must all be done first.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub depends_on: Vec<u32>,
     /// A stopped task can go on from where it was.
+    #[serde(skip_serializing_if = "is_default")]
     pub keeps_progress: bool,
     /// The tasks work only together.
+    #[serde(skip_serializing_if = "is_default")]
     pub gang: bool,
     /// The tasks work slower when spread over racks.
+    #[serde(skip_serializing_if = "is_default")]
     pub same_rack: bool,
     /// A label that the worker must have.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub label: Option<String>,
     /// The rack that holds the data; the task is slower elsewhere.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub near_rack: Option<String>,
     /// The most tasks of the step on one worker.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub max_per_worker: Option<u32>,
     /// Several copies of one task may run beside each other.
+    #[serde(skip_serializing_if = "is_default")]
     pub copies_allowed: bool,
     /// The tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_default")]
     pub lasts: bool,
     /// What the tasks run: tasks of one image behave alike.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub image: Option<String>,
     /// The tasks serve users; the tail of their answers' times should stay below, in ms.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub tail_target_ms: Option<u64>,
     /// The tasks use the processor time that others leave; their share of it is not reserved.
+    #[serde(skip_serializing_if = "is_default")]
     pub fills: bool,
     /// How many tasks may be away at once by our doing.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub may_miss: Option<u32>,
 }
 
+/// Whether a field says nothing, so that it need not be kept.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// When a job repeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
@@ -106,6 +137,7 @@
     /// The steps.
     pub steps: Vec<StepSpec>,
     /// When the steps repeat, if they do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub schedule: Option<Schedule>,
 }
 
@@ -130,7 +162,21 @@
         if let Some(schedule) = self.schedule.filter(|it| it.count > MAX_OCCURRENCES) {
             return Err(InvalidJob::TooManyTimes(schedule.count));
         }
-        self.check_dependencies()
+        let in_all = tasks * u64::from(self.occurrences());
+        if in_all > MAX_SCHEDULED_TASKS {
+            return Err(InvalidJob::TooManyScheduledTasks(in_all));
+        }
+        self.check_dependencies()?;
+        match self.kept_bytes() {
+            bytes if bytes > MAX_JOB_BYTES => Err(InvalidJob::TooLong(bytes)),
+            _ => Ok(()),
+        }
+    }
+
+    /// How many bytes the job takes as it is kept.
+    pub fn kept_bytes(&self) -> usize {
+        // It holds texts and numbers alone, so it always serialises.
+        serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
     }
 
     /// How many times the steps run.
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use kitetrail_core::{
-    jobs::{JobRecord, LifeRecord, ProgressRecord, Record},
+    jobs::{JobRecord, LifeRecord, Outcome, ProgressRecord, Record},
     succession::BoxStrength,
 };
 use kitetrail_platform::{
@@ -81,7 +81,10 @@
 ) -> Result<(), serde_json::Error> {
     match record {
         Record::Job(JobRecord { id, .. }) => put(transaction, job_row(&id.to_string()), record),
-        Record::Progress(ProgressRecord { id, .. }) => {
+        Record::Progress(ProgressRecord { id, outcome, .. }) => {
+            if *outcome != Outcome::Open {
+                transaction.removes.push(job_row(&id.to_string()));
+            }
             put(transaction, progress_row(&id.to_string()), record)
         }
         Record::LifeUsed(LifeRecord { id, .. }) => {
@@ -93,7 +96,6 @@
             Ok(())
         }
         Record::Forget(id) => {
-            transaction.removes.push(job_row(&id.to_string()));
             transaction.removes.push(progress_row(&id.to_string()));
             Ok(())
         }
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -61,7 +61,7 @@
     };
     let Some(inheritance) = load_until_read(shared, predecessor_stopped).await else { return };
     log::info!(
-        epoch = row.epoch, jobs = inheritance.jobs.len(), lives = inheritance.lives.len(),
+        epoch = row.epoch, jobs = inheritance.jobs.len(), ended = inheritance.ended.len(), lives = inheritance.lives.len(),
         predecessor_stopped = predecessor_stopped, after_ms = started.elapsed().as_millis() as u64;
         "owner: owns the fleet"
     );
@@ -248,6 +248,7 @@
     for (key, job) in rows::decode_all(&jobs) {
         inheritance.jobs.push((job, progress.remove(&key)));
     }
+    inheritance.ended = progress.into_values().collect();
     Ok(inheritance)
 }
 
