Bound the log by rate and by waiting lines, count what is left out, and never wait for its reader

Cause: only the number of waiting lines was bounded, drops were not counted, and a stop waited for a reader that was stuck.

--- a/crates/kitetrail-platform/src/http.rs
+++ b/crates/kitetrail-platform/src/http.rs
@@ -24,6 +24,8 @@
 
 /// The largest answer that is read.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// How much of the body of a refusal an error shows, in bytes.
+const SHOWN_OF_BODY: usize = 200;
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -148,7 +150,7 @@
 
     /// The error for an answer with a status that refuses.
     pub fn refused(&self, status: StatusCode, body: &[u8]) -> PlatformError {
-        let body = String::from_utf8_lossy(body).into_owned();
+        let body = String::from_utf8_lossy(&body[..body.len().min(SHOWN_OF_BODY)]).into_owned();
         PlatformError::Refused { service: self.service, status: status.as_u16(), body }
     }
 
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -28,6 +28,7 @@
 use crate::{
     clock::{Clock, incarnation},
     daemon::DaemonError,
+    logging::LeftOut,
     metrics::Metrics,
 };
 
@@ -36,19 +37,28 @@
 const TAKE_CONNECTIONS: Duration = Duration::from_millis(2_600);
 /// How often a box that is told to stop looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
+/// How often the log says how many lines it left out, if any.
+const TELL_LEFT_OUT_EVERY: Duration = Duration::from_millis(1_000);
 /// How often the answer to the platform's question is brought up to date.
 const READY_EVERY: Duration = Duration::from_millis(100);
 
 /// Runs a box until it is told to stop.
-pub fn run<P: Platform>(settings: FleetSettings, services: Services<P>) -> Result<(), DaemonError> {
+///
+/// `left_out` tells how many lines its log left out.
+pub fn run<P: Platform>(
+    settings: FleetSettings,
+    services: Services<P>,
+    left_out: LeftOut,
+) -> Result<(), DaemonError> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|cause| io_error("the runtime can't be started", cause))?;
-    runtime.block_on(LocalSet::new().run_until(run_parts(settings, services)))
+    runtime.block_on(LocalSet::new().run_until(run_parts(settings, services, left_out)))
 }
 
 async fn run_parts<P: Platform>(
     settings: FleetSettings,
     services: Services<P>,
+    left_out: LeftOut,
 ) -> Result<(), DaemonError> {
     let metrics = Metrics::new()?;
     let mut terminate = watch(SignalKind::terminate())?;
@@ -65,6 +75,7 @@
         "daemon: starts, takes requests on {callers}"
     );
     spawn_parts(&shared, listener, ready);
+    task::spawn_local(tell_left_out(Rc::clone(&shared), left_out));
     loop {
         tokio::select! {
             _ = hang_up.recv() => {
@@ -86,6 +97,20 @@
     task::spawn_local(keep_ready(Rc::clone(shared), ready));
 }
 
+/// Counts the lines that the log left out, and says so in it.
+async fn tell_left_out<P: Platform>(shared: Rc<Shared<P>>, left_out: LeftOut) {
+    let mut told = 0;
+    loop {
+        time::sleep(TELL_LEFT_OUT_EVERY).await;
+        let lines = left_out.lines();
+        if lines > told {
+            shared.metrics.note_log_lines_left_out(lines - told);
+            log::warn!(lines = lines - told, in_all = lines; "log: lines were left out");
+            told = lines;
+        }
+    }
+}
+
 async fn keep_ready<P: Platform>(shared: Rc<Shared<P>>, ready: ReadyFlag) {
     loop {
         if ready.swap(shared.is_ready(), Ordering::Relaxed) != shared.is_ready() {
--- a/crates/kitetraild/src/logging.rs
+++ b/crates/kitetraild/src/logging/mod.rs
@@ -1,12 +1,20 @@
-//! The log: one line on standard error for each decision.
+//! The log: one line for each decision.
+
+mod bounded;
+mod budget;
+
+use std::{sync::mpsc, thread, time::Duration};
 
 use logforth::{
-    append::{Async, Stderr, Stdout, asynchronous::AsyncBuilder},
+    append::{Stderr, Stdout},
     layout::{JsonLayout, TextLayout},
     record::LevelFilter,
 };
 use serde::Deserialize;
 
+pub use bounded::LeftOut;
+pub use budget::LineBudget;
+
 /// From which severity on lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -45,26 +53,31 @@
         .apply();
 }
 
-/// How many lines may wait to be written. With lines of some 350 bytes, 1.5 MB at most.
-const WAITING_LINES: usize = 4_096;
+/// How long a process that ends waits for its last lines. A reader that is stuck holds no stop up.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
 
 /// Starts a log of JSON lines on standard output that never holds the process up.
 ///
-/// A thread of its own writes; while it is held up, lines past the limit are dropped.
-pub fn start_bounded(level: Level) {
+/// A thread of its own writes. Lines past a rate, and those that find too many waiting, are left out
+/// and counted: see [`LeftOut`].
+pub fn start_bounded(level: Level) -> LeftOut {
     let filter = LevelFilter::MoreSevereEqual(severity(level));
-    let stdout = bounded(Stdout::default().with_layout(JsonLayout::default()));
+    let stdout = Stdout::default().with_layout(JsonLayout::default());
+    let (bounded, left_out) = bounded::bounded(stdout);
     logforth::starter_log::builder()
-        .dispatch(|dispatch| dispatch.filter(filter).append(stdout))
+        .dispatch(|dispatch| dispatch.filter(filter).append(bounded))
         .apply();
+    left_out
 }
 
-fn bounded(stdout: Stdout) -> Async {
-    AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(WAITING_LINES))
-        .overflow_drop_incoming()
-        .append(stdout)
-        .build()
+/// Writes the lines that wait, if that is soon done.
+pub fn flush_soon() {
+    let (done, flushed) = mpsc::channel();
+    thread::spawn(move || {
+        log::logger().flush();
+        let _ = done.send(());
+    });
+    let _ = flushed.recv_timeout(FLUSH_LIMIT);
 }
 
 fn severity(level: Level) -> logforth::record::Level {
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -18,6 +18,7 @@
     commits: Counter<u64>,
     policy_faults: Counter<u64>,
     peer_messages: Counter<u64>,
+    log_lines_left_out: Counter<u64>,
 }
 
 impl Metrics {
@@ -55,6 +56,10 @@
                 .u64_counter("kitetrail.peer.messages")
                 .with_description("Messages sent to other daemons by kind")
                 .build(),
+            log_lines_left_out: meter
+                .u64_counter("kitetrail.log.lines_left_out")
+                .with_description("Lines that the log left out, to stay within its bounds")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -87,6 +92,11 @@
         self.peer_messages.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts lines that the log left out.
+    pub fn note_log_lines_left_out(&self, lines: u64) {
+        self.log_lines_left_out.add(lines, &[]);
+    }
+
     /// All counters as a scrape page.
     pub fn page(&self) -> String {
         let mut page = Vec::new();
