Read answers that come late; grant timers the time that the process was held up

Ruled out: the lease (lapses on workers came before the owner gave up, 11.11 s against 11.67 s), hand-overs (one owner). Change: a hold that counts as unanswered is read for 4.5 s more, and what it says has ended has ended; ticks come after what waits in the inbox, and one that comes 150 ms late is left out; limits are extended by the time a timer fired late. Test: jobs::what_a_late_answer_says_has_ended_does_not_run_again, red with late answers ignored.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -10,7 +10,7 @@
     note::Note,
     order::{Order, OrderAnswer},
     record::Record,
-    report::{Hold, HoldFailure, Report},
+    report::{Hold, HoldFailure, Report, RunEnd},
     spec::{JobSpec, QueueTerms},
     worker_entry::WorkerEntry,
 };
@@ -65,6 +65,14 @@
         /// What came back.
         answer: Result<Report, HoldFailure>,
     },
+    /// A hold that was taken for unanswered brought an answer after all. What it says has ended has
+    /// ended for good; the rest is out of date.
+    LateEnds {
+        /// The worker.
+        life: LifeNo,
+        /// The runs that ended, in the order of their numbers.
+        ended: Vec<RunEnd>,
+    },
     /// The batch of records with this number is kept for good.
     Committed(u64),
     /// Time passed.
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -6,7 +6,7 @@
         life::LifeNo,
         names::TaskName,
         note::Note,
-        report::{Hold, HoldFailure, Report, RunningTask},
+        report::{Hold, HoldFailure, Report, RunEnd, RunningTask},
         run::{Phase, Progress, RunThere, UNKNOWN_PACE_PERCENT},
         spec::StepSpec,
         steps::Placement,
@@ -43,6 +43,13 @@
         self.send_next_order(no);
     }
 
+    /// Takes note of runs that ended, as a late answer says.
+    pub(super) fn note_late_ends(&mut self, no: LifeNo, ended: &[RunEnd]) {
+        for end in ended {
+            self.run_ended(no, end);
+        }
+    }
+
     fn note_silence(&mut self, no: LifeNo) {
         if self.lives.get(&no).is_some_and(|life| life.silent == 0) {
             self.note_belief(no, "silent");
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -148,6 +148,7 @@
                 self.order_answered(life, order, answer)
             }
             Event::Held { life, hold, sent_at, answer } => self.held(life, hold, sent_at, answer),
+            Event::LateEnds { life, ended } => self.note_late_ends(life, &ended),
             Event::Committed(batch) => self.committed(batch),
             Event::Tick => self.tick(),
         }
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -304,6 +304,9 @@
             for start in worker.take_late(now) {
                 self.starts.push((now, start.task, start.run, id.clone()));
             }
+            if let Some((_, life, ended)) = worker.late_ends.take_if(|(at, ..)| *at <= now) {
+                answers.push(Event::LateEnds { life, ended });
+            }
             let Some((life, hold, sent_at)) = worker.held else { continue };
             if let Some(answer) = worker.answer_hold(now, hold, sent_at, tail_ms) {
                 worker.held = None;
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -17,6 +17,8 @@
 
 /// How much longer than it may wait a hold may take before the owner gives it up.
 const HOLD_SLACK: Duration = Duration::from_millis(700);
+/// How much later than that an answer comes that counts as missing.
+const LATE_ANSWER: Duration = Duration::from_millis(500);
 /// A run that fails does so after this much work.
 const FAILS_AFTER_MS: u64 = 100;
 
@@ -33,6 +35,8 @@
     Failing,
     /// It does not answer orders to start; it carries them out after 1 s unless they are void.
     Late,
+    /// It does what it is told, and its answers to holds come so late that they count as missing.
+    Unread,
 }
 
 /// A run on a worker.
@@ -91,6 +95,8 @@
     /// The hold that waits for an answer, and when it was sent.
     pub held: Option<(LifeNo, Hold, Time)>,
     late: VecDeque<LateOrder>,
+    /// What an answer that comes late says has ended, by when it comes, and for which life.
+    pub late_ends: Option<(Time, LifeNo, Vec<RunEnd>)>,
     next_end: u64,
 }
 
@@ -119,6 +125,7 @@
             leased_until_ms: 0,
             held: None,
             late: VecDeque::new(),
+            late_ends: None,
             next_end: 1,
         }
     }
@@ -193,9 +200,16 @@
         tail_ms: fn(&FakeWorker) -> u32,
     ) -> Option<Result<Report, HoldFailure>> {
         let waited = now.since(sent_at);
-        if self.mood == Mood::Cut {
+        if matches!(self.mood, Mood::Cut | Mood::Unread) {
             let gives_up = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
-            return (waited >= gives_up).then_some(Err(HoldFailure::Unanswered));
+            if waited < gives_up {
+                return None;
+            }
+            if self.mood == Mood::Unread {
+                let life = self.held.map(|(life, ..)| life);
+                self.late_ends = life.map(|life| (now + LATE_ANSWER, life, self.ended.clone()));
+            }
+            return Some(Err(HoldFailure::Unanswered));
         }
         if hold.token < self.token {
             return Some(Err(HoldFailure::Fenced));
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -457,3 +457,16 @@
     let often = JobSpec { schedule: Some(schedule), ..job(vec![step(1_000)]) };
     assert_eq!(often.check(), Err(InvalidJob::TooManyScheduledTasks(1_000_000)));
 }
+
+#[test]
+fn what_a_late_answer_says_has_ended_does_not_run_again() {
+    let mut world = World::new(2);
+    world.work_ms = Some(2_000);
+    world.submit(1, job(vec![step(1)]));
+    world.run_ms(300);
+    let on = world.worker_of(task(1, 0, 0));
+    world.worker(&on).mood = Mood::Unread;
+    world.run_ms(12_000);
+    assert_eq!(world.starts.len(), 1, "it was done, and an answer said so");
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -173,11 +173,12 @@
         order: &Order,
     ) -> impl Future<Output = OrderAnswer>;
 
-    /// Asks a worker what it runs and lets it go on.
+    /// Asks a worker what it runs and lets it go on. The answer may take as long as given.
     fn hold(
         &self,
         worker: &WorkerEntry,
         hold: &Hold,
+        within: Duration,
     ) -> impl Future<Output = Result<Report, HoldFailure>>;
 }
 
--- a/crates/kitetrail-platform/src/http.rs
+++ b/crates/kitetrail-platform/src/http.rs
@@ -20,7 +20,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{BoxList, ObjectStore, PlatformError, TableService, Worker};
+use crate::{BoxList, ObjectStore, PlatformError, TableService, Worker, within};
 
 /// The largest answer that is read.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
@@ -73,17 +73,17 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        match tokio::time::timeout(timeout, self.exchange(request)).await {
-            Ok(answer) => answer.map(|answer| (answer.status, answer.body)),
-            Err(_) => Err(self.lost(format!("nothing came within {timeout:?}"))),
+        match within(timeout, self.exchange(request)).await {
+            Some(answer) => answer.map(|answer| (answer.status, answer.body)),
+            None => Err(self.lost(format!("nothing came within {timeout:?}"))),
         }
     }
 
     /// Sends a request and returns the status, the headers and the whole body.
     async fn send_for_head(&self, request: Request<Full<Bytes>>) -> Result<Answer, PlatformError> {
-        match tokio::time::timeout(self.timeout, self.exchange(request)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(self.lost(format!("nothing came within {:?}", self.timeout))),
+        match within(self.timeout, self.exchange(request)).await {
+            Some(answer) => answer,
+            None => Err(self.lost(format!("nothing came within {:?}", self.timeout))),
         }
     }
 
--- a/crates/kitetrail-platform/src/lib.rs
+++ b/crates/kitetrail-platform/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod fleet;
 pub mod headers;
 mod http;
+mod patience;
 mod services;
 
 pub use error::PlatformError;
 pub use http::{HttpBoxList, HttpObjectStore, HttpTable, HttpWorkers, JsonClient};
+pub use patience::within;
 pub use services::{BoxList, ObjectStore, TableService, Worker};
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -1,14 +1,18 @@
 //! The owner of the fleet: one loop that feeds the scheduler and does what it asks for.
 
 use std::{
-    collections::HashMap, net::SocketAddr, ops::ControlFlow, rc::Rc, sync::Arc, time::Duration,
+    collections::HashMap, net::SocketAddr, ops::ControlFlow, pin::pin, rc::Rc, sync::Arc,
+    time::Duration,
 };
 
-use kitetrail_core::jobs::{
-    Action, CancelAnswer, Event, Hold, JobId, LifeNo, Order, RequestNo, Scheduler, SubmitAnswer,
-    WorkerEntry,
+use kitetrail_core::{
+    Time,
+    jobs::{
+        Action, CancelAnswer, Event, Hold, HoldFailure, JobId, LifeNo, Order, RequestNo, Scheduler,
+        SubmitAnswer, WorkerEntry,
+    },
 };
-use kitetrail_platform::fleet::WorkerControl;
+use kitetrail_platform::{fleet::WorkerControl, within};
 use tokio::{
     sync::{mpsc, oneshot},
     task,
@@ -30,6 +34,13 @@
 /// An owner that the store has not answered for so long does not say that a job is unknown:
 /// another owner may have taken it.
 const SURE_WITHIN_MS: u64 = 1_200;
+/// How much longer than it may wait a worker may take to answer a hold before it counts as silent.
+const HOLD_SLACK: Duration = Duration::from_millis(300);
+/// How long an answer that comes late is still read: what it says has ended has ended for good, and
+/// must not run again. Longer than leases last.
+const LATE_REPORT: Duration = Duration::from_millis(4_500);
+/// A tick that comes so late tells that the process was held up: what came meanwhile goes first.
+const HELD_UP: Duration = Duration::from_millis(150);
 /// How long an owner goes on without the store. Longer than most outages that the platform tells of
 /// (4 to 5 s); a new owner waits so much longer for workers that live and that it can't reach.
 pub(super) const WITHOUT_STORE: Duration = Duration::from_millis(7_000);
@@ -78,6 +89,10 @@
     /// It was told to give the fleet up.
     releasing: bool,
     doubt: store_doubt::StoreDoubt,
+    /// When time alone was looked at last, or would have been.
+    ticked_at: Time,
+    /// The last tick was left out because the process had been held up.
+    tick_left_out: bool,
 }
 
 impl<P: Platform> Owner<P> {
@@ -87,6 +102,7 @@
         (sender, inbox): (mpsc::Sender<OwnerMessage>, mpsc::Receiver<OwnerMessage>),
         batches: mpsc::Sender<Batch>,
     ) -> Self {
+        let ticked_at = shared.clock.now();
         Self {
             shared,
             scheduler,
@@ -98,6 +114,8 @@
             unkept: false,
             releasing: false,
             doubt: store_doubt::StoreDoubt::default(),
+            ticked_at,
+            tick_left_out: false,
         }
     }
 
@@ -107,16 +125,18 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.configure();
         loop {
-            let message = tokio::select! {
-                message = self.inbox.recv() => message,
-                _ = ticks.tick() => Some(OwnerMessage::Event(Event::Tick)),
+            let taken = tokio::select! {
+                message = self.inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => ControlFlow::Break(Ended::Deposed),
+                },
+                _ = ticks.tick() => self.take_all_and_tick(),
                 () = self.shared.config_changed.notified() => {
                     self.configure();
-                    continue;
+                    ControlFlow::Continue(())
                 }
             };
-            let Some(message) = message else { return Ended::Deposed };
-            if let ControlFlow::Break(ended) = self.take(message) {
+            if let ControlFlow::Break(ended) = taken {
                 return ended;
             }
             if self.releasing && !self.unkept {
@@ -144,7 +164,6 @@
                 let _ = reply.send(Answer::NotOwner);
             }
             OwnerMessage::Call(call, reply) => self.call(call, reply),
-            OwnerMessage::Event(Event::Tick) => return self.tick(),
             OwnerMessage::Event(event) => {
                 if !self.handle(event) {
                     return ControlFlow::Break(Ended::Deposed);
@@ -158,6 +177,24 @@
         ControlFlow::Continue(())
     }
 
+    /// Takes what waits, then looks at what time alone changes: an answer that is here already must
+    /// not be taken for missing.
+    fn take_all_and_tick(&mut self) -> ControlFlow<Ended> {
+        for _ in 0..self.inbox.len() {
+            let Ok(message) = self.inbox.try_recv() else { break };
+            self.take(message)?;
+        }
+        let now = self.shared.clock.now();
+        let held_up = now.since(self.ticked_at) >= HELD_UP;
+        self.ticked_at = now;
+        if held_up && !self.tick_left_out {
+            self.tick_left_out = true;
+            return ControlFlow::Continue(());
+        }
+        self.tick_left_out = false;
+        self.tick()
+    }
+
     fn tick(&mut self) -> ControlFlow<Ended> {
         if !self.handle(Event::Tick) {
             return ControlFlow::Break(Ended::Deposed);
@@ -301,9 +338,17 @@
         let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
         let sent_at = self.shared.clock.now();
         task::spawn_local(async move {
-            let answer = workers.hold(&entry, &hold).await;
+            let patience = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
+            let mut call = pin!(workers.hold(&entry, &hold, patience + LATE_REPORT));
+            let answer = within(patience, call.as_mut()).await;
+            let late = answer.is_none();
+            let answer = answer.unwrap_or(Err(HoldFailure::Unanswered));
             let event = Event::Held { life, hold, sent_at, answer };
             let _ = sender.send(OwnerMessage::Event(event)).await;
+            if late && let Ok(report) = call.await {
+                let event = Event::LateEnds { life, ended: report.ended };
+                let _ = sender.send(OwnerMessage::Event(event)).await;
+            }
         });
     }
 
