Place a step in one pass over ranked workers; bound the holds of an owner a second

Change: workers are scored once a step, and the one that was given a task again; an owner sends 2,000 holds a second at most; what waits by queue is counted four times a second instead of fifty.

--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -25,7 +25,12 @@
 const HOLD_PAUSE_ENDED: Duration = Duration::from_millis(600);
 /// The same after a hold that brought nothing, for each one in a row.
 const HOLD_RETRY: Duration = Duration::from_millis(150);
-/// The longest of these.
+/// How many holds an owner sends a second at most, so that a large fleet leaves it time for the rest:
+/// each takes some 60 µs. A worker is then asked less often than the waits above allow.
+const HOLDS_PER_S: f64 = 2_000.0;
+/// What a hold and the pause after it take without that: the shortest wait and [`HOLD_PAUSE`].
+const USUAL_ROUND: Duration = Duration::from_millis(620);
+/// The longest of the retries' pauses.
 const HOLD_RETRY_MAX: Duration = Duration::from_millis(1_000);
 
 impl Scheduler {
@@ -52,11 +57,13 @@
     /// Says when the worker is asked again.
     pub(super) fn schedule_hold(&mut self, no: LifeNo) {
         let now = self.now;
+        let round = Duration::from_secs_f64(self.lives.len() as f64 / HOLDS_PER_S);
+        let crowded = round.saturating_sub(USUAL_ROUND);
         let Some(life) = self.lives.get_mut(&no) else { return };
         let pause = match life.silent {
             0 if life.runs().is_empty() && life.ends_told >= life.ends_seen => HOLD_PAUSE_IDLE,
             0 if life.runs().is_empty() => HOLD_PAUSE_ENDED,
-            0 => HOLD_PAUSE,
+            0 => HOLD_PAUSE + crowded,
             times => (HOLD_RETRY * times).min(HOLD_RETRY_MAX),
         };
         life.next_hold_at = Some(now + pause);
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod pending;
 mod place;
+mod ranking;
 mod requests;
 pub(super) mod room;
 mod set_aside;
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -5,7 +5,6 @@
 use super::{
     super::{
         event::Action,
-        job::Job,
         life::LifeNo,
         names::{JobId, StepName, TaskName},
         note::Note,
@@ -17,6 +16,7 @@
     Scheduler,
     fit::Fit,
     lateness::Lateness,
+    ranking::Ranking,
     room::Room,
 };
 use crate::Time;
@@ -58,19 +58,58 @@
 
     /// Places the tasks of a step. `false`: there is no room for some of them.
     fn place_step(&mut self, step: StepName, spec: &StepSpec) -> bool {
-        for name in (0..spec.count).map(|index| step.task(index)) {
-            let waits = |job: &Job| job.task(name).is_some_and(|task| task.waits(self.now));
-            if !self.jobs.get(&name.job).is_some_and(waits) {
-                continue;
-            }
-            match self.choose(name, spec, &[]) {
-                Some(life) => self.start(name, life, spec, None),
-                None => return false,
+        let waiting = self.waiting_tasks(step, spec);
+        let Some(&first) = waiting.first() else { return true };
+        let mut ranking = self.rank(first, spec);
+        for (at, &name) in waiting.iter().enumerate() {
+            let Some(life) = ranking.take_best(|no| self.score(name, spec, no)) else {
+                return false;
+            };
+            self.start(name, life, spec, None);
+            let next = waiting.get(at + 1);
+            if let Some(score) = next.and_then(|&next| self.score(next, spec, life)) {
+                ranking.put_back(life, score);
             }
         }
         true
     }
 
+    /// The tasks of a step that wait for a worker.
+    fn waiting_tasks(&self, step: StepName, spec: &StepSpec) -> Vec<TaskName> {
+        let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
+        let names = (0..spec.count).map(|index| step.task(index));
+        names.filter(|&name| job.task(name).is_some_and(|task| task.waits(self.now))).collect()
+    }
+
+    /// All workers that a task suits, best first.
+    fn rank(&mut self, name: TaskName, spec: &StepSpec) -> Ranking {
+        self.refresh_rooms();
+        let lives = self.lives.keys();
+        Ranking::new(lives.filter_map(|&no| self.score_known(name, spec, no).map(|it| (it, no))))
+    }
+
+    /// How well a worker suits a task, less is better; `None` if it does not.
+    fn score(&mut self, name: TaskName, spec: &StepSpec, no: LifeNo) -> Option<f64> {
+        let life = self.lives.get_mut(&no)?;
+        if life.room.is_none() {
+            life.room = Some(Room::of(life, &self.tails));
+        }
+        self.score_known(name, spec, no)
+    }
+
+    /// The same, for a worker of which it is worked out what it has left.
+    fn score_known(&self, name: TaskName, spec: &StepSpec, no: LifeNo) -> Option<f64> {
+        let life = self.lives.get(&no)?;
+        let job = self.jobs.get(&name.job)?;
+        if !life.takes_work(self.now) || life.entry.service != job.queue.service {
+            return None;
+        }
+        let image = *job.images.get(name.step as usize)?;
+        let avoid = job.task(name).and_then(|task| task.avoid);
+        let fit = Fit { name, spec, image, members: &[], rack: None, avoid, tails: &self.tails };
+        fit.score(no, life, life.room.as_ref()?)
+    }
+
     /// Places all members of a gang or none.
     fn place_gang(&mut self, step: StepName, spec: &StepSpec) {
         let members = self.jobs.get(&step.job).and_then(|job| job.step(step));
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -34,6 +34,9 @@
 /// An owner that the store has not answered for so long does not say that a job is unknown:
 /// another owner may have taken it.
 const SURE_WITHIN_MS: u64 = 1_200;
+/// How often other parts of the box are told how things stand. What callers are told of jobs that
+/// wait may be 2 s old.
+const PUBLISH_EVERY: Duration = Duration::from_millis(250);
 /// How much longer than it may wait a worker may take to answer a hold before it counts as silent.
 const HOLD_SLACK: Duration = Duration::from_millis(300);
 /// How long an answer that comes late is still read: what it says has ended has ended for good, and
@@ -91,6 +94,8 @@
     doubt: store_doubt::StoreDoubt,
     /// When time alone was looked at last, or would have been.
     ticked_at: Time,
+    /// When other parts of the box were told last how things stand.
+    published_at: Time,
     /// The last tick was left out because the process had been held up.
     tick_left_out: bool,
 }
@@ -115,6 +120,7 @@
             releasing: false,
             doubt: store_doubt::StoreDoubt::default(),
             ticked_at,
+            published_at: Time::ZERO,
             tick_left_out: false,
         }
     }
@@ -199,7 +205,7 @@
         if !self.handle(Event::Tick) {
             return ControlFlow::Break(Ended::Deposed);
         }
-        self.publish();
+        self.publish_if_due();
         self.doubt.ask_if_due(&self.shared, &self.sender);
         self.make_way();
         match self.store_lost_too_long() {
@@ -358,7 +364,15 @@
         }
     }
 
-    /// What other parts of the box are told of how things stand.
+    /// Tells other parts of the box how things stand.
+    fn publish_if_due(&mut self) {
+        let now = self.shared.clock.now();
+        if now.since(self.published_at) >= PUBLISH_EVERY {
+            self.published_at = now;
+            self.publish();
+        }
+    }
+
     fn publish(&self) {
         let counts = self.scheduler.pending_by_queue();
         let counts = counts.into_iter().map(|(queue, count)| (queue.to_string(), count));
