--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -162,8 +162,10 @@
 }
 
 fn pending<P: Platform>(shared: &Shared<P>, route: &QueueRoute) -> Response<Body> {
-    let pending = shared.pending.borrow().get(route.queue.name.as_str()).copied().unwrap_or(0);
-    json(StatusCode::OK, shared.services.codec.write_pending(pending))
+    match shared.pending_of(route.queue.name.as_str()) {
+        Some(pending) => json(StatusCode::OK, shared.services.codec.write_pending(pending)),
+        None => refuse(StatusCode::SERVICE_UNAVAILABLE, "nobody told of late how many jobs wait"),
+    }
 }
 
 async fn submit<P: Platform>(
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner.rs
@@ -376,6 +376,6 @@
     fn publish(&self) {
         let counts = self.scheduler.pending_by_queue();
         let counts = counts.into_iter().map(|(queue, count)| (queue.to_string(), count));
-        *self.shared.pending.borrow_mut() = counts.collect();
+        self.shared.note_pending(counts);
     }
 }
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -169,7 +169,7 @@
 async fn note_ping<P: Platform>(shared: &Rc<Shared<P>>, address: SocketAddr, answer: &PingAnswer) {
     shared.note_told_owner(answer.epoch, &answer.owner_address);
     if answer.owns_epoch != 0 {
-        *shared.pending.borrow_mut() = answer.pending.clone().into_iter().collect();
+        shared.note_pending(answer.pending.clone().into_iter());
     }
     let version = shared.config_version();
     let exchanged = match answer.config_version {
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -143,7 +143,7 @@
         config_version: shared.config_version(),
         pending: match owns_epoch {
             0 => HashMap::new(),
-            _ => shared.pending.borrow().clone().into_iter().collect(),
+            _ => shared.pending().into_iter().collect(),
         },
     }
 }
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -5,6 +5,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use kitetrail_core::{Time, fleet_config::FleetConfig, succession::Candidates};
@@ -18,6 +19,9 @@
 /// Any other refusal shows that it is at work.
 const BUSY_STATUSES: [u16; 2] = [429, 503];
 
+/// How long counts of jobs that wait are told on: callers may be told counts that are 2 s old.
+const PENDING_HOLDS_FOR: Duration = Duration::from_millis(2_000);
+
 /// Who owns the fleet, as far as this box knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct OwnerView {
@@ -57,8 +61,8 @@
     ///
     /// Set before the store is asked: other boxes may read the row before its answer is here.
     pub(super) claimed_epoch: Cell<u64>,
-    /// Accepted jobs that have not begun, by queue, as the owner told last.
-    pub(super) pending: RefCell<BTreeMap<String, u64>>,
+    /// Accepted jobs that have not begun, by queue, as the owner told last, and when that was.
+    pending: RefCell<Option<(BTreeMap<String, u64>, Time)>>,
     /// The boxes that ask this one how it stands: those that could own the fleet after it.
     pub(super) candidates: RefCell<Candidates<SocketAddr>>,
     /// The epoch of an owner that has stopped and asked this box to follow it; 0: none.
@@ -164,6 +168,24 @@
         }
     }
 
+    /// How many accepted jobs of a queue have not begun; `None` if the owner told none of late.
+    pub(super) fn pending_of(&self, queue: &str) -> Option<u64> {
+        let pending = self.pending.borrow();
+        let (counts, told_at) = pending.as_ref()?;
+        let fresh = self.clock.now().since(*told_at) <= PENDING_HOLDS_FOR;
+        fresh.then(|| counts.get(queue).copied().unwrap_or(0))
+    }
+
+    /// All counts that the owner told last.
+    pub(super) fn pending(&self) -> BTreeMap<String, u64> {
+        self.pending.borrow().as_ref().map(|(counts, _)| counts.clone()).unwrap_or_default()
+    }
+
+    /// Takes note of what the owner told.
+    pub(super) fn note_pending(&self, counts: impl Iterator<Item = (String, u64)>) {
+        *self.pending.borrow_mut() = Some((counts.collect(), self.clock.now()));
+    }
+
     /// Takes note of what a call to the store brought.
     pub(super) fn note_store<T>(&self, result: &Result<T, PlatformError>) {
         let answered = match result {
