Follow workers' entries every 150 ms and leave out those that tell no more than that they live

Cause: each sign of life changes an entry, so the owner's watching call came back at once, 190 times a second at 490 workers; each also made all its tasks be looked at anew.

--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -1,6 +1,10 @@
 //! Tells the owner how the list of workers changes.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use kitetrail_core::jobs::{Discovery, Event, LifeId, WorkerEntry};
 use kitetrail_platform::fleet::{WorkerChanges, WorkerList};
@@ -11,15 +15,22 @@
 /// How long a call waits for changes. The store takes up to 30 s; shorter, so that a connection
 /// that died in silence is noticed.
 const WAIT: Duration = Duration::from_millis(8_000);
+/// How long to wait between calls that brought changes. Workers change their entries about once a
+/// second each, so with hundreds of them each call would bring one or two, at the price of a call.
+/// A worker that drains may be given work for 2 s after its entry says so.
+const GATHER: Duration = Duration::from_millis(150);
 /// How long to wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(250);
 
 /// What changed and where to go on, `None` there to list anew; `None` at all if the call failed.
 type Changes = Option<(Vec<Discovery>, Option<u64>)>;
 
+/// The entries that the owner was told.
+type Known = BTreeMap<LifeId, WorkerEntry>;
+
 /// Follows the list until the owner is gone.
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>, owner: mpsc::Sender<OwnerMessage>) {
-    let mut known = BTreeSet::new();
+    let mut known = Known::new();
     let mut version = None;
     while !owner.is_closed() {
         let changes = match version {
@@ -34,47 +45,49 @@
                 if any && owner.send(discovered).await.is_err() {
                     return;
                 }
+                time::sleep(GATHER).await;
             }
             None => time::sleep(RETRY).await,
         }
     }
 }
 
-async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut BTreeSet<LifeId>) -> Changes {
+async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut Known) -> Changes {
     let listed = shared.services.store.workers().await;
     shared.note_store(&listed);
     let (entries, version) = listed.ok()?;
     let ids = entries.iter().map(|entry| entry.id.clone()).collect::<BTreeSet<_>>();
-    let gone = known.difference(&ids).cloned().map(Discovery::Gone);
-    let mut changes = gone.collect::<Vec<_>>();
-    changes.extend(entries.into_iter().map(listed_as));
-    *known = ids;
-    Some((changes, Some(version)))
+    let gone = known.keys().filter(|id| !ids.contains(id)).cloned().collect::<Vec<_>>();
+    Some((changes(known, entries, gone), Some(version)))
 }
 
-async fn follow<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    version: u64,
-    known: &mut BTreeSet<LifeId>,
-) -> Changes {
-    let changes = shared.services.store.worker_changes(version, WAIT).await;
-    shared.note_store(&changes);
-    match changes.ok()? {
+async fn follow<P: Platform>(shared: &Rc<Shared<P>>, version: u64, known: &mut Known) -> Changes {
+    let followed = shared.services.store.worker_changes(version, WAIT).await;
+    shared.note_store(&followed);
+    match followed.ok()? {
         WorkerChanges::HistoryGone => {
             log::info!(version = version; "store: forgot its history, the workers are listed anew");
             Some((Vec::new(), None))
         }
         WorkerChanges::Changed { listed, gone, version } => {
-            known.extend(listed.iter().map(|entry| entry.id.clone()));
-            for id in &gone {
-                known.remove(id);
-            }
-            let gone = gone.into_iter().map(Discovery::Gone);
-            Some((gone.chain(listed.into_iter().map(listed_as)).collect(), Some(version)))
+            Some((changes(known, listed, gone), Some(version)))
         }
     }
 }
 
-fn listed_as(entry: WorkerEntry) -> Discovery {
-    Discovery::Listed(Box::new(entry))
+/// What of the entries listed and gone the owner does not know yet. Most changes of entries are signs
+/// of life alone.
+fn changes(known: &mut Known, listed: Vec<WorkerEntry>, gone: Vec<LifeId>) -> Vec<Discovery> {
+    let mut changes = Vec::new();
+    for id in gone {
+        known.remove(&id);
+        changes.push(Discovery::Gone(id));
+    }
+    for entry in listed {
+        if known.get(&entry.id) != Some(&entry) {
+            known.insert(entry.id.clone(), entry.clone());
+            changes.push(Discovery::Listed(Box::new(entry)));
+        }
+    }
+    changes
 }
