--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -81,7 +81,6 @@
     }
 }
 
-/// Answers a request and counts it.
 /// Counts a request until it is answered, or its caller hangs up.
 struct InProgress<'a>(&'a Cell<usize>);
 
@@ -98,6 +97,7 @@
     }
 }
 
+/// Answers a request and counts it.
 async fn answer<P: Platform>(
     shared: &Rc<Shared<P>>,
     request: Request<Incoming>,
