--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -37,6 +37,8 @@
 pub(super) struct Fit<'a> {
     pub(super) name: TaskName,
     pub(super) spec: &'a StepSpec,
+    /// The service whose workers run it.
+    pub(super) service: &'a str,
     pub(super) image: ImageNo,
     /// Where other members of its gang are about to be placed.
     pub(super) members: &'a [LifeNo],
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         event::Action,
-        life::LifeNo,
+        life::{Life, LifeNo},
         names::{JobId, StepName, TaskName},
         note::Note,
         order::{Order, StartOrder},
@@ -84,8 +84,8 @@
     /// All workers that a task suits, best first.
     fn rank(&mut self, name: TaskName, spec: &StepSpec) -> Ranking {
         self.refresh_rooms();
-        let lives = self.lives.keys();
-        Ranking::new(lives.filter_map(|&no| self.score_known(name, spec, no).map(|it| (it, no))))
+        let fit = self.fit(name, spec, &[]);
+        Ranking::new(fit.iter().flat_map(|fit| self.scored(fit)))
     }
 
     /// How well a worker suits a task, less is better; `None` if it does not.
@@ -99,15 +99,42 @@
 
     /// The same, for a worker of which it is worked out what it has left.
     fn score_known(&self, name: TaskName, spec: &StepSpec, no: LifeNo) -> Option<f64> {
-        let life = self.lives.get(&no)?;
+        self.score_with(&self.fit(name, spec, &[])?, no, self.lives.get(&no)?)
+    }
+
+    /// A task that looks for a worker, beside members that are about to be placed.
+    fn fit<'a>(
+        &'a self,
+        name: TaskName,
+        spec: &'a StepSpec,
+        members: &'a [LifeNo],
+    ) -> Option<Fit<'a>> {
         let job = self.jobs.get(&name.job)?;
-        if !life.takes_work(self.now) || life.entry.service != job.queue.service {
-            return None;
+        let first = members.first().and_then(|no| self.lives.get(no));
+        Some(Fit {
+            name,
+            spec,
+            service: &job.queue.service,
+            image: *job.images.get(name.step as usize)?,
+            members,
+            rack: first.map(|life| life.entry.rack.as_str()),
+            avoid: job.task(name).and_then(|task| task.avoid),
+            tails: &self.tails,
+        })
+    }
+
+    /// All workers that a task suits, each with how well.
+    fn scored(&self, fit: &Fit<'_>) -> impl Iterator<Item = (f64, LifeNo)> {
+        let score = |no, life| self.score_with(fit, no, life).map(|score| (score, no));
+        self.lives.iter().filter_map(move |(&no, life)| score(no, life))
+    }
+
+    /// How well a worker suits a task; `None` if it does not, or takes no work.
+    fn score_with(&self, fit: &Fit<'_>, no: LifeNo, life: &Life) -> Option<f64> {
+        match life.takes_work(self.now) && life.entry.service == fit.service {
+            true => fit.score(no, life, life.room.as_ref()?),
+            false => None,
         }
-        let image = *job.images.get(name.step as usize)?;
-        let avoid = job.task(name).and_then(|task| task.avoid);
-        let fit = Fit { name, spec, image, members: &[], rack: None, avoid, tails: &self.tails };
-        fit.score(no, life, life.room.as_ref()?)
     }
 
     /// Places all members of a gang or none.
@@ -150,20 +177,8 @@
         members: &[LifeNo],
     ) -> Option<LifeNo> {
         self.refresh_rooms();
-        let job = self.jobs.get(&name.job)?;
-        let image = *job.images.get(name.step as usize)?;
-        let avoid = job.task(name).and_then(|task| task.avoid);
-        let first = members.first().and_then(|no| self.lives.get(no));
-        let rack = first.map(|life| life.entry.rack.as_str());
-        let fit = Fit { name, spec, image, members, rack, avoid, tails: &self.tails };
-        let candidates = self.lives.iter().filter(|(_, life)| {
-            life.takes_work(self.now) && life.entry.service == job.queue.service
-        });
-        let scored = candidates.filter_map(|(&no, life)| {
-            let room = life.room.as_ref()?;
-            fit.score(no, life, room).map(|score| (score, no))
-        });
-        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, no)| no)
+        let fit = self.fit(name, spec, members)?;
+        self.scored(&fit).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, no)| no)
     }
 
     /// Gives a task to a worker, as the given run or the task's next one.
