--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Platform, peers,
-    rows::{self, HeadRow, OwnerRow},
+    rows::{self, OwnerRow},
     shared::{OwnerView, Shared},
     takeover::{self, Claim},
 };
@@ -74,8 +74,7 @@
     if !asked && believed_owner_is_fine(shared).await {
         return Ok(None);
     }
-    let Some((owner, version)) = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?
-    else {
+    let Some((owner, version)) = rows::read_owner(shared).await? else {
         return claim(shared, None, true).await;
     };
     let address = Some(owner.address).filter(|_| !owner.released);
@@ -116,7 +115,7 @@
         return Ok(false);
     }
     time::sleep(wait).await;
-    let found = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?;
+    let found = rows::read_owner(shared).await?;
     Ok(found.is_some_and(|(_, found)| found != version))
 }
 
@@ -193,16 +192,14 @@
     owner: &OwnerRow,
     patience: Duration,
 ) -> Result<bool, PlatformError> {
-    let first =
-        rows::read::<_, HeadRow>(shared, &rows::head_row()).await?.map(|(_, version)| version);
+    let first = rows::read_head_version(shared).await?;
     let started = Instant::now();
     while started.elapsed() < patience {
         if shared.asked_to_follow.get() == owner.epoch {
             return Ok(false);
         }
         time::sleep(READ_EVERY).await;
-        let head = rows::read::<_, HeadRow>(shared, &rows::head_row()).await?;
-        if head.map(|(_, version)| version) != first {
+        if rows::read_head_version(shared).await? != first {
             return Ok(true);
         }
     }
@@ -218,7 +215,6 @@
     if shared.draining.get() {
         return Ok(None);
     }
-    let head = rows::read::<_, HeadRow>(shared, &rows::head_row()).await?;
-    let head_version = head.map_or(0, |(_, version)| version);
+    let head_version = rows::read_head_version(shared).await?.unwrap_or(0);
     Ok(Some(Claim { owner, head_version, predecessor_stopped }))
 }
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -18,7 +18,7 @@
     super::{
         Platform,
         calls::{self, Answer},
-        rows::{self, OwnerRow},
+        rows,
         shared::Shared,
     },
     CALL_LIMIT,
@@ -92,7 +92,7 @@
 
 /// Asks the store for the smallest thing there is.
 async fn reach_store<P: Platform>(shared: Rc<Shared<P>>, reply: oneshot::Sender<ReachStoreAnswer>) {
-    let read = rows::read::<_, OwnerRow>(&shared, &rows::owner_row()).await;
+    let read = rows::read_owner(&shared).await;
     let _ = reply.send(ReachStoreAnswer { reached: read.is_ok() });
 }
 
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -131,6 +131,21 @@
     Ok(Some((value, row.version)))
 }
 
+/// Who owns the fleet as the store says, with the version of that row; `None` if nobody ever did.
+pub(super) async fn read_owner<P: Platform>(
+    shared: &Rc<Shared<P>>,
+) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
+    read(shared, &owner_row()).await
+}
+
+/// The version of the row of the owner's last write; `None` if nothing was ever written.
+pub(super) async fn read_head_version<P: Platform>(
+    shared: &Rc<Shared<P>>,
+) -> Result<Option<u64>, PlatformError> {
+    let head = read::<_, HeadRow>(shared, &head_row()).await?;
+    Ok(head.map(|(_, version)| version))
+}
+
 /// A value as a row holds it.
 pub(super) fn encode(value: &impl Serialize) -> Result<Vec<u8>, PlatformError> {
     serde_json::to_vec(value).map_err(malformed)
--- a/crates/kitetraild/src/fleet/store_doubt.rs
+++ b/crates/kitetraild/src/fleet/store_doubt.rs
@@ -5,12 +5,7 @@
 use kitetrail_core::Time;
 use tokio::{sync::mpsc, task, time};
 
-use super::{
-    Platform,
-    owner::OwnerMessage,
-    rows::{self, OwnerRow},
-    shared::Shared,
-};
+use super::{Platform, owner::OwnerMessage, rows, shared::Shared};
 
 /// A write that waits for so long puts the store in doubt. The store takes 5 ms; where answers are
 /// lost, several tries of one write fit in.
@@ -69,7 +64,6 @@
         });
     }
     let reached = asked.join_all().await.into_iter().flatten().next()?;
-    let row = rows::owner_row();
-    let own = time::timeout(OWN_ANSWER_WITHIN, rows::read::<_, OwnerRow>(shared, &row)).await;
+    let own = time::timeout(OWN_ANSWER_WITHIN, rows::read_owner(shared)).await;
     (!matches!(own, Ok(Ok(_)))).then_some(reached)
 }
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -221,7 +221,7 @@
     row: &OwnerRow,
     released: &OwnerRow,
 ) -> Result<(), PlatformError> {
-    let found = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?;
+    let found = rows::read_owner(shared).await?;
     let Some((_, version)) = found.filter(|(found, _)| found == row) else { return Ok(()) };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row(), version)],
