--- /dev/null
+++ b/crates/kitetraild/src/fleet/owner/callers.rs
@@ -0,0 +1,63 @@
+//! Takes callers' requests to the owner and answers them.
+
+use std::rc::Rc;
+
+use kitetrail_core::jobs::{Event, JobId, RequestNo};
+use tokio::sync::oneshot;
+
+use super::{
+    super::{
+        Platform,
+        calls::{Answer, Call},
+    },
+    Owner,
+};
+
+/// An owner that the store has not answered for so long does not say that a job is unknown:
+/// another owner may have taken it.
+const SURE_WITHIN_MS: u64 = 1_200;
+
+impl<P: Platform> Owner<P> {
+    /// Takes a caller's request.
+    pub(super) fn call(&mut self, call: Call, reply: oneshot::Sender<Answer>) {
+        let request = RequestNo(self.next_request);
+        self.next_request += 1;
+        match call {
+            Call::Submit { job, queue, spec } => {
+                self.waiting.insert(request, reply);
+                let spec = Box::new(Rc::unwrap_or_clone(spec));
+                self.handle(Event::Submit { request, job, queue, spec });
+            }
+            Call::Cancel { job } => {
+                self.waiting.insert(request, reply);
+                self.handle(Event::Cancel { request, job });
+            }
+            Call::State { job } => {
+                let _ = reply.send(self.state(job));
+            }
+        }
+    }
+
+    /// How a job stands, as far as this owner can tell.
+    fn state(&self, job: JobId) -> Answer {
+        match self.scheduler.state(job) {
+            Some(state) => Answer::State(state),
+            None => self.unknown(),
+        }
+    }
+
+    /// What is said of a job that this owner does not know.
+    pub(super) fn unknown(&self) -> Answer {
+        match self.shared.store_silent_ms() {
+            silent_ms if silent_ms <= SURE_WITHIN_MS => Answer::UnknownJob,
+            _ => Answer::InDoubt,
+        }
+    }
+
+    /// Answers a caller who waits, unless it was answered before.
+    pub(super) fn reply(&mut self, request: RequestNo, answer: Answer) {
+        if let Some(reply) = self.waiting.remove(&request) {
+            let _ = reply.send(answer);
+        }
+    }
+}
--- a/crates/kitetraild/src/fleet/owner.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -1,21 +1,16 @@
 //! The owner of the fleet: one loop that feeds the scheduler and does what it asks for.
 
-use std::{
-    collections::HashMap, net::SocketAddr, ops::ControlFlow, pin::pin, rc::Rc, sync::Arc,
-    time::Duration,
-};
+mod actions;
+mod callers;
+
+use std::{collections::HashMap, net::SocketAddr, ops::ControlFlow, rc::Rc, time::Duration};
 
 use kitetrail_core::{
     Time,
-    jobs::{
-        Action, CancelAnswer, Event, Hold, HoldFailure, JobId, LifeNo, Order, RequestNo, Scheduler,
-        SubmitAnswer, WorkerEntry,
-    },
+    jobs::{Event, RequestNo, Scheduler},
 };
-use kitetrail_platform::{fleet::WorkerControl, within};
 use tokio::{
     sync::{mpsc, oneshot},
-    task,
     time::{self, MissedTickBehavior},
 };
 
@@ -23,25 +18,16 @@
     Platform,
     calls::{Answer, Call},
     committer::Batch,
-    notes,
     shared::Shared,
-    store_doubt,
+    store_doubt::StoreDoubt,
 };
 use crate::clock::unix_ms;
 
 /// How often time alone is looked at: leases, holds that are due, back-offs.
 const TICK: Duration = Duration::from_millis(20);
-/// An owner that the store has not answered for so long does not say that a job is unknown:
-/// another owner may have taken it.
-const SURE_WITHIN_MS: u64 = 1_200;
 /// How often other parts of the box are told how things stand. What callers are told of jobs that
 /// wait may be 2 s old.
 const PUBLISH_EVERY: Duration = Duration::from_millis(250);
-/// How much longer than it may wait a worker may take to answer a hold before it counts as silent.
-const HOLD_SLACK: Duration = Duration::from_millis(300);
-/// How long an answer that comes late is still read: what it says has ended has ended for good, and
-/// must not run again. Longer than leases last.
-const LATE_REPORT: Duration = Duration::from_millis(4_500);
 /// A tick that comes so late tells that the process was held up: what came meanwhile goes first.
 const HELD_UP: Duration = Duration::from_millis(150);
 /// How long an owner goes on without the store. Longer than most outages that the platform tells of
@@ -91,7 +77,7 @@
     unkept: bool,
     /// It was told to give the fleet up.
     releasing: bool,
-    doubt: store_doubt::StoreDoubt,
+    doubt: StoreDoubt,
     /// When time alone was looked at last, or would have been.
     ticked_at: Time,
     /// When other parts of the box were told last how things stand.
@@ -118,7 +104,7 @@
             waiting: HashMap::new(),
             unkept: false,
             releasing: false,
-            doubt: store_doubt::StoreDoubt::default(),
+            doubt: StoreDoubt::default(),
             ticked_at,
             published_at: Time::ZERO,
             tick_left_out: false,
@@ -239,128 +225,15 @@
         too_long
     }
 
-    fn configure(&mut self) {
-        if let Some(config) = self.shared.config() {
-            self.handle(Event::Queues(config.queues()));
-        }
-    }
-
-    fn call(&mut self, call: Call, reply: oneshot::Sender<Answer>) {
-        let request = RequestNo(self.next_request);
-        self.next_request += 1;
-        match call {
-            Call::Submit { job, queue, spec } => {
-                self.waiting.insert(request, reply);
-                let spec = Box::new(Rc::unwrap_or_clone(spec));
-                self.handle(Event::Submit { request, job, queue, spec });
-            }
-            Call::Cancel { job } => {
-                self.waiting.insert(request, reply);
-                self.handle(Event::Cancel { request, job });
-            }
-            Call::State { job } => {
-                let _ = reply.send(self.state(job));
-            }
-        }
-    }
-
-    /// How a job stands, as far as this owner can tell.
-    fn state(&self, job: JobId) -> Answer {
-        match self.scheduler.state(job) {
-            Some(state) => Answer::State(state),
-            None => self.unknown(),
-        }
-    }
-
-    /// What is said of a job that this owner does not know.
-    fn unknown(&self) -> Answer {
-        match self.shared.store_silent_ms() {
-            silent_ms if silent_ms <= SURE_WITHIN_MS => Answer::UnknownJob,
-            _ => Answer::InDoubt,
-        }
-    }
-
     /// Feeds the scheduler and does what it asks for. `false`: deposed.
     fn handle(&mut self, event: Event) -> bool {
         let actions = self.scheduler.handle(event, self.shared.clock.now(), unix_ms());
         actions.into_iter().all(|action| self.act(action))
     }
 
-    /// Does what the scheduler asks for. `false`: deposed.
-    fn act(&mut self, action: Action) -> bool {
-        match action {
-            Action::Order { life, entry, token, lease_until_ms, order } => {
-                self.send_order(life, entry, token, lease_until_ms, order);
-            }
-            Action::Hold { life, entry, hold } => self.send_hold(life, entry, hold),
-            Action::Commit { batch, records } => {
-                self.unkept = true;
-                // One batch is on its way at most, and the channel has room for one.
-                if self.batches.try_send(Batch { number: batch, records }).is_err() {
-                    log::error!("owner: the writer takes no batch");
-                    return false;
-                }
-            }
-            Action::AnswerSubmit(request, SubmitAnswer::Accepted) => {
-                self.reply(request, Answer::Accepted);
-            }
-            Action::AnswerSubmit(request, SubmitAnswer::Refused) => {
-                self.reply(request, Answer::Refused);
-            }
-            Action::AnswerCancel(request, CancelAnswer::Done) => {
-                self.reply(request, Answer::Cancelled);
-            }
-            Action::AnswerCancel(request, CancelAnswer::Unknown) => {
-                self.reply(request, self.unknown());
-            }
-            Action::Note(note) => notes::write(&note),
-            Action::Deposed => {
-                log::warn!("owner: deposed, a worker has seen a higher fencing token");
-                return false;
-            }
-        }
-        true
-    }
-
-    fn send_order(
-        &self,
-        life: LifeNo,
-        entry: Arc<WorkerEntry>,
-        token: u64,
-        lease_until_ms: u64,
-        order: Order,
-    ) {
-        self.shared.metrics.note_decision("order");
-        let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
-        task::spawn_local(async move {
-            let answer = workers.order(&entry, token, lease_until_ms, &order).await;
-            let event = Event::OrderAnswered { life, order, answer };
-            let _ = sender.send(OwnerMessage::Event(event)).await;
-        });
-    }
-
-    fn send_hold(&self, life: LifeNo, entry: Arc<WorkerEntry>, hold: Hold) {
-        self.shared.metrics.note_decision("hold");
-        let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
-        let sent_at = self.shared.clock.now();
-        task::spawn_local(async move {
-            let patience = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
-            let mut call = pin!(workers.hold(&entry, &hold, patience + LATE_REPORT));
-            let answer = within(patience, call.as_mut()).await;
-            let late = answer.is_none();
-            let answer = answer.unwrap_or(Err(HoldFailure::Unanswered));
-            let event = Event::Held { life, hold, sent_at, answer };
-            let _ = sender.send(OwnerMessage::Event(event)).await;
-            if late && let Ok(report) = call.await {
-                let event = Event::LateEnds { life, ended: report.ended };
-                let _ = sender.send(OwnerMessage::Event(event)).await;
-            }
-        });
-    }
-
-    fn reply(&mut self, request: RequestNo, answer: Answer) {
-        if let Some(reply) = self.waiting.remove(&request) {
-            let _ = reply.send(answer);
+    fn configure(&mut self) {
+        if let Some(config) = self.shared.config() {
+            self.handle(Event::Queues(config.queues()));
         }
     }
 
