--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -63,10 +63,7 @@
         within: Duration,
     ) -> Result<PingAnswer, Status> {
         let mut client = self.client(peer)?;
-        match time::timeout(within, client.ping(request)).await {
-            Ok(answer) => answer.map(Response::into_inner),
-            Err(_) => Err(Status::deadline_exceeded("nothing came in time")),
-        }
+        answer_within(within, client.ping(request)).await
     }
 
     /// Whether a box reaches the store, as it says in time.
@@ -90,10 +87,7 @@
         within: Duration,
     ) -> Result<TakeOverAnswer, Status> {
         let mut client = self.client(peer)?;
-        match time::timeout(within, client.take_over(TakeOverRequest { epoch })).await {
-            Ok(answer) => answer.map(Response::into_inner),
-            Err(_) => Err(Status::deadline_exceeded("nothing came in time")),
-        }
+        answer_within(within, client.take_over(TakeOverRequest { epoch })).await
     }
 
     /// Asks a box for its configuration.
@@ -123,3 +117,14 @@
         Ok(JobsClient::new(channel))
     }
 }
+
+/// What a call brings within a time; an error that says so if that is nothing.
+async fn answer_within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<Response<T>, Status>>,
+) -> Result<T, Status> {
+    match time::timeout(limit, call).await {
+        Ok(answer) => answer.map(Response::into_inner),
+        Err(_) => Err(Status::deadline_exceeded("nothing came in time")),
+    }
+}
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -27,7 +27,6 @@
 
 /// How many messages from other boxes may wait.
 const QUEUE: usize = 1_024;
-
 /// How long a box that was asked to own the fleet may take before it answers. It takes some 100 ms.
 const TAKE_OVER_LIMIT: Duration = Duration::from_millis(800);
 
@@ -52,27 +51,33 @@
         }
     });
     while let Some(message) = messages.recv().await {
-        match message {
-            PeerMessage::Call(request, reply) => {
-                task::spawn_local(answer_call(Rc::clone(&shared), request, reply));
-            }
-            PeerMessage::Ping(request, reply) => {
-                let _ = reply.send(ping_answer(&shared, &request));
-            }
-            PeerMessage::FetchConfig(reply) => {
-                let _ = reply.send(encode_config(&shared));
-            }
-            PeerMessage::OfferConfig(config) => take_config(&shared, &config),
-            PeerMessage::ReachStore(reply) => {
-                task::spawn_local(reach_store(Rc::clone(&shared), reply));
-            }
-            PeerMessage::TakeOver(request, reply) => {
-                task::spawn_local(take_over(Rc::clone(&shared), request.epoch, reply));
-            }
+        take(&shared, message);
+    }
+}
+
+/// Does what a message asks for; what takes time goes on beside the next messages.
+fn take<P: Platform>(shared: &Rc<Shared<P>>, message: PeerMessage) {
+    match message {
+        PeerMessage::Call(request, reply) => {
+            task::spawn_local(answer_call(Rc::clone(shared), request, reply));
+        }
+        PeerMessage::Ping(request, reply) => {
+            let _ = reply.send(ping_answer(shared, &request));
+        }
+        PeerMessage::FetchConfig(reply) => {
+            let _ = reply.send(encode_config(shared));
+        }
+        PeerMessage::OfferConfig(config) => take_config(shared, &config),
+        PeerMessage::ReachStore(reply) => {
+            task::spawn_local(reach_store(Rc::clone(shared), reply));
+        }
+        PeerMessage::TakeOver(request, reply) => {
+            task::spawn_local(take_over(Rc::clone(shared), request.epoch, reply));
         }
     }
 }
 
+/// Does what a caller of another box asks for, if this one owns the fleet.
 async fn answer_call<P: Platform>(
     shared: Rc<Shared<P>>,
     request: CallRequest,
@@ -129,6 +134,7 @@
     candidates.note(address, Candidate { strength, started_at, heard_at: now });
 }
 
+/// How this box stands, told to one that takes it for the owner.
 fn ping_answer<P: Platform>(shared: &Shared<P>, request: &PingRequest) -> PingAnswer {
     shared.note_told_owner(request.epoch, &request.owner_address);
     note_candidate(shared, request);
@@ -206,6 +212,7 @@
     }
 }
 
+/// What is answered when nobody takes messages any more.
 fn stopping() -> Status {
     Status::unavailable("the box is stopping")
 }
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -35,7 +35,6 @@
 /// How long an owner that gives the fleet up waits for its writer: two heartbeats. A little later
 /// other boxes take it for lost anyway.
 const LAST_WRITE_LIMIT: Duration = HEARTBEAT.saturating_mul(2);
-
 /// How long the box that follows may take to say so. Longer than it takes itself.
 const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -145,6 +144,7 @@
     }
 }
 
+/// The scheduler of an epoch, with what the owner before has left.
 fn scheduler<P: Platform>(
     shared: &Rc<Shared<P>>,
     epoch: u64,
@@ -166,7 +166,7 @@
 ) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
     let owner = claim.owner.as_ref();
     let (epoch, version) = owner.map_or((0, 0), |(row, version)| (row.epoch, *version));
-    let strongest = claim.owner.as_ref().map(|(row, _)| row.strongest).unwrap_or_default();
+    let strongest = owner.map(|(row, _)| row.strongest).unwrap_or_default();
     let row = own_row(shared, epoch + 1, strongest);
     shared.claimed_epoch.set(row.epoch);
     let head = HeadRow { epoch: row.epoch, write: 0 };
@@ -216,6 +216,7 @@
     }
 }
 
+/// Writes that, unless another owner is named there by now.
 async fn write_release<P: Platform>(
     shared: &Rc<Shared<P>>,
     row: &OwnerRow,
--- a/crates/kitetraild/src/logging/mod.rs
+++ b/crates/kitetraild/src/logging/mod.rs
@@ -15,6 +15,9 @@
 pub use bounded::LeftOut;
 pub use budget::LineBudget;
 
+/// How long a process that ends waits for its last lines. A reader that is stuck holds no stop up.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
 /// From which severity on lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -53,9 +56,6 @@
         .apply();
 }
 
-/// How long a process that ends waits for its last lines. A reader that is stuck holds no stop up.
-const FLUSH_LIMIT: Duration = Duration::from_millis(300);
-
 /// Starts a log of JSON lines on standard output that never holds the process up.
 ///
 /// A thread of its own writes. Lines past a rate, and those that find too many waiting, are left out
