--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -14,9 +14,10 @@
 };
 
 /// How much longer than it may wait a worker may take to answer a hold before it counts as silent.
+/// Chosen, not measured.
 const HOLD_SLACK: Duration = Duration::from_millis(300);
 /// How long an answer that comes late is still read: what it says has ended has ended for good, and
-/// must not run again. Longer than leases last.
+/// must not run again. Longer than leases last, 4 s.
 const LATE_REPORT: Duration = Duration::from_millis(4_500);
 
 impl<P: Platform> Owner<P> {
--- a/crates/kitetraild/src/fleet/owner/callers.rs
+++ b/crates/kitetraild/src/fleet/owner/callers.rs
@@ -14,7 +14,8 @@
 };
 
 /// An owner that the store has not answered for so long does not say that a job is unknown:
-/// another owner may have taken it.
+/// another owner may have taken it. As long as the time after which other boxes take such an owner
+/// for lost.
 const SURE_WITHIN_MS: u64 = 1_200;
 
 impl<P: Platform> Owner<P> {
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -21,7 +21,7 @@
     codec::{call_request, decode_answer},
 };
 
-/// How long a connection to a box may take to be made.
+/// How long a connection to a box may take to be made. Chosen, not measured.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Connections to other boxes, made when first needed.
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -25,7 +25,7 @@
     codec::{decode_call, encode_answer, encode_config, take_config},
 };
 
-/// How many messages from other boxes may wait.
+/// How many messages from other boxes may wait. Chosen, not measured.
 const QUEUE: usize = 1_024;
 /// How long a box that was asked to own the fleet may take before it answers. It takes some 100 ms.
 const TAKE_OVER_LIMIT: Duration = Duration::from_millis(800);
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -37,7 +37,7 @@
 const TAKE_CONNECTIONS: Duration = Duration::from_millis(2_600);
 /// How often a box that is told to stop looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
-/// How often the log says how many lines it left out, if any.
+/// How often the log says how many lines it left out, if any. Chosen: it adds a line a second at most.
 const TELL_LEFT_OUT_EVERY: Duration = Duration::from_millis(1_000);
 /// How often the answer to the platform's question is brought up to date.
 const READY_EVERY: Duration = Duration::from_millis(100);
