--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -18,7 +18,7 @@
     takeover::{self, Claim},
 };
 
-/// How often the owner is asked how it stands: twice before one that went silent counts as lost.
+/// How often the owner is asked how it stands: see `docs/design/platform.md`, "Ownership".
 const PING_EVERY: Duration = Duration::from_millis(400);
 /// How long the owner may take to answer that. A wrong doubt costs a few reads of the store.
 const PING_TIMEOUT: Duration = Duration::from_millis(250);
@@ -29,8 +29,8 @@
 const LOST_AFTER_REFUSAL: Duration = Duration::from_millis(400);
 /// How long other boxes leave the place to the one that the owner left it to: it takes some 100 ms.
 const SUCCESSOR_WAIT: Duration = Duration::from_millis(400);
-/// An owner that has not reached the store for so long is taken for lost if others reach it: four
-/// heartbeats, in milliseconds.
+/// An owner that has not reached the store for so long, in milliseconds, is taken for lost if others
+/// reach it: see `docs/design/platform.md`, "Ownership".
 const STORE_SILENT_MS: u64 = 1_200;
 /// How often the owner's last write is read while the owner is in doubt: more than once in the
 /// shortest wait, [`LOST_AFTER_REFUSAL`].
