--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -13,12 +13,12 @@
 
 use super::{
     Platform, peers,
-    rows::{self, HeadRow, OwnerRow},
+    rows::{self, OwnerRow},
     shared::{OwnerView, Shared},
     takeover::{self, Claim},
 };
 
-/// How often the owner is asked how it stands.
+/// How often the owner is asked how it stands: see `docs/design/platform.md`, "Ownership".
 const PING_EVERY: Duration = Duration::from_millis(400);
 /// How long the owner may take to answer that. A wrong doubt costs a few reads of the store.
 const PING_TIMEOUT: Duration = Duration::from_millis(250);
@@ -29,11 +29,13 @@
 const LOST_AFTER_REFUSAL: Duration = Duration::from_millis(400);
 /// How long other boxes leave the place to the one that the owner left it to: it takes some 100 ms.
 const SUCCESSOR_WAIT: Duration = Duration::from_millis(400);
-/// An owner that has not reached the store for so long is taken for lost if others reach it.
+/// An owner that has not reached the store for so long, in milliseconds, is taken for lost if others
+/// reach it: see `docs/design/platform.md`, "Ownership".
 const STORE_SILENT_MS: u64 = 1_200;
-/// How often the owner's last write is read while the owner is in doubt.
+/// How often the owner's last write is read while the owner is in doubt: more than once in the
+/// shortest wait, [`LOST_AFTER_REFUSAL`].
 const READ_EVERY: Duration = Duration::from_millis(180);
-/// How long to wait after a call to the store that failed.
+/// How long to wait after a call to the store that failed. Chosen, not measured.
 pub(super) const RETRY: Duration = Duration::from_millis(150);
 
 /// What is to be done about the owner.
@@ -74,8 +76,7 @@
     if !asked && believed_owner_is_fine(shared).await {
         return Ok(None);
     }
-    let Some((owner, version)) = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?
-    else {
+    let Some((owner, version)) = rows::read_owner(shared).await? else {
         return claim(shared, None, true).await;
     };
     let address = Some(owner.address).filter(|_| !owner.released);
@@ -116,7 +117,7 @@
         return Ok(false);
     }
     time::sleep(wait).await;
-    let found = rows::read::<_, OwnerRow>(shared, &rows::owner_row()).await?;
+    let found = rows::read_owner(shared).await?;
     Ok(found.is_some_and(|(_, found)| found != version))
 }
 
@@ -193,16 +194,14 @@
     owner: &OwnerRow,
     patience: Duration,
 ) -> Result<bool, PlatformError> {
-    let first =
-        rows::read::<_, HeadRow>(shared, &rows::head_row()).await?.map(|(_, version)| version);
+    let first = rows::read_head_version(shared).await?;
     let started = Instant::now();
     while started.elapsed() < patience {
         if shared.asked_to_follow.get() == owner.epoch {
             return Ok(false);
         }
         time::sleep(READ_EVERY).await;
-        let head = rows::read::<_, HeadRow>(shared, &rows::head_row()).await?;
-        if head.map(|(_, version)| version) != first {
+        if rows::read_head_version(shared).await? != first {
             return Ok(true);
         }
     }
@@ -218,7 +217,6 @@
     if shared.draining.get() {
         return Ok(None);
     }
-    let head = rows::read::<_, HeadRow>(shared, &rows::head_row()).await?;
-    let head_version = head.map_or(0, |(_, version)| version);
+    let head_version = rows::read_head_version(shared).await?.unwrap_or(0);
     Ok(Some(Claim { owner, head_version, predecessor_stopped }))
 }
