Deny a job only while the fleet is owned for certain

Ruled out: forgetting (the job was seconds old), the read of rows (it was not asked). Change: an owner says that a job is unknown only within 0.4 s of the sending of a write of its own that was done; else the box reads the store. What an ownership left of its writes is cleared with it; a writer that is late at the end is stopped; progress of an open job without its steps is no end, and is said.

--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -84,9 +84,11 @@
                 Ok(None) => return,
                 Err(_) => (None, Vec::new()),
             };
-            self.shared.writes_since.set(Some(self.shared.clock.now()));
+            let began_at = self.shared.clock.now();
+            self.shared.writes_since.set(Some(began_at));
             let written = self.write(&records).await;
             self.shared.writes_since.set(None);
+            self.shared.owned_at.set(written.then_some(began_at));
             if !written {
                 let _ = self.owner.send(OwnerMessage::Deposed("another owner wrote")).await;
                 return;
--- a/crates/kitetraild/src/fleet/owner/callers.rs
+++ b/crates/kitetraild/src/fleet/owner/callers.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use std::time::Duration;
+
 use kitetrail_core::jobs::{Event, JobId, RequestNo};
 use tokio::sync::oneshot;
 
@@ -13,10 +15,10 @@
     Owner,
 };
 
-/// An owner that the store has not answered for so long does not say that a job is unknown:
-/// another owner may have taken it. As long as the time after which other boxes take such an owner
-/// for lost.
-const SURE_WITHIN_MS: u64 = 1_200;
+/// An owner that did not write for so long does not say that a job is unknown: another owner may have
+/// taken the fleet over meanwhile, which takes 0.4 s at least after the last write, and taken the job.
+/// Usually the last write is some 300 ms old at most.
+const SURE_WITHIN: Duration = Duration::from_millis(400);
 
 impl<P: Platform> Owner<P> {
     /// Takes a caller's request.
@@ -49,9 +51,9 @@
 
     /// What is said of a job that this owner does not know.
     pub(super) fn unknown(&self) -> Answer {
-        match self.shared.store_silent_ms() {
-            silent_ms if silent_ms <= SURE_WITHIN_MS => Answer::UnknownJob,
-            _ => Answer::InDoubt,
+        match self.shared.owned_ago() {
+            Some(owned_ago) if owned_ago <= SURE_WITHIN => Answer::UnknownJob,
+            Some(_) | None => Answer::InDoubt,
         }
     }
 
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -68,6 +68,8 @@
     /// The epoch of an owner that has stopped and asked this box to follow it; 0: none.
     pub(super) asked_to_follow: Cell<u64>,
     pub(super) follow_asked: Notify,
+    /// This box owned the fleet at this moment for certain: a write of its own was done after it.
+    pub(super) owned_at: Cell<Option<Time>>,
     /// Since when a write of the owner waits for the store.
     pub(super) writes_since: Cell<Option<Time>>,
     /// When the store answered last.
@@ -106,6 +108,7 @@
             candidates: RefCell::default(),
             asked_to_follow: Cell::new(0),
             follow_asked: Notify::new(),
+            owned_at: Cell::new(None),
             writes_since: Cell::new(None),
             store_heard_at: Cell::new(clock.now()),
             store_lost: Cell::new(false),
@@ -206,6 +209,11 @@
         }
     }
 
+    /// How long ago this box owned the fleet for certain.
+    pub(super) fn owned_ago(&self) -> Option<Duration> {
+        self.owned_at.get().map(|at| self.clock.now().since(at))
+    }
+
     /// How long a write of the owner has waited for the store, in milliseconds.
     pub(super) fn write_waits_ms(&self) -> u64 {
         let now = self.clock.now();
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -7,7 +7,7 @@
 };
 
 use kitetrail_core::{
-    jobs::{EffectsRecord, Inheritance, ProgressRecord, Scheduler, SchedulerSettings},
+    jobs::{EffectsRecord, Inheritance, Outcome, ProgressRecord, Scheduler, SchedulerSettings},
     succession::BoxStrength,
 };
 use kitetrail_platform::{
@@ -100,7 +100,7 @@
     let (sender, inbox) = mpsc::channel(INBOX);
     let (batches, to_write) = mpsc::channel(BATCHES);
     let committer = Committer::new(Rc::clone(shared), row.epoch, head_version, sender.clone());
-    let committer = task::spawn_local(committer.run(to_write));
+    let mut committer = task::spawn_local(committer.run(to_write));
     let watcher = task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
     *shared.local_owner.borrow_mut() = Some(sender.clone());
     shared.offer_owner(OwnerView { epoch: row.epoch, address: Some(row.address) }, "self");
@@ -109,7 +109,8 @@
     match ended {
         Ended::Released => {
             // The batches' channel is closed: the writer ends after what it has in hand.
-            let _ = time::timeout(LAST_WRITE_LIMIT, committer).await;
+            let _ = time::timeout(LAST_WRITE_LIMIT, &mut committer).await;
+            committer.abort();
             let successor = successor(shared);
             release(shared, row, successor).await;
             if let Some(successor) = successor {
@@ -122,6 +123,8 @@
         }
         Ended::Deposed => committer.abort(),
     }
+    shared.writes_since.set(None);
+    shared.owned_at.set(None);
     ended
 }
 
@@ -169,6 +172,7 @@
     let strongest = owner.map(|(row, _)| row.strongest).unwrap_or_default();
     let row = own_row(shared, epoch + 1, strongest);
     shared.claimed_epoch.set(row.epoch);
+    shared.asked_to_follow.set(0);
     let head = HeadRow { epoch: row.epoch, write: 0 };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row(), version), (rows::head_row(), claim.head_version)],
@@ -178,10 +182,14 @@
         ],
         removes: Vec::new(),
     };
+    let began_at = shared.clock.now();
     let answer = shared.services.store.transact(&transaction).await;
     shared.note_store(&answer);
     match answer? {
-        TransactionAnswer::Done { version } => Ok(Some((row, version))),
+        TransactionAnswer::Done { version } => {
+            shared.owned_at.set(Some(began_at));
+            Ok(Some((row, version)))
+        }
         TransactionAnswer::Conflict { rows } => {
             // An earlier try, whose answer was lost, may have done it.
             let ours = rows.iter().find(|it| rows::decode(it).ok().as_ref() == Some(&row));
@@ -250,6 +258,9 @@
         inheritance.jobs.push((job, progress.remove(&key)));
     }
     inheritance.ended = progress.into_values().collect();
+    for lost in inheritance.ended.iter().filter(|it| it.outcome == Outcome::Open) {
+        log::error!(job = lost.id.to_string(); "owner: what an open job asked for can't be read");
+    }
     Ok(inheritance)
 }
 
