--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -32,9 +32,10 @@
 pub enum Record {
     /// An accepted job. Written once.
     Job(JobRecord),
-    /// How far a job is. Written at each change that must be kept. Once it ended, what was asked for
-    /// goes: nobody needs it any more.
+    /// How far a job is. Written at each change that must be kept.
     Progress(ProgressRecord),
+    /// What was asked for goes: the job ended, and nobody needs it any more.
+    DropJob(JobId),
     /// A job that ended and whose time of being remembered is over: its progress goes.
     Forget(JobId),
     /// A worker's life that tasks may be started on. Written before the first of them.
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -115,10 +115,12 @@
         // Of one that ended meanwhile the progress alone is kept.
         let new_jobs = taken.new_jobs.iter().filter_map(job).filter(|job| job.is_open());
         let progress = taken.progress.iter().filter_map(job);
+        let dropped = progress.clone().filter(|job| job.kept && !job.is_open()).map(|job| job.id);
         let mut records = Vec::new();
         records.extend(new_jobs.map(Job::record).map(Record::Job));
         records.extend(taken.lives.iter().filter_map(used));
         records.extend(progress.map(Job::progress).map(Record::Progress));
+        records.extend(dropped.map(Record::DropJob));
         records.extend(taken.lives_over.iter().cloned().map(Record::LifeOver));
         records.extend(taken.forgotten.iter().copied().map(Record::Forget));
         records
--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -25,8 +25,9 @@
 const HOLD_PAUSE_ENDED: Duration = Duration::from_millis(600);
 /// The same after a hold that brought nothing, for each one in a row.
 const HOLD_RETRY: Duration = Duration::from_millis(150);
-/// How many holds an owner sends a second at most, so that a large fleet leaves it time for the rest:
-/// each takes some 60 µs. A worker is then asked less often than the waits above allow.
+/// How many holds a second an owner aims at, to workers that run something and answer in their usual
+/// time, so that a large fleet leaves it time for the rest: each takes some 60 µs. Retries and holds
+/// after a start come on top.
 const HOLDS_PER_S: f64 = 2_000.0;
 /// What a hold and the pause after it take without that: the shortest wait and [`HOLD_PAUSE`].
 const USUAL_ROUND: Duration = Duration::from_millis(620);
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         job::Job,
-        record::{EffectsRecord, JobRecord, LifeRecord, ProgressRecord},
+        record::{EffectsRecord, JobRecord, LifeRecord, Outcome, ProgressRecord},
         worker_entry::WorkerEntry,
     },
     Scheduler,
@@ -19,9 +19,10 @@
 /// What an owner takes over from the one before.
 #[derive(Debug, Default)]
 pub struct Inheritance {
-    /// The open jobs, each with its progress if any was kept.
+    /// The jobs of which it is kept what was asked for, each with its progress if any was kept.
     pub jobs: Vec<(JobRecord, Option<ProgressRecord>)>,
-    /// The jobs that ended.
+    /// The progress of all other jobs. Those that ended are remembered; one that is open and whose
+    /// steps can't be read is left out.
     pub ended: Vec<ProgressRecord>,
     /// Workers' lives on which tasks may run.
     pub lives: Vec<LifeRecord>,
@@ -38,10 +39,15 @@
             .saturating_mul(RUNS_PER_EPOCH);
         self.tails.import(&inheritance.effects);
         for (record, progress) in inheritance.jobs {
+            if let Some(ended) = progress.as_ref().filter(|it| it.outcome != Outcome::Open) {
+                self.insert_ended(ended.id, ended.outcome, ended.ended_unix_ms);
+                continue;
+            }
             let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
             self.insert_job(job);
         }
-        for ProgressRecord { id, outcome, ended_unix_ms, .. } in inheritance.ended {
+        let ended = inheritance.ended.into_iter().filter(|it| it.outcome != Outcome::Open);
+        for ProgressRecord { id, outcome, ended_unix_ms, .. } in ended {
             self.insert_ended(id, outcome, ended_unix_ms);
         }
         self.may_be_renewed_for = match inheritance.predecessor_stopped {
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -14,7 +14,7 @@
 use crate::Time;
 
 /// The most records of a batch: the store takes 100 entries a transaction and the owner's own
-/// rows need a few of them. A job that is forgotten takes two.
+/// rows need a few of them. A job that ended takes two, and one that is new may.
 const MAX_RECORDS: usize = 45;
 /// The most bytes of new jobs in a batch. The store takes 1 MB a transaction, in which each byte
 /// becomes 1.4; half of the rest is left to other records.
@@ -74,7 +74,10 @@
         let mut room = MAX_RECORDS;
         let new_jobs = self.take_new_jobs(&mut room, kept_bytes);
         let lives = take_some(&mut self.new_lives, &mut room);
-        let progress = take_some(&mut self.progress, &mut room);
+        // What is known of a new job goes with it: its caller is told that it is kept.
+        let with_new = new_jobs.iter().copied().filter(|id| self.progress.remove(id));
+        let mut progress = with_new.collect::<Vec<_>>();
+        progress.extend(take_some(&mut self.progress, &mut room));
         let lives_over = take_some(&mut self.lives_over, &mut room);
         let forgotten = take_some(&mut self.forgotten, &mut room);
         let complete = self.is_empty();
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -84,7 +84,8 @@
     /// All workers that a task suits, best first.
     fn rank(&mut self, name: TaskName, spec: &StepSpec) -> Ranking {
         self.refresh_rooms();
-        let fit = self.fit(name, spec, &[]);
+        // What one task should avoid, its siblings need not.
+        let fit = self.fit(name, spec, &[]).map(|fit| Fit { avoid: None, ..fit });
         Ranking::new(fit.iter().flat_map(|fit| self.scored(fit)))
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/ranking.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ranking.rs
@@ -52,19 +52,26 @@
     /// The best worker, which leaves the ranking.
     ///
     /// `rescore` scores a worker for the task at hand: one that suits it less than it did takes its new
-    /// place, one that does not suit it at all is left out.
+    /// place, one that does not suit it at all is passed over.
     pub(super) fn take_best(
         &mut self,
         mut rescore: impl FnMut(LifeNo) -> Option<f64>,
     ) -> Option<LifeNo> {
+        let mut passed_over = Vec::new();
+        let mut best_life = None;
         while let Some(Reverse(best)) = self.heap.pop() {
             match rescore(best.life) {
-                Some(score) if score <= best.score => return Some(best.life),
+                Some(score) if score.total_cmp(&best.score).is_le() => {
+                    best_life = Some(best.life);
+                    break;
+                }
                 Some(score) => self.heap.push(Reverse(Ranked { score, ..best })),
-                None => {}
+                None => passed_over.push(Reverse(best)),
             }
         }
-        None
+        // It may suit the next task: one of this task's runs may be there still.
+        self.heap.extend(passed_over);
+        best_life
     }
 
     /// Takes a worker in again after something was placed there.
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -12,9 +12,8 @@
     Resources, Time,
     jobs::{
         Action, Discovery, EffectsRecord, Event, Hold, Inheritance, JobId, JobRecord, JobSpec,
-        JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, Outcome, ProgressRecord,
-        QueueTerms, Record, RequestNo, Scheduler, SchedulerSettings, StepSpec, SubmitAnswer,
-        TaskName,
+        JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord, QueueTerms, Record,
+        RequestNo, Scheduler, SchedulerSettings, StepSpec, SubmitAnswer, TaskName,
     },
 };
 
@@ -58,6 +57,8 @@
     batches: VecDeque<(Time, u64, Vec<Record>)>,
     next_request: u64,
     specs: BTreeMap<JobId, JobSpec>,
+    /// Which job a request handed in.
+    handed_in: BTreeMap<RequestNo, JobId>,
 }
 
 /// A queue with usual terms.
@@ -114,6 +115,7 @@
             batches: VecDeque::new(),
             next_request: 0,
             specs: BTreeMap::new(),
+            handed_in: BTreeMap::new(),
         };
         world.list_all();
         world.run_ms(200);
@@ -150,6 +152,7 @@
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> RequestNo {
         let request = self.request();
         self.specs.insert(JobId(id), spec.clone());
+        self.handed_in.insert(request, JobId(id));
         let (job, queue) = (JobId(id), queue());
         self.tell(Event::Submit { request, job, queue, spec: Box::new(spec) });
         request
@@ -253,7 +256,19 @@
             }
             Action::Note(note) => self.notes.push((self.now, note)),
             Action::Deposed => self.deposed = true,
-            answer => self.answers.push((self.now, answer)),
+            answer => {
+                self.check_kept(&answer);
+                self.answers.push((self.now, answer));
+            }
+        }
+    }
+
+    /// Panics if a job is said to be accepted of which nothing is kept.
+    fn check_kept(&self, answer: &Action) {
+        if let Action::AnswerSubmit(request, SubmitAnswer::Accepted) = answer {
+            let id = self.handed_in[request];
+            let kept = self.jobs.contains_key(&id) || self.progress.contains_key(&id);
+            assert!(kept, "{id} is accepted, and nothing of it is kept");
         }
     }
 
@@ -346,11 +361,9 @@
     fn keep(&mut self, record: Record) {
         match record {
             Record::Job(job) => drop(self.jobs.insert(job.id, job)),
-            Record::Progress(progress) => {
-                if progress.outcome != Outcome::Open {
-                    self.jobs.remove(&progress.id);
-                }
-                self.progress.insert(progress.id, progress);
+            Record::Progress(progress) => drop(self.progress.insert(progress.id, progress)),
+            Record::DropJob(id) => {
+                assert!(self.jobs.remove(&id).is_some(), "only a row that is there is dropped");
             }
             Record::LifeUsed(life) => drop(self.lives.insert(life.id.to_string(), life)),
             Record::LifeOver(id) => drop(self.lives.remove(id.as_str())),
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -470,3 +470,35 @@
     assert_eq!(world.starts.len(), 1, "it was done, and an answer said so");
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
+
+#[test]
+fn a_job_cancelled_before_it_was_kept_is_accepted_only_with_its_end() {
+    let mut world = World::new(1);
+    world.store_down = true;
+    world.submit(100, job(vec![step(1)]));
+    world.run_ms(30);
+    // More than one batch holds, the last of them cancelled at once.
+    for id in 1..=45 {
+        world.submit(id, job(vec![step(1)]));
+        world.cancel(id);
+    }
+    world.store_down = false;
+    // The world itself panics if one is accepted of which nothing is kept.
+    world.run_until("the last is cancelled", |world| world.state(45) == Some(JobState::Cancelled));
+    assert_eq!(world.progress.len(), 45);
+}
+
+#[test]
+fn progress_of_a_job_whose_steps_cannot_be_read_is_no_end() {
+    let mut world = World::new(2);
+    let steps = job(vec![step(2), StepSpec { depends_on: vec![0], ..step(1) }]);
+    world.submit(1, steps.clone());
+    world.run_until("the first step is done", |world| world.starts.len() == 3);
+    world.run_ms(300);
+    world.jobs.clear();
+    world.take_over(2, true);
+    assert_eq!(world.state(1), None, "neither running nor ended, as far as can be told");
+    let again = world.submit(1, steps);
+    world.run_ms(100);
+    assert!(world.answered(again).is_some() && world.jobs.contains_key(&JobId(1)), "kept anew");
+}
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -6,7 +6,7 @@
 };
 
 use kitetrail_core::jobs::{JobId, JobSpec, JobState, Outcome, ProgressRecord, QueueTerms};
-use kitetrail_platform::fleet::RowStore;
+use kitetrail_platform::fleet::{RowName, RowStore, StoredRow};
 use tokio::{
     sync::{mpsc, oneshot},
     time,
@@ -132,18 +132,33 @@
 /// What the store says of a job, while no owner answers.
 async fn read_state<P: Platform>(shared: &Rc<Shared<P>>, job: JobId) -> Option<Answer> {
     let name = job.to_string();
-    let progress = shared.services.store.read(&rows::progress_row(&name)).await;
-    shared.note_store(&progress);
-    let progress = progress.ok()?;
-    let Some(row) = progress else {
-        let kept = shared.services.store.read(&rows::job_row(&name)).await;
-        shared.note_store(&kept);
-        return match kept.ok()? {
-            Some(_) => Some(Answer::State(JobState::Queued)),
-            None => Some(Answer::UnknownJob),
-        };
-    };
-    let progress = rows::decode::<ProgressRecord>(&row);
+    let progress = read_row(shared, &rows::progress_row(&name)).await?;
+    if let Some(progress) = progress {
+        return state_of(&progress);
+    }
+    if read_row(shared, &rows::job_row(&name)).await?.is_some() {
+        return Some(Answer::State(JobState::Queued));
+    }
+    // It may have ended between the two: then its progress came as the other row went.
+    match read_row(shared, &rows::progress_row(&name)).await? {
+        Some(progress) => state_of(&progress),
+        None => Some(Answer::UnknownJob),
+    }
+}
+
+/// A row, `None` in it if it is absent; `None` if the store does not tell.
+async fn read_row<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    name: &RowName,
+) -> Option<Option<StoredRow>> {
+    let row = shared.services.store.read(name).await;
+    shared.note_store(&row);
+    row.ok()
+}
+
+/// What the row that holds a job's progress says of it.
+fn state_of(row: &StoredRow) -> Option<Answer> {
+    let progress = rows::decode::<ProgressRecord>(row);
     let progress = progress.inspect_err(|error| log::error!("store: a row can't be read: {error}"));
     Some(Answer::State(match progress.ok()?.outcome {
         Outcome::Open => JobState::Running,
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -77,6 +77,8 @@
     waiting: HashMap<RequestNo, oneshot::Sender<Answer>>,
     /// A batch is on its way to the store.
     unkept: bool,
+    /// Another owner took the fleet over.
+    deposed: bool,
     /// It was told to give the fleet up.
     releasing: bool,
     doubt: StoreDoubt,
@@ -105,6 +107,7 @@
             next_request: 0,
             waiting: HashMap::new(),
             unkept: false,
+            deposed: false,
             releasing: false,
             doubt: StoreDoubt::default(),
             ticked_at,
@@ -133,6 +136,9 @@
             if let ControlFlow::Break(ended) = taken {
                 return ended;
             }
+            if self.deposed {
+                return Ended::Deposed;
+            }
             if self.releasing && !self.unkept {
                 return Ended::Released;
             }
@@ -230,7 +236,8 @@
     /// Feeds the scheduler and does what it asks for. `false`: deposed.
     fn handle(&mut self, event: Event) -> bool {
         let actions = self.scheduler.handle(event, self.shared.clock.now(), unix_ms());
-        actions.into_iter().all(|action| self.act(action))
+        self.deposed |= !actions.into_iter().all(|action| self.act(action));
+        !self.deposed
     }
 
     fn configure(&mut self) {
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use kitetrail_core::{
-    jobs::{JobRecord, LifeRecord, Outcome, ProgressRecord, Record},
+    jobs::{JobRecord, LifeRecord, ProgressRecord, Record},
     succession::BoxStrength,
 };
 use kitetrail_platform::{
@@ -81,12 +81,13 @@
 ) -> Result<(), serde_json::Error> {
     match record {
         Record::Job(JobRecord { id, .. }) => put(transaction, job_row(&id.to_string()), record),
-        Record::Progress(ProgressRecord { id, outcome, .. }) => {
-            if *outcome != Outcome::Open {
-                transaction.removes.push(job_row(&id.to_string()));
-            }
+        Record::Progress(ProgressRecord { id, .. }) => {
             put(transaction, progress_row(&id.to_string()), record)
         }
+        Record::DropJob(id) => {
+            transaction.removes.push(job_row(&id.to_string()));
+            Ok(())
+        }
         Record::LifeUsed(LifeRecord { id, .. }) => {
             put(transaction, row(LIVES, id.as_str()), record)
         }
@@ -165,7 +166,7 @@
         Record::Progress(progress) => serde_json::to_vec(progress)?,
         Record::LifeUsed(life) => serde_json::to_vec(life)?,
         Record::Effects(effects) => serde_json::to_vec(effects)?,
-        Record::LifeOver(_) | Record::Forget(_) => return Ok(()),
+        Record::DropJob(_) | Record::LifeOver(_) | Record::Forget(_) => return Ok(()),
     };
     transaction.puts.push((name, value));
     Ok(())
--- a/crates/kitetraild/src/logging/bounded.rs
+++ b/crates/kitetraild/src/logging/bounded.rs
@@ -69,7 +69,13 @@
         }
         drop(budget);
         self.sent.fetch_add(1, Ordering::Relaxed);
-        self.waiting.append(record, diagnostics)
+        let appended = self.waiting.append(record, diagnostics);
+        if appended.is_err() {
+            // It waits for nobody.
+            self.sent.fetch_sub(1, Ordering::Relaxed);
+            self.left_out.0.fetch_add(1, Ordering::Relaxed);
+        }
+        appended
     }
 
     fn flush(&self) -> Result<(), Error> {
