Tell a worker that leaves no start that waited; look for room elsewhere four times a second

The owner was late because each tick scored every worker for each task on 26 leaving workers. Ruled out: the list of workers (followed all the time), a takeover (the last was 18 s before). Change: a start that waits is taken back when its worker drains; evacuation looks every 250 ms. Test: jobs::what_waits_to_be_told_to_a_worker_is_not_told_once_it_leaves, red without the check.

--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -72,6 +72,8 @@
     pub(super) order_sent: bool,
     pub(super) hold_sent: bool,
     pub(super) next_hold_at: Option<Time>,
+    /// When it was last looked for room for what would be lost as the worker leaves.
+    pub(super) evacuated_at: Option<Time>,
     /// Holds in a row that brought nothing.
     pub(super) silent: u32,
     /// The number of the last end that was heard of.
@@ -107,6 +109,7 @@
             order_sent: false,
             hold_sent: false,
             next_hold_at: Some(now),
+            evacuated_at: None,
             silent: 0,
             ends_seen: 0,
             ends_kept: 0,
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -70,6 +70,13 @@
         }
         let Some(clock_ms) = life.clock_ms(now) else { return };
         let Some(order) = life.orders.pop_front() else { return };
+        if let Order::Start(start) = &order
+            && life.entry.draining
+        {
+            // It was placed before the worker said that it leaves.
+            self.drop_run(no, start.task, start.run);
+            return self.send_next_order(no);
+        }
         if matches!(order, Order::Start(_)) {
             life.note_leased(lapse_after, now);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -17,6 +17,9 @@
 /// What is done so far is not moved off a worker that is about to leave, in percent: it has two
 /// seconds at least.
 const STAYS_ABOVE_PERCENT: u32 = 70;
+/// How often room is looked for elsewhere for what runs on a worker that is about to leave. It has two
+/// seconds at least, and each look scores every worker.
+const EVACUATE_EVERY: Duration = Duration::from_millis(250);
 
 impl Scheduler {
     /// Takes note of changes in the list of workers.
@@ -62,7 +65,12 @@
 
     /// Moves what would be lost with a worker that is about to leave, where there is room for it.
     fn evacuate(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get(&no).filter(|life| life.entry.draining) else { return };
+        let now = self.now;
+        let Some(life) = self.lives.get_mut(&no).filter(|life| life.entry.draining) else { return };
+        if life.evacuated_at.is_some_and(|at| now.since(at) < EVACUATE_EVERY) {
+            return;
+        }
+        life.evacuated_at = Some(now);
         let leaves = |run: &RunThere| {
             let saved = run.keeps_progress && run.percent < STAYS_ABOVE_PERCENT;
             !run.stopping && run.is_running() && (run.lasts || saved)
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -502,3 +502,19 @@
     world.run_ms(100);
     assert!(world.answered(again).is_some() && world.jobs.contains_key(&JobId(1)), "kept anew");
 }
+
+#[test]
+fn what_waits_to_be_told_to_a_worker_is_not_told_once_it_leaves() {
+    let mut world = World::new(1);
+    world.run_ms(200);
+    world.set_moods(Mood::Cut);
+    world.submit(1, job(vec![step(3)]));
+    world.run_ms(100);
+    let worker = world.worker("w0");
+    worker.entry.draining = true;
+    let entry = Box::new(worker.entry.clone());
+    world.tell(Event::Discovered(vec![Discovery::Listed(entry)]));
+    world.set_moods(Mood::Well);
+    world.run_ms(3_000);
+    assert!(world.starts.is_empty(), "{:?}", world.starts);
+}
