--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -11,9 +11,10 @@
 use kitetrail_core::{
     Resources, Time,
     jobs::{
-        Action, Discovery, EffectsRecord, Event, Hold, Inheritance, JobId, JobRecord, JobSpec,
-        JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord, QueueTerms, Record,
-        RequestNo, Scheduler, SchedulerSettings, StepSpec, SubmitAnswer, TaskName,
+        Action, Discovery, EffectsRecord, Event, Hold, HoldFailure, Inheritance, JobId, JobRecord,
+        JobSpec, JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord,
+        QueueTerms, Record, RequestNo, Scheduler, SchedulerSettings, StepSpec, SubmitAnswer,
+        TaskName, WorkerEntry,
     },
 };
 
@@ -45,6 +46,10 @@
     pub progress: BTreeMap<JobId, ProgressRecord>,
     pub lives: BTreeMap<String, LifeRecord>,
     pub effects: EffectsRecord,
+    /// Workers' lives that crashed and whose machines live anew: there another life answers.
+    over: BTreeSet<String>,
+    /// Holds that reached such a machine.
+    held_by_another: Vec<(LifeNo, Hold, Time)>,
     /// The store answers nothing.
     pub store_down: bool,
     /// Work of a task, in milliseconds, if it is not its estimate.
@@ -107,6 +112,8 @@
             progress: BTreeMap::new(),
             lives: BTreeMap::new(),
             effects: EffectsRecord::default(),
+            over: BTreeSet::new(),
+            held_by_another: Vec::new(),
             store_down: false,
             work_ms: None,
             lasting_ms: 600_000,
@@ -148,6 +155,21 @@
         self.list_all();
     }
 
+    /// A worker crashes and lives anew on its machine under another id. Returns the entry of the life
+    /// that is over.
+    pub fn reborn(&mut self, id: &str, new_id: &str) -> WorkerEntry {
+        let worker = self.workers.remove(id).expect("the fleet has this worker");
+        let entry = WorkerEntry { id: new_id.into(), ..worker.entry.clone() };
+        self.workers.insert(new_id.to_owned(), FakeWorker::with_entry(entry));
+        self.over.insert(id.to_owned());
+        worker.entry
+    }
+
+    /// Tells the scheduler that a worker's entry is in the list, or changed there.
+    pub fn list(&mut self, entry: WorkerEntry) {
+        self.tell(Event::Discovered(vec![Discovery::Listed(Box::new(entry))]));
+    }
+
     /// Hands a job in.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> RequestNo {
         let request = self.request();
@@ -275,6 +297,9 @@
     fn order(&mut self, id: &str, token: u64, lease_until_ms: u64, order: &Order) -> OrderAnswer {
         let now = self.now;
         let work = self.work(order.run().0);
+        if self.over.contains(id) {
+            return OrderAnswer::LifeOver;
+        }
         let worker = self.workers.get_mut(id).expect("orders go to workers of the fleet");
         match (worker.mood, order) {
             (Mood::Cut, _) => OrderAnswer::Unanswered,
@@ -306,6 +331,9 @@
 
     fn hold(&mut self, life: LifeNo, id: &str, hold: Hold) {
         let now = self.now;
+        if self.over.contains(id) {
+            self.held_by_another.push((life, hold, now));
+        }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.held = Some((life, hold, now));
         }
@@ -314,6 +342,9 @@
     fn step_workers(&mut self) {
         let (now, tail_ms) = (self.now, self.tail_ms);
         let mut answers = Vec::new();
+        for (life, hold, sent_at) in self.held_by_another.drain(..) {
+            answers.push(Event::Held { life, hold, sent_at, answer: Err(HoldFailure::LifeOver) });
+        }
         for (id, worker) in &mut self.workers {
             worker.work(now);
             for start in worker.take_late(now) {
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -115,6 +115,11 @@
             capacity: Resources::new(4_000, 8_192, 0),
             labels: vec!["plain".to_owned(), format!("r{}", no / 4)],
         };
+        Self::with_entry(entry)
+    }
+
+    /// The worker of an entry, well and idle.
+    pub fn with_entry(entry: WorkerEntry) -> Self {
         Self {
             entry,
             mood: Mood::Well,
