Take an answer, not an entry in the list, for the proof that another life is over

Cause: a new entry at a known address or machine ended the life that was there. A crashed life's write may reach the list after its successor's, so the life that works was ended: its tasks started elsewhere (TWICE), and since its entry did not change again it was never believed in any more: ten workers less, and tasks that last waited 22 s beside room (LOST). Ruled out: an answer 421 for a life that lives (all were of crashed ones); leases (the second runs began 0.1 s after the first). Change: listing ends nothing. A life that answers its first hold ends the others at its place that were known before the hold was sent and not heard since; a call meant for an earlier life is answered by another one, as before.

--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -54,6 +54,8 @@
     pub(super) listed: bool,
     /// The store holds that tasks may be started here.
     pub(super) recorded: bool,
+    /// Since when this scheduler has known of it: it had begun by then.
+    known_since: Time,
     /// Its first report in this scheduler has come.
     pub(super) known: bool,
     /// When it answered last.
@@ -98,6 +100,7 @@
             entry: Arc::new(entry),
             listed: true,
             recorded: false,
+            known_since: now,
             known: false,
             heard_at: None,
             clock_ahead_ms: None,
@@ -126,6 +129,18 @@
         &self.entry.id
     }
 
+    /// Whether another life answers, or seems to, where this one does: only one of them lives.
+    pub(super) fn shares_place(&self, other: &WorkerEntry) -> bool {
+        let same_machine = other.machine.is_some() && self.entry.machine == other.machine;
+        self.id() != &other.id && (self.entry.address == other.address || same_machine)
+    }
+
+    /// Whether it had begun before a moment and was not heard since: a life that answers a question
+    /// sent at that moment from the same place came after it.
+    pub(super) fn was_last_seen_before(&self, moment: Time) -> bool {
+        self.known_since < moment && self.heard_at.is_none_or(|heard_at| heard_at < moment)
+    }
+
     /// Whether new work may go there.
     pub(super) fn takes_work(&self, now: Time) -> bool {
         let set_aside = self.set_aside_until.is_some_and(|until| now < until);
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -69,6 +69,9 @@
         life.note_heard(report.clock_ms, now);
         life.note_running(report);
         self.unheard.remove(&no);
+        if first {
+            self.end_earlier_lives(no, sent_at);
+        }
         for end in &report.ended {
             self.run_ended(no, end);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -33,6 +33,18 @@
         self.replan = true;
     }
 
+    /// A life answered a hold sent at a moment: lives at its place from before that are over.
+    pub(super) fn end_earlier_lives(&mut self, no: LifeNo, sent_at: Time) {
+        let Some(life) = self.lives.get(&no) else { return };
+        let entry = Arc::clone(&life.entry);
+        let earlier = self.lives.iter().filter(|(_, other)| {
+            other.shares_place(&entry) && other.was_last_seen_before(sent_at)
+        });
+        for no in earlier.map(|(&no, _)| no).collect::<Vec<_>>() {
+            self.end_life(no, "over: a later life answers on its machine");
+        }
+    }
+
     /// Everything that ran in this life is over for good.
     pub(super) fn end_life(&mut self, no: LifeNo, why: &'static str) {
         self.note_belief(no, why);
@@ -113,16 +125,11 @@
         }
     }
 
-    /// A life that is new stands in the list: others at its place are over.
+    /// A life that is new stands in the list.
+    ///
+    /// That proves nothing of other lives at its place: entries of a life that is over may come after
+    /// those of the one that followed it. Which of them lives, answers to holds tell.
     fn listed_new(&mut self, entry: WorkerEntry) {
-        let same_place = |there: &WorkerEntry| {
-            there.address == entry.address
-                || (entry.machine.is_some() && there.machine == entry.machine)
-        };
-        let before = self.lives.iter().filter(|(_, life)| same_place(&life.entry));
-        for no in before.map(|(&no, _)| no).collect::<Vec<_>>() {
-            self.end_life(no, "over: its machine lives anew");
-        }
         // A worker that is new to the list has been leased by nobody else, or its record says so.
         let no = self.insert_life(entry, self.now);
         self.pending.add_life(no);
