--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -103,7 +103,7 @@
     /// It is cancelled, or had ended.
     Done,
     /// There is no such job.
-    Unknown,
+    Unknown(JobId),
 }
 
 /// What a caller is told of a job.
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -52,7 +52,7 @@
             None if self.ended_jobs.contains_key(&id) => {
                 self.out.push(Action::AnswerCancel(request, CancelAnswer::Done));
             }
-            None => self.out.push(Action::AnswerCancel(request, CancelAnswer::Unknown)),
+            None => self.out.push(Action::AnswerCancel(request, CancelAnswer::Unknown(id))),
             Some(job) => {
                 job.cancel_waiters.push(request);
                 if job.is_open() {
@@ -106,7 +106,7 @@
             self.open.remove(&(job.queue.priority, job.due_at, id));
             let refuse = |request| Action::AnswerSubmit(request, SubmitAnswer::Refused);
             self.out.extend(job.submit_waiters.into_iter().map(refuse));
-            let cancelled = |request| Action::AnswerCancel(request, CancelAnswer::Unknown);
+            let cancelled = |request| Action::AnswerCancel(request, CancelAnswer::Unknown(id));
             self.out.extend(job.cancel_waiters.into_iter().map(cancelled));
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -37,9 +37,10 @@
     pub(super) fn end_earlier_lives(&mut self, no: LifeNo, sent_at: Time) {
         let Some(life) = self.lives.get(&no) else { return };
         let entry = Arc::clone(&life.entry);
-        let earlier = self.lives.iter().filter(|(_, other)| {
-            other.shares_place(&entry) && other.was_last_seen_before(sent_at)
-        });
+        let earlier = self
+            .lives
+            .iter()
+            .filter(|(_, other)| other.shares_place(&entry) && other.was_last_seen_before(sent_at));
         for no in earlier.map(|(&no, _)| no).collect::<Vec<_>>() {
             self.end_life(no, "over: a later life answers on its machine");
         }
--- a/crates/kitetrail-core/tests/jobs_incarnations.rs
+++ b/crates/kitetrail-core/tests/jobs_incarnations.rs
@@ -52,7 +52,10 @@
     let at = world.now;
     world.list_all();
     world.run_until("it is started anew", |world| world.starts.len() == 2);
-    assert!(world.now.since(at).as_millis() < 1_500, "it waited for the lease of a life that is over");
+    assert!(
+        world.now.since(at).as_millis() < 1_500,
+        "it waited for the lease of a life that is over"
+    );
 }
 
 #[test]
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -142,7 +142,10 @@
     // It may have ended between the two: then its progress came as the other row went.
     match read_row(shared, &rows::progress_row(&name)).await? {
         Some(progress) => state_of(&progress),
-        None => Some(Answer::UnknownJob),
+        None => {
+            log::info!(job = name, epoch = shared.owner().epoch; "job: unknown to the store");
+            Some(Answer::UnknownJob)
+        }
     }
 }
 
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -45,8 +45,8 @@
             Action::AnswerCancel(request, CancelAnswer::Done) => {
                 self.reply(request, Answer::Cancelled);
             }
-            Action::AnswerCancel(request, CancelAnswer::Unknown) => {
-                self.reply(request, self.unknown());
+            Action::AnswerCancel(request, CancelAnswer::Unknown(job)) => {
+                self.reply(request, self.unknown(job));
             }
             Action::Note(note) => notes::write(&note),
             Action::Deposed => {
--- a/crates/kitetraild/src/fleet/owner/callers.rs
+++ b/crates/kitetraild/src/fleet/owner/callers.rs
@@ -45,15 +45,25 @@
     fn state(&self, job: JobId) -> Answer {
         match self.scheduler.state(job) {
             Some(state) => Answer::State(state),
-            None => self.unknown(),
+            None => self.unknown(job),
         }
     }
 
     /// What is said of a job that this owner does not know.
-    pub(super) fn unknown(&self) -> Answer {
-        match self.shared.owned_ago() {
-            Some(owned_ago) if owned_ago <= SURE_WITHIN => Answer::UnknownJob,
-            Some(_) | None => Answer::InDoubt,
+    ///
+    /// Each denial is a line: a job that was accepted and is denied later was lost, and the line tells
+    /// by whom and how sure the owner was.
+    pub(super) fn unknown(&self, job: JobId) -> Answer {
+        let owned_ago = self.shared.owned_ago();
+        let sure = owned_ago.is_some_and(|owned_ago| owned_ago <= SURE_WITHIN);
+        log::info!(
+            job = job.to_string(), epoch = self.shared.claimed_epoch.get(),
+            owned_ago_ms:? = owned_ago.map(|owned_ago| owned_ago.as_millis()), sure = sure;
+            "job: unknown to the owner"
+        );
+        match sure {
+            true => Answer::UnknownJob,
+            false => Answer::InDoubt,
         }
     }
 
