A worker that leaves does not come back by an entry that came late

An entry "ready" that came after "draining" gave the worker work again. Change: draining holds for the rest of a life. Test: seen red on the code before.

--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -105,8 +105,12 @@
     }
 
     /// A life that is known stands in the list, perhaps with another entry.
-    fn listed_known(&mut self, no: LifeNo, entry: WorkerEntry) {
+    ///
+    /// A life that leaves does not come back: an entry that says otherwise was written before and came
+    /// late.
+    fn listed_known(&mut self, no: LifeNo, mut entry: WorkerEntry) {
         let Some(life) = self.lives.get_mut(&no) else { return };
+        entry.draining |= life.entry.draining;
         let was_listed = life.listed;
         let belief = match (entry.draining && !life.entry.draining, was_listed) {
             (true, _) => Some("draining"),
--- a/crates/kitetrail-core/tests/jobs_incarnations.rs
+++ b/crates/kitetrail-core/tests/jobs_incarnations.rs
@@ -6,7 +6,7 @@
 use fleet::{World, job, step, task};
 use kitetrail_core::{
     Resources,
-    jobs::{Discovery, Event, JobState, Report, StepSpec},
+    jobs::{Discovery, Event, JobState, Report, StepSpec, WorkerEntry},
 };
 
 /// A step whose tasks take a whole worker each.
@@ -114,3 +114,15 @@
         assert_eq!(world.starts.len(), 2, "the present life went on: {present_first}");
     }
 }
+
+#[test]
+fn a_late_entry_does_not_take_back_that_a_worker_leaves() {
+    let mut world = World::new(2);
+    let ready = world.worker("w0").entry.clone();
+    world.list(WorkerEntry { draining: true, ..ready.clone() });
+    // A write from before reaches the list now.
+    world.list(ready);
+    world.submit(1, job(vec![step(6)]));
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+    assert!(world.starts.iter().all(|(.., worker)| worker == "w1"), "{:?}", world.starts);
+}
