One rule for silence on every connection: limits from the promises, new connections after it

The watching call for workers noticed after 9.5 s; pooled connections to the store and to workers were used again after one of them had timed out, each costing a whole timeout; connections between boxes were kept until something broke them, so calls to the owner stayed in doubt and the owner was taken for lost.

Ruled out: a slow store. In the incident's log no state of any worker changes between the silence and its end, while other calls to the store are answered in 5 ms.

Change: `ConnectionLimits` derives every limit from `Promises`, which come from the site's bounds. `JsonClient` uses no connection of a host again that was there when a call brought nothing in time (`Connections`, a library pool for each host that needs one); holds and calls to the store suspect before they give up. A ping that brings nothing replaces the connection to that box, and calls that wait on it are made again at once; a connection to a box that brought nothing for 0.75 s is made anew before it is used. Exchanging a configuration has a limit of its own. A write of the owner whose five soon tries brought nothing is sent on, as later tries go on new connections. One log line and a counter tell of each replacement.

--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -8,7 +8,7 @@
     jobs::{Hold, HoldFailure, JobSpec, JobState, LifeId, Order, OrderAnswer, Report, WorkerEntry},
 };
 
-use crate::PlatformError;
+use crate::{CallLimits, PlatformError};
 
 /// The name of a row: tables hold parts, parts hold keys.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -178,7 +178,7 @@
         &self,
         worker: &WorkerEntry,
         hold: &Hold,
-        within: Duration,
+        limits: CallLimits,
     ) -> impl Future<Output = Result<Report, HoldFailure>>;
 }
 
--- a/crates/kitetrail-platform/src/http.rs
+++ b/crates/kitetrail-platform/src/http.rs
@@ -3,14 +3,10 @@
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Request, StatusCode, Uri,
-    header::{CONTENT_TYPE, ETAG, HeaderValue, IF_NONE_MATCH},
-};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+    Method, Request, StatusCode, Uri,
+    header::{ETAG, HeaderValue, IF_NONE_MATCH},
 };
 use kitetrail_core::{
     Version,
@@ -18,146 +14,12 @@
     table::{CommitAnswer, Key, Prefix, Row, Transaction},
     worker::{SyncReply, SyncRequest},
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
-
-use crate::{BoxList, ObjectStore, PlatformError, TableService, Worker, within};
-
-/// The largest answer that is read.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
-/// How much of the body of a refusal an error shows, in bytes.
-const SHOWN_OF_BODY: usize = 200;
-/// How long an unused connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// A whole answer.
-struct Answer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// A client that sends and receives JSON, with one timeout for the whole exchange.
-#[derive(Debug, Clone)]
-pub struct JsonClient {
-    service: &'static str,
-    timeout: Duration,
-    client: Client<HttpConnector, Full<Bytes>>,
-}
-
-impl JsonClient {
-    /// A client that names `service` in its errors.
-    pub fn new(service: &'static str, timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(timeout));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { service, timeout, client }
-    }
-
-    /// Sends a request and returns the status and the whole body.
-    pub async fn send(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let Answer { status, body, .. } = self.send_for_head(request).await?;
-        Ok((status, body))
-    }
-
-    /// Sends a request and returns the status and the whole body, with a timeout of its own.
-    pub async fn send_within(
-        &self,
-        request: Request<Full<Bytes>>,
-        timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
-        match within(timeout, self.exchange(request)).await {
-            Some(answer) => answer.map(|answer| (answer.status, answer.body)),
-            None => Err(self.lost(format!("nothing came within {timeout:?}"))),
-        }
-    }
-
-    /// Sends a request and returns the status, the headers and the whole body.
-    async fn send_for_head(&self, request: Request<Full<Bytes>>) -> Result<Answer, PlatformError> {
-        match within(self.timeout, self.exchange(request)).await {
-            Some(answer) => answer,
-            None => Err(self.lost(format!("nothing came within {:?}", self.timeout))),
-        }
-    }
-
-    /// Asks for JSON. `None` stands for "not found".
-    pub async fn get<T: DeserializeOwned>(&self, uri: Uri) -> Result<Option<T>, PlatformError> {
-        let (status, body) = self.send(get_request(uri)).await?;
-        match status {
-            StatusCode::OK => self.parse(&body).map(Some),
-            StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(self.refused(status, &body)),
-        }
-    }
+use serde::Deserialize;
 
-    /// Sends JSON and returns the JSON that comes back.
-    pub async fn post<T: DeserializeOwned>(
-        &self,
-        uri: Uri,
-        body: &impl Serialize,
-    ) -> Result<T, PlatformError> {
-        let (status, body) = self.send(self.json_request(uri, body)?).await?;
-        match status {
-            StatusCode::OK => self.parse(&body),
-            _ => Err(self.refused(status, &body)),
-        }
-    }
-
-    /// A request that carries JSON.
-    pub fn json_request(
-        &self,
-        uri: Uri,
-        body: &impl Serialize,
-    ) -> Result<Request<Full<Bytes>>, PlatformError> {
-        let body = serde_json::to_vec(body).map_err(|error| self.malformed(error))?;
-        let mut request = Request::new(Full::new(Bytes::from(body)));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = uri;
-        let json = HeaderValue::from_static("application/json");
-        request.headers_mut().insert(CONTENT_TYPE, json);
-        Ok(request)
-    }
-
-    /// Reads JSON.
-    pub fn parse<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T, PlatformError> {
-        serde_json::from_slice(body).map_err(|error| self.malformed(error))
-    }
-
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, PlatformError> {
-        let response = self.client.request(request).await.map_err(|error| {
-            let cause = error_chain(&error);
-            match error.is_connect() {
-                true => PlatformError::Unreachable { service: self.service, cause },
-                false => self.lost(cause),
-            }
-        })?;
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| self.lost(error.to_string()))?.to_bytes();
-        Ok(Answer { status: parts.status, headers: parts.headers, body })
-    }
-
-    fn lost(&self, cause: String) -> PlatformError {
-        PlatformError::AnswerLost { service: self.service, cause }
-    }
-
-    /// The error for an answer with a status that refuses.
-    pub fn refused(&self, status: StatusCode, body: &[u8]) -> PlatformError {
-        let body = String::from_utf8_lossy(&body[..body.len().min(SHOWN_OF_BODY)]).into_owned();
-        PlatformError::Refused { service: self.service, status: status.as_u16(), body }
-    }
-
-    fn malformed(&self, error: serde_json::Error) -> PlatformError {
-        PlatformError::Malformed { service: self.service, cause: error.to_string() }
-    }
-}
+use crate::{
+    BoxList, JsonClient, ObjectStore, PlatformError, TableService, Worker,
+    json_client::{Answer, get_request},
+};
 
 /// The table service over HTTP.
 #[derive(Debug, Clone)]
@@ -295,26 +157,9 @@
     }
 }
 
-fn get_request(uri: Uri) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = uri;
-    request
-}
-
 /// The address of a resource. Names hold no character that a URI must escape, apart
 /// from those that an operator chose for a change, which are checked on entry.
 fn uri(address: SocketAddr, path: &str, name: &str) -> Uri {
     let text = format!("http://{address}{path}{name}");
     text.parse().unwrap_or_else(|_| Uri::from_static("http://0.0.0.0/invalid-name"))
 }
-
-/// An error with its causes in one line.
-fn error_chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -37,8 +37,9 @@
 /// But not before: the store takes 5 ms, and some writes wait in line.
 const LOST_AFTER_LEAST: Duration = Duration::from_millis(60);
 
-/// How many tries of one write may be on their way together.
-const MOST_TRIES: u32 = 5;
+/// How many tries of one write follow each other so soon. Later ones come when earlier ones have made
+/// their connections suspect.
+const SOON_TRIES: u32 = 5;
 
 /// How much one write weighs in the usual time of writes, as one part in so many: a slow store is
 /// believed in after ten writes.
@@ -148,11 +149,13 @@
     ) -> Result<TransactionAnswer, PlatformError> {
         let started = Instant::now();
         let wait = self.usual.saturating_mul(LOST_AFTER_USUAL).max(LOST_AFTER_LEAST);
+        let suspect_after = self.shared.settings.limits.store_suspect_after;
         let mut tries = JoinSet::new();
         self.send(&mut tries, transaction);
         let mut sent = 1;
         loop {
-            match time::timeout(wait, tries.join_next()).await {
+            let pause = if sent < SOON_TRIES { wait } else { wait.max(suspect_after) };
+            match time::timeout(pause, tries.join_next()).await {
                 Ok(Some(Ok(Ok(answer)))) => {
                     self.usual = (self.usual * (USUAL_PARTS - 1) + started.elapsed()) / USUAL_PARTS;
                     return Ok(answer);
@@ -160,7 +163,7 @@
                 Ok(Some(Ok(Err(error)))) if tries.is_empty() => return Err(error),
                 Ok(Some(Err(error))) if tries.is_empty() => return Err(broken(&error)),
                 Ok(Some(_)) => {}
-                Ok(None) | Err(_) if sent < MOST_TRIES => {
+                Ok(None) | Err(_) => {
                     log::debug!(
                         write = self.write;
                         "owner: a write's answer seems lost, sent again"
@@ -169,7 +172,6 @@
                     self.send(&mut tries, transaction);
                     sent += 1;
                 }
-                Ok(None) | Err(_) => time::sleep(wait).await,
             }
         }
     }
--- a/crates/kitetraild/src/fleet/config_watch.rs
+++ b/crates/kitetraild/src/fleet/config_watch.rs
@@ -7,10 +7,6 @@
 
 use super::{Platform, shared::Shared};
 
-/// How long a call waits for changes. Short enough that a connection that died in silence is
-/// noticed within the time in which a configuration must be in force, together with the boxes'
-/// pings of each other.
-const WAIT: Duration = Duration::from_millis(1_500);
 /// How long to wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(200);
 
@@ -39,7 +35,8 @@
 }
 
 async fn follow<P: Platform>(shared: &Rc<Shared<P>>, version: u64) -> Option<u64> {
-    let changes = shared.services.store.config_changes(version, WAIT).await;
+    let wait = shared.settings.limits.config_wait;
+    let changes = shared.services.store.config_changes(version, wait).await;
     shared.note_store(&changes);
     let (config, version) = changes.ok()?;
     if let Some(config) = config {
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod committer;
 mod config_watch;
+mod connection_limits;
 mod front;
 mod notes;
 mod operators;
@@ -21,8 +22,12 @@
 mod takeover;
 mod workers_watch;
 
-use kitetrail_platform::fleet::{ConfigSource, JobCodec, RowStore, WorkerControl, WorkerList};
+use kitetrail_platform::{
+    SilenceCounts,
+    fleet::{ConfigSource, JobCodec, RowStore, WorkerControl, WorkerList},
+};
 
+pub use connection_limits::{ConnectionLimits, Promises};
 pub use run::run;
 pub use settings::{FleetSettings, Listen};
 
@@ -45,4 +50,6 @@
     pub workers: P::Workers,
     /// How callers write jobs.
     pub codec: P::Codec,
+    /// How often connections were found silent, those of the services included.
+    pub silences: SilenceCounts,
 }
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -5,7 +5,7 @@
 use kitetrail_core::jobs::{
     Action, CancelAnswer, Event, Hold, HoldFailure, LifeNo, Order, SubmitAnswer, WorkerEntry,
 };
-use kitetrail_platform::{fleet::WorkerControl, within};
+use kitetrail_platform::{CallLimits, fleet::WorkerControl, within};
 use tokio::task;
 
 use super::{
@@ -13,9 +13,6 @@
     Owner, OwnerMessage,
 };
 
-/// How much longer than it may wait a worker may take to answer a hold before it counts as silent.
-/// Chosen, not measured.
-const HOLD_SLACK: Duration = Duration::from_millis(300);
 /// How long an answer that comes late is still read: what it says has ended has ended for good, and
 /// must not run again. Longer than leases last, 4 s.
 const LATE_REPORT: Duration = Duration::from_millis(4_500);
@@ -78,9 +75,11 @@
         self.shared.metrics.note_decision("hold");
         let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
         let sent_at = self.shared.clock.now();
+        let slack = self.shared.settings.limits.hold_slack;
         task::spawn_local(async move {
-            let patience = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
-            let mut call = pin!(workers.hold(&entry, &hold, patience + LATE_REPORT));
+            let patience = Duration::from_millis(hold.wait_ms.into()) + slack;
+            let limits = CallLimits { suspect_after: patience, timeout: patience + LATE_REPORT };
+            let mut call = pin!(workers.hold(&entry, &hold, limits));
             let answer = within(patience, call.as_mut()).await;
             let late = answer.is_none();
             let answer = answer.unwrap_or(Err(HoldFailure::Unanswered));
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -20,8 +20,6 @@
 
 /// How often the owner is asked how it stands: see `docs/design/platform.md`, "Ownership".
 const PING_EVERY: Duration = Duration::from_millis(400);
-/// How long the owner may take to answer that. A wrong doubt costs a few reads of the store.
-const PING_TIMEOUT: Duration = Duration::from_millis(250);
 /// An owner that does not answer, and has written nothing for so long, is taken for lost: more
 /// than two of its heartbeats.
 const LOST_AFTER: Duration = Duration::from_millis(800);
@@ -163,7 +161,7 @@
         up_ms: shared.up_ms(),
         stopping: shared.draining.get(),
     };
-    shared.peers.ping(address, request, PING_TIMEOUT).await
+    shared.peers.ping(address, request).await
 }
 
 /// Learns from what the owner said of itself, and tells it a newer configuration.
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -1,57 +1,67 @@
 //! Calls to other boxes.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use kitetrail_platform::SilenceCounts;
 use kitetrail_proto::jobs::{
     Config, FetchConfigRequest, PingAnswer, PingRequest, ReachStoreRequest, TakeOverAnswer,
-    TakeOverRequest, jobs_client::JobsClient,
+    TakeOverRequest,
 };
 use tokio::time;
-use tonic::{
-    Response, Status,
-    transport::{Channel, Endpoint},
-};
+use tonic::{Response, Status};
 
 use super::{
     super::{
+        ConnectionLimits,
         calls::{Answer, Call},
         shared::OwnerView,
     },
-    CALL_LIMIT,
+    channel::{PeerChannel, PeerChannels},
     codec::{call_request, decode_answer},
 };
 
-/// How long a connection to a box may take to be made. Chosen, not measured.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Connections to other boxes, made when first needed.
-#[derive(Debug, Default)]
+/// Speaks to other boxes.
+#[derive(Debug)]
 pub(in crate::fleet) struct PeerClients {
-    channels: RefCell<HashMap<SocketAddr, Channel>>,
+    limits: ConnectionLimits,
+    channels: PeerChannels,
 }
 
 impl PeerClients {
+    /// A client to all boxes, which counts connections that were found silent.
+    pub(in crate::fleet) fn new(limits: ConnectionLimits, silences: SilenceCounts) -> Self {
+        let channels = PeerChannels::new(limits.peer_trusted_for, silences);
+        Self { limits, channels }
+    }
+
     /// Brings a caller's request to the owner. Returns also which owner the asked box believes in.
+    ///
+    /// Pings tell whether a connection is silent, since the owner may have to wait for the store. Then
+    /// the call ends in doubt at once, so that it can be made again.
     pub(in crate::fleet) async fn call(
         &self,
         peer: SocketAddr,
         call: &Call,
         within: Duration,
     ) -> (Answer, OwnerView) {
-        let (Some(request), Ok(mut client)) = (call_request(call), self.client(peer)) else {
+        let (Some(request), Ok(channel)) = (call_request(call), self.channels.to(peer)) else {
             return (Answer::NotRun, OwnerView::default());
         };
-        match time::timeout(within, client.call(request)).await {
-            Ok(Ok(answer)) => {
-                let answer = answer.into_inner();
+        let mut client = channel.client();
+        let answer = tokio::select! {
+            answer = answer_within(within, client.call(request)) => answer,
+            () = channel.replaced() => Err(silent()),
+        };
+        match answer {
+            Ok(answer) => {
+                channel.note_heard();
                 let view = OwnerView::told(answer.epoch, &answer.owner_address);
                 (decode_answer(answer.outcome()), view)
             }
-            Ok(Err(status)) => {
+            Err(status) => {
                 log::debug!(peer = peer.to_string(); "peer: a call failed: {status}");
                 (Answer::InDoubt, OwnerView::default())
             }
-            Err(_) => (Answer::InDoubt, OwnerView::default()),
         }
     }
 
@@ -60,22 +70,25 @@
         &self,
         peer: SocketAddr,
         request: PingRequest,
-        within: Duration,
     ) -> Result<PingAnswer, Status> {
-        let mut client = self.client(peer)?;
-        answer_within(within, client.ping(request)).await
+        let channel = self.channels.to(peer)?;
+        let mut client = channel.client();
+        self.prompt(&channel, self.limits.ping_timeout, client.ping(request)).await
     }
 
     /// Whether a box reaches the store, as it says in time.
     pub(in crate::fleet) async fn reaches_store(&self, peer: SocketAddr, within: Duration) -> bool {
-        let Ok(mut client) = self.client(peer) else { return false };
-        match time::timeout(within, client.reach_store(ReachStoreRequest {})).await {
-            Ok(Ok(answer)) => answer.into_inner().reached,
-            Ok(Err(status)) => {
+        let Ok(channel) = self.channels.to(peer) else { return false };
+        let mut client = channel.client();
+        match answer_within(within, client.reach_store(ReachStoreRequest {})).await {
+            Ok(answer) => {
+                channel.note_heard();
+                answer.reached
+            }
+            Err(status) => {
                 log::debug!(peer = peer.to_string(); "peer: can't be asked for the store: {status}");
                 false
             }
-            Err(_) => false,
         }
     }
 
@@ -86,13 +99,18 @@
         epoch: u64,
         within: Duration,
     ) -> Result<TakeOverAnswer, Status> {
-        let mut client = self.client(peer)?;
-        answer_within(within, client.take_over(TakeOverRequest { epoch })).await
+        let channel = self.channels.to(peer)?;
+        let mut client = channel.client();
+        let answer = answer_within(within, client.take_over(TakeOverRequest { epoch })).await;
+        answer.inspect(|_| channel.note_heard())
     }
 
     /// Asks a box for its configuration.
     pub(in crate::fleet) async fn fetch_config(&self, peer: SocketAddr) -> Result<Config, Status> {
-        self.client(peer)?.fetch_config(FetchConfigRequest {}).await.map(Response::into_inner)
+        let channel = self.channels.to(peer)?;
+        let mut client = channel.client();
+        let fetched = client.fetch_config(FetchConfigRequest {});
+        self.prompt(&channel, self.limits.peer_timeout, fetched).await
     }
 
     /// Tells a box a configuration.
@@ -101,20 +119,30 @@
         peer: SocketAddr,
         config: Config,
     ) -> Result<(), Status> {
-        self.client(peer)?.offer_config(config).await.map(|_| ())
+        let channel = self.channels.to(peer)?;
+        let mut client = channel.client();
+        let offered = client.offer_config(config);
+        self.prompt(&channel, self.limits.peer_timeout, offered).await.map(|_| ())
     }
 
-    fn client(&self, peer: SocketAddr) -> Result<JobsClient<Channel>, Status> {
-        let mut channels = self.channels.borrow_mut();
-        if let Some(channel) = channels.get(&peer) {
-            return Ok(JobsClient::new(channel.clone()));
+    /// What a call brings that a box answers at once. If nothing comes in time, its connection is
+    /// taken for silent.
+    async fn prompt<T>(
+        &self,
+        channel: &Rc<PeerChannel>,
+        limit: Duration,
+        call: impl Future<Output = Result<Response<T>, Status>>,
+    ) -> Result<T, Status> {
+        match time::timeout(limit, call).await {
+            Ok(answer) => {
+                channel.note_heard();
+                answer.map(Response::into_inner)
+            }
+            Err(_) => {
+                self.channels.distrust(channel, limit);
+                Err(silent())
+            }
         }
-        let endpoint = Endpoint::from_shared(format!("http://{peer}"))
-            .map_err(|error| Status::invalid_argument(error.to_string()))?;
-        let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).timeout(CALL_LIMIT);
-        let channel = endpoint.tcp_nodelay(true).connect_lazy();
-        channels.insert(peer, channel.clone());
-        Ok(JobsClient::new(channel))
     }
 }
 
@@ -125,6 +153,11 @@
 ) -> Result<T, Status> {
     match time::timeout(limit, call).await {
         Ok(answer) => answer.map(Response::into_inner),
-        Err(_) => Err(Status::deadline_exceeded("nothing came in time")),
+        Err(_) => Err(silent()),
     }
 }
+
+/// What stands for an answer that did not come.
+fn silent() -> Status {
+    Status::deadline_exceeded("nothing came in time")
+}
--- a/crates/kitetraild/src/fleet/peers/mod.rs
+++ b/crates/kitetraild/src/fleet/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What boxes say to each other.
 
+mod channel;
 mod client;
 mod codec;
 mod server;
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -44,7 +44,12 @@
 pub(in crate::fleet) async fn serve<P: Platform>(shared: Rc<Shared<P>>) {
     let (sender, mut messages) = mpsc::channel(QUEUE);
     let address = shared.settings.listen.peers;
-    let server = Server::builder().add_service(JobsServer::new(Handler { sender })).serve(address);
+    let idle_check = shared.settings.limits.peer_idle_check;
+    let server = Server::builder()
+        .http2_keepalive_interval(Some(idle_check))
+        .http2_keepalive_timeout(Some(idle_check))
+        .add_service(JobsServer::new(Handler { sender }))
+        .serve(address);
     task::spawn_local(async move {
         if let Err(error) = server.await {
             log::error!("peer: can't answer on {address}: {error}");
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -61,6 +61,7 @@
     left_out: LeftOut,
 ) -> Result<(), DaemonError> {
     let metrics = Metrics::new()?;
+    metrics.show_silences(services.silences.clone());
     let mut terminate = watch(SignalKind::terminate())?;
     let mut hang_up = watch(SignalKind::hangup())?;
     let callers = settings.listen.callers;
--- a/crates/kitetraild/src/fleet/settings.rs
+++ b/crates/kitetraild/src/fleet/settings.rs
@@ -4,6 +4,8 @@
 
 use kitetrail_core::succession::BoxStrength;
 
+use super::ConnectionLimits;
+
 /// Where a box answers.
 #[derive(Debug, Clone)]
 pub struct Listen {
@@ -32,6 +34,8 @@
     pub remember_ended: Duration,
     /// How many workers the box can own.
     pub strength: BoxStrength,
+    /// How long connections may be silent.
+    pub limits: ConnectionLimits,
     /// How long a box that is told to stop may take.
     pub stop_within: Duration,
 }
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -91,13 +91,13 @@
         metrics: Metrics,
     ) -> Rc<Self> {
         Rc::new(Self {
-            settings,
-            services,
             started_at: clock.now(),
             clock,
             incarnation,
             metrics,
-            peers: PeerClients::default(),
+            peers: PeerClients::new(settings.limits, services.silences.clone()),
+            settings,
+            services,
             config: RefCell::default(),
             config_changed: Notify::new(),
             owner: Cell::default(),
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -12,9 +12,6 @@
 
 use super::{Platform, owner::OwnerMessage, shared::Shared};
 
-/// How long a call waits for changes. The store takes up to 30 s; shorter, so that a connection
-/// that died in silence is noticed.
-const WAIT: Duration = Duration::from_millis(8_000);
 /// How long to wait between calls that brought changes. Workers change their entries about once a
 /// second each, so with hundreds of them each call would bring one or two, at the price of a call.
 /// A worker that drains may be given work for 2 s after its entry says so.
@@ -62,7 +59,8 @@
 }
 
 async fn follow<P: Platform>(shared: &Rc<Shared<P>>, version: u64, known: &mut Known) -> Changes {
-    let followed = shared.services.store.worker_changes(version, WAIT).await;
+    let wait = shared.settings.limits.workers_wait;
+    let followed = shared.services.store.worker_changes(version, wait).await;
     shared.note_store(&followed);
     match followed.ok()? {
         WorkerChanges::HistoryGone => {
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -1,5 +1,6 @@
 //! What the daemon counts, and the page that shows it.
 
+use kitetrail_platform::SilenceCounts;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Histogram, MeterProvider},
@@ -11,7 +12,7 @@
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     requests: Counter<u64>,
     latency_ms: Histogram<f64>,
     decisions: Counter<u64>,
@@ -61,7 +62,7 @@
                 .with_description("Lines that the log left out, to stay within its bounds")
                 .build(),
             registry,
-            _provider: provider,
+            provider,
         })
     }
 
@@ -97,6 +98,20 @@
         self.log_lines_left_out.add(lines, &[]);
     }
 
+    /// Shows how often connections were found silent.
+    pub fn show_silences(&self, silences: SilenceCounts) {
+        let meter = self.provider.meter("kitetrail");
+        let _ = meter
+            .u64_observable_counter("kitetrail.connections.silent")
+            .with_description("Connections that went silent and were replaced, by service")
+            .with_callback(move |counter| {
+                for (service, count) in silences.counts() {
+                    counter.observe(count, &[KeyValue::new("service", service)]);
+                }
+            })
+            .build();
+    }
+
     /// All counters as a scrape page.
     pub fn page(&self) -> String {
         let mut page = Vec::new();
