--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -77,7 +77,11 @@
 
     /// The end of a job is kept: of the job no more than that is needed from now on.
     fn note_end_kept(&mut self, id: JobId) {
-        let Some(job) = self.jobs.remove(&id) else { return };
+        let Some(mut job) = self.jobs.remove(&id) else { return };
+        // Handed in and cancelled, and its end was kept before it was.
+        let submitted = mem::take(&mut job.submit_waiters).into_iter();
+        let accepted = |request| Action::AnswerSubmit(request, SubmitAnswer::Accepted);
+        self.out.extend(submitted.map(accepted));
         let answer = |request| Action::AnswerCancel(request, CancelAnswer::Done);
         self.out.extend(job.cancel_waiters.into_iter().map(answer));
         self.insert_ended(id, job.outcome, job.ended_unix_ms);
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -70,6 +70,9 @@
         match answered {
             Answer::NotOwner | Answer::NotRun => {}
             Answer::InDoubt => in_doubt = true,
+            Answer::UnknownJob if let Call::State { job } = call => {
+                return confirm_unknown(shared, job).await;
+            }
             // An earlier try may be kept still.
             Answer::Refused if in_doubt => return Answer::InDoubt,
             answer => return answer,
@@ -129,6 +132,24 @@
     }
 }
 
+/// What is said of a job that the owner does not know: it is denied only if the store denies it too.
+///
+/// What an owner knows was read from the store when it took over; a fault on that way must not lose
+/// an accepted job. Few ask for jobs that nobody knows.
+async fn confirm_unknown<P: Platform>(shared: &Rc<Shared<P>>, job: JobId) -> Answer {
+    match read_state(shared, job).await {
+        Some(Answer::UnknownJob) => Answer::UnknownJob,
+        Some(kept) => {
+            log::error!(
+                job = job.to_string(), epoch = shared.owner().epoch, state:? = kept;
+                "job: kept, and unknown to the owner"
+            );
+            kept
+        }
+        None => Answer::InDoubt,
+    }
+}
+
 /// What the store says of a job, while no owner answers.
 async fn read_state<P: Platform>(shared: &Rc<Shared<P>>, job: JobId) -> Option<Answer> {
     let name = job.to_string();
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -148,13 +148,15 @@
         transaction: &RowTransaction,
     ) -> Result<TransactionAnswer, PlatformError> {
         let started = Instant::now();
-        let wait = self.usual.saturating_mul(LOST_AFTER_USUAL).max(LOST_AFTER_LEAST);
         let suspect_after = self.shared.settings.limits.store_suspect_after;
+        // After an outage writes seem to take long, and a silent connection must still be noticed.
+        let wait = self.usual.saturating_mul(LOST_AFTER_USUAL).min(suspect_after);
+        let wait = wait.max(LOST_AFTER_LEAST);
         let mut tries = JoinSet::new();
         self.send(&mut tries, transaction);
         let mut sent = 1;
         loop {
-            let pause = if sent < SOON_TRIES { wait } else { wait.max(suspect_after) };
+            let pause = if sent < SOON_TRIES { wait } else { suspect_after };
             match time::timeout(pause, tries.join_next()).await {
                 Ok(Some(Ok(Ok(answer)))) => {
                     self.usual = (self.usual * (USUAL_PARTS - 1) + started.elapsed()) / USUAL_PARTS;
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -152,6 +152,10 @@
                 return ControlFlow::Break(Ended::Deposed);
             }
             OwnerMessage::Release => self.releasing = true,
+            OwnerMessage::StoreAsked(Some(_)) if !StoreDoubt::is_due(&self.shared) => {
+                // A write was done meanwhile, on another connection.
+                self.doubt.note_asked(self.shared.clock.now());
+            }
             OwnerMessage::StoreAsked(Some(successor)) => {
                 log::warn!(
                     peer = successor.to_string(), waits_ms = self.shared.write_waits_ms();
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -75,7 +75,8 @@
         return Ok(None);
     }
     let Some((owner, version)) = rows::read_owner(shared).await? else {
-        return claim(shared, None, true).await;
+        let head_version = rows::read_head_version(shared).await?.unwrap_or(0);
+        return Ok(claim(shared, None, head_version, true));
     };
     let address = Some(owner.address).filter(|_| !owner.released);
     shared.offer_owner(OwnerView { epoch: owner.epoch, address }, "store");
@@ -87,14 +88,15 @@
         Verdict::Silent => LOST_AFTER,
     };
     log::info!(epoch = owner.epoch, verdict:? = verdict; "owner: in doubt");
-    if !patience.is_zero() && writes_within(shared, &owner, patience).await? {
+    let LastWrite::Unmoved(head_version) = last_write(shared, &owner, patience).await? else {
         return Ok(None);
-    }
+    };
     if leaves_to_others(shared, &owner, version).await? {
         return Ok(None);
     }
-    let stopped = matches!(verdict, Verdict::Stopped | Verdict::Refused);
-    claim(shared, Some((owner, version)), stopped).await
+    // What refuses connections may be the way to the owner, not its end.
+    let stopped = verdict == Verdict::Stopped;
+    Ok(claim(shared, Some((owner, version)), head_version, stopped))
 }
 
 /// Waits where others should come first; whether one of them did.
@@ -186,35 +188,39 @@
     }
 }
 
-/// Whether the owner writes within a time and has not asked this box to follow it.
-async fn writes_within<P: Platform>(
+/// What was seen of the owner's last write over some time.
+enum LastWrite {
+    /// The owner has written.
+    Moved,
+    /// It stayed the one with this version. Only an owner that writes nothing more after it may be
+    /// replaced, so a takeover depends on this version, however long it waits for other boxes.
+    Unmoved(u64),
+}
+
+/// Looks for some time whether the owner writes, unless it asks this box to follow it.
+async fn last_write<P: Platform>(
     shared: &Rc<Shared<P>>,
     owner: &OwnerRow,
     patience: Duration,
-) -> Result<bool, PlatformError> {
+) -> Result<LastWrite, PlatformError> {
     let first = rows::read_head_version(shared).await?;
     let started = Instant::now();
-    while started.elapsed() < patience {
-        if shared.asked_to_follow.get() == owner.epoch {
-            return Ok(false);
-        }
+    while started.elapsed() < patience && shared.asked_to_follow.get() != owner.epoch {
         time::sleep(READ_EVERY).await;
         if rows::read_head_version(shared).await? != first {
-            return Ok(true);
+            return Ok(LastWrite::Moved);
         }
     }
-    Ok(false)
+    Ok(LastWrite::Unmoved(first.unwrap_or(0)))
 }
 
 /// What a takeover needs to know; `None` if this box is stopping.
-async fn claim<P: Platform>(
-    shared: &Rc<Shared<P>>,
+fn claim<P: Platform>(
+    shared: &Shared<P>,
     owner: Option<(OwnerRow, u64)>,
+    head_version: u64,
     predecessor_stopped: bool,
-) -> Result<Option<Claim>, PlatformError> {
-    if shared.draining.get() {
-        return Ok(None);
-    }
-    let head_version = rows::read_head_version(shared).await?.unwrap_or(0);
-    Ok(Some(Claim { owner, head_version, predecessor_stopped }))
+) -> Option<Claim> {
+    let claim = Claim { owner, head_version, predecessor_stopped };
+    (!shared.draining.get()).then_some(claim)
 }
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -2,12 +2,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use kitetrail_platform::SilenceCounts;
+use kitetrail_platform::{SilenceCounts, within};
 use kitetrail_proto::jobs::{
     Config, FetchConfigRequest, PingAnswer, PingRequest, ReachStoreRequest, TakeOverAnswer,
     TakeOverRequest,
 };
-use tokio::time;
 use tonic::{Response, Status};
 
 use super::{
@@ -133,12 +132,12 @@
         limit: Duration,
         call: impl Future<Output = Result<Response<T>, Status>>,
     ) -> Result<T, Status> {
-        match time::timeout(limit, call).await {
-            Ok(answer) => {
+        match within(limit, call).await {
+            Some(answer) => {
                 channel.note_heard();
                 answer.map(Response::into_inner)
             }
-            Err(_) => {
+            None => {
                 self.channels.distrust(channel, limit);
                 Err(silent())
             }
@@ -151,9 +150,9 @@
     limit: Duration,
     call: impl Future<Output = Result<Response<T>, Status>>,
 ) -> Result<T, Status> {
-    match time::timeout(limit, call).await {
-        Ok(answer) => answer.map(Response::into_inner),
-        Err(_) => Err(silent()),
+    match within(limit, call).await {
+        Some(answer) => answer.map(Response::into_inner),
+        None => Err(silent()),
     }
 }
 
--- a/crates/kitetraild/src/fleet/store_doubt.rs
+++ b/crates/kitetraild/src/fleet/store_doubt.rs
@@ -36,7 +36,7 @@
     ) {
         let now = shared.clock.now();
         let lately = self.asked_at.is_some_and(|at| now.since(at) < ASK_AGAIN);
-        if self.asking || lately || shared.write_waits_ms() < DOUBT_AFTER_MS {
+        if self.asking || lately || !Self::is_due(shared) {
             return;
         }
         self.asking = true;
@@ -46,6 +46,11 @@
         });
     }
 
+    /// Whether a write waits for so long that the store is in doubt.
+    pub(super) fn is_due<P: Platform>(shared: &Shared<P>) -> bool {
+        shared.write_waits_ms() >= DOUBT_AFTER_MS
+    }
+
     /// Takes note that no other box reaches the store, or this one does.
     pub(super) fn note_asked(&mut self, now: Time) {
         self.asking = false;
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -251,8 +251,7 @@
     let jobs = scan::part(shared, rows::JOBS).await?;
     let mut progress = rows::decode_all::<ProgressRecord>(&progress);
     let mut inheritance = Inheritance { predecessor_stopped, ..Inheritance::default() };
-    let effects = rows::read::<_, EffectsRecord>(shared, &rows::effects_row()).await?;
-    inheritance.effects = effects.map(|(effects, _)| effects).unwrap_or_default();
+    inheritance.effects = load_effects(shared).await?;
     inheritance.lives = rows::decode_all(&lives).into_values().collect();
     for (key, job) in rows::decode_all(&jobs) {
         inheritance.jobs.push((job, progress.remove(&key)));
@@ -264,6 +263,19 @@
     Ok(inheritance)
 }
 
+/// What the owner before has learned of images; nothing if that can't be read, since it is learned
+/// anew within seconds.
+async fn load_effects<P: Platform>(shared: &Rc<Shared<P>>) -> Result<EffectsRecord, PlatformError> {
+    match rows::read::<_, EffectsRecord>(shared, &rows::effects_row()).await {
+        Ok(effects) => Ok(effects.map(|(effects, _)| effects).unwrap_or_default()),
+        Err(error @ PlatformError::Malformed { .. }) => {
+            log::error!("owner: what was learned of images can't be read and is left: {error}");
+            Ok(EffectsRecord::default())
+        }
+        Err(error) => Err(error),
+    }
+}
+
 /// Gives the fleet up in order, if this box owns it.
 pub(super) async fn give_up<P: Platform>(shared: &Rc<Shared<P>>) {
     let owner = shared.local_owner.borrow().clone();
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -55,6 +55,8 @@
     let (entries, version) = listed.ok()?;
     let ids = entries.iter().map(|entry| entry.id.clone()).collect::<BTreeSet<_>>();
     let gone = known.keys().filter(|id| !ids.contains(id)).cloned().collect::<Vec<_>>();
+    // The whole list is told, also what was told before: whatever the owner believes, it is put right.
+    known.clear();
     Some((changes(known, entries, gone), Some(version)))
 }
 
