--- a/crates/kitetrail-platform/src/connections.rs
+++ b/crates/kitetrail-platform/src/connections.rs
@@ -109,3 +109,6 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kitetraild/src/fleet/peers/channel.rs
+++ b/crates/kitetraild/src/fleet/peers/channel.rs
@@ -102,3 +102,6 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use kitetrail_platform::SilenceCounts;
+use kitetrail_platform::{SilenceCounts, within};
 use kitetrail_proto::jobs::{
     Config, FetchConfigRequest, PingAnswer, PingRequest, ReachStoreRequest, TakeOverAnswer,
     TakeOverRequest,
@@ -133,12 +133,12 @@
         limit: Duration,
         call: impl Future<Output = Result<Response<T>, Status>>,
     ) -> Result<T, Status> {
-        match time::timeout(limit, call).await {
-            Ok(answer) => {
+        match within(limit, call).await {
+            Some(answer) => {
                 channel.note_heard();
                 answer.map(Response::into_inner)
             }
-            Err(_) => {
+            None => {
                 self.channels.distrust(channel, limit);
                 Err(silent())
             }
