Empty workers whose entries go from the list while they serve on

Some workers never say that they drain: their entry goes, and they serve on for a while. They got no new work, but what lasts or keeps its progress was left there and died with them.

The scheduler is told until when the store was in trouble (`Event::StoreTrouble`) and when the list was read whole (`Discovery::Whole`), and decides on its own clock: an entry that goes while the store is well means that the worker leaves, and what would be lost is moved as off a draining one; one that goes in trouble of the store, or within 2.4 s of its end, may have lapsed, and counts only once it is still missing then. An owner that takes over learns of workers that left before from the first whole list. Off such a worker no more tasks of a step are moved at once than may be away (`may_miss`), counting all that are not known to be at work, since the worker may be sound.

Ruled out: deciding in the watcher (no virtual time there). Moving off a silent worker (its stop would wait and could reach it after it is listed again).

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -45,6 +45,11 @@
     Queues(Vec<QueueTerms>),
     /// The list of workers changed.
     Discovered(Vec<Discovery>),
+    /// The store did not answer, or turned us away, until this moment.
+    StoreTrouble {
+        /// When it answered again; the present while it does not.
+        until: Time,
+    },
     /// An order was answered, or certainly won't be.
     OrderAnswered {
         /// The worker.
@@ -86,6 +91,8 @@
     Listed(Box<WorkerEntry>),
     /// A worker no longer stands in the list.
     Gone(LifeId),
+    /// The list was read as a whole, and all workers that stand there were told of.
+    Whole,
 }
 
 /// The answer to a caller who hands a job in.
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -52,6 +52,9 @@
     pub(super) entry: Arc<WorkerEntry>,
     /// It stands in the list of workers.
     pub(super) listed: bool,
+    /// From when on it is certain that its entry did not just lapse with the store in trouble: the
+    /// worker left, or is about to. `None` while it is listed.
+    pub(super) gone_at: Option<Time>,
     /// The store holds that tasks may be started here.
     pub(super) recorded: bool,
     /// Since when this scheduler has known of it: it had begun by then.
@@ -99,6 +102,7 @@
         Self {
             entry: Arc::new(entry),
             listed: true,
+            gone_at: None,
             recorded: false,
             known_since: now,
             known: false,
@@ -152,6 +156,12 @@
             && !set_aside
     }
 
+    /// Whether it is about to leave: it said so, or its entry went for good and it still answers.
+    pub(super) fn is_leaving(&self, now: Time) -> bool {
+        let gone = self.gone_at.is_some_and(|at| at <= now);
+        self.entry.draining || (gone && self.silent == 0)
+    }
+
     /// What runs there, as believed.
     pub(super) fn runs(&self) -> &BTreeMap<TaskName, RunThere> {
         &self.runs
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod slowed;
 mod stragglers;
 pub(super) mod tails;
+mod unlisted;
 mod workers;
 
 use std::{
@@ -92,6 +93,8 @@
     unheard: BTreeSet<LifeNo>,
     /// How long the owner before may go on to renew the leases of workers that are listed.
     may_be_renewed_for: Duration,
+    /// Until when the store was in trouble last, if it ever was.
+    store_trouble_until: Option<Time>,
     pending: Pending,
     tails: TailModel,
     short_work: ShortWork,
@@ -128,6 +131,7 @@
             next_life: 0,
             unheard: BTreeSet::new(),
             may_be_renewed_for: Duration::ZERO,
+            store_trouble_until: None,
             pending: Pending::default(),
             tails: TailModel::default(),
             short_work: ShortWork::default(),
@@ -148,6 +152,7 @@
             Event::Cancel { request, job } => self.cancel(request, job),
             Event::Queues(queues) => self.set_queues(queues),
             Event::Discovered(changes) => self.discover(changes),
+            Event::StoreTrouble { until } => self.note_store_trouble(until),
             Event::OrderAnswered { life, order, answer } => {
                 self.order_answered(life, order, answer)
             }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -6,7 +6,6 @@
     super::{
         event::Discovery,
         life::{Life, LifeNo},
-        names::LifeId,
         run::RunThere,
         worker_entry::WorkerEntry,
     },
@@ -28,6 +27,7 @@
             match change {
                 Discovery::Listed(entry) => self.listed(*entry),
                 Discovery::Gone(id) => self.unlisted(&id),
+                Discovery::Whole => self.unlist_untold(),
             }
         }
         self.replan = true;
@@ -79,7 +79,9 @@
     /// Moves what would be lost with a worker that is about to leave, where there is room for it.
     fn evacuate(&mut self, no: LifeNo) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no).filter(|life| life.entry.draining) else { return };
+        let Some(life) = self.lives.get_mut(&no).filter(|life| life.is_leaving(now)) else {
+            return;
+        };
         if life.evacuated_at.is_some_and(|at| now.since(at) < EVACUATE_EVERY) {
             return;
         }
@@ -91,7 +93,7 @@
         let runs = life.runs().iter().filter(|(_, run)| leaves(run));
         for (task, run) in runs.map(|(&task, run)| (task, run.run)).collect::<Vec<_>>() {
             let Some(spec) = self.step_spec(task).cloned() else { continue };
-            if self.choose(task, &spec, &[]).is_some() {
+            if self.may_leave(no, task) && self.choose(task, &spec, &[]).is_some() {
                 self.move_run(no, task, run, "moved: its worker is about to leave");
             }
         }
@@ -119,6 +121,7 @@
             life.lapses_at = life.lapses_at + self.may_be_renewed_for;
         }
         life.listed = true;
+        life.gone_at = None;
         life.entry = Arc::new(entry);
         life.room = None;
         if let Some(belief) = belief {
@@ -138,14 +141,6 @@
         self.hold_if_due(no);
     }
 
-    fn unlisted(&mut self, id: &LifeId) {
-        let Some(&no) = self.life_by_id.get(id) else { return };
-        let Some(life) = self.lives.get_mut(&no) else { return };
-        life.listed = false;
-        self.note_belief(no, "not listed");
-        self.hold_soon(no, Duration::ZERO);
-    }
-
     pub(super) fn insert_life(&mut self, entry: WorkerEntry, lapses_at: Time) -> LifeNo {
         let no = LifeNo(self.next_life);
         self.next_life += 1;
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -27,8 +27,6 @@
 pub const TOKEN_OF_LATER_OWNER: u64 = 9 << 20;
 /// One step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(10);
-/// How much later a worker that is late carries an order out.
-const LATE: Duration = Duration::from_millis(1_000);
 /// How long the store takes.
 const STORE: Duration = Duration::from_millis(10);
 
@@ -170,6 +168,24 @@
         self.tell(Event::Discovered(vec![Discovery::Listed(Box::new(entry))]));
     }
 
+    /// Tells the scheduler that a worker's entry went from the list.
+    pub fn unlist(&mut self, id: &str) {
+        self.worker(id).gone = true;
+        self.tell(Event::Discovered(vec![Discovery::Gone(id.into())]));
+    }
+
+    /// Tells the scheduler that a worker's entry is in the list again.
+    pub fn relist(&mut self, id: &str) {
+        self.worker(id).gone = false;
+        let entry = self.worker(id).entry.clone();
+        self.list(entry);
+    }
+
+    /// Tells the scheduler that the store is in trouble, or was until now.
+    pub fn trouble_store(&mut self) {
+        self.tell(Event::StoreTrouble { until: self.now });
+    }
+
     /// Hands a job in.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> RequestNo {
         let request = self.request();
@@ -302,9 +318,11 @@
         }
         let worker = self.workers.get_mut(id).expect("orders go to workers of the fleet");
         match (worker.mood, order) {
-            (Mood::Cut, _) => OrderAnswer::Unanswered,
-            (Mood::Late, Order::Start(_)) => {
-                worker.take_later(now + LATE, token, lease_until_ms, order, work);
+            (Mood::Late | Mood::Delayed, Order::Start(_)) => {
+                worker.take_later(now + worker.late_by, token, lease_until_ms, order, work);
+                OrderAnswer::Unanswered
+            }
+            (Mood::Cut | Mood::Delayed, _) | (Mood::Unstoppable, Order::Stop { .. }) => {
                 OrderAnswer::Unanswered
             }
             _ => {
@@ -326,6 +344,7 @@
             },
             cpu_millis: spec.map_or(0, |step| step.size.cpu_millis.0),
             serves: spec.is_some_and(|step| step.tail_target_ms.is_some()),
+            lasts: spec.is_some_and(|step| step.lasts),
         }
     }
 
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -19,8 +19,12 @@
 const HOLD_SLACK: Duration = Duration::from_millis(700);
 /// How much later than that an answer comes that counts as missing.
 const LATE_ANSWER: Duration = Duration::from_millis(500);
+/// A task that lasts is at work after this much of it.
+const AT_WORK_AFTER_MS: u64 = 300;
 /// A run that fails does so after this much work.
 const FAILS_AFTER_MS: u64 = 100;
+/// How much later a worker that is late carries an order out, unless it is told otherwise.
+const LATE: Duration = Duration::from_millis(1_000);
 
 /// How a worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,8 +37,12 @@
     Hanging,
     /// It answers, and all that it starts fails after 100 ms.
     Failing,
-    /// It does not answer orders to start; it carries them out after 1 s unless they are void.
+    /// It does not answer orders to start; it carries them out later unless they are void.
     Late,
+    /// Orders to start reach it later, nothing else reaches it and nothing comes back; it works on.
+    Delayed,
+    /// It does not answer orders to stop, and does not carry them out.
+    Unstoppable,
     /// It does what it is told, and its answers to holds come so late that they count as missing.
     Unread,
 }
@@ -54,11 +62,22 @@
     pub cpu_millis: u32,
     /// It serves users: its gauge tells its tail.
     pub serves: bool,
+    /// It runs until it is stopped.
+    pub lasts: bool,
 }
 
 impl Running {
-    fn new(run: u32, Work { work_ms, cpu_millis, serves }: Work) -> Self {
-        Self { run, done_ms: 0, work_ms, percent: 100, cpu_millis, serves }
+    fn new(run: u32, Work { work_ms, cpu_millis, serves, lasts }: Work) -> Self {
+        Self { run, done_ms: 0, work_ms, percent: 100, cpu_millis, serves, lasts }
+    }
+
+    /// How much of its work is done, as the worker reports it, in percent.
+    fn done_percent(&self) -> u32 {
+        match self.lasts {
+            true if self.done_ms >= AT_WORK_AFTER_MS => 100,
+            true => 0,
+            false => (self.done_ms * 100 / self.work_ms) as u32,
+        }
     }
 }
 
@@ -68,6 +87,7 @@
     pub work_ms: u64,
     pub cpu_millis: u32,
     pub serves: bool,
+    pub lasts: bool,
 }
 
 /// An order that is carried out later.
@@ -94,6 +114,8 @@
     pub leased_until_ms: u64,
     /// The hold that waits for an answer, and when it was sent.
     pub held: Option<(LifeNo, Hold, Time)>,
+    /// How much later it carries orders out when it is late.
+    pub late_by: Duration,
     late: VecDeque<LateOrder>,
     /// What an answer that comes late says has ended, by when it comes, and for which life.
     pub late_ends: Option<(Time, LifeNo, Vec<RunEnd>)>,
@@ -129,6 +151,7 @@
             token: 0,
             leased_until_ms: 0,
             held: None,
+            late_by: LATE,
             late: VecDeque::new(),
             late_ends: None,
             next_end: 1,
@@ -184,6 +207,11 @@
         self.late.push_back(LateOrder { at, token, lease_until_ms, order, work });
     }
 
+    /// Whether there are orders that it has not carried out yet.
+    pub fn has_late_orders(&self) -> bool {
+        !self.late.is_empty()
+    }
+
     /// Carries out the late orders whose moment has come. Returns what was started.
     pub fn take_late(&mut self, now: Time) -> Vec<StartOrder> {
         let mut started = Vec::new();
@@ -205,7 +233,7 @@
         tail_ms: fn(&FakeWorker) -> u32,
     ) -> Option<Result<Report, HoldFailure>> {
         let waited = now.since(sent_at);
-        if matches!(self.mood, Mood::Cut | Mood::Unread) {
+        if matches!(self.mood, Mood::Cut | Mood::Delayed | Mood::Unread) {
             let gives_up = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
             if waited < gives_up {
                 return None;
@@ -235,7 +263,7 @@
             task,
             run: running.run,
             checkpoint: Some(format!("{task}@{}", running.done_ms)),
-            percent: (running.done_ms * 100 / running.work_ms) as u32,
+            percent: running.done_percent(),
             gauge: Some(match running.serves {
                 true => tail_ms,
                 false => running.cpu_millis * u32::from(running.percent) / 100,
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -86,6 +86,8 @@
     ticked_at: Time,
     /// When other parts of the box were told last how things stand.
     published_at: Time,
+    /// Until when the scheduler was told that the store was in trouble.
+    told_trouble_until: Option<Time>,
     /// The last tick was left out because the process had been held up.
     tick_left_out: bool,
 }
@@ -112,6 +114,7 @@
             doubt: StoreDoubt::default(),
             ticked_at,
             published_at: Time::ZERO,
+            told_trouble_until: None,
             tick_left_out: false,
         }
     }
@@ -165,6 +168,8 @@
             }
             OwnerMessage::Call(call, reply) => self.call(call, reply),
             OwnerMessage::Event(event) => {
+                // Entries may go from the list because of it.
+                self.tell_store_trouble();
                 if !self.handle(event) {
                     return ControlFlow::Break(Ended::Deposed);
                 }
@@ -196,6 +201,7 @@
     }
 
     fn tick(&mut self) -> ControlFlow<Ended> {
+        self.tell_store_trouble();
         if !self.handle(Event::Tick) {
             return ControlFlow::Break(Ended::Deposed);
         }
@@ -224,6 +230,15 @@
         }
     }
 
+    /// Tells the scheduler until when the store was in trouble, if that is news to it.
+    fn tell_store_trouble(&mut self) {
+        let until = self.shared.store_trouble_until();
+        if let Some(until) = until.filter(|_| until > self.told_trouble_until) {
+            self.told_trouble_until = Some(until);
+            self.handle(Event::StoreTrouble { until });
+        }
+    }
+
     fn store_lost_too_long(&self) -> bool {
         let silent_ms = self.shared.store_silent_ms();
         let too_long = u128::from(silent_ms) > WITHOUT_STORE.as_millis();
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -76,6 +76,8 @@
     store_heard_at: Cell<Time>,
     /// The last call to the store brought no answer.
     store_lost: Cell<bool>,
+    /// When the store answered again after a call that brought no answer.
+    store_regained_at: Cell<Option<Time>>,
     /// The box was told to stop.
     pub(super) draining: Cell<bool>,
     /// Requests of callers that are not answered yet.
@@ -112,6 +114,7 @@
             writes_since: Cell::new(None),
             store_heard_at: Cell::new(clock.now()),
             store_lost: Cell::new(false),
+            store_regained_at: Cell::new(None),
             draining: Cell::new(false),
             in_progress: Cell::new(0),
         })
@@ -203,12 +206,23 @@
             self.store_lost.set(!answered);
             let cause = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
             match answered {
-                true => log::info!("store: regained"),
+                true => {
+                    self.store_regained_at.set(Some(self.clock.now()));
+                    log::info!("store: regained");
+                }
                 false => log::warn!(cause = cause.as_str(); "store: lost"),
             }
         }
     }
 
+    /// Until when calls to the store brought no answer: the present while they bring none.
+    pub(super) fn store_trouble_until(&self) -> Option<Time> {
+        match self.store_lost.get() {
+            true => Some(self.clock.now()),
+            false => self.store_regained_at.get(),
+        }
+    }
+
     /// How long ago this box owned the fleet for certain.
     pub(super) fn owned_ago(&self) -> Option<Duration> {
         self.owned_at.get().map(|at| self.clock.now().since(at))
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -58,7 +58,9 @@
     let (entries, version) = listed.ok()?;
     let ids = entries.iter().map(|entry| entry.id.clone()).collect::<BTreeSet<_>>();
     let gone = known.keys().filter(|id| !ids.contains(id)).cloned().collect::<Vec<_>>();
-    Some((changes(known, entries, gone), Some(version)))
+    let mut changes = changes(known, entries, gone);
+    changes.push(Discovery::Whole);
+    Some((changes, Some(version)))
 }
 
 async fn follow<P: Platform>(shared: &Rc<Shared<P>>, version: u64, known: &mut Known) -> Changes {
