Tell an entry that its worker withdrew from one that lapsed for want of heartbeats

Workers that are cut off from the store alone serve on and answer us; their entries lapse.

Workers change their entries with each heartbeat. So `Discovery::Gone` says how long the entry had shown no heartbeat, and the scheduler tells: withdrawn, lapsed with the store in trouble (in doubt until 2.4 s after it), or lapsed while the store was well. In the last case what runs there stays; new work does not go there, and a worker that falls silent as well is given up once its lease is over, as before.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -1,6 +1,6 @@
 //! What the scheduler is told, and what it wants done.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -90,7 +90,12 @@
     /// A worker stands in the list, as given.
     Listed(Box<WorkerEntry>),
     /// A worker no longer stands in the list.
-    Gone(LifeId),
+    Gone {
+        /// The worker.
+        id: LifeId,
+        /// How long its entry had shown no heartbeat, if that is known.
+        silent_for: Option<Duration>,
+    },
     /// The list was read as a whole, and all workers that stand there were told of.
     Whole,
 }
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -28,6 +28,24 @@
     }
 }
 
+/// Whether a worker stands in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Listing {
+    /// The list was not read yet.
+    Unread,
+    /// It stands there.
+    Listed,
+    /// Its entry went for want of heartbeats while the store was well: the worker crashed, or does
+    /// not reach the store and serves on.
+    Lapsed,
+    /// Its entry went otherwise.
+    Gone {
+        /// From when on it is certain that it did not just lapse with the store in trouble: the
+        /// worker left, or is about to.
+        certain_at: Time,
+    },
+}
+
 /// The pace of the runs of an image that fills on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Pace {
@@ -50,11 +68,7 @@
 #[derive(Debug)]
 pub(super) struct Life {
     pub(super) entry: Arc<WorkerEntry>,
-    /// It stands in the list of workers.
-    pub(super) listed: bool,
-    /// From when on it is certain that its entry did not just lapse with the store in trouble: the
-    /// worker left, or is about to. `None` while it is listed.
-    pub(super) gone_at: Option<Time>,
+    pub(super) listing: Listing,
     /// The store holds that tasks may be started here.
     pub(super) recorded: bool,
     /// Since when this scheduler has known of it: it had begun by then.
@@ -101,8 +115,7 @@
     pub(super) fn new(entry: WorkerEntry, token: u64, lapses_at: Time, now: Time) -> Self {
         Self {
             entry: Arc::new(entry),
-            listed: true,
-            gone_at: None,
+            listing: Listing::Listed,
             recorded: false,
             known_since: now,
             known: false,
@@ -150,7 +163,7 @@
         let set_aside = self.set_aside_until.is_some_and(|until| now < until);
         self.known
             && self.recorded
-            && self.listed
+            && self.listing == Listing::Listed
             && !self.entry.draining
             && self.silent == 0
             && !set_aside
@@ -158,8 +171,11 @@
 
     /// Whether it is about to leave: it said so, or its entry went for good and it still answers.
     pub(super) fn is_leaving(&self, now: Time) -> bool {
-        let gone = self.gone_at.is_some_and(|at| at <= now);
-        self.entry.draining || (gone && self.silent == 0)
+        match self.listing {
+            _ if self.entry.draining => true,
+            Listing::Gone { certain_at } => certain_at <= now && self.silent == 0,
+            Listing::Unread | Listing::Listed | Listing::Lapsed => false,
+        }
     }
 
     /// What runs there, as believed.
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -5,6 +5,7 @@
 use super::{
     super::{
         job::Job,
+        life::Listing,
         record::{EffectsRecord, JobRecord, LifeRecord, Outcome, ProgressRecord},
         worker_entry::WorkerEntry,
     },
@@ -75,7 +76,7 @@
         };
         let no = self.insert_life(entry, lapses_at);
         if let Some(life) = self.lives.get_mut(&no) {
-            life.listed = false;
+            life.listing = Listing::Unread;
             life.recorded = true;
         }
         self.unheard.insert(no);
--- a/crates/kitetrail-core/src/jobs/scheduler/unlisted.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unlisted.rs
@@ -1,10 +1,15 @@
 //! Workers whose entries went from the list: which of them left, and which the store only lost.
+//!
+//! A worker that leaves withdraws its entry between two heartbeats. An entry that goes after three
+//! heartbeats of silence lapsed: its worker crashed, does not reach the store, or the store was in
+//! trouble. Of these only the last are taken for gone once the store is well again: a worker that
+//! does not reach the store serves on, and answers us.
 
 use std::time::Duration;
 
 use super::{
     super::{
-        life::{Life, LifeNo},
+        life::{LifeNo, Listing},
         names::{LifeId, TaskName},
     },
     Scheduler,
@@ -14,6 +19,10 @@
 /// How long after the store's return the entry of a worker that lives may still be missing: the
 /// platform's two seconds, and 400 ms for the pauses between our readings of the list.
 const RELISTED_WITHIN: Duration = Duration::from_millis(2_400);
+/// An entry that goes after so long without a heartbeat lapsed; one that its worker withdrew goes
+/// sooner. Heartbeats are 1.1 s apart (the platform's `heartbeat_ms`) and read up to 0.2 s late;
+/// entries lapse after three.
+const LAPSES_AFTER: Duration = Duration::from_millis(2_200);
 /// A task that lasts is at work at this percent, as the platform defines it.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -23,27 +32,30 @@
     /// Workers whose entries went during it, or within [`RELISTED_WITHIN`] of its end, may live.
     pub(super) fn note_store_trouble(&mut self, until: Time) {
         self.store_trouble_until = self.store_trouble_until.max(Some(until));
-        let (now, gone_at) = (self.now, until + RELISTED_WITHIN);
+        let (now, returns_by) = (self.now, until + RELISTED_WITHIN);
         for life in self.lives.values_mut() {
-            let in_doubt = life.gone_at.filter(|&at| at > now);
-            life.gone_at = in_doubt.map(|at| at.max(gone_at)).or(life.gone_at);
+            match &mut life.listing {
+                Listing::Gone { certain_at } if *certain_at > now => {
+                    *certain_at = returns_by.max(*certain_at);
+                }
+                _ => {}
+            }
         }
     }
 
-    /// The entry of a worker went from the list.
-    pub(super) fn unlisted(&mut self, id: &LifeId) {
+    /// The entry of a worker went from the list, after some time without a heartbeat.
+    pub(super) fn unlisted(&mut self, id: &LifeId, silent_for: Option<Duration>) {
         if let Some(&no) = self.life_by_id.get(id) {
-            self.unlist(no);
+            self.unlist(no, self.why_unlisted(silent_for));
         }
     }
 
     /// All workers that stand in the list were told of: the others, which earlier owners used, do
     /// not stand there.
     pub(super) fn unlist_untold(&mut self) {
-        let untold = |life: &Life| !life.listed && life.gone_at.is_none();
-        let untold = self.lives.iter().filter(|(_, life)| untold(life)).map(|(&no, _)| no);
-        for no in untold.collect::<Vec<_>>() {
-            self.unlist(no);
+        let untold = self.lives.iter().filter(|(_, life)| life.listing == Listing::Unread);
+        for no in untold.map(|(&no, _)| no).collect::<Vec<_>>() {
+            self.unlist(no, self.why_unlisted(None));
         }
     }
 
@@ -57,12 +69,29 @@
         draining || may_miss.is_none_or(|may_miss| self.others_away(task) < may_miss as usize)
     }
 
-    fn unlist(&mut self, no: LifeNo) {
-        let doubtful_until = self.store_trouble_until.map(|until| until + RELISTED_WITHIN);
+    /// What it means that an entry goes now.
+    fn why_unlisted(&self, silent_for: Option<Duration>) -> Listing {
+        let now = self.now;
+        let trouble_until = self.store_trouble_until;
+        let lapsed = silent_for.filter(|&silent_for| silent_for >= LAPSES_AFTER);
+        let well = |silent_for| trouble_until.is_none_or(|until| now.since(until) > silent_for);
+        match lapsed {
+            Some(silent_for) if well(silent_for) => Listing::Lapsed,
+            _ => {
+                let returns_by = trouble_until.map(|until| until + RELISTED_WITHIN);
+                Listing::Gone { certain_at: returns_by.map_or(now, |at| at.max(now)) }
+            }
+        }
+    }
+
+    fn unlist(&mut self, no: LifeNo, listing: Listing) {
         let Some(life) = self.lives.get_mut(&no) else { return };
-        life.listed = false;
-        life.gone_at = Some(self.now).max(doubtful_until);
-        self.note_belief(no, "not listed");
+        life.listing = listing;
+        let belief = match listing {
+            Listing::Lapsed => "not listed, its heartbeats ended",
+            _ => "not listed",
+        };
+        self.note_belief(no, belief);
         self.hold_soon(no, Duration::ZERO);
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         event::Discovery,
-        life::{Life, LifeNo},
+        life::{Life, LifeNo, Listing},
         run::RunThere,
         worker_entry::WorkerEntry,
     },
@@ -26,7 +26,7 @@
         for change in changes {
             match change {
                 Discovery::Listed(entry) => self.listed(*entry),
-                Discovery::Gone(id) => self.unlisted(&id),
+                Discovery::Gone { id, silent_for } => self.unlisted(&id, silent_for),
                 Discovery::Whole => self.unlist_untold(),
             }
         }
@@ -61,7 +61,7 @@
     pub(super) fn check_life(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get_mut(&no) else { return };
         let lapsed = life.lapses_at <= self.now;
-        let forgotten = !life.listed && life.silent > 0;
+        let forgotten = life.listing != Listing::Listed && life.silent > 0;
         match (lapsed, forgotten) {
             (true, true) => {
                 return self.end_life(no, "gone: not listed, silent, its lease is over");
@@ -109,7 +109,7 @@
     /// A life that is known stands in the list, perhaps with another entry.
     fn listed_known(&mut self, no: LifeNo, entry: WorkerEntry) {
         let Some(life) = self.lives.get_mut(&no) else { return };
-        let was_listed = life.listed;
+        let was_listed = life.listing == Listing::Listed;
         let belief = match (entry.draining && !life.entry.draining, was_listed) {
             (true, _) => Some("draining"),
             (false, false) => Some("listed again"),
@@ -120,8 +120,7 @@
             // taken for gone once its lease is over.
             life.lapses_at = life.lapses_at + self.may_be_renewed_for;
         }
-        life.listed = true;
-        life.gone_at = None;
+        life.listing = Listing::Listed;
         life.entry = Arc::new(entry);
         life.room = None;
         if let Some(belief) = belief {
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -27,6 +27,10 @@
 pub const TOKEN_OF_LATER_OWNER: u64 = 9 << 20;
 /// One step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(10);
+/// Less than the time between two heartbeats of a worker.
+const BETWEEN_HEARTBEATS: Duration = Duration::from_millis(700);
+/// Entries lapse after three heartbeats of silence.
+const LAPSES_AFTER: Duration = Duration::from_millis(3_300);
 /// How long the store takes.
 const STORE: Duration = Duration::from_millis(10);
 
@@ -168,10 +172,20 @@
         self.tell(Event::Discovered(vec![Discovery::Listed(Box::new(entry))]));
     }
 
-    /// Tells the scheduler that a worker's entry went from the list.
+    /// Tells the scheduler that a worker withdrew its entry from the list, between two heartbeats.
     pub fn unlist(&mut self, id: &str) {
+        self.unlist_after(id, BETWEEN_HEARTBEATS);
+    }
+
+    /// Tells the scheduler that a worker's entry lapsed for want of heartbeats.
+    pub fn lapse(&mut self, id: &str) {
+        self.unlist_after(id, LAPSES_AFTER);
+    }
+
+    fn unlist_after(&mut self, id: &str, silent_for: Duration) {
         self.worker(id).gone = true;
-        self.tell(Event::Discovered(vec![Discovery::Gone(id.into())]));
+        let gone = Discovery::Gone { id: id.into(), silent_for: Some(silent_for) };
+        self.tell(Event::Discovered(vec![gone]));
     }
 
     /// Tells the scheduler that a worker's entry is in the list again.
--- a/crates/kitetrail-core/tests/jobs_unlisted.rs
+++ b/crates/kitetrail-core/tests/jobs_unlisted.rs
@@ -5,7 +5,7 @@
 mod fleet;
 
 use fleet::{FakeWorker, Mood, World, job, step, task};
-use kitetrail_core::jobs::{Discovery, Event, StepSpec};
+use kitetrail_core::jobs::{Discovery, Event, JobId, JobState, StepSpec};
 
 /// How long a worker that is gone from the list serves on at least, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
@@ -49,7 +49,7 @@
 fn what_runs_stays_while_its_entry_may_have_lapsed_with_the_store() {
     let (mut world, on) = running(2, lasting(1));
     world.trouble_store();
-    world.unlist(&on);
+    world.lapse(&on);
     // The store is away for a while, and back for less than two seconds.
     for _ in 0..30 {
         world.run_ms(100);
@@ -67,7 +67,7 @@
     let (mut world, on) = running(2, lasting(1));
     world.trouble_store();
     world.run_ms(300);
-    world.unlist(&on);
+    world.lapse(&on);
     world.run_ms(1_500);
     assert_eq!(world.starts.len(), 1, "its worker may live");
 }
@@ -76,7 +76,7 @@
 fn a_worker_still_missing_two_seconds_after_the_stores_return_has_left() {
     let (mut world, on) = running(2, lasting(1));
     world.trouble_store();
-    world.unlist(&on);
+    world.lapse(&on);
     world.run_ms(3_500);
     assert_ne!(world.where_runs(task(1, 0, 0)), [on.as_str()]);
     assert_eq!(world.starts.len(), 2);
@@ -161,3 +161,32 @@
     world.run_ms(5_000);
     assert_eq!(world.starts.len(), 1, "its entry is back");
 }
+
+#[test]
+fn a_worker_that_does_not_reach_the_store_and_answers_keeps_what_it_runs() {
+    let (mut world, on) = running(2, lasting(1));
+    world.trouble_store();
+    // The store's trouble ended before the last heartbeat.
+    world.run_ms(5_000);
+    world.lapse(&on);
+    world.run_ms(20_000);
+    assert_eq!(world.starts.len(), 1, "its worker serves on");
+    world.submit(2, job(vec![step(4)]));
+    world.run_until("the other job completes", |world| world.state(2) == Some(JobState::Completed));
+    let new = world.starts.iter().filter(|(_, task, ..)| task.job == JobId(2));
+    assert!(new.into_iter().all(|(.., worker)| *worker != on), "it gets new work");
+    world.relist(&on);
+    world.run_ms(1_000);
+    assert_eq!(world.where_runs(task(1, 0, 0)), [on.as_str()]);
+}
+
+#[test]
+fn an_entry_withdrawn_in_trouble_of_the_store_is_in_doubt_as_well() {
+    let (mut world, on) = running(2, lasting(1));
+    world.trouble_store();
+    world.unlist(&on);
+    world.run_ms(1_900);
+    assert_eq!(world.starts.len(), 1);
+    world.run_ms(1_500);
+    assert_eq!(world.starts.len(), 2, "it left");
+}
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use kitetrail_core::jobs::{Discovery, Event, LifeId, WorkerEntry};
+use kitetrail_core::{
+    Time,
+    jobs::{Discovery, Event, LifeId, WorkerEntry},
+};
 use kitetrail_platform::fleet::{WorkerChanges, WorkerList};
 use tokio::{sync::mpsc, time};
 
@@ -25,12 +28,19 @@
 /// What changed and where to go on, `None` there to list anew; `None` at all if the call failed.
 type Changes = Option<(Vec<Discovery>, Option<u64>)>;
 
+/// An entry that the owner was told.
+struct Known {
+    entry: WorkerEntry,
+    /// When it changed last: workers change theirs with each heartbeat.
+    renewed_at: Time,
+}
+
 /// The entries that the owner was told.
-type Known = BTreeMap<LifeId, WorkerEntry>;
+type Entries = BTreeMap<LifeId, Known>;
 
 /// Follows the list until the owner is gone.
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>, owner: mpsc::Sender<OwnerMessage>) {
-    let mut known = Known::new();
+    let mut known = Entries::new();
     let mut version = None;
     while !owner.is_closed() {
         let changes = match version {
@@ -52,18 +62,18 @@
     }
 }
 
-async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut Known) -> Changes {
+async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut Entries) -> Changes {
     let listed = shared.services.store.workers().await;
     shared.note_store(&listed);
     let (entries, version) = listed.ok()?;
     let ids = entries.iter().map(|entry| entry.id.clone()).collect::<BTreeSet<_>>();
     let gone = known.keys().filter(|id| !ids.contains(id)).cloned().collect::<Vec<_>>();
-    let mut changes = changes(known, entries, gone);
+    let mut changes = changes(known, entries, gone, shared.clock.now());
     changes.push(Discovery::Whole);
     Some((changes, Some(version)))
 }
 
-async fn follow<P: Platform>(shared: &Rc<Shared<P>>, version: u64, known: &mut Known) -> Changes {
+async fn follow<P: Platform>(shared: &Rc<Shared<P>>, version: u64, known: &mut Entries) -> Changes {
     let followed = shared.services.store.worker_changes(version, WAIT).await;
     shared.note_store(&followed);
     match followed.ok()? {
@@ -72,22 +82,27 @@
             Some((Vec::new(), None))
         }
         WorkerChanges::Changed { listed, gone, version } => {
-            Some((changes(known, listed, gone), Some(version)))
+            Some((changes(known, listed, gone, shared.clock.now()), Some(version)))
         }
     }
 }
 
 /// What of the entries listed and gone the owner does not know yet. Most changes of entries are signs
 /// of life alone.
-fn changes(known: &mut Known, listed: Vec<WorkerEntry>, gone: Vec<LifeId>) -> Vec<Discovery> {
+fn changes(
+    known: &mut Entries,
+    listed: Vec<WorkerEntry>,
+    gone: Vec<LifeId>,
+    now: Time,
+) -> Vec<Discovery> {
     let mut changes = Vec::new();
     for id in gone {
-        known.remove(&id);
-        changes.push(Discovery::Gone(id));
+        let silent_for = known.remove(&id).map(|known| now.since(known.renewed_at));
+        changes.push(Discovery::Gone { id, silent_for });
     }
     for entry in listed {
-        if known.get(&entry.id) != Some(&entry) {
-            known.insert(entry.id.clone(), entry.clone());
+        let told = known.insert(entry.id.clone(), Known { entry: entry.clone(), renewed_at: now });
+        if told.is_none_or(|told| told.entry != entry) {
             changes.push(Discovery::Listed(Box::new(entry)));
         }
     }
