--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -1,6 +1,6 @@
 //! What the scheduler is told, and what it wants done.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,11 @@
     Queues(Vec<QueueTerms>),
     /// The list of workers changed.
     Discovered(Vec<Discovery>),
+    /// The store did not answer, or turned us away, until this moment.
+    StoreTrouble {
+        /// When it answered again; the present while it does not.
+        until: Time,
+    },
     /// An order was answered, or certainly won't be.
     OrderAnswered {
         /// The worker.
@@ -85,7 +90,14 @@
     /// A worker stands in the list, as given.
     Listed(Box<WorkerEntry>),
     /// A worker no longer stands in the list.
-    Gone(LifeId),
+    Gone {
+        /// The worker.
+        id: LifeId,
+        /// How long its entry had shown no heartbeat, if that is known.
+        silent_for: Option<Duration>,
+    },
+    /// The list was read as a whole, and all workers that stand there were told of.
+    Whole,
 }
 
 /// The answer to a caller who hands a job in.
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -5,8 +5,7 @@
 use super::{
     super::{
         event::Discovery,
-        life::{Life, LifeNo},
-        names::LifeId,
+        life::{Life, LifeNo, Listing},
         run::RunThere,
         worker_entry::WorkerEntry,
     },
@@ -27,7 +26,8 @@
         for change in changes {
             match change {
                 Discovery::Listed(entry) => self.listed(*entry),
-                Discovery::Gone(id) => self.unlisted(&id),
+                Discovery::Gone { id, silent_for } => self.unlisted(&id, silent_for),
+                Discovery::Whole => self.unlist_untold(),
             }
         }
         self.replan = true;
@@ -61,7 +61,7 @@
     pub(super) fn check_life(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get_mut(&no) else { return };
         let lapsed = life.lapses_at <= self.now;
-        let forgotten = !life.listed && life.silent > 0;
+        let forgotten = life.listing != Listing::Listed && life.silent > 0;
         match (lapsed, forgotten) {
             (true, true) => {
                 return self.end_life(no, "gone: not listed, silent, its lease is over");
@@ -79,7 +79,9 @@
     /// Moves what would be lost with a worker that is about to leave, where there is room for it.
     fn evacuate(&mut self, no: LifeNo) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no).filter(|life| life.entry.draining) else { return };
+        let Some(life) = self.lives.get_mut(&no).filter(|life| life.is_leaving(now)) else {
+            return;
+        };
         if life.evacuated_at.is_some_and(|at| now.since(at) < EVACUATE_EVERY) {
             return;
         }
@@ -91,7 +93,7 @@
         let runs = life.runs().iter().filter(|(_, run)| leaves(run));
         for (task, run) in runs.map(|(&task, run)| (task, run.run)).collect::<Vec<_>>() {
             let Some(spec) = self.step_spec(task).cloned() else { continue };
-            if self.choose(task, &spec, &[]).is_some() {
+            if self.may_leave(no, task) && self.choose(task, &spec, &[]).is_some() {
                 self.move_run(no, task, run, "moved: its worker is about to leave");
             }
         }
@@ -111,7 +113,7 @@
     fn listed_known(&mut self, no: LifeNo, mut entry: WorkerEntry) {
         let Some(life) = self.lives.get_mut(&no) else { return };
         entry.draining |= life.entry.draining;
-        let was_listed = life.listed;
+        let was_listed = life.listing == Listing::Listed;
         let belief = match (entry.draining && !life.entry.draining, was_listed) {
             (true, _) => Some("draining"),
             (false, false) => Some("listed again"),
@@ -122,7 +124,7 @@
             // taken for gone once its lease is over.
             life.lapses_at = life.lapses_at + self.may_be_renewed_for;
         }
-        life.listed = true;
+        life.listing = Listing::Listed;
         life.entry = Arc::new(entry);
         life.room = None;
         if let Some(belief) = belief {
@@ -142,14 +144,6 @@
         self.hold_if_due(no);
     }
 
-    fn unlisted(&mut self, id: &LifeId) {
-        let Some(&no) = self.life_by_id.get(id) else { return };
-        let Some(life) = self.lives.get_mut(&no) else { return };
-        life.listed = false;
-        self.note_belief(no, "not listed");
-        self.hold_soon(no, Duration::ZERO);
-    }
-
     pub(super) fn insert_life(&mut self, entry: WorkerEntry, lapses_at: Time) -> LifeNo {
         let no = LifeNo(self.next_life);
         self.next_life += 1;
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -27,8 +27,10 @@
 pub const TOKEN_OF_LATER_OWNER: u64 = 9 << 20;
 /// One step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(10);
-/// How much later a worker that is late carries an order out.
-const LATE: Duration = Duration::from_millis(1_000);
+/// Less than the time between two heartbeats of a worker.
+const BETWEEN_HEARTBEATS: Duration = Duration::from_millis(700);
+/// Entries lapse after three heartbeats of silence.
+const LAPSES_AFTER: Duration = Duration::from_millis(3_300);
 /// How long the store takes.
 const STORE: Duration = Duration::from_millis(10);
 
@@ -170,6 +172,34 @@
         self.tell(Event::Discovered(vec![Discovery::Listed(Box::new(entry))]));
     }
 
+    /// Tells the scheduler that a worker withdrew its entry from the list, between two heartbeats.
+    pub fn unlist(&mut self, id: &str) {
+        self.unlist_after(id, BETWEEN_HEARTBEATS);
+    }
+
+    /// Tells the scheduler that a worker's entry lapsed for want of heartbeats.
+    pub fn lapse(&mut self, id: &str) {
+        self.unlist_after(id, LAPSES_AFTER);
+    }
+
+    fn unlist_after(&mut self, id: &str, silent_for: Duration) {
+        self.worker(id).gone = true;
+        let gone = Discovery::Gone { id: id.into(), silent_for: Some(silent_for) };
+        self.tell(Event::Discovered(vec![gone]));
+    }
+
+    /// Tells the scheduler that a worker's entry is in the list again.
+    pub fn relist(&mut self, id: &str) {
+        self.worker(id).gone = false;
+        let entry = self.worker(id).entry.clone();
+        self.list(entry);
+    }
+
+    /// Tells the scheduler that the store is in trouble, or was until now.
+    pub fn trouble_store(&mut self) {
+        self.tell(Event::StoreTrouble { until: self.now });
+    }
+
     /// Hands a job in.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> RequestNo {
         let request = self.request();
@@ -302,9 +332,11 @@
         }
         let worker = self.workers.get_mut(id).expect("orders go to workers of the fleet");
         match (worker.mood, order) {
-            (Mood::Cut, _) => OrderAnswer::Unanswered,
-            (Mood::Late, Order::Start(_)) => {
-                worker.take_later(now + LATE, token, lease_until_ms, order, work);
+            (Mood::Late | Mood::Delayed, Order::Start(_)) => {
+                worker.take_later(now + worker.late_by, token, lease_until_ms, order, work);
+                OrderAnswer::Unanswered
+            }
+            (Mood::Cut | Mood::Delayed, _) | (Mood::Unstoppable, Order::Stop { .. }) => {
                 OrderAnswer::Unanswered
             }
             _ => {
@@ -326,6 +358,7 @@
             },
             cpu_millis: spec.map_or(0, |step| step.size.cpu_millis.0),
             serves: spec.is_some_and(|step| step.tail_target_ms.is_some()),
+            lasts: spec.is_some_and(|step| step.lasts),
         }
     }
 
@@ -409,6 +442,7 @@
         longest_lease: Duration::from_secs(6),
         remember_ended: Duration::from_secs(120),
         renew_without_store: Duration::from_secs(12),
+        worker_heartbeat: Duration::from_millis(1_100),
     };
     Scheduler::new(settings, epoch, inheritance, now, DAY_UNIX_MS + now.as_ms())
 }
--- a/crates/kitetraild/src/fleet/settings.rs
+++ b/crates/kitetraild/src/fleet/settings.rs
@@ -28,6 +28,8 @@
     pub listen: Listen,
     /// The path of the question whether it takes new connections.
     pub ready_path: String,
+    /// How often workers renew their entries in the list.
+    pub worker_heartbeat: Duration,
     /// The longest lease that workers grant.
     pub longest_lease: Duration,
     /// How long the state of a job that ended is told.
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -157,6 +157,7 @@
         longest_lease: shared.settings.longest_lease,
         remember_ended: shared.settings.remember_ended,
         renew_without_store: WITHOUT_STORE,
+        worker_heartbeat: shared.settings.worker_heartbeat,
     };
     let now = shared.clock.now();
     Scheduler::new(settings, epoch, inheritance, now, unix_ms())
