--- a/crates/kitetrail-standins/src/caller.rs
+++ b/crates/kitetrail-standins/src/caller.rs
@@ -26,6 +26,9 @@
     worker::expected_body,
 };
 
+/// How long an unused connection is kept: less than boxes keep theirs (5 s), so that none is closed as it
+/// is used.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How much longer than its deadline a caller waits before it calls an answer missing.
 const PATIENCE: Duration = Duration::from_millis(2_000);
 /// The body of each request that must not be repeated.
@@ -120,6 +123,7 @@
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(false)
             .build(connector);
         Ok(Self { args, client, results: RefCell::new(results) })
@@ -153,18 +157,23 @@
             once,
             outcome: "none".to_owned(),
             status: 0,
+            error: None,
             fault: None,
             retry_after_ms: None,
             latency_us: 0,
         };
         let answer = tokio::time::timeout(limit, self.exchange(id, once, target)).await;
-        if let Ok(Ok((status, headers, body))) = answer {
-            entry.status = status;
-            entry.outcome = outcome(&headers, status);
-            entry.retry_after_ms = retry_after_ms(&headers);
-            if entry.outcome == "done" {
-                entry.fault = self.find_fault(id, once, &headers, &body);
+        match answer {
+            Ok(Ok((status, headers, body))) => {
+                entry.status = status;
+                entry.outcome = outcome(&headers, status);
+                entry.retry_after_ms = retry_after_ms(&headers);
+                if entry.outcome == "done" {
+                    entry.fault = self.find_fault(id, once, &headers, &body);
+                }
             }
+            Ok(Err(error)) => entry.error = Some(error.to_string()),
+            Err(_) => entry.error = Some(format!("nothing came within {limit:?}")),
         }
         entry
     }
--- a/crates/kitetrail-standins/src/journal.rs
+++ b/crates/kitetrail-standins/src/journal.rs
@@ -77,6 +77,9 @@
     pub outcome: String,
     /// The HTTP status, zero without answer.
     pub status: u16,
+    /// Why there is no answer, if there is none.
+    #[serde(default)]
+    pub error: Option<String>,
     /// What was wrong with the answer, if anything.
     pub fault: Option<String>,
     /// When to come back, if the answer said so, in milliseconds.
