--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -154,7 +154,7 @@
 
     /// Whether it had begun before a moment and was not heard since: a life that answers a question
     /// sent at that moment from the same place came after it.
-    pub(super) fn was_last_seen_before(&self, moment: Time) -> bool {
+    pub(super) fn precedes(&self, moment: Time) -> bool {
         self.known_since < moment && self.heard_at.is_none_or(|heard_at| heard_at < moment)
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -40,7 +40,7 @@
         let earlier = self
             .lives
             .iter()
-            .filter(|(_, other)| other.shares_place(&entry) && other.was_last_seen_before(sent_at));
+            .filter(|(_, other)| other.shares_place(&entry) && other.precedes(sent_at));
         for no in earlier.map(|(&no, _)| no).collect::<Vec<_>>() {
             self.end_life(no, "over: a later life answers on its machine");
         }
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -237,7 +237,7 @@
 
 /// The answer to a call that brought none in time.
 fn give_up(what: &str, job: JobId, answer: Answer) -> Response<Body> {
-    log::warn!(job = job.to_string(), call = what, answer:? = answer; "front: a call is given up");
+    log::warn!(job = job.to_string(), call = what, answer:? = answer; "front: a call failed");
     match answer {
         Answer::InDoubt => {
             refuse(StatusCode::GATEWAY_TIMEOUT, "it may have been done: ask again with the same id")
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -27,7 +27,7 @@
         Note::RunGivenUp { task, run, worker, why } => log::warn!(
             job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
             why = *why;
-            "run: given up"
+            "run: lost"
         ),
         Note::RunMoved { task, run, worker, why } => log::info!(
             job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
