Start nothing on workers of zones that are being evacuated, in the scheduler

Ruled out: treating the zone's workers as draining. They stay, so their work need not be gone in 2 s, and may_miss binds its moves. Change: an event sets the zones. Their workers take no start, move, copy or retry; orders to start that have not left are taken back, with the other members of a gang. What lasts moves one task of a step after the other, ten a second in all, where there is room that short work does not need; what keeps its progress and goes on for more than 5 s moves too; the rest finishes. A step that only such zones could run is told in the log once. Versions: kitetrail-core::evacuation, the latest wins. Test stand-in: what lasts now tells 100 percent after 0.3 s, as the platform says; it told its share of ten minutes before.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -1,6 +1,6 @@
 //! What the scheduler is told, and what it wants done.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +43,8 @@
     },
     /// The operators' queues, all of them, as now in force.
     Queues(Vec<QueueTerms>),
+    /// The availability zones that are being evacuated, all of them, as now in force.
+    Evacuated(BTreeSet<String>),
     /// The list of workers changed.
     Discovered(Vec<Discovery>),
     /// An order was answered, or certainly won't be.
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -74,6 +74,8 @@
     pub(super) order_sent: bool,
     pub(super) hold_sent: bool,
     pub(super) next_hold_at: Option<Time>,
+    /// Its availability zone is being evacuated.
+    pub(super) zone_evacuated: bool,
     /// When it was last looked for room for what would be lost as the worker leaves.
     pub(super) evacuated_at: Option<Time>,
     /// Holds in a row that brought nothing.
@@ -112,6 +114,7 @@
             order_sent: false,
             hold_sent: false,
             next_hold_at: Some(now),
+            zone_evacuated: false,
             evacuated_at: None,
             silent: 0,
             ends_seen: 0,
@@ -148,6 +151,7 @@
             && self.recorded
             && self.listed
             && !self.entry.draining
+            && !self.zone_evacuated
             && self.silent == 0
             && !set_aside
     }
--- a/crates/kitetrail-core/src/jobs/note.rs
+++ b/crates/kitetrail-core/src/jobs/note.rs
@@ -99,6 +99,14 @@
         /// How long ago it was heard, in milliseconds; `None`: never.
         heard_ago_ms: Option<u64>,
     },
+    /// Only workers of availability zones that are being evacuated could run the tasks of a step: they
+    /// wait until one is taken back.
+    WaitsForZone {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: u32,
+    },
     /// The runs of a worker that fill were paced.
     Paced {
         /// The worker.
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod commit;
 mod ends;
+mod evacuation;
 pub(super) mod filter;
 mod fit;
 mod gauges;
@@ -30,7 +31,7 @@
 };
 
 pub use self::inherit::Inheritance;
-use self::{pending::Pending, short_work::ShortWork, tails::TailModel};
+use self::{evacuation::ZoneEvacuation, pending::Pending, short_work::ShortWork, tails::TailModel};
 use super::{
     event::{Action, Event, JobState},
     job::Job,
@@ -95,6 +96,7 @@
     pending: Pending,
     tails: TailModel,
     short_work: ShortWork,
+    evacuation: ZoneEvacuation,
     /// Something changed, so that tasks that wait may find a worker.
     replan: bool,
     /// When all jobs were looked at last.
@@ -131,6 +133,7 @@
             pending: Pending::default(),
             tails: TailModel::default(),
             short_work: ShortWork::default(),
+            evacuation: ZoneEvacuation::default(),
             replan: true,
             placed_at: Time::ZERO,
             out: Vec::new(),
@@ -147,6 +150,7 @@
             Event::Submit { request, job, queue, spec } => self.submit(request, job, queue, *spec),
             Event::Cancel { request, job } => self.cancel(request, job),
             Event::Queues(queues) => self.set_queues(queues),
+            Event::Evacuated(zones) => self.set_evacuated(zones),
             Event::Discovered(changes) => self.discover(changes),
             Event::OrderAnswered { life, order, answer } => {
                 self.order_answered(life, order, answer)
@@ -249,6 +253,7 @@
         for life in lives {
             self.check_life(life);
         }
+        self.move_out_if_due();
         // Back-offs and times set aside end without an event of their own.
         self.replan = true;
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -71,9 +71,9 @@
         let Some(clock_ms) = life.clock_ms(now) else { return };
         let Some(order) = life.orders.pop_front() else { return };
         if let Order::Start(start) = &order
-            && life.entry.draining
+            && (life.entry.draining || life.zone_evacuated)
         {
-            // It was placed before the worker said that it leaves.
+            // It was placed before the worker said that it leaves, or its zone was to be evacuated.
             self.drop_run(no, start.task, start.run);
             return self.send_next_order(no);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -48,6 +48,7 @@
             return;
         }
         for step in job.due_steps(self.now) {
+            self.note_if_zone_needed(step);
             let spec = self.jobs.get(&id).and_then(|job| job.step_spec(step.step));
             let Some(spec) = spec.filter(|spec| !full.has_no_room_for(spec, lateness)).cloned()
             else {
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -93,6 +93,7 @@
             objective_ms: job.objective_ms(),
         }));
         self.pending.note_urgent(id);
+        self.forget_zone_needed(id);
         self.stop_all_of(id);
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/short_work.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/short_work.rs
@@ -27,6 +27,8 @@
     usual_millis: f64,
     /// How many tasks run or wait, on average.
     tasks: f64,
+    /// How many tasks waited when that was looked at last.
+    waiting: u32,
     /// When the average was last brought up to date.
     averaged_at: Time,
 }
@@ -47,6 +49,11 @@
         self.tasks = kept * self.tasks + (1.0 - kept) * f64::from(tasks);
     }
 
+    /// Whether some waited when that was looked at last.
+    pub(super) fn waits(&self) -> bool {
+        self.waiting > 0
+    }
+
     /// How many tasks of the usual size fit in so much free processor time.
     pub(super) fn slots_in(&self, free_millis: u32) -> u32 {
         match self.usual_millis {
@@ -63,6 +70,7 @@
         let running = self.lives.values().filter_map(|life| life.room.as_ref());
         let running = running.map(|room| room.short_tasks).sum::<u32>();
         self.short_work.note_need(running + waiting, self.now);
+        self.short_work.waiting = waiting;
     }
 
     /// Whether a task that lasts and never ran waits so that short work finds room.
@@ -76,13 +84,26 @@
             return false;
         }
         let accepted_at = job.accepted_at;
-        let (slots, places) = self.short_slots_and_places(spec.size.cpu_millis.0);
-        let taken = self.short_work.slots_in(spec.size.cpu_millis.0);
-        let is_scarce = f64::from(slots) - f64::from(taken) < ROOM_OF_NEED * self.short_work.tasks;
+        let (is_scarce, places) = self.scarcity_and_places(spec.size.cpu_millis.0);
         let would_count_as_lost = places >= 2 && self.now.since(accepted_at) >= HELD_BACK_MOST;
         is_scarce && !would_count_as_lost
     }
 
+    /// Whether a task that lasts would take room that short work was seen to need, wherever it went.
+    pub(super) fn takes_room_of_short_work(&mut self, spec: &StepSpec) -> bool {
+        let matters = spec.lasts && self.short_work.tasks >= LEAST_NEED;
+        matters && self.scarcity_and_places(spec.size.cpu_millis.0).0
+    }
+
+    /// Whether room for short work is scarce once a task of a given size has found a place, and how
+    /// many such tasks find one.
+    fn scarcity_and_places(&mut self, cpu_millis: u32) -> (bool, u32) {
+        let (slots, places) = self.short_slots_and_places(cpu_millis);
+        let taken = self.short_work.slots_in(cpu_millis);
+        let left = f64::from(slots) - f64::from(taken);
+        (left < ROOM_OF_NEED * self.short_work.tasks, places)
+    }
+
     /// How many short tasks the fleet has room for, those that run included, and how many tasks of a
     /// given size find a place.
     fn short_slots_and_places(&mut self, cpu_millis: u32) -> (u32, u32) {
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -84,7 +84,7 @@
         let (Some(run), Some(expected_ms)) = (run, expected_ms) else { return false };
         let Some(total_ms) = predicted_ms(run, self.now) else { return false };
         let elapsed_ms = elapsed_ms(run, self.now).unwrap_or(0.0);
-        let left_ms = total_ms * f64::from(100 - run.percent.min(100)) / 100.0;
+        let left_ms = left_ms(run, self.now).unwrap_or(0.0);
         elapsed_ms > expected_ms * OVERDUE_FACTOR
             && total_ms > expected_ms * SLOW_FACTOR
             && left_ms > expected_ms * WORTH_STARTING_ANEW
@@ -169,6 +169,12 @@
     (done >= LEAST_PROGRESS).then(|| elapsed_ms * 100.0 / f64::from(done))
 }
 
+/// How long a run goes on at its present speed, in milliseconds.
+pub(super) fn left_ms(run: &RunThere, now: Time) -> Option<f64> {
+    let total_ms = predicted_ms(run, now)?;
+    Some(total_ms * f64::from(100 - run.percent.min(100)) / 100.0)
+}
+
 fn elapsed_ms(run: &RunThere, now: Time) -> Option<f64> {
     let Phase::Running(since) = run.phase else { return None };
     Some(now.since(since).as_secs_f64() * 1_000.0)
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -121,6 +121,7 @@
         life.listed = true;
         life.entry = Arc::new(entry);
         life.room = None;
+        self.note_zone(no);
         if let Some(belief) = belief {
             self.note_belief(no, belief);
         }
@@ -151,6 +152,7 @@
         self.next_life += 1;
         self.life_by_id.insert(entry.id.clone(), no);
         self.lives.insert(no, Life::new(entry, self.first_token(), lapses_at, self.now));
+        self.note_zone(no);
         no
     }
 }
--- a/crates/kitetrail-core/src/lib.rs
+++ b/crates/kitetrail-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod audit;
 pub mod calls;
 pub mod config;
+pub mod evacuation;
 pub mod fleet;
 pub mod fleet_config;
 pub mod ids;
--- /dev/null
+++ b/crates/kitetrail-core/tests/evacuations.rs
@@ -0,0 +1,53 @@
+//! Requests to evacuate availability zones: the latest version wins, in whatever order it is learned.
+
+use kitetrail_core::evacuation::{EvacuationChange, Evacuations};
+
+fn request(zone: &str, version: u64) -> EvacuationChange {
+    EvacuationChange { zone: zone.to_owned(), version, requested: true }
+}
+
+fn withdrawal(zone: &str, version: u64) -> EvacuationChange {
+    EvacuationChange { zone: zone.to_owned(), version, requested: false }
+}
+
+fn zones(evacuations: &Evacuations) -> Vec<&str> {
+    evacuations.zones().collect()
+}
+
+#[test]
+fn a_request_holds_until_it_is_withdrawn() {
+    let mut evacuations = Evacuations::default();
+    assert_eq!(evacuations.read(3, vec![]), []);
+    assert_eq!(evacuations.follow(5, vec![request("a", 5)]), [request("a", 5)]);
+    assert_eq!(evacuations.follow(6, vec![]), []);
+    assert_eq!(zones(&evacuations), ["a"]);
+    assert_eq!(evacuations.follow(9, vec![withdrawal("a", 9)]), [withdrawal("a", 9)]);
+    assert!(zones(&evacuations).is_empty());
+}
+
+#[test]
+fn changes_in_one_answer_take_effect_in_their_order() {
+    let mut evacuations = Evacuations::default();
+    evacuations.follow(9, vec![request("a", 5), withdrawal("a", 7), request("a", 9)]);
+    assert_eq!(zones(&evacuations), ["a"]);
+    evacuations.follow(14, vec![withdrawal("a", 11), request("a", 12), withdrawal("a", 14)]);
+    assert!(zones(&evacuations).is_empty());
+}
+
+#[test]
+fn a_list_read_anew_tells_of_requests_that_are_gone() {
+    let mut evacuations = Evacuations::default();
+    evacuations.read(5, vec![request("a", 4), request("b", 5)]);
+    let changed = evacuations.read(20, vec![request("b", 5), request("c", 18)]);
+    assert_eq!(changed, [withdrawal("a", 20), request("c", 18)]);
+    assert_eq!(zones(&evacuations), ["b", "c"]);
+}
+
+#[test]
+fn what_holds_for_an_earlier_version_of_the_store_changes_nothing() {
+    let mut evacuations = Evacuations::default();
+    evacuations.read(20, vec![request("b", 15)]);
+    assert_eq!(evacuations.read(10, vec![request("a", 4)]), []);
+    assert_eq!(evacuations.follow(12, vec![withdrawal("b", 12)]), []);
+    assert_eq!(zones(&evacuations), ["b"]);
+}
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -41,6 +41,8 @@
     pub answers: Vec<(Time, Action)>,
     /// Starts, in order: when, which task and run, on which worker.
     pub starts: Vec<(Time, TaskName, u32, String)>,
+    /// Orders to start that left the scheduler, in order: when, which task, to which worker.
+    pub start_orders: Vec<(Time, TaskName, String)>,
     /// What the store keeps.
     pub jobs: BTreeMap<JobId, JobRecord>,
     pub progress: BTreeMap<JobId, ProgressRecord>,
@@ -108,6 +110,7 @@
             notes: Vec::new(),
             answers: Vec::new(),
             starts: Vec::new(),
+            start_orders: Vec::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
             lives: BTreeMap::new(),
@@ -138,6 +141,18 @@
 
     /// Replaces the scheduler by one of a new owner, as after the death of the one before.
     pub fn take_over(&mut self, epoch: u64, predecessor_stopped: bool) {
+        self.replace_scheduler(epoch, predecessor_stopped);
+        self.list_all();
+    }
+
+    /// The same, with something that the new scheduler is told before it knows any worker.
+    pub fn take_over_with(&mut self, epoch: u64, predecessor_stopped: bool, first: Event) {
+        self.replace_scheduler(epoch, predecessor_stopped);
+        self.tell(first);
+        self.list_all();
+    }
+
+    fn replace_scheduler(&mut self, epoch: u64, predecessor_stopped: bool) {
         self.batches.clear();
         for worker in self.workers.values_mut() {
             worker.held = None;
@@ -152,7 +167,6 @@
             predecessor_stopped,
         };
         self.scheduler = scheduler(epoch, inheritance, self.now);
-        self.list_all();
     }
 
     /// A worker crashes and lives anew on its machine under another id. Returns the entry of the life
@@ -297,6 +311,9 @@
     fn order(&mut self, id: &str, token: u64, lease_until_ms: u64, order: &Order) -> OrderAnswer {
         let now = self.now;
         let work = self.work(order.run().0);
+        if let Order::Start(start) = order {
+            self.start_orders.push((now, start.task, id.to_owned()));
+        }
         if self.over.contains(id) {
             return OrderAnswer::LifeOver;
         }
@@ -326,6 +343,7 @@
             },
             cpu_millis: spec.map_or(0, |step| step.size.cpu_millis.0),
             serves: spec.is_some_and(|step| step.tail_target_ms.is_some()),
+            lasts: spec.is_some_and(|step| step.lasts),
         }
     }
 
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -19,6 +19,8 @@
 const HOLD_SLACK: Duration = Duration::from_millis(700);
 /// How much later than that an answer comes that counts as missing.
 const LATE_ANSWER: Duration = Duration::from_millis(500);
+/// A task that lasts is at work after so long, and tells 100 percent from then on.
+const STARTS_WITHIN_MS: u64 = 300;
 /// A run that fails does so after this much work.
 const FAILS_AFTER_MS: u64 = 100;
 
@@ -54,11 +56,19 @@
     pub cpu_millis: u32,
     /// It serves users: its gauge tells its tail.
     pub serves: bool,
+    /// It goes on until it is stopped.
+    pub lasts: bool,
 }
 
 impl Running {
-    fn new(run: u32, Work { work_ms, cpu_millis, serves }: Work) -> Self {
-        Self { run, done_ms: 0, work_ms, percent: 100, cpu_millis, serves }
+    fn new(run: u32, Work { work_ms, cpu_millis, serves, lasts }: Work) -> Self {
+        Self { run, done_ms: 0, work_ms, percent: 100, cpu_millis, serves, lasts }
+    }
+
+    /// What its worker tells of how far it is, in percent.
+    pub fn told_percent(&self) -> u32 {
+        let whole_ms = if self.lasts { STARTS_WITHIN_MS } else { self.work_ms };
+        (self.done_ms * 100 / whole_ms).min(100) as u32
     }
 }
 
@@ -68,6 +78,7 @@
     pub work_ms: u64,
     pub cpu_millis: u32,
     pub serves: bool,
+    pub lasts: bool,
 }
 
 /// An order that is carried out later.
@@ -235,7 +246,7 @@
             task,
             run: running.run,
             checkpoint: Some(format!("{task}@{}", running.done_ms)),
-            percent: (running.done_ms * 100 / running.work_ms) as u32,
+            percent: running.told_percent(),
             gauge: Some(match running.serves {
                 true => tail_ms,
                 false => running.cpu_millis * u32::from(running.percent) / 100,
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -43,6 +43,10 @@
             worker = worker.as_str(), belief = *belief, heard_ago_ms:? = *heard_ago_ms;
             "worker: state changed"
         ),
+        Note::WaitsForZone { job, step } => log::warn!(
+            job = job.to_string(), step = *step;
+            "job: waits, only zones that are being evacuated could run it"
+        ),
         Note::Paced { worker, percent, tail_of_target_percent } => log::info!(
             worker = worker.as_str(), percent = *percent,
             tail_of_target_percent = *tail_of_target_percent;
