Follow operators' requests to evacuate zones, and know them before a first start

Change: OperatorSource in place of ConfigSource: the configuration and typed requests with their versions. A new owner whose knowledge is older than 3.5 s reads the requests before it starts anything. A configuration that can't be read is told and left out, so that it does not hide requests. Two gauges, a log line for each change. Tests: platform/tests/evacuation.rs: all four red on a scheduler that ignores the event, the fourth also without the look at a takeover.

--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use kitetrail_core::{
+    evacuation::EvacuationChange,
     fleet_config::FleetConfig,
     jobs::{Hold, HoldFailure, JobSpec, JobState, LifeId, Order, OrderAnswer, Report, WorkerEntry},
 };
@@ -146,20 +147,30 @@
     ) -> impl Future<Output = Result<WorkerChanges, PlatformError>>;
 }
 
-/// Where operators put their configuration.
-pub trait ConfigSource {
-    /// The newest configuration, `None` if there is none yet, and where to go on for changes.
-    fn config(&self) -> impl Future<Output = Result<(Option<FleetConfig>, u64), PlatformError>>;
+/// What operators ask for: all of it, or what changed.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct OperatorRows {
+    /// The configuration; `None` if there is none, it did not change or it can't be read.
+    pub config: Option<FleetConfig>,
+    /// Requests to evacuate availability zones, and their withdrawals, in order.
+    pub evacuations: Vec<EvacuationChange>,
+    /// The version of the store up to which this holds, and where to go on for changes.
+    pub version: u64,
+}
 
-    /// The configuration if it changed after a version, and where to go on; waits until there is
-    /// something, or `wait` is over.
+/// Where operators put what they ask for.
+pub trait OperatorSource {
+    /// All that operators ask for now.
+    fn operator_rows(&self) -> impl Future<Output = Result<OperatorRows, PlatformError>>;
+
+    /// What changed after a version; waits until there is something, or `wait` is over.
     ///
-    /// `None` for where to go on asks to read it anew: what changed since is no longer known.
-    fn config_changes(
+    /// `None` asks to read all anew: what changed since is no longer known.
+    fn operator_changes(
         &self,
         after: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Option<FleetConfig>, Option<u64>), PlatformError>>;
+    ) -> impl Future<Output = Result<Option<OperatorRows>, PlatformError>>;
 }
 
 /// Orders to workers.
--- a/crates/kitetraild/src/fleet/config_watch.rs
+++ b/crates/kitetraild/src/fleet/config_watch.rs
@@ -1,20 +1,21 @@
-//! Follows the operators' configuration in the store.
+//! Follows what operators ask for in the store: their configuration, and zones to evacuate.
 
 use std::{rc::Rc, time::Duration};
 
-use kitetrail_platform::fleet::ConfigSource;
+use kitetrail_core::Time;
+use kitetrail_platform::fleet::{OperatorRows, OperatorSource};
 use tokio::time;
 
-use super::{Platform, shared::Shared};
+use super::{Platform, evacuation::Source, shared::Shared};
 
 /// How long a call waits for changes. Short enough that a connection that died in silence is
 /// noticed within the time in which a configuration must be in force, together with the boxes'
 /// pings of each other.
-const WAIT: Duration = Duration::from_millis(1_500);
+pub(super) const WAIT: Duration = Duration::from_millis(1_500);
 /// How long to wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// Follows the configuration until the process ends.
+/// Follows them until the process ends.
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>) {
     let mut version = None;
     loop {
@@ -28,22 +29,32 @@
     }
 }
 
-async fn read<P: Platform>(shared: &Rc<Shared<P>>) -> Option<u64> {
-    let config = shared.services.store.config().await;
-    shared.note_store(&config);
-    let (config, version) = config.ok()?;
-    if let Some(config) = config {
-        shared.offer_config(config, "store");
-    }
-    Some(version)
+/// Reads all that operators ask for. Returns where to go on.
+pub(super) async fn read<P: Platform>(shared: &Rc<Shared<P>>) -> Option<u64> {
+    let asked_at = shared.clock.now();
+    let rows = shared.services.store.operator_rows().await;
+    shared.note_store(&rows);
+    Some(take(shared, Source::List, rows.ok()?, asked_at))
 }
 
 async fn follow<P: Platform>(shared: &Rc<Shared<P>>, version: u64) -> Option<u64> {
-    let changes = shared.services.store.config_changes(version, WAIT).await;
+    let asked_at = shared.clock.now();
+    let changes = shared.services.store.operator_changes(version, WAIT).await;
     shared.note_store(&changes);
-    let (config, version) = changes.ok()?;
+    Some(take(shared, Source::Watch, changes.ok()??, asked_at))
+}
+
+/// Puts in force what operators ask for. Returns where to go on.
+fn take<P: Platform>(
+    shared: &Shared<P>,
+    source: Source,
+    rows: OperatorRows,
+    asked_at: Time,
+) -> u64 {
+    let OperatorRows { config, evacuations, version } = rows;
     if let Some(config) = config {
         shared.offer_config(config, "store");
     }
+    shared.note_evacuations(source, version, evacuations, asked_at);
     version
 }
--- /dev/null
+++ b/crates/kitetraild/src/fleet/evacuation.rs
@@ -0,0 +1,107 @@
+//! The zones that operators have evacuated, as this box knows them.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+    time::Duration,
+};
+
+use kitetrail_core::{
+    Time,
+    evacuation::{EvacuationChange, Evacuations},
+};
+use tokio::{sync::Notify, time};
+
+use super::{Platform, config_watch, ownership::RETRY, shared::Shared};
+
+/// How old what a new owner knows may be before it reads the requests itself: the calls that watch the
+/// operators' table follow each other at once, so that the last one that was answered began two waits
+/// ago at most, and a little more on a slow link.
+const FRESH: Duration = config_watch::WAIT.saturating_mul(2).saturating_add(SLOW_LINK);
+/// What a call takes beyond its wait, at most, where all is well. Chosen, not measured.
+const SLOW_LINK: Duration = Duration::from_millis(500);
+
+/// Where what is known comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    /// All requests were read.
+    List,
+    /// The operators' table was watched.
+    Watch,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch => "watch",
+        }
+    }
+}
+
+/// The zones that operators have evacuated, as this box knows them.
+#[derive(Debug, Default)]
+pub(super) struct EvacuatedZones {
+    known: RefCell<Evacuations>,
+    /// When the last call began that told what the requests are.
+    asked_at: Cell<Option<Time>>,
+    /// Wakes the owner when the zones change.
+    pub(super) changed: Notify,
+}
+
+impl EvacuatedZones {
+    /// The zones in which nothing is to be started.
+    pub(super) fn zones(&self) -> BTreeSet<String> {
+        self.known.borrow().zones().map(str::to_owned).collect()
+    }
+
+    /// Takes note of what a call told that began at a moment. Returns how many zones are evacuated if
+    /// that changed something.
+    pub(super) fn note(
+        &self,
+        source: Source,
+        version: u64,
+        changes: Vec<EvacuationChange>,
+        asked_at: Time,
+    ) -> Option<usize> {
+        self.asked_at.set(self.asked_at.get().max(Some(asked_at)));
+        let mut known = self.known.borrow_mut();
+        let changed = match source {
+            Source::List => known.read(version, changes),
+            Source::Watch => known.follow(version, changes),
+        };
+        for EvacuationChange { zone, version, requested } in &changed {
+            log::info!(
+                zone = zone.as_str(), version = *version, requested = *requested,
+                source = source.name();
+                "evacuation: another request is in force"
+            );
+        }
+        let is_changed = !changed.is_empty();
+        if is_changed {
+            self.changed.notify_waiters();
+        }
+        is_changed.then(|| known.count())
+    }
+
+    fn is_fresh(&self, now: Time) -> bool {
+        self.asked_at.get().is_some_and(|at| now.since(at) <= FRESH)
+    }
+}
+
+/// Waits until this box knows which zones are evacuated, as a new owner must before it starts anything.
+/// `false`: the box is stopping.
+///
+/// A box that was cut off or stood still may know what held long ago.
+pub(super) async fn until_known<P: Platform>(shared: &Rc<Shared<P>>) -> bool {
+    while !shared.evacuated.is_fresh(shared.clock.now()) {
+        if shared.draining.get() {
+            return false;
+        }
+        if config_watch::read(shared).await.is_none() {
+            time::sleep(RETRY).await;
+        }
+    }
+    true
+}
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod committer;
 mod config_watch;
+mod evacuation;
 mod front;
 mod notes;
 mod operators;
@@ -21,15 +22,15 @@
 mod takeover;
 mod workers_watch;
 
-use kitetrail_platform::fleet::{ConfigSource, JobCodec, RowStore, WorkerControl, WorkerList};
+use kitetrail_platform::fleet::{JobCodec, OperatorSource, RowStore, WorkerControl, WorkerList};
 
 pub use run::run;
 pub use settings::{FleetSettings, Listen};
 
 /// The platform's services, as one type.
 pub trait Platform: 'static {
-    /// The store, which also lists workers and holds the operators' configuration.
-    type Store: RowStore + WorkerList + ConfigSource + Clone + 'static;
+    /// The store, which also lists workers and holds what operators ask for.
+    type Store: RowStore + WorkerList + OperatorSource + Clone + 'static;
     /// Orders to workers.
     type Workers: WorkerControl + Clone + 'static;
     /// How callers write jobs.
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -86,6 +86,8 @@
     ticked_at: Time,
     /// When other parts of the box were told last how things stand.
     published_at: Time,
+    /// How many runs are left in evacuated zones, as told last.
+    told_runs_left: u64,
     /// The last tick was left out because the process had been held up.
     tick_left_out: bool,
 }
@@ -112,6 +114,7 @@
             doubt: StoreDoubt::default(),
             ticked_at,
             published_at: Time::ZERO,
+            told_runs_left: 0,
             tick_left_out: false,
         }
     }
@@ -120,6 +123,7 @@
     pub(super) async fn run(mut self) -> Ended {
         let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.evacuate();
         self.configure();
         loop {
             let taken = tokio::select! {
@@ -132,6 +136,10 @@
                     self.configure();
                     ControlFlow::Continue(())
                 }
+                () = self.shared.evacuated.changed.notified() => {
+                    self.evacuate();
+                    ControlFlow::Continue(())
+                }
             };
             if let ControlFlow::Break(ended) = taken {
                 return ended;
@@ -246,6 +254,12 @@
         }
     }
 
+    /// Puts in force which zones are evacuated.
+    fn evacuate(&mut self) {
+        let zones = self.shared.evacuated.zones();
+        self.handle(Event::Evacuated(zones));
+    }
+
     /// Tells other parts of the box how things stand.
     fn publish_if_due(&mut self) {
         let now = self.shared.clock.now();
@@ -255,7 +269,12 @@
         }
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
+        let runs_left = self.scheduler.runs_in_evacuated_zones();
+        if runs_left != self.told_runs_left {
+            self.told_runs_left = runs_left;
+            self.shared.metrics.note_evacuated_runs_left(runs_left);
+        }
         let counts = self.scheduler.pending_by_queue();
         let counts = counts.into_iter().map(|(queue, count)| (queue.to_string(), count));
         self.shared.note_pending(counts);
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -8,11 +8,18 @@
     time::Duration,
 };
 
-use kitetrail_core::{Time, fleet_config::FleetConfig, succession::Candidates};
+use kitetrail_core::{
+    Time, evacuation::EvacuationChange, fleet_config::FleetConfig, succession::Candidates,
+};
 use kitetrail_platform::PlatformError;
 use tokio::sync::{Notify, mpsc};
 
-use super::{FleetSettings, Platform, Services, owner::OwnerMessage, peers::PeerClients};
+use super::{
+    FleetSettings, Platform, Services,
+    evacuation::{EvacuatedZones, Source},
+    owner::OwnerMessage,
+    peers::PeerClients,
+};
 use crate::{clock::Clock, metrics::Metrics};
 
 /// The statuses by which a store says that it can't serve now: too many requests, and unavailable.
@@ -53,6 +60,8 @@
     pub(super) peers: PeerClients,
     config: RefCell<Option<Rc<FleetConfig>>>,
     pub(super) config_changed: Notify,
+    /// The zones that operators have evacuated.
+    pub(super) evacuated: EvacuatedZones,
     owner: Cell<OwnerView>,
     pub(super) owner_changed: Notify,
     /// The owner's inbox, while this box owns the fleet.
@@ -100,6 +109,7 @@
             peers: PeerClients::default(),
             config: RefCell::default(),
             config_changed: Notify::new(),
+            evacuated: EvacuatedZones::default(),
             owner: Cell::default(),
             owner_changed: Notify::new(),
             local_owner: RefCell::default(),
@@ -140,6 +150,19 @@
         self.config_changed.notify_waiters();
     }
 
+    /// Takes note of what a call told of zones to evacuate, that began at a moment.
+    pub(super) fn note_evacuations(
+        &self,
+        source: Source,
+        version: u64,
+        changes: Vec<EvacuationChange>,
+        asked_at: Time,
+    ) {
+        if let Some(zones) = self.evacuated.note(source, version, changes, asked_at) {
+            self.metrics.note_evacuated_zones(zones as u64);
+        }
+    }
+
     pub(super) fn owner(&self) -> OwnerView {
         self.owner.get()
     }
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -19,6 +19,7 @@
 use super::{
     Platform,
     committer::{Committer, HEARTBEAT},
+    evacuation,
     owner::{Ended, Owner, OwnerMessage, WITHOUT_STORE},
     ownership::RETRY,
     rows::{self, HeadRow, OwnerRow},
@@ -59,6 +60,9 @@
         }
     };
     let Some(inheritance) = load_until_read(shared, predecessor_stopped).await else { return };
+    if !evacuation::until_known(shared).await {
+        return;
+    }
     log::info!(
         epoch = row.epoch, jobs = inheritance.jobs.len(), ended = inheritance.ended.len(), lives = inheritance.lives.len(),
         predecessor_stopped = predecessor_stopped, after_ms = started.elapsed().as_millis() as u64;
@@ -125,6 +129,7 @@
     }
     shared.writes_since.set(None);
     shared.owned_at.set(None);
+    shared.metrics.note_evacuated_runs_left(0);
     ended
 }
 
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -19,6 +19,8 @@
     policy_faults: Counter<u64>,
     peer_messages: Counter<u64>,
     log_lines_left_out: Counter<u64>,
+    evacuated_zones: Gauge<u64>,
+    evacuated_runs_left: Gauge<u64>,
 }
 
 impl Metrics {
@@ -60,6 +62,16 @@
                 .u64_counter("kitetrail.log.lines_left_out")
                 .with_description("Lines that the log left out, to stay within its bounds")
                 .build(),
+            evacuated_zones: meter
+                .u64_gauge("kitetrail.evacuated.zones")
+                .with_description(
+                    "Availability zones in which nothing is started, as operators ask",
+                )
+                .build(),
+            evacuated_runs_left: meter
+                .u64_gauge("kitetrail.evacuated.runs_left")
+                .with_description("Runs that are left in these zones, as the owner knows")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -97,6 +109,16 @@
         self.log_lines_left_out.add(lines, &[]);
     }
 
+    /// Tells how many zones are evacuated.
+    pub fn note_evacuated_zones(&self, zones: u64) {
+        self.evacuated_zones.record(zones, &[]);
+    }
+
+    /// Tells how many runs are left in evacuated zones.
+    pub fn note_evacuated_runs_left(&self, runs: u64) {
+        self.evacuated_runs_left.record(runs, &[]);
+    }
+
     /// All counters as a scrape page.
     pub fn page(&self) -> String {
         let mut page = Vec::new();
