Let the owner compare what operators ask with what it told its scheduler

The loop waited for a notice beside its messages, and tokio drops a notice (notify_waiters) whose future is dropped when a message is taken first. The queues of a new configuration could be lost on the owner in the same way. Change: no notices. The loop compares revisions each time that it wakes up, before it does anything else: 20 ms later at most.

--- a/crates/kitetraild/src/fleet/evacuation.rs
+++ b/crates/kitetraild/src/fleet/evacuation.rs
@@ -11,7 +11,7 @@
     Time,
     evacuation::{EvacuationChange, Evacuations},
 };
-use tokio::{sync::Notify, time};
+use tokio::time;
 
 use super::{Platform, config_watch, ownership::RETRY, shared::Shared};
 
@@ -46,11 +46,16 @@
     known: RefCell<Evacuations>,
     /// When the last call began that told what the requests are.
     asked_at: Cell<Option<Time>>,
-    /// Wakes the owner when the zones change.
-    pub(super) changed: Notify,
+    /// How often the zones changed.
+    revision: Cell<u64>,
 }
 
 impl EvacuatedZones {
+    /// A number that rises with each change of the zones.
+    pub(super) fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
     /// The zones in which nothing is to be started.
     pub(super) fn zones(&self) -> BTreeSet<String> {
         self.known.borrow().zones().map(str::to_owned).collect()
@@ -80,7 +85,7 @@
         }
         let is_changed = !changed.is_empty();
         if is_changed {
-            self.changed.notify_waiters();
+            self.revision.set(self.revision.get() + 1);
         }
         is_changed.then(|| known.count())
     }
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -54,6 +54,15 @@
     StoreAsked(Option<SocketAddr>),
 }
 
+/// What the owner's loop woke up for.
+#[derive(Debug)]
+enum WokenBy {
+    /// A message; `None`: nobody can send any more.
+    Message(Option<OwnerMessage>),
+    /// Time.
+    Tick,
+}
+
 /// How an owner ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Ended {
@@ -86,6 +95,10 @@
     ticked_at: Time,
     /// When other parts of the box were told last how things stand.
     published_at: Time,
+    /// The version of the configuration that the scheduler was told.
+    told_config: Option<u64>,
+    /// The revision of the evacuated zones that the scheduler was told.
+    told_evacuations: Option<u64>,
     /// How many runs are left in evacuated zones, as told last.
     told_runs_left: u64,
     /// The last tick was left out because the process had been held up.
@@ -114,6 +127,8 @@
             doubt: StoreDoubt::default(),
             ticked_at,
             published_at: Time::ZERO,
+            told_config: None,
+            told_evacuations: None,
             told_runs_left: 0,
             tick_left_out: false,
         }
@@ -123,23 +138,16 @@
     pub(super) async fn run(mut self) -> Ended {
         let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        self.evacuate();
-        self.configure();
         loop {
-            let taken = tokio::select! {
-                message = self.inbox.recv() => match message {
-                    Some(message) => self.take(message),
-                    None => ControlFlow::Break(Ended::Deposed),
-                },
-                _ = ticks.tick() => self.take_all_and_tick(),
-                () = self.shared.config_changed.notified() => {
-                    self.configure();
-                    ControlFlow::Continue(())
-                }
-                () = self.shared.evacuated.changed.notified() => {
-                    self.evacuate();
-                    ControlFlow::Continue(())
-                }
+            let woken_by = tokio::select! {
+                message = self.inbox.recv() => WokenBy::Message(message),
+                _ = ticks.tick() => WokenBy::Tick,
+            };
+            self.follow_operators();
+            let taken = match woken_by {
+                WokenBy::Message(Some(message)) => self.take(message),
+                WokenBy::Message(None) => ControlFlow::Break(Ended::Deposed),
+                WokenBy::Tick => self.take_all_and_tick(),
             };
             if let ControlFlow::Break(ended) = taken {
                 return ended;
@@ -248,18 +256,24 @@
         !self.deposed
     }
 
-    fn configure(&mut self) {
-        if let Some(config) = self.shared.config() {
+    /// Puts in force what operators ask for, where it changed.
+    ///
+    /// Compared each time, and not waited for beside messages: a notice that comes together with a message
+    /// would be lost.
+    fn follow_operators(&mut self) {
+        let evacuations = Some(self.shared.evacuated.revision());
+        if evacuations != self.told_evacuations {
+            self.told_evacuations = evacuations;
+            let zones = self.shared.evacuated.zones();
+            self.handle(Event::Evacuated(zones));
+        }
+        let config = self.shared.config().filter(|it| Some(it.version) != self.told_config);
+        if let Some(config) = config {
+            self.told_config = Some(config.version);
             self.handle(Event::Queues(config.queues()));
         }
     }
 
-    /// Puts in force which zones are evacuated.
-    fn evacuate(&mut self) {
-        let zones = self.shared.evacuated.zones();
-        self.handle(Event::Evacuated(zones));
-    }
-
     /// Tells other parts of the box how things stand.
     fn publish_if_due(&mut self) {
         let now = self.shared.clock.now();
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -59,7 +59,6 @@
     pub(super) metrics: Metrics,
     pub(super) peers: PeerClients,
     config: RefCell<Option<Rc<FleetConfig>>>,
-    pub(super) config_changed: Notify,
     /// The zones that operators have evacuated.
     pub(super) evacuated: EvacuatedZones,
     owner: Cell<OwnerView>,
@@ -108,7 +107,6 @@
             metrics,
             peers: PeerClients::default(),
             config: RefCell::default(),
-            config_changed: Notify::new(),
             evacuated: EvacuatedZones::default(),
             owner: Cell::default(),
             owner_changed: Notify::new(),
@@ -147,7 +145,6 @@
             "config: in force"
         );
         *self.config.borrow_mut() = Some(Rc::new(config));
-        self.config_changed.notify_waiters();
     }
 
     /// Takes note of what a call told of zones to evacuate, that began at a moment.
