--- a/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
@@ -17,6 +17,7 @@
         spec::StepSpec,
     },
     Scheduler,
+    room::{added, full_loads},
     stragglers::left_ms,
 };
 use crate::Time;
@@ -139,11 +140,20 @@
             spec.is_some_and(|spec| {
                 self.may_be_away(task, &spec)
                     && !self.takes_room_of_short_work(&spec)
-                    && self.choose(task, &spec, &[]).is_some()
+                    && self.finds_place_undisturbed(task, &spec)
             })
         })
     }
 
+    /// Whether there is room elsewhere for a task and, if it serves, nothing that fills would disturb it
+    /// there: where it is it will be alone soon.
+    fn finds_place_undisturbed(&mut self, name: TaskName, spec: &StepSpec) -> bool {
+        let Some(no) = self.choose(name, spec, &[]) else { return false };
+        let image = self.jobs.get(&name.job).and_then(|job| job.images.get(name.step as usize));
+        let Some((life, &image)) = self.lives.get(&no).zip(image) else { return false };
+        spec.tail_target_ms.is_none() || added(&self.tails, &full_loads(life), image) == 0.0
+    }
+
     /// Whether a task may be away for the time of a move. Tasks of a step that lasts move one after the
     /// other, whatever more of them may be away.
     fn may_be_away(&self, name: TaskName, spec: &StepSpec) -> bool {
