--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -1,6 +1,6 @@
 //! What the scheduler is told, and what it wants done.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +43,8 @@
     },
     /// The operators' queues, all of them, as now in force.
     Queues(Vec<QueueTerms>),
+    /// The availability zones that are being evacuated, all of them, as now in force.
+    Evacuated(BTreeSet<String>),
     /// The list of workers changed.
     Discovered(Vec<Discovery>),
     /// The store did not answer, or turned us away, until this moment.
--- a/crates/kitetrail-core/src/jobs/run.rs
+++ b/crates/kitetrail-core/src/jobs/run.rs
@@ -11,6 +11,9 @@
 /// Stands for a pace that is not known. It differs from every pace, so the run is told anew.
 pub(super) const UNKNOWN_PACE_PERCENT: u8 = u8::MAX;
 
+/// A task that lasts is at work at this percent, as the platform defines it.
+const AT_WORK_PERCENT: u32 = 100;
+
 /// How far the order to start a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -104,4 +107,10 @@
     pub(super) fn is_running(&self) -> bool {
         matches!(self.phase, Phase::Running(_))
     }
+
+    /// Whether it is at work, as its worker said last, and was not told to stop.
+    pub(super) fn is_at_work(&self) -> bool {
+        let started = !self.lasts || self.percent >= AT_WORK_PERCENT;
+        self.is_running() && !self.stopping && started
+    }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/unlisted.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unlisted.rs
@@ -11,6 +11,7 @@
     super::{
         life::{LifeNo, Listing},
         names::{LifeId, TaskName},
+        run::RunThere,
     },
     Scheduler,
 };
@@ -22,8 +23,6 @@
 /// An entry that goes after so many heartbeats were left out lapsed; one that its worker withdrew goes
 /// sooner. Entries lapse after three, and heartbeats are read up to 0.2 s late.
 const LAPSES_AFTER_HEARTBEATS: u32 = 2;
-/// A task that lasts is at work at this percent, as the platform defines it.
-const AT_WORK_PERCENT: u32 = 100;
 
 impl Scheduler {
     /// Takes note that the store was in trouble until a moment.
@@ -108,10 +107,7 @@
         let placed = self.jobs.get(&name.job).and_then(|job| job.task(name)).map(|it| &it.placed);
         placed.into_iter().flatten().any(|placed| {
             let life = self.lives.get(&placed.life).filter(|life| life.silent == 0);
-            let run = life.and_then(|life| life.runs().get(&name));
-            run.is_some_and(|run| {
-                run.is_running() && !run.stopping && run.percent >= AT_WORK_PERCENT
-            })
+            life.and_then(|life| life.runs().get(&name)).is_some_and(RunThere::is_at_work)
         })
     }
 }
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -19,8 +19,8 @@
 const HOLD_SLACK: Duration = Duration::from_millis(700);
 /// How much later than that an answer comes that counts as missing.
 const LATE_ANSWER: Duration = Duration::from_millis(500);
-/// A task that lasts is at work after this much of it.
-const AT_WORK_AFTER_MS: u64 = 300;
+/// A task that lasts is at work after so long, and tells 100 percent from then on.
+const STARTS_WITHIN_MS: u64 = 300;
 /// A run that fails does so after this much work.
 const FAILS_AFTER_MS: u64 = 100;
 /// How much later a worker that is late carries an order out, unless it is told otherwise.
@@ -71,13 +71,10 @@
         Self { run, done_ms: 0, work_ms, percent: 100, cpu_millis, serves, lasts }
     }
 
-    /// How much of its work is done, as the worker reports it, in percent.
-    fn done_percent(&self) -> u32 {
-        match self.lasts {
-            true if self.done_ms >= AT_WORK_AFTER_MS => 100,
-            true => 0,
-            false => (self.done_ms * 100 / self.work_ms) as u32,
-        }
+    /// What its worker tells of how far it is, in percent.
+    pub fn told_percent(&self) -> u32 {
+        let whole_ms = if self.lasts { STARTS_WITHIN_MS } else { self.work_ms };
+        (self.done_ms * 100 / whole_ms).min(100) as u32
     }
 }
 
@@ -263,7 +260,7 @@
             task,
             run: running.run,
             checkpoint: Some(format!("{task}@{}", running.done_ms)),
-            percent: running.done_percent(),
+            percent: running.told_percent(),
             gauge: Some(match running.serves {
                 true => tail_ms,
                 false => running.cpu_millis * u32::from(running.percent) / 100,
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod committer;
 mod config_watch;
 mod connection_limits;
+mod evacuation;
 mod front;
 mod notes;
 mod operators;
@@ -24,7 +25,7 @@
 
 use kitetrail_platform::{
     SilenceCounts,
-    fleet::{ConfigSource, JobCodec, RowStore, WorkerControl, WorkerList},
+    fleet::{JobCodec, OperatorSource, RowStore, WorkerControl, WorkerList},
 };
 
 pub use connection_limits::{ConnectionLimits, Promises};
@@ -33,8 +34,8 @@
 
 /// The platform's services, as one type.
 pub trait Platform: 'static {
-    /// The store, which also lists workers and holds the operators' configuration.
-    type Store: RowStore + WorkerList + ConfigSource + Clone + 'static;
+    /// The store, which also lists workers and holds what operators ask for.
+    type Store: RowStore + WorkerList + OperatorSource + Clone + 'static;
     /// Orders to workers.
     type Workers: WorkerControl + Clone + 'static;
     /// How callers write jobs.
