A new owner reads the requests to evacuate zones alone, not the whole configuration beside them

Change: rows from the requests' keys on. Behaviour otherwise the same; the tests of evacuation hold.

--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -163,6 +163,11 @@
     /// All that operators ask for now.
     fn operator_rows(&self) -> impl Future<Output = Result<OperatorRows, PlatformError>>;
 
+    /// The requests to evacuate zones that are in force, and the version up to which that holds.
+    fn evacuations(
+        &self,
+    ) -> impl Future<Output = Result<(Vec<EvacuationChange>, u64), PlatformError>>;
+
     /// What changed after a version; waits until there is something, or `wait` is over.
     ///
     /// `None` asks to read all anew: what changed since is no longer known.
--- a/crates/kitetraild/src/fleet/config_watch.rs
+++ b/crates/kitetraild/src/fleet/config_watch.rs
@@ -26,7 +26,7 @@
 }
 
 /// Reads all that operators ask for. Returns where to go on.
-pub(super) async fn read<P: Platform>(shared: &Rc<Shared<P>>) -> Option<u64> {
+async fn read<P: Platform>(shared: &Rc<Shared<P>>) -> Option<u64> {
     let asked_at = shared.clock.now();
     let rows = shared.services.store.operator_rows().await;
     shared.note_store(&rows);
--- a/crates/kitetraild/src/fleet/evacuation.rs
+++ b/crates/kitetraild/src/fleet/evacuation.rs
@@ -11,9 +11,10 @@
     Time,
     evacuation::{EvacuationChange, Evacuations},
 };
+use kitetrail_platform::fleet::OperatorSource;
 use tokio::time;
 
-use super::{Platform, config_watch, ownership::RETRY, shared::Shared};
+use super::{Platform, ownership::RETRY, shared::Shared};
 
 /// Where what is known comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,9 +103,19 @@
         if shared.draining.get() {
             return false;
         }
-        if config_watch::read(shared).await.is_none() {
+        if read(shared).await.is_none() {
             time::sleep(RETRY).await;
         }
     }
     true
 }
+
+/// Reads the requests alone: a configuration may be large, and a new owner's link slow.
+async fn read<P: Platform>(shared: &Rc<Shared<P>>) -> Option<()> {
+    let asked_at = shared.clock.now();
+    let read = shared.services.store.evacuations().await;
+    shared.note_store(&read);
+    let (requests, version) = read.ok()?;
+    shared.note_evacuations(Source::List, version, requests, asked_at);
+    Some(())
+}
