--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use kitetrail_core::{
@@ -63,6 +63,16 @@
     /// The tail that a serving task on a worker reports, in milliseconds, by what fills there.
     pub tail_ms: fn(&FakeWorker) -> u32,
     pub deposed: bool,
+    /// How many events the scheduler took.
+    pub events: u64,
+    /// How many holds it asked for.
+    pub holds: u64,
+    /// How many of their answers told of nothing but ends that were told before.
+    pub stale_answers: u64,
+    /// The time that it took over them, by the machine's clock.
+    pub spent: Duration,
+    /// How often it allocated memory over them.
+    pub allocations: u64,
     batches: VecDeque<(Time, u64, Vec<Record>)>,
     next_request: u64,
     specs: BTreeMap<JobId, JobSpec>,
@@ -105,10 +115,16 @@
 impl World {
     /// A fleet of workers with four cores each, and a scheduler that knows them.
     pub fn new(workers: u32) -> Self {
+        Self::with_workers((0..workers).map(FakeWorker::new))
+    }
+
+    /// A fleet of given workers, and a scheduler that knows them.
+    pub fn with_workers(workers: impl IntoIterator<Item = FakeWorker>) -> Self {
+        let by_id = |worker: FakeWorker| (worker.entry.id.to_string(), worker);
         let mut world = Self {
             now: Time::from_ms(1_000),
             scheduler: scheduler(1, Inheritance::default(), Time::from_ms(1_000)),
-            workers: (0..workers).map(|no| (format!("w{no}"), FakeWorker::new(no))).collect(),
+            workers: workers.into_iter().map(by_id).collect(),
             notes: Vec::new(),
             answers: Vec::new(),
             starts: Vec::new(),
@@ -124,6 +140,11 @@
             lasting_ms: 600_000,
             tail_ms: |_| 10,
             deposed: false,
+            events: 0,
+            holds: 0,
+            stale_answers: 0,
+            spent: Duration::ZERO,
+            allocations: 0,
             batches: VecDeque::new(),
             next_request: 0,
             specs: BTreeMap::new(),
@@ -299,7 +320,14 @@
     /// Tells the scheduler of an event and does what it asks for.
     pub fn tell(&mut self, event: Event) {
         let unix_ms = DAY_UNIX_MS + self.now.as_ms();
-        let actions = self.scheduler.handle(event, self.now, unix_ms);
+        let started = Instant::now();
+        let mut actions = Vec::new();
+        let allocated = allocation_counter::measure(|| {
+            actions = self.scheduler.handle(event, self.now, unix_ms);
+        });
+        self.spent += started.elapsed();
+        self.allocations += allocated.count_total;
+        self.events += 1;
         for action in actions {
             self.act(action);
         }
@@ -316,7 +344,10 @@
                 let answer = self.order(entry.id.as_str(), token, lease_until_ms, &order);
                 self.tell(Event::OrderAnswered { life, order, answer });
             }
-            Action::Hold { life, entry, hold } => self.hold(life, entry.id.as_str(), hold),
+            Action::Hold { life, entry, hold } => {
+                self.holds += 1;
+                self.hold(life, entry.id.as_str(), hold);
+            }
             Action::Commit { batch, records } => {
                 self.batches.push_back((self.now + STORE, batch, records));
             }
@@ -371,7 +402,7 @@
         Work {
             work_ms: match spec.is_some_and(|step| step.lasts) {
                 true => self.lasting_ms,
-                false => self.work_ms.unwrap_or(1_000),
+                false => self.work_ms.or(spec.map(|step| step.estimate_ms)).unwrap_or(1_000),
             },
             cpu_millis: spec.map_or(0, |step| step.size.cpu_millis.0),
             serves: spec.is_some_and(|step| step.tail_target_ms.is_some()),
@@ -406,6 +437,7 @@
             let Some((life, hold, sent_at)) = worker.held else { continue };
             if let Some(answer) = worker.answer_hold(now, hold, sent_at, tail_ms) {
                 worker.held = None;
+                self.stale_answers += u64::from(worker.tells_nothing_new(&answer));
                 answers.push(Event::Held { life, hold, sent_at, answer });
             }
         }
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -117,6 +117,8 @@
     /// What an answer that comes late says has ended, by when it comes, and for which life.
     pub late_ends: Option<(Time, LifeNo, Vec<RunEnd>)>,
     next_end: u64,
+    /// The number of the last end that was told.
+    told_end: u64,
 }
 
 impl FakeWorker {
@@ -152,6 +154,7 @@
             late: VecDeque::new(),
             late_ends: None,
             next_end: 1,
+            told_end: 0,
         }
     }
 
@@ -255,6 +258,16 @@
         Some(Ok(self.report(now, tail_ms(self))))
     }
 
+    /// Whether an answer tells of ends, and of none that was not told before.
+    pub fn tells_nothing_new(&mut self, answer: &Result<Report, HoldFailure>) -> bool {
+        let Some(last) = answer.as_ref().ok().and_then(|report| report.ended.last()) else {
+            return false;
+        };
+        let is_stale = last.number <= self.told_end;
+        self.told_end = last.number;
+        is_stale
+    }
+
     fn report(&self, now: Time, tail_ms: u32) -> Report {
         let running = self.running.iter().map(|(&task, running)| RunningTask {
             task,
