--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -33,6 +33,9 @@
     /// It is kept for good.
     pub(super) kept: bool,
     pub(super) begun: bool,
+    /// Some of its tasks may wait for a worker. Most jobs have none for most of their time, so they are
+    /// not looked at when workers are sought.
+    pub(super) may_wait: bool,
     /// The times of its schedule before this one are done and forgotten.
     done_before: u32,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
@@ -64,6 +67,7 @@
             ended_unix_ms: None,
             kept: false,
             begun: false,
+            may_wait: true,
             done_before: 0,
             occurrences: BTreeMap::new(),
             due_at: now,
@@ -144,13 +148,18 @@
     }
 
     /// The steps whose turn has come and that have tasks waiting.
-    pub(super) fn due_steps(&self, now: Time) -> Vec<StepName> {
+    pub(super) fn due_steps(&mut self, now: Time) -> Vec<StepName> {
         let mut due = Vec::new();
+        self.may_wait = false;
         for (&number, occurrence) in &self.occurrences {
             for (at, spec) in (0_u32..).zip(&self.spec.steps) {
                 let step = &occurrence.steps[at as usize];
-                let waits = || step.tasks.iter().any(|task| task.waits(now));
-                if !step.is_done() && waits() && occurrence.is_due(spec) {
+                if step.is_done() || !occurrence.is_due(spec) || !step.has_unplaced() {
+                    continue;
+                }
+                // Those that failed a moment ago wait a little longer.
+                self.may_wait = true;
+                if step.tasks.iter().any(|task| task.waits(now)) {
                     due.push(StepName { job: self.id, occurrence: number, step: at });
                 }
             }
@@ -158,6 +167,16 @@
         due
     }
 
+    /// Whether a step whose turn has come has a task that is neither done nor placed.
+    pub(super) fn has_due_unplaced(&self) -> bool {
+        let due = |occurrence: &Occurrence, at: usize, spec: &StepSpec| {
+            occurrence.is_due(spec) && occurrence.steps[at].has_unplaced()
+        };
+        self.occurrences.values().any(|occurrence| {
+            self.spec.steps.iter().enumerate().any(|(at, spec)| due(occurrence, at, spec))
+        })
+    }
+
     /// The numbers of all failed runs of a gang's members, each counted once.
     pub(super) fn failed_runs_of_gang(&self, name: StepName) -> u32 {
         let tasks = self.step(name).into_iter().flat_map(|step| &step.tasks);
@@ -167,6 +186,7 @@
     pub(super) fn begin(&mut self, occurrence: u32) {
         if !self.occurrences.contains_key(&occurrence) {
             self.occurrences.insert(occurrence, Occurrence::new(&self.spec));
+            self.may_wait = true;
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -182,6 +182,12 @@
         }
     }
 
+    /// Whether time alone has changed something: its lease ran out, a hold is due, or it is to be emptied.
+    pub(super) fn needs_check(&self, now: Time) -> bool {
+        let hold_is_due = !self.hold_sent && self.next_hold_at.is_some_and(|at| at <= now);
+        hold_is_due || self.lapses_at <= now || self.is_leaving(now)
+    }
+
     /// What runs there, as believed.
     pub(super) fn runs(&self) -> &BTreeMap<TaskName, RunThere> {
         &self.runs
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod job;
 mod life;
+mod lives;
 mod names;
 mod note;
 mod order;
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -12,7 +12,6 @@
     },
     Scheduler,
     pending::{Batch, Taken},
-    place::Full,
 };
 
 /// How long ends of runs may wait for others before they are kept. Workers keep them meanwhile.
@@ -30,7 +29,7 @@
         if self.pending.is_empty() {
             // Ends that changed nothing need no record.
             for life in mem::take(&mut self.pending.unkept_ends) {
-                let Some(life) = self.lives.get_mut(&life) else { continue };
+                let Some(life) = self.lives.get_mut(life) else { continue };
                 life.ends_kept = life.ends_seen;
             }
             return;
@@ -52,17 +51,18 @@
             }
         }
         for life in batch.lives {
-            if let Some(life) = self.lives.get_mut(&life) {
+            if let Some(life) = self.lives.get_mut(life) {
                 life.recorded = true;
             }
         }
         for (life, kept) in batch.ends_kept {
-            if let Some(life) = self.lives.get_mut(&life) {
+            if let Some(life) = self.lives.get_mut(life) {
                 life.ends_kept = life.ends_kept.max(kept);
             }
         }
-        for id in batch.new_jobs {
-            self.place_job(id, &mut Full::default());
+        if !batch.new_jobs.is_empty() {
+            let mut pass = self.begin_pass();
+            batch.new_jobs.into_iter().for_each(|id| self.place_job(id, &mut pass));
         }
         self.replan = true;
     }
@@ -98,7 +98,7 @@
         let job = |id: &JobId| self.jobs.get(id);
         let outcomes = taken.progress.iter().filter_map(job);
         let outcomes = outcomes.map(|job| (job.id, job.outcome)).collect();
-        let seen = |life: LifeNo| self.lives.get(&life).map(|there| (life, there.ends_seen));
+        let seen = |life: LifeNo| self.lives.get(life).map(|there| (life, there.ends_seen));
         let ends_kept = taken.ends.into_iter().filter_map(seen).collect::<BTreeMap<_, _>>();
         let (new_jobs, lives) = (taken.new_jobs, taken.lives);
         let batch = |number| Batch { number, new_jobs, outcomes, lives, ends_kept };
@@ -111,7 +111,7 @@
     fn records(&self, taken: &Taken) -> Vec<Record> {
         let job = |id: &JobId| self.jobs.get(id);
         let used = |life: &LifeNo| {
-            let life = self.lives.get(life)?;
+            let life = self.lives.get(*life)?;
             let (id, address) = (life.id().clone(), life.entry.address.clone());
             let service = life.entry.service.clone();
             Some(Record::LifeUsed(LifeRecord { id, address, service }))
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -25,7 +25,7 @@
     /// Takes note of an end that a worker reports, once.
     pub(super) fn run_ended(&mut self, no: LifeNo, end: &RunEnd) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         if end.number <= life.ends_seen {
             return;
         }
@@ -72,7 +72,7 @@
     }
 
     fn task_done(&mut self, no: LifeNo, name: TaskName) {
-        if let Some(life) = self.lives.get_mut(&no) {
+        if let Some(life) = self.lives.get_mut(no) {
             life.failures = 0;
             life.set_aside_times = 0;
         }
@@ -85,6 +85,8 @@
         }
         let Some(step) = job.step_mut(name.step_name()) else { return };
         let copies = step.mark_done(name, gang);
+        // Steps that depend on this one may be due now.
+        job.may_wait = true;
         let all_done = job.all_done();
         job.forget_done_occurrences();
         self.pending.note(name.job);
--- a/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
@@ -52,7 +52,7 @@
         }
         self.evacuation.zones = zones;
         self.evacuation.looked_at.clear();
-        for no in self.lives.keys().copied().collect::<Vec<_>>() {
+        for no in self.lives.numbers() {
             self.note_zone(no);
         }
         self.replan = true;
@@ -60,7 +60,7 @@
 
     /// Brings up to date whether a worker is in a zone that is being evacuated.
     pub(super) fn note_zone(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let was_evacuated = life.zone_evacuated;
         life.zone_evacuated = self.evacuation.zones.contains(&life.entry.zone);
         if life.zone_evacuated && !was_evacuated {
@@ -79,7 +79,7 @@
 
     /// Takes back the orders to start that have not left.
     fn take_back_starts(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get(&no) else { return };
+        let Some(life) = self.lives.get(no) else { return };
         let start = |order: &Order| match order {
             Order::Start(start) => Some((start.task, start.run)),
             Order::Stop { .. } | Order::Pace { .. } => None,
@@ -125,7 +125,7 @@
         let last = self.evacuation.moved_from;
         let leaves = |life: &Life| life.zone_evacuated && !life.runs().is_empty();
         let lives = self.lives.iter().filter(|(_, life)| leaves(life) && life.silent == 0);
-        let mut lives = lives.map(|(&no, _)| no).collect::<Vec<_>>();
+        let mut lives = lives.map(|(no, _)| no).collect::<Vec<_>>();
         lives.sort_by_key(|&no| (last.is_some_and(|last| no <= last), no));
         lives
     }
@@ -133,7 +133,7 @@
     /// A run of a worker that is to move and for which there is room elsewhere.
     fn run_to_move(&mut self, no: LifeNo) -> Option<(TaskName, u32)> {
         let now = self.now;
-        let life = self.lives.get(&no)?;
+        let life = self.lives.get(no)?;
         let runs = life.runs().iter().filter(|(_, run)| moves(run, now));
         let runs = runs.map(|(&task, run)| (task, run.run)).collect::<Vec<_>>();
         runs.into_iter().find(|&(task, _)| {
@@ -151,7 +151,7 @@
     fn finds_place_undisturbed(&mut self, name: TaskName, spec: &StepSpec) -> bool {
         let Some(no) = self.choose(name, spec, &[]) else { return false };
         let image = self.jobs.get(&name.job).and_then(|job| job.images.get(name.step as usize));
-        let Some((life, &image)) = self.lives.get(&no).zip(image) else { return false };
+        let Some((life, &image)) = self.lives.get(no).zip(image) else { return false };
         spec.tail_target_ms.is_none() || added(&self.tails, &full_loads(life), image) == 0.0
     }
 
@@ -171,7 +171,7 @@
         };
         (0..).zip(&tasks.tasks).all(|(index, task)| {
             task.placed.iter().any(|placed| {
-                let life = self.lives.get(&placed.life).filter(|life| life.silent == 0);
+                let life = self.lives.get(placed.life).filter(|life| life.silent == 0);
                 life.and_then(|life| life.runs().get(&step.task(index)))
                     .is_some_and(RunThere::is_at_work)
             })
--- a/crates/kitetrail-core/src/jobs/scheduler/filter.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/filter.rs
@@ -25,6 +25,9 @@
 /// Longest time between two reports that counts as drift, in seconds.
 const LONGEST_GAP_S: f64 = 5.0;
 
+/// The place of an image that was not seen beside another.
+const UNSEEN: u32 = u32::MAX;
+
 /// An estimate and how sure it is.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::jobs) struct Estimate {
@@ -58,6 +61,9 @@
     pub(super) lowest_ms: Option<f64>,
     /// The images that fill and were seen beside it.
     fillers: Vec<ImageNo>,
+    /// Where each image stands among them, by its number; [`UNSEEN`] for the others. Each worker that is
+    /// weighed for a task asks for some effects.
+    places: Vec<u32>,
     /// The effect of each of them.
     effects: Vec<f64>,
     /// How far off the effects may be, together: images that often run beside each other are told
@@ -69,7 +75,7 @@
 
 impl ServingImage {
     pub(super) fn effect(&self, fills: ImageNo) -> Option<f64> {
-        let at = self.fillers.iter().position(|&known| known == fills)?;
+        let at = self.place_of(fills)?;
         self.effects.get(at).copied()
     }
 
@@ -84,38 +90,30 @@
 
     /// Corrects the estimates by what a report shows, as a Kalman filter does.
     pub(super) fn learn(&mut self, own: &mut Estimate, loads: &[Load], stress: f64) {
-        let input = self.input(loads);
-        let added = input.iter().zip(&self.effects).map(|(load, effect)| load * effect);
+        let input = loads.iter().filter(|(_, load)| *load > 0.0);
+        let input = input.map(|&(fills, load)| (self.index_of(fills), load)).collect::<Vec<_>>();
+        let added = input.iter().map(|&(at, load)| load * self.effects[at]);
         let error = stress - own.mean - added.sum::<f64>();
         if stress >= MOST_STRESS && error < 0.0 {
             return;
         }
-        let dot = |row: &Vec<f64>| row.iter().zip(&input).map(|(a, b)| a * b).sum::<f64>();
+        // Few of the images that were ever seen run at a time: only their columns count.
+        let dot = |row: &Vec<f64>| input.iter().map(|&(at, load)| row[at] * load).sum::<f64>();
         let spread = self.covariance.iter().map(dot).collect::<Vec<_>>();
-        let inputs_variance = dot(&spread);
+        let inputs_variance = input.iter().map(|&(at, load)| spread[at] * load).sum::<f64>();
         let total_variance = inputs_variance + own.variance + GAUGE_VARIANCE;
         own.correct(error, total_variance);
         for (effect, spread) in self.effects.iter_mut().zip(&spread) {
             *effect = (*effect + spread / total_variance * error).max(0.0);
         }
-        for (row, &a) in self.covariance.iter_mut().zip(&spread) {
+        for (row, &a) in self.covariance.iter_mut().zip(&spread).filter(|(_, a)| **a != 0.0) {
+            let share = a / total_variance;
             for (cell, &b) in row.iter_mut().zip(&spread) {
-                *cell -= a * b / total_variance;
+                *cell -= share * b;
             }
         }
     }
 
-    /// The loads in the order of the effects, 0 for images that used nothing.
-    fn input(&mut self, loads: &[Load]) -> Vec<f64> {
-        let mut input = vec![0.0; self.fillers.len()];
-        for &(fills, load) in loads {
-            let at = self.index_of(fills);
-            input.resize(self.fillers.len(), 0.0);
-            input[at] = load;
-        }
-        input
-    }
-
     /// Takes over an effect that an earlier owner learned.
     pub(super) fn import(&mut self, fills: ImageNo, effect: f64) {
         let at = self.index_of(fills);
@@ -128,10 +126,18 @@
         self.fillers.iter().copied().zip(self.effects.iter().copied())
     }
 
+    fn place_of(&self, fills: ImageNo) -> Option<usize> {
+        let at = self.places.get(fills.index()).copied()?;
+        (at != UNSEEN).then_some(at as usize)
+    }
+
     fn index_of(&mut self, fills: ImageNo) -> usize {
-        if let Some(at) = self.fillers.iter().position(|&known| known == fills) {
+        if let Some(at) = self.place_of(fills) {
             return at;
         }
+        let seen = self.places.len().max(fills.index() + 1);
+        self.places.resize(seen, UNSEEN);
+        self.places[fills.index()] = self.fillers.len() as u32;
         self.fillers.push(fills);
         self.effects.push(EFFECT_PRIOR);
         let count = self.fillers.len();
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -11,10 +11,7 @@
     room::{Room, added, capacity_millis, full_loads},
     tails::{ImageNo, TailModel},
 };
-use crate::Resources;
 
-/// What fills is started where at least this share of its processor time is left, in percent.
-const LEAST_LEFT_PERCENT: u32 = 80;
 /// Weight of a worker's fullness, 0 to 1, when workers are compared. The unit of the other weights.
 const FULLNESS: f64 = 1.0;
 /// Weight of something that would disturb, or be disturbed, by what the task does.
@@ -82,39 +79,33 @@
         match (spec.fills, spec.tail_target_ms.is_some()) {
             (true, _) => {
                 let least = if spec.keeps_progress { LEAST_PACE } else { LEAST_PACE_UNMOVED };
-                let pace = |swing| room.expected_pace(self.tails, self.image, load, swing);
+                let beside = room.beside(life, self.tails);
+                let pace = |swing| beside.expected_pace(self.tails, self.image, load, swing);
+                if pace(0.0) < least {
+                    return None;
+                }
+                let harm = beside.added_harm(self.tails, self.image, load);
                 let slowed = 1.0 - pace(SWING);
-                let harm = room.added_harm(self.tails, self.image, load);
-                let bearable = pace(0.0) >= least && harm <= self.lateness.most_harm();
-                bearable.then_some(slowed + harm + SCARCITY * room.tolerance)
+                let bearable = harm <= self.lateness.most_harm();
+                bearable.then_some(slowed + harm + SCARCITY * beside.tolerance)
             }
             (_, true) => {
                 let stress = added(self.tails, &full_loads(life), self.image).min(1.0);
-                Some(stress + if room.is_foreign(self.image) { OTHER_IMAGE } else { 0.0 })
+                let foreign = room.beside(life, self.tails).is_foreign(self.image);
+                Some(stress + if foreign { OTHER_IMAGE } else { 0.0 })
             }
             _ => Some(0.0),
         }
     }
 
+    /// Whether a worker with room for the task has room for it beside what is about to be placed there.
     fn has_room(&self, no: LifeNo, life: &Life, room: &Room) -> bool {
         if life.runs().contains_key(&self.name) {
             return false;
         }
         let members_here = self.members.iter().filter(|&&member| member == no).count() as u32;
-        if self.has_most_siblings(life, members_here) {
-            return false;
-        }
-        let mut free = room.free;
-        for _ in 0..members_here {
-            match free.checked_sub(&self.spec.size) {
-                Some(left) => free = left,
-                None => return false,
-            }
-        }
-        match self.spec.fills {
-            true => self.fills_in(&free, room.cpu_left_to_fill),
-            false => self.spec.size.fits_in(&free),
-        }
+        !self.has_most_siblings(life, members_here)
+            && room.left.fits_beside(self.spec, members_here)
     }
 
     /// Whether a worker has as many tasks of the step as it may have.
@@ -124,12 +115,4 @@
         let siblings = life.runs().keys().filter(same_step).count() as u32;
         siblings + members_here >= most
     }
-
-    /// Whether a task that fills finds memory, accelerators and enough processor time.
-    fn fills_in(&self, free: &Resources, cpu_left_to_fill: u32) -> bool {
-        let size = &self.spec.size;
-        size.memory_mb <= free.memory_mb
-            && size.accelerators <= free.accelerators
-            && cpu_left_to_fill >= size.cpu_millis.0 * LEAST_LEFT_PERCENT / 100
-    }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -25,7 +25,7 @@
         sent_at: Time,
         answer: Result<Report, HoldFailure>,
     ) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         life.hold_sent = false;
         match answer {
             Ok(report) => self.heard(no, hold, sent_at, &report),
@@ -51,7 +51,7 @@
     }
 
     fn note_silence(&mut self, no: LifeNo) {
-        if self.lives.get(&no).is_some_and(|life| life.silent == 0) {
+        if self.lives.get(no).is_some_and(|life| life.silent == 0) {
             self.note_belief(no, "silent");
         }
         self.raise_token(no);
@@ -60,10 +60,10 @@
 
     fn heard(&mut self, no: LifeNo, hold: Hold, sent_at: Time, report: &Report) {
         let now = self.now;
-        if self.lives.get(&no).is_some_and(|life| life.silent > 0 && life.known) {
+        if self.lives.get(no).is_some_and(|life| life.silent > 0 && life.known) {
             self.note_belief(no, "heard again");
         }
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let first = !life.known;
         life.known = true;
         life.note_heard(report.clock_ms, now);
@@ -92,7 +92,7 @@
         let (name, run) = (running.task, running.run);
         let placement = Placement { life: no, run };
         let wanted = self.wants(name, placement);
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         match life.runs().get(&name).map(|there| there.run) {
             Some(believed) if believed != run => return,
             Some(_) => life.note_confirmed(name, run, now),
@@ -133,7 +133,7 @@
         let name = running.task;
         let image = self.image_of(name);
         // Of what is not known, its job having ended, all that can be said is that it fits.
-        let size = self.lives.get(&no).map(|life| life.entry.capacity).unwrap_or_default();
+        let size = self.lives.get(no).map(|life| life.entry.capacity).unwrap_or_default();
         let unknown = StepSpec { size, ..StepSpec::default() };
         let spec = self.step_spec(name).unwrap_or(&unknown);
         let there = RunThere {
@@ -144,7 +144,7 @@
             paced_percent: UNKNOWN_PACE_PERCENT,
             ..RunThere::new(running.run, spec, image, now)
         };
-        if let Some(life) = self.lives.get_mut(&no) {
+        if let Some(life) = self.lives.get_mut(no) {
             life.insert_run(name, there);
         }
     }
@@ -157,7 +157,7 @@
 
     /// Gives up runs that are believed there and not reported.
     fn compare_missing(&mut self, no: LifeNo, hold: Hold, sent_at: Time, report: &Report) {
-        let Some(life) = self.lives.get(&no) else { return };
+        let Some(life) = self.lives.get(no) else { return };
         let reported = |name: TaskName, run: u32| {
             report.running.iter().any(|running| running.task == name && running.run == run)
         };
--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -38,7 +38,7 @@
     /// Asks a worker what it runs, if it is time.
     pub(super) fn hold_if_due(&mut self, no: LifeNo) {
         let (now, lease, lapse_after) = (self.now, self.lease, self.lapse_after());
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         if life.hold_sent || life.next_hold_at.is_none_or(|at| at > now) {
             return;
         }
@@ -60,7 +60,7 @@
         let now = self.now;
         let round = Duration::from_secs_f64(self.lives.len() as f64 / HOLDS_PER_S);
         let crowded = round.saturating_sub(USUAL_ROUND);
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let pause = match life.silent {
             0 if life.runs().is_empty() && life.ends_told >= life.ends_seen => HOLD_PAUSE_IDLE,
             0 if life.runs().is_empty() => HOLD_PAUSE_ENDED,
@@ -73,7 +73,7 @@
     /// Asks the worker soon, since something is expected of it.
     pub(super) fn hold_soon(&mut self, no: LifeNo, pause: Duration) {
         let at = self.now + pause;
-        if let Some(life) = self.lives.get_mut(&no) {
+        if let Some(life) = self.lives.get_mut(no) {
             life.next_hold_at = Some(life.next_hold_at.map_or(at, |due| due.min(at)));
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -75,7 +75,7 @@
             labels: Vec::new(),
         };
         let no = self.insert_life(entry, lapses_at);
-        if let Some(life) = self.lives.get_mut(&no) {
+        if let Some(life) = self.lives.get_mut(no) {
             life.listing = Listing::Unread;
             life.recorded = true;
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler of one fleet: jobs in, orders out.
 
+mod beside;
 mod commit;
 mod ends;
 mod evacuation;
@@ -12,6 +13,7 @@
 mod lateness;
 mod orders;
 mod pace;
+mod pass;
 mod pending;
 mod place;
 mod ranking;
@@ -36,7 +38,8 @@
 use super::{
     event::{Action, Event, JobState},
     job::Job,
-    life::{Life, LifeNo},
+    life::LifeNo,
+    lives::Lives,
     names::{JobId, LifeId, QueueName, TaskName},
     note::Note,
     record::Outcome,
@@ -89,9 +92,8 @@
     /// The same jobs, in the order of their end.
     ended_in_order: BTreeSet<(u64, JobId)>,
     queues: BTreeMap<QueueName, QueueTerms>,
-    lives: BTreeMap<LifeNo, Life>,
+    lives: Lives,
     life_by_id: HashMap<LifeId, LifeNo>,
-    next_life: u32,
     /// Lives that the owner before used and that have not been heard or outwaited yet.
     unheard: BTreeSet<LifeNo>,
     /// How long the owner before may go on to renew the leases of workers that are listed.
@@ -130,9 +132,8 @@
             ended_jobs: HashMap::new(),
             ended_in_order: BTreeSet::new(),
             queues: BTreeMap::new(),
-            lives: BTreeMap::new(),
+            lives: Lives::default(),
             life_by_id: HashMap::new(),
-            next_life: 0,
             unheard: BTreeSet::new(),
             may_be_renewed_for: Duration::ZERO,
             store_trouble_until: None,
@@ -236,7 +237,7 @@
 
     /// Writes to the log what is believed of a worker now.
     fn note_belief(&mut self, no: LifeNo, belief: &'static str) {
-        let Some(life) = self.lives.get(&no) else { return };
+        let Some(life) = self.lives.get(no) else { return };
         let worker = life.id().clone();
         let heard_ago_ms = life.heard_ago_ms(self.now);
         self.out.push(Action::Note(Note::Worker { worker, belief, heard_ago_ms }));
@@ -256,9 +257,9 @@
         self.refuse_unsent();
         self.begin_due_occurrences();
         self.forget_old_jobs();
-        let lives = self.lives.keys().copied().collect::<Vec<_>>();
-        for life in lives {
-            self.check_life(life);
+        let due = self.lives.iter().filter(|(_, life)| life.needs_check(self.now));
+        for no in due.map(|(no, _)| no).collect::<Vec<_>>() {
+            self.check_life(no);
         }
         self.move_out_if_due();
         // Back-offs and times set aside end without an event of their own.
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -24,14 +24,14 @@
 impl Scheduler {
     /// Queues an order and sends it if nothing is on its way to the worker.
     pub(super) fn order(&mut self, no: LifeNo, order: Order) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         life.orders.push_back(order);
         self.send_next_order(no);
     }
 
     /// Stops a run, or takes back the order to start it if it has not left.
     pub(super) fn stop_run(&mut self, no: LifeNo, task: TaskName, run: u32) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         if !life.runs().get(&task).is_some_and(|there| there.run == run && !there.stopping) {
             return;
         }
@@ -55,7 +55,7 @@
 
     /// Stops a run so that its task goes on elsewhere.
     pub(super) fn move_run(&mut self, no: LifeNo, task: TaskName, run: u32, why: &'static str) {
-        let Some(life) = self.lives.get(&no) else { return };
+        let Some(life) = self.lives.get(no) else { return };
         let worker = life.id().clone();
         self.out.push(Action::Note(Note::RunMoved { task, run, worker, why }));
         self.stop_run(no, task, run);
@@ -64,7 +64,7 @@
     /// Sends the order that waits longest, if the worker can take one.
     pub(super) fn send_next_order(&mut self, no: LifeNo) {
         let (now, lease, lapse_after) = (self.now, self.lease, self.lapse_after());
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         if life.order_sent || life.silent > 0 {
             return;
         }
@@ -94,7 +94,7 @@
     /// Takes note of what came back to an order.
     pub(super) fn order_answered(&mut self, no: LifeNo, order: Order, answer: OrderAnswer) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         life.order_sent = false;
         if let OrderAnswer::Done { clock_ms } = answer {
             life.note_heard(clock_ms, now);
@@ -114,7 +114,7 @@
 
     /// Voids every order that was sent so far and asks what really runs.
     pub(super) fn raise_token(&mut self, no: LifeNo) {
-        if let Some(life) = self.lives.get_mut(&no) {
+        if let Some(life) = self.lives.get_mut(no) {
             life.token += 1;
             life.silent += 1;
         }
@@ -122,7 +122,7 @@
 
     /// Forgets a run that certainly is not there; its task waits again.
     pub(super) fn drop_run(&mut self, no: LifeNo, task: TaskName, run: u32) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         life.remove_run(task, run);
         self.unplace(task, Placement { life: no, run });
         self.replan = true;
@@ -130,14 +130,16 @@
 
     /// Takes a run out of the places of its task.
     pub(super) fn unplace(&mut self, name: TaskName, placement: Placement) {
-        if let Some(task) = self.task_mut(name) {
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        job.may_wait = true;
+        if let Some(task) = job.task_mut(name) {
             task.placed.retain(|placed| *placed != placement);
         }
     }
 
     /// Gives up all runs of a worker that can't be running them any more.
     pub(super) fn give_up_runs(&mut self, no: LifeNo, why: &'static str) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let worker = life.id().clone();
         life.orders.clear();
         for (task, there) in life.take_runs() {
@@ -152,7 +154,7 @@
     fn doubt(&mut self, no: LifeNo, order: &Order) {
         self.raise_token(no);
         let (task, run) = order.run();
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let settled_by = life.token;
         if let Some(there) = life.run_mut(task, run) {
             match order {
@@ -168,7 +170,7 @@
     fn order_done(&mut self, no: LifeNo, order: &Order) {
         let now = self.now;
         let Order::Start(start) = order else { return };
-        let life = self.lives.get_mut(&no);
+        let life = self.lives.get_mut(no);
         if let Some(there) = life.and_then(|life| life.run_mut(start.task, start.run)) {
             there.phase = Phase::Running(now);
             there.progress.rose_at = now;
@@ -186,7 +188,7 @@
         match order {
             Order::Start(_) => self.drop_run(no, task, run),
             Order::Stop { .. } | Order::Pace { .. } => {
-                let life = self.lives.get_mut(&no);
+                let life = self.lives.get_mut(no);
                 if let Some(there) = life.and_then(|life| life.run_mut(task, run)) {
                     there.stopping = false;
                 }
@@ -205,14 +207,14 @@
     /// The worker has seen a higher token: ours from another channel, or another owner's.
     fn fenced(&mut self, no: LifeNo) {
         let first = self.first_token();
-        if self.lives.get(&no).is_some_and(|life| life.token == first) {
+        if self.lives.get(no).is_some_and(|life| life.token == first) {
             self.out.push(Action::Deposed);
         }
     }
 
     /// The worker has seen a higher token than that of a hold.
     pub(super) fn hold_fenced(&mut self, no: LifeNo, token: u64) {
-        if self.lives.get(&no).is_some_and(|life| life.token <= token) {
+        if self.lives.get(no).is_some_and(|life| life.token <= token) {
             self.out.push(Action::Deposed);
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -38,7 +38,7 @@
 impl Scheduler {
     /// Learns from the newest report of a worker and paces what fills there.
     pub(super) fn control_pace(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         gauges::learn(&mut self.tails, life, self.now);
         self.repace(no);
         self.move_slowed(no);
@@ -47,7 +47,7 @@
     /// Paces what fills on a worker by what is known now, and tells it.
     pub(super) fn repace(&mut self, no: LifeNo) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let before = mem::take(&mut life.paces);
         if !life.fills() {
             return;
@@ -72,7 +72,7 @@
 
     /// Tells filling runs their share where it is not what they were told.
     fn tell_pace(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let mut orders = Vec::new();
         let paces = life.paces.clone();
         for (task, there) in life.runs_mut() {
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -1,10 +1,11 @@
 //! Places tasks that wait on workers, in the order of their queues.
 
-use std::sync::Arc;
+use std::{iter, sync::Arc};
 
 use super::{
     super::{
         event::Action,
+        job::Job,
         life::{Life, LifeNo},
         names::{JobId, StepName, TaskName},
         note::Note,
@@ -16,6 +17,7 @@
     Scheduler,
     fit::Fit,
     lateness::Lateness,
+    pass::Pass,
     ranking::Ranking,
     room::Room,
 };
@@ -24,49 +26,59 @@
 impl Scheduler {
     /// Places all tasks that wait, in the order of their queues, as far as there is room.
     pub(super) fn place_all(&mut self) {
-        let now = self.now;
+        let mut pass = self.begin_pass();
+        for id in self.jobs_that_wait() {
+            self.place_job(id, &mut pass);
+        }
+        self.note_short_need(pass.short_waiting);
+    }
+
+    /// The jobs with tasks that may wait, in the order in which they are served.
+    fn jobs_that_wait(&self) -> Vec<JobId> {
+        let overlooked = |job: &&Job| !job.may_wait && job.has_due_unplaced();
+        debug_assert!(
+            self.jobs.values().find(overlooked).is_none(),
+            "every job with a task that waits for a worker is looked at"
+        );
         let key = |&(priority, due_at, id): &(u32, Time, JobId)| {
-            let job = self.jobs.get(&id)?;
+            let job = self.jobs.get(&id).filter(|job| job.may_wait)?;
             // What lasts takes its room for long, so short work of the same priority goes first.
             let lasts_anew = job.lasts() && !job.begun;
-            Some((priority, lasts_anew, Lateness::of(job, now), due_at, id))
+            Some((priority, lasts_anew, Lateness::of(job, self.now), due_at, id))
         };
-        let mut open = self.open.iter().filter_map(key).collect::<Vec<_>>();
-        open.sort_unstable();
-        let mut full = Full::default();
-        for (.., id) in open {
-            self.place_job(id, &mut full);
-        }
-        self.note_short_need(full.short_waiting);
+        let mut waiting = self.open.iter().filter_map(key).collect::<Vec<_>>();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(.., id)| id).collect()
     }
 
     /// Places what of one job waits.
-    pub(super) fn place_job(&mut self, id: JobId, full: &mut Full) {
-        let Some(job) = self.jobs.get(&id).filter(|job| job.kept) else { return };
-        let lateness = Lateness::of(job, self.now);
-        if job.inherited && !self.unheard.is_empty() {
+    pub(super) fn place_job(&mut self, id: JobId, pass: &mut Pass) {
+        let (now, has_unheard) = (self.now, !self.unheard.is_empty());
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.kept) else { return };
+        let lateness = Lateness::of(job, now);
+        if job.inherited && has_unheard {
             return;
         }
-        for step in job.due_steps(self.now) {
+        for step in job.due_steps(now) {
             self.note_if_zone_needed(step);
             let spec = self.jobs.get(&id).and_then(|job| job.step_spec(step.step));
-            let Some(spec) = spec.filter(|spec| !full.has_no_room_for(spec, lateness)).cloned()
+            let Some(spec) = spec.filter(|spec| !pass.has_no_room_for(spec, lateness)).cloned()
             else {
                 continue;
             };
             match spec.gang {
                 true => self.place_gang(step, &spec),
-                false if self.place_step(step, &spec) => {}
-                false => full.note(spec, lateness),
+                false if self.place_step(step, &spec, pass) => {}
+                false => pass.note_full(spec, lateness),
             }
         }
     }
 
     /// Places the tasks of a step. `false`: there is no room for some of them.
-    fn place_step(&mut self, step: StepName, spec: &StepSpec) -> bool {
+    fn place_step(&mut self, step: StepName, spec: &StepSpec, pass: &Pass) -> bool {
         let waiting = self.waiting_tasks(step, spec);
         let Some(&first) = waiting.first() else { return true };
-        let mut ranking = self.rank(first, spec);
+        let mut ranking = self.rank(first, spec, pass);
         for (at, &name) in waiting.iter().enumerate() {
             if self.is_held_back(name, spec) {
                 return true;
@@ -91,25 +103,27 @@
     }
 
     /// All workers that a task suits, best first.
-    fn rank(&mut self, name: TaskName, spec: &StepSpec) -> Ranking {
+    fn rank(&mut self, name: TaskName, spec: &StepSpec, pass: &Pass) -> Ranking {
         self.refresh_rooms();
         // What one task should avoid, its siblings need not.
         let fit = self.fit(name, spec, &[]).map(|fit| Fit { avoid: None, ..fit });
-        Ranking::new(fit.iter().flat_map(|fit| self.scored(fit)))
+        let Some(fit) = fit else { return Ranking::new(iter::empty()) };
+        let score = |no| Some((self.score_with(&fit, no, self.lives.get(no)?)?, no));
+        Ranking::new(pass.with_room_for(spec).filter_map(score))
     }
 
     /// How well a worker suits a task, less is better; `None` if it does not.
     fn score(&mut self, name: TaskName, spec: &StepSpec, no: LifeNo) -> Option<f64> {
-        let life = self.lives.get_mut(&no)?;
+        let life = self.lives.get_mut(no)?;
         if life.room.is_none() {
-            life.room = Some(Room::of(life, &self.tails));
+            life.room = Some(Room::of(life));
         }
         self.score_known(name, spec, no)
     }
 
     /// The same, for a worker of which it is worked out what it has left.
     fn score_known(&self, name: TaskName, spec: &StepSpec, no: LifeNo) -> Option<f64> {
-        self.score_with(&self.fit(name, spec, &[])?, no, self.lives.get(&no)?)
+        self.score_with(&self.fit(name, spec, &[])?, no, self.lives.get(no)?)
     }
 
     /// A task that looks for a worker, beside members that are about to be placed.
@@ -120,7 +134,7 @@
         members: &'a [LifeNo],
     ) -> Option<Fit<'a>> {
         let job = self.jobs.get(&name.job)?;
-        let first = members.first().and_then(|no| self.lives.get(no));
+        let first = members.first().and_then(|&no| self.lives.get(no));
         Some(Fit {
             name,
             spec,
@@ -137,15 +151,14 @@
     /// All workers that a task suits, each with how well.
     fn scored(&self, fit: &Fit<'_>) -> impl Iterator<Item = (f64, LifeNo)> {
         let score = |no, life| self.score_with(fit, no, life).map(|score| (score, no));
-        self.lives.iter().filter_map(move |(&no, life)| score(no, life))
+        self.lives.iter().filter_map(move |(no, life)| score(no, life))
     }
 
     /// How well a worker suits a task; `None` if it does not, or takes no work.
     fn score_with(&self, fit: &Fit<'_>, no: LifeNo, life: &Life) -> Option<f64> {
-        match life.takes_work(self.now) && life.entry.service == fit.service {
-            true => fit.score(no, life, life.room.as_ref()?),
-            false => None,
-        }
+        let room = life.room.as_ref().filter(|room| room.left.fits(fit.spec))?;
+        let takes_it = life.takes_work(self.now) && life.entry.service == fit.service;
+        if takes_it { fit.score(no, life, room) } else { None }
     }
 
     /// Places all members of a gang or none.
@@ -176,7 +189,7 @@
     /// Works out anew what workers have left where something changed.
     pub(super) fn refresh_rooms(&mut self) {
         for life in self.lives.values_mut().filter(|life| life.room.is_none()) {
-            life.room = Some(Room::of(life, &self.tails));
+            life.room = Some(Room::of(life));
         }
     }
 
@@ -198,7 +211,7 @@
         let payload = Arc::clone(&job.payload);
         let Some(&image) = job.images.get(name.step as usize) else { return };
         let Some(task) = job.task_mut(name) else { return };
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let run = run.unwrap_or(task.last_run + 1);
         task.last_run = run;
         task.placed.push(Placement { life: no, run });
@@ -207,7 +220,7 @@
             task: name,
             run,
             worker: life.id().clone(),
-            free: life.room.as_ref().map(|room| room.free).unwrap_or_default(),
+            free: life.room.as_ref().map(|room| room.left.free).unwrap_or_default(),
             heard_ago_ms: life.heard_ago_ms(self.now),
         }));
         if !spec.fills && !spec.lasts {
@@ -218,37 +231,3 @@
         self.order(no, Order::Start(order));
     }
 }
-
-/// What was found to have no room in one pass over the jobs, so that it is not looked for again.
-#[derive(Debug, Default)]
-pub(super) struct Full {
-    steps: Vec<(StepSpec, Lateness)>,
-    /// How many short tasks found no room, at most: of a step that found some, all are counted.
-    pub(super) short_waiting: u32,
-}
-
-impl Full {
-    /// Whether a step asks for no less than one that found no room, and is like it in all else.
-    fn has_no_room_for(&self, spec: &StepSpec, lateness: Lateness) -> bool {
-        self.steps.iter().any(|(full, late)| {
-            full.fills == spec.fills
-                && late.most_harm() >= lateness.most_harm()
-                && full.image == spec.image
-                && full.size.fits_in(&spec.size)
-                && (full.max_per_worker.is_none() && full.label.is_none())
-        })
-    }
-
-    /// Counts the tasks of a step that found no room, if they are short.
-    fn note_waiting(&mut self, spec: Option<&StepSpec>) {
-        let short = spec.filter(|spec| !spec.fills && !spec.lasts);
-        self.short_waiting += short.map_or(0, |spec| spec.count);
-    }
-
-    fn note(&mut self, spec: StepSpec, lateness: Lateness) {
-        self.note_waiting(Some(&spec));
-        if spec.label.is_none() && spec.max_per_worker.is_none() {
-            self.steps.push((spec, lateness));
-        }
-    }
-}
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -94,7 +94,10 @@
         }));
         self.pending.note_urgent(id);
         self.forget_zone_needed(id);
-        self.stop_all_of(id);
+        // All that was placed of a job that is completed has ended, or is told to stop by now.
+        if outcome != Outcome::Completed {
+            self.stop_all_of(id);
+        }
     }
 
     /// Refuses jobs that were not sent to the store yet, while it does not answer.
@@ -139,7 +142,7 @@
     }
 
     fn stop_all_of(&mut self, id: JobId) {
-        let runs = self.lives.iter().flat_map(|(&life, there)| {
+        let runs = self.lives.iter().flat_map(|(life, there)| {
             let of_job = there.runs().iter().filter(move |(task, _)| task.job == id);
             of_job.map(move |(&task, run)| (life, task, run.run))
         });
--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -1,8 +1,10 @@
 //! What a worker has left, worked out once between two changes of what runs there.
 
+use std::cell::OnceCell;
+
 use super::{
-    super::{life::Life, run::RunThere},
-    pace::AIM,
+    super::{life::Life, run::RunThere, spec::StepSpec},
+    beside::Beside,
     tails::{ImageNo, Load, TailModel},
 };
 use crate::{Accelerators, CpuMillis, MemoryMb, Resources};
@@ -17,52 +19,64 @@
 /// at 0.6 (the second set alone), 0.802 at 0.7 (the first set alone).
 pub(in crate::jobs) const SLIGHT_EFFECT: f64 = 0.5;
 
-/// Stress this far below the target of a serving task starts to count as harm, and harm grows with the
-/// square from there to 1 at the target. Own loads swing by some two tenths in seconds, twice that
-/// between their lowest and highest.
-const HARM_FROM: f64 = 0.4;
+/// What fills is started where at least this share of its processor time is left, in percent.
+const LEAST_LEFT_PERCENT: u32 = 80;
 
 /// What a worker has left.
 #[derive(Debug, Clone)]
 pub(in crate::jobs) struct Room {
-    /// What is not reserved.
-    pub(super) free: Resources,
-    /// The processor time that what fills finds there, in thousandths of a core.
-    pub(super) cpu_left_to_fill: u32,
+    pub(super) left: Left,
     /// How many tasks run there that reserve processors and end by themselves.
     pub(super) short_tasks: u32,
     /// The share of the processor time that is not reserved, 0 to 1.
     pub(super) free_share: f64,
     /// The share of the processor time that what fills finds there, 0 to 1.
     pub(super) fill_share: f64,
-    /// What serves there, by image.
-    serving: Vec<Serving>,
-    /// What each task that serves there can take still.
-    margins: Vec<Margin>,
-    /// The share of all images that fill which disturb nothing there, 0 to 1.
-    pub(super) tolerance: f64,
+    /// What serves there, worked out when it is first asked for: few workers are looked at so closely
+    /// before something changes there again.
+    beside: OnceCell<Beside>,
 }
 
-/// What one task that serves can take still.
+/// What of a worker's capacity is left.
 #[derive(Debug, Clone, Copy)]
-struct Margin {
-    image: ImageNo,
-    /// The stress between what it is under, with all that fills beside it, and its target.
-    stress: f64,
+pub(in crate::jobs) struct Left {
+    /// What is not reserved.
+    pub(super) free: Resources,
+    /// The processor time that what fills finds there, in thousandths of a core.
+    cpu_left_to_fill: u32,
 }
 
-/// The tasks of one image that serve on a worker.
-#[derive(Debug, Clone)]
-struct Serving {
-    image: ImageNo,
-    /// How much stress the most stressed of them can take beside its own.
-    left: f64,
-    /// What fills there adds, at full speed.
-    added: f64,
+impl Left {
+    /// Whether a task finds memory, accelerators and processor time there.
+    ///
+    /// One that fills reserves no processor time: it is started where it finds enough.
+    pub(super) fn fits(&self, spec: &StepSpec) -> bool {
+        let Resources { cpu_millis, memory_mb, accelerators } = spec.size;
+        match spec.fills {
+            true => {
+                memory_mb <= self.free.memory_mb
+                    && accelerators <= self.free.accelerators
+                    && self.cpu_left_to_fill >= cpu_millis.0 * LEAST_LEFT_PERCENT / 100
+            }
+            false => spec.size.fits_in(&self.free),
+        }
+    }
+
+    /// The same, once `others` of its size have found theirs.
+    pub(super) fn fits_beside(&self, spec: &StepSpec, others: u32) -> bool {
+        let mut left = *self;
+        for _ in 0..others {
+            match left.free.checked_sub(&spec.size) {
+                Some(free) => left.free = free,
+                None => return false,
+            }
+        }
+        left.fits(spec)
+    }
 }
 
 impl Room {
-    pub(super) fn of(life: &Life, tails: &TailModel) -> Self {
+    pub(super) fn of(life: &Life) -> Self {
         let Taken { reserved, used_millis, filled_millis, short_tasks } = Taken::of(life);
         let capacity = life.entry.capacity;
         let cpu = capacity.cpu_millis.0;
@@ -70,50 +84,18 @@
         let most_taken = cpu / 100 * MOST_TAKEN_PERCENT;
         let cpu_left_to_fill = most_taken.saturating_sub(used_millis + filled_millis);
         let share = |left: u32| f64::from(left) / f64::from(cpu.max(1));
-        let serving = serving(life, tails);
-        let images = serving.iter().map(|serving| serving.image).collect::<Vec<_>>();
         Self {
-            free,
-            cpu_left_to_fill,
+            left: Left { free, cpu_left_to_fill },
             short_tasks,
             free_share: share(free.cpu_millis.0),
             fill_share: share(cpu_left_to_fill),
-            margins: margins(life, tails),
-            tolerance: tails.tolerance(&images, SLIGHT_EFFECT),
-            serving,
+            beside: OnceCell::new(),
         }
     }
 
-    /// The share of its full speed that a task that fills would be let work at, 0 to 1, if the own
-    /// stress of what serves there rises by `swing`.
-    pub(super) fn expected_pace(
-        &self,
-        tails: &TailModel,
-        image: ImageNo,
-        load: f64,
-        swing: f64,
-    ) -> f64 {
-        let beside = |serving: &Serving| {
-            let effect = tails.effect(image, serving.image);
-            let left = serving.left - swing - serving.added;
-            if effect < SLIGHT_EFFECT { 1.0 } else { (left / (effect * load)).clamp(0.0, 1.0) }
-        };
-        self.serving.iter().map(beside).fold(1.0, f64::min)
-    }
-
-    /// How much harm a task that fills would add to all that serves there: 1 for each task that it
-    /// would take from far below its target to its target.
-    pub(super) fn added_harm(&self, tails: &TailModel, image: ImageNo, load: f64) -> f64 {
-        let added = |margin: &Margin| {
-            let stress = tails.effect(image, margin.image) * load;
-            harm(margin.stress - stress) - harm(margin.stress)
-        };
-        self.margins.iter().map(added).sum()
-    }
-
-    /// Whether something of another image serves there, and nothing of this one.
-    pub(super) fn is_foreign(&self, image: ImageNo) -> bool {
-        !self.serving.is_empty() && self.serving.iter().all(|serving| serving.image != image)
+    /// What serves on the worker whose room this is.
+    pub(super) fn beside(&self, life: &Life, tails: &TailModel) -> &Beside {
+        self.beside.get_or_init(|| Beside::of(life, tails))
     }
 }
 
@@ -189,41 +171,7 @@
     effects.filter(|(effect, _)| *effect >= SLIGHT_EFFECT).map(|(effect, load)| effect * load).sum()
 }
 
-/// How much a task that serves is harmed with so much stress left to its target.
-fn harm(margin: f64) -> f64 {
-    let depth = (1.0 - margin / HARM_FROM).max(0.0);
-    depth * depth
-}
-
 /// All processor time of a worker, in thousandths of a core.
 pub(super) fn capacity_millis(life: &Life) -> f64 {
     f64::from(life.entry.capacity.cpu_millis.0.max(1))
 }
-
-fn margins(life: &Life, tails: &TailModel) -> Vec<Margin> {
-    let loads = full_loads(life);
-    let margin = |run: &RunThere| {
-        let added = loads.iter().map(|&(fills, load)| tails.effect(fills, run.image) * load);
-        let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
-        let most = tails.stress_at(run.image, target_ms, 1.0);
-        Margin { image: run.image, stress: most - run.own_stress.mean - added.sum::<f64>() }
-    };
-    life.runs().values().filter(|run| run.serves()).map(margin).collect()
-}
-
-fn serving(life: &Life, tails: &TailModel) -> Vec<Serving> {
-    let loads = full_loads(life);
-    let mut serving = Vec::<Serving>::new();
-    for run in life.runs().values().filter(|run| run.serves()) {
-        let target_ms = run.tail_target_ms.unwrap_or(1) as f64;
-        let left = tails.stress_at(run.image, target_ms, AIM) - run.own_stress.mean;
-        match serving.iter_mut().find(|serving| serving.image == run.image) {
-            Some(known) => known.left = known.left.min(left),
-            None => {
-                let added = added(tails, &loads, run.image);
-                serving.push(Serving { image: run.image, left, added });
-            }
-        }
-    }
-    serving
-}
--- a/crates/kitetrail-core/src/jobs/scheduler/set_aside.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/set_aside.rs
@@ -23,7 +23,7 @@
 impl Scheduler {
     /// Sets a worker aside that says it is not well.
     pub(super) fn set_aside_unhealthy(&mut self, no: LifeNo) {
-        if let Some(life) = self.lives.get_mut(&no) {
+        if let Some(life) = self.lives.get_mut(no) {
             life.set_aside_until = life.set_aside_until.max(Some(self.now + UNHEALTHY_PAUSE));
         }
     }
@@ -31,7 +31,7 @@
     /// Sets a worker aside whose runs stand still.
     pub(super) fn set_aside_hanging(&mut self, no: LifeNo) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let set_aside = life.set_aside_until.is_some_and(|until| until > now);
         life.set_aside_until = life.set_aside_until.max(Some(now + HANG_PAUSE));
         if !set_aside {
@@ -45,7 +45,7 @@
     /// were started before.
     pub(super) fn blame(&mut self, no: LifeNo) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         life.failures += 1;
         let is_set_aside = life.set_aside_until.is_some_and(|until| until > now);
         if life.failures < FAILURES_TO_SET_ASIDE || is_set_aside {
--- a/crates/kitetrail-core/src/jobs/scheduler/short_work.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/short_work.rs
@@ -111,7 +111,7 @@
         let (mut slots, mut places) = (0, 0);
         for life in self.lives.values().filter(|life| life.takes_work(self.now)) {
             let Some(room) = &life.room else { continue };
-            let free_millis = room.free.cpu_millis.0;
+            let free_millis = room.left.free.cpu_millis.0;
             slots += self.short_work.slots_in(free_millis) + room.short_tasks;
             places += free_millis / cpu_millis.max(1);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/slowed.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/slowed.rs
@@ -29,7 +29,7 @@
     /// Stops what fills and is slowed for long, if it keeps its progress and would be let work
     /// faster elsewhere.
     pub(super) fn move_slowed(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get(&no) else { return };
+        let Some(life) = self.lives.get(no) else { return };
         let now = self.now;
         let runs = life.runs().iter().filter(|(_, run)| is_slowed(life, run, now));
         let runs = runs.map(|(&task, run)| (task, run.run)).take(MOVES_AT_ONCE);
@@ -47,10 +47,11 @@
     /// The share of its full speed that a task that fills would be let work at on a worker, 0 to 1.
     fn expected_pace(&mut self, no: LifeNo, name: TaskName, spec: &StepSpec) -> Option<f64> {
         self.refresh_rooms();
-        let life = self.lives.get(&no)?;
+        let life = self.lives.get(no)?;
         let image = *self.jobs.get(&name.job)?.images.get(name.step as usize)?;
         let load = f64::from(spec.size.cpu_millis.0) / capacity_millis(life);
-        Some(life.room.as_ref()?.expected_pace(&self.tails, image, load, 0.0))
+        let beside = life.room.as_ref()?.beside(life, &self.tails);
+        Some(beside.expected_pace(&self.tails, image, load, 0.0))
     }
 }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -52,7 +52,7 @@
     /// Looks at the progress of all runs of a worker after a report.
     pub(super) fn check_progress(&mut self, no: LifeNo) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let Measured { still, rest, moving } = measure(life, now);
         if still.len() >= STILL_RUNS_OF_A_HANG && moving == 0 {
             self.set_aside_hanging(no);
@@ -69,7 +69,7 @@
 
     /// Starts copies of what may have copies and runs on a worker that has fallen silent.
     pub(super) fn copy_from_silent(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get(&no) else { return };
+        let Some(life) = self.lives.get(no) else { return };
         for task in life.runs().keys().copied().collect::<Vec<_>>() {
             if self.step_spec(task).is_some_and(|step| step.copies_allowed) {
                 self.copy(no, task);
@@ -79,7 +79,7 @@
 
     /// Whether the run will take much longer than others of its step, and than starting anew.
     fn is_slow(&self, no: LifeNo, task: TaskName) -> bool {
-        let run = self.lives.get(&no).and_then(|life| life.runs().get(&task));
+        let run = self.lives.get(no).and_then(|life| life.runs().get(&task));
         let expected_ms = self.expected_ms(task);
         let (Some(run), Some(expected_ms)) = (run, expected_ms) else { return false };
         let Some(total_ms) = predicted_ms(run, self.now) else { return false };
@@ -113,7 +113,7 @@
             return;
         }
         let other = self.choose(task, &spec, &[]).filter(|&other| other != no);
-        let run = self.lives.get(&no).and_then(|life| life.runs().get(&task)).map(|run| run.run);
+        let run = self.lives.get(no).and_then(|life| life.runs().get(&task)).map(|run| run.run);
         let (Some(_), Some(run)) = (other, run) else { return };
         self.avoid(task, no);
         let why = match trouble {
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -25,6 +25,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(in crate::jobs) struct ImageNo(u32);
 
+impl ImageNo {
+    /// Where it stands in a list of all images.
+    pub(super) fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// How much processor time the tasks of an image use on a worker, as a share of all it has.
 pub(super) type Load = (ImageNo, f64);
 
@@ -87,7 +94,7 @@
             for (fills, effect) in &serving.effects {
                 let fills = self.number(Some(fills));
                 self.note_filler(fills);
-                let Some(image) = self.images.get_mut(serves.0 as usize) else { continue };
+                let Some(image) = self.images.get_mut(serves.index()) else { continue };
                 image.lowest_ms = Some(serving.lowest_tail_ms);
                 image.import(fills, *effect);
             }
@@ -96,7 +103,7 @@
 
     /// How much stress an image that fills adds to one that serves, when it uses all processors.
     pub(super) fn effect(&self, fills: ImageNo, serves: ImageNo) -> f64 {
-        let known = self.images.get(serves.0 as usize).and_then(|image| image.effect(fills));
+        let known = self.images.get(serves.index()).and_then(|image| image.effect(fills));
         known.unwrap_or(EFFECT_PRIOR)
     }
 
@@ -110,7 +117,7 @@
 
     /// The stress at which a tail is `share` of its target.
     pub(super) fn stress_at(&self, serves: ImageNo, target_ms: f64, share: f64) -> f64 {
-        let lowest_ms = self.images.get(serves.0 as usize).and_then(|image| image.lowest_ms);
+        let lowest_ms = self.images.get(serves.index()).and_then(|image| image.lowest_ms);
         1.0 - unloaded_ms(lowest_ms, target_ms) / (target_ms * share)
     }
 
@@ -126,7 +133,7 @@
         for &(fills, _) in loads {
             self.note_filler(fills);
         }
-        let Some(image) = self.images.get_mut(serves.0 as usize) else { return };
+        let Some(image) = self.images.get_mut(serves.index()) else { return };
         let tail_ms = tail.tail_ms.max(1.0);
         image.lowest_ms = Some(image.lowest_ms.unwrap_or(tail_ms).min(tail_ms));
         let unloaded_ms = unloaded_ms(image.lowest_ms, tail.target_ms);
--- a/crates/kitetrail-core/src/jobs/scheduler/unlisted.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unlisted.rs
@@ -52,7 +52,7 @@
     /// not stand there.
     pub(super) fn unlist_untold(&mut self) {
         let untold = self.lives.iter().filter(|(_, life)| life.listing == Listing::Unread);
-        for no in untold.map(|(&no, _)| no).collect::<Vec<_>>() {
+        for no in untold.map(|(no, _)| no).collect::<Vec<_>>() {
             self.unlist(no, self.why_unlisted(None));
         }
     }
@@ -62,7 +62,7 @@
     /// A worker that says `draining` may be emptied at once. One that is only missing from the list
     /// may be sound, so no more tasks of a step may be away than its caller allows.
     pub(super) fn may_leave(&self, no: LifeNo, task: TaskName) -> bool {
-        let draining = self.lives.get(&no).is_some_and(|life| life.entry.draining);
+        let draining = self.lives.get(no).is_some_and(|life| life.entry.draining);
         let may_miss = self.step_spec(task).and_then(|spec| spec.may_miss);
         draining || may_miss.is_none_or(|may_miss| self.others_away(task) < may_miss as usize)
     }
@@ -84,7 +84,7 @@
     }
 
     fn unlist(&mut self, no: LifeNo, listing: Listing) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         life.listing = listing;
         let belief = match listing {
             Listing::Lapsed => "not listed, its heartbeats ended",
@@ -106,7 +106,7 @@
     fn is_at_work(&self, name: TaskName) -> bool {
         let placed = self.jobs.get(&name.job).and_then(|job| job.task(name)).map(|it| &it.placed);
         placed.into_iter().flatten().any(|placed| {
-            let life = self.lives.get(&placed.life).filter(|life| life.silent == 0);
+            let life = self.lives.get(placed.life).filter(|life| life.silent == 0);
             life.and_then(|life| life.runs().get(&name)).is_some_and(RunThere::is_at_work)
         })
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -35,13 +35,13 @@
 
     /// A life answered a hold sent at a moment: lives at its place from before that are over.
     pub(super) fn end_earlier_lives(&mut self, no: LifeNo, sent_at: Time) {
-        let Some(life) = self.lives.get(&no) else { return };
+        let Some(life) = self.lives.get(no) else { return };
         let entry = Arc::clone(&life.entry);
         let earlier = self
             .lives
             .iter()
             .filter(|(_, other)| other.shares_place(&entry) && other.precedes(sent_at));
-        for no in earlier.map(|(&no, _)| no).collect::<Vec<_>>() {
+        for no in earlier.map(|(no, _)| no).collect::<Vec<_>>() {
             self.end_life(no, "over: a later life answers on its machine");
         }
     }
@@ -50,7 +50,7 @@
     pub(super) fn end_life(&mut self, no: LifeNo, why: &'static str) {
         self.note_belief(no, why);
         self.give_up_runs(no, why);
-        let Some(life) = self.lives.remove(&no) else { return };
+        let Some(life) = self.lives.remove(no) else { return };
         self.life_by_id.remove(life.id());
         self.unheard.remove(&no);
         self.pending.end_life(no, life.id().clone());
@@ -59,7 +59,7 @@
 
     /// What time alone changes in a life: leases that ran out, holds that are due.
     pub(super) fn check_life(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         let lapsed = life.lapses_at <= self.now;
         let forgotten = life.listing != Listing::Listed && life.silent > 0;
         match (lapsed, forgotten) {
@@ -79,7 +79,7 @@
     /// Moves what would be lost with a worker that is about to leave, where there is room for it.
     fn evacuate(&mut self, no: LifeNo) {
         let now = self.now;
-        let Some(life) = self.lives.get_mut(&no).filter(|life| life.is_leaving(now)) else {
+        let Some(life) = self.lives.get_mut(no).filter(|life| life.is_leaving(now)) else {
             return;
         };
         if life.evacuated_at.is_some_and(|at| now.since(at) < EVACUATE_EVERY) {
@@ -101,7 +101,7 @@
 
     fn listed(&mut self, entry: WorkerEntry) {
         match self.life_by_id.get(&entry.id).copied() {
-            Some(no) if self.lives.contains_key(&no) => self.listed_known(no, entry),
+            Some(no) if self.lives.contains(no) => self.listed_known(no, entry),
             _ => self.listed_new(entry),
         }
     }
@@ -111,7 +111,7 @@
     /// A life that leaves does not come back: an entry that says otherwise was written before and came
     /// late.
     fn listed_known(&mut self, no: LifeNo, mut entry: WorkerEntry) {
-        let Some(life) = self.lives.get_mut(&no) else { return };
+        let Some(life) = self.lives.get_mut(no) else { return };
         entry.draining |= life.entry.draining;
         let was_listed = life.listing == Listing::Listed;
         let belief = match (entry.draining && !life.entry.draining, was_listed) {
@@ -146,10 +146,9 @@
     }
 
     pub(super) fn insert_life(&mut self, entry: WorkerEntry, lapses_at: Time) -> LifeNo {
-        let no = LifeNo(self.next_life);
-        self.next_life += 1;
-        self.life_by_id.insert(entry.id.clone(), no);
-        self.lives.insert(no, Life::new(entry, self.first_token(), lapses_at, self.now));
+        let id = entry.id.clone();
+        let no = self.lives.push(Life::new(entry, self.first_token(), lapses_at, self.now));
+        self.life_by_id.insert(id, no);
         self.note_zone(no);
         no
     }
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -59,6 +59,11 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Whether a task is neither done nor placed.
+    pub(super) fn has_unplaced(&self) -> bool {
+        self.tasks.iter().any(|task| !task.done && task.placed.is_empty())
+    }
+
     /// Marks a task as done, or all members of a gang. Returns where what is done is still placed.
     pub(super) fn mark_done(&mut self, name: TaskName, gang: bool) -> Vec<Placement> {
         let mut placed = Vec::new();
