--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -82,6 +82,8 @@
     },
     /// The batch of records with this number is kept for good.
     Committed(u64),
+    /// The owner looked at the clock so much later than it was due: all that it reads and sends waits as long.
+    Lagged(Duration),
     /// Time passed.
     Tick,
 }
--- a/crates/kitetrail-core/src/jobs/note.rs
+++ b/crates/kitetrail-core/src/jobs/note.rs
@@ -107,6 +107,13 @@
         /// The step.
         step: u32,
     },
+    /// New jobs are refused for want of processor time, or are taken again.
+    Overload {
+        /// Whether they are taken.
+        takes_jobs: bool,
+        /// How far the owner lags, in milliseconds.
+        lag_ms: u64,
+    },
     /// The runs of a worker that fill were paced.
     Paced {
         /// The worker.
--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -64,7 +64,7 @@
         let pause = match life.silent {
             0 if life.runs().is_empty() && life.ends_told >= life.ends_seen => HOLD_PAUSE_IDLE,
             0 if life.runs().is_empty() => HOLD_PAUSE_ENDED,
-            0 => HOLD_PAUSE + crowded,
+            0 => HOLD_PAUSE + crowded + self.overload.hold_pause(),
             times => (HOLD_RETRY * times).min(HOLD_RETRY_MAX),
         };
         life.next_hold_at = Some(now + pause);
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod inherit;
 mod lateness;
 mod orders;
+mod overload;
 mod pace;
 mod pass;
 mod pending;
@@ -34,7 +35,10 @@
 };
 
 pub use self::inherit::Inheritance;
-use self::{evacuation::ZoneEvacuation, pending::Pending, short_work::ShortWork, tails::TailModel};
+use self::{
+    evacuation::ZoneEvacuation, overload::Overload, pending::Pending, short_work::ShortWork,
+    tails::TailModel,
+};
 use super::{
     event::{Action, Event, JobState},
     job::Job,
@@ -104,6 +108,7 @@
     tails: TailModel,
     short_work: ShortWork,
     evacuation: ZoneEvacuation,
+    overload: Overload,
     /// Something changed, so that tasks that wait may find a worker.
     replan: bool,
     /// When all jobs were looked at last.
@@ -141,6 +146,7 @@
             tails: TailModel::default(),
             short_work: ShortWork::default(),
             evacuation: ZoneEvacuation::default(),
+            overload: Overload::default(),
             replan: true,
             placed_at: Time::ZERO,
             out: Vec::new(),
@@ -166,6 +172,7 @@
             Event::Held { life, hold, sent_at, answer } => self.held(life, hold, sent_at, answer),
             Event::LateEnds { life, ended } => self.note_late_ends(life, &ended),
             Event::Committed(batch) => self.committed(batch),
+            Event::Lagged(lag) => self.note_lag(lag),
             Event::Tick => self.tick(),
         }
         self.place_if_due();
@@ -185,6 +192,11 @@
         }
     }
 
+    /// How far its owner lags behind its events: the longest of late, fading.
+    pub fn lag(&self) -> Duration {
+        self.overload.lag()
+    }
+
     /// How many accepted jobs of each queue have not begun; queues with none are left out.
     pub fn pending_by_queue(&self) -> BTreeMap<QueueName, u64> {
         let mut counts = BTreeMap::new();
@@ -196,6 +208,13 @@
         counts
     }
 
+    fn note_lag(&mut self, lag: Duration) {
+        if let Some(takes_jobs) = self.overload.note_lag(lag, self.now) {
+            let lag_ms = self.overload.lag().as_millis() as u64;
+            self.out.push(Action::Note(Note::Overload { takes_jobs, lag_ms }));
+        }
+    }
+
     fn insert_job(&mut self, mut job: Job) {
         let images = job.spec.steps.iter().map(|step| self.tails.number(step.image.as_deref()));
         job.images = images.collect();
@@ -212,7 +231,8 @@
     }
 
     fn place_if_due(&mut self) {
-        if self.replan && self.now.since(self.placed_at) >= PLACE_EVERY {
+        let due = self.replan && self.now.since(self.placed_at) >= PLACE_EVERY;
+        if due && self.overload.starts() {
             self.replan = false;
             self.placed_at = self.now;
             self.place_all();
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload.rs
@@ -0,0 +1,84 @@
+//! What is left out while an owner has less processor time than its fleet asks for.
+//!
+//! The one measure is the *lag*: how much later than due the owner got to look at the clock. All that it
+//! reads and sends waits as long. Work is left out in this order, each with a threshold of its own: moves and
+//! copies, frequent holds, new starts, new jobs. Never left out: ends, renewals of leases, cancels, states.
+//! See `docs/design/overload.md`.
+
+use std::time::Duration;
+
+use crate::Time;
+
+/// Over how long the measured lag fades. Long enough to bridge the pauses between bursts of events, short
+/// beside the leases, 4 s.
+const FADES_OVER: Duration = Duration::from_millis(1_000);
+/// From this lag on no run is moved or copied. Each search weighs every worker, and what is known of
+/// progress is older than the 1.3 s after which a run counts as standing still by then.
+const MOVES_END_AT: Duration = Duration::from_millis(100);
+/// From this lag on nothing is started: each start brings four more events, and an owner this late keeps its
+/// other promises with a reserve of a few hundred milliseconds only. Other boxes doubt it at 0.25 s.
+const STARTS_END_AT: Duration = Duration::from_millis(300);
+/// Starts go on below this lag: half, so that they don't begin and end with each burst.
+const STARTS_GO_ON_AT: Duration = Duration::from_millis(150);
+/// From this lag on new jobs are refused: their answers would come after the 0.9 s that boxes wait, so
+/// that callers could only be told that their job is in doubt.
+const JOBS_END_AT: Duration = Duration::from_millis(700);
+/// Jobs are taken again below this lag.
+const JOBS_GO_ON_AT: Duration = Duration::from_millis(350);
+/// By how many times the lag the pause before the next hold of a worker grows, so that fewer holds are asked
+/// for until those that are come in time.
+const PAUSES_PER_LAG: u32 = 4;
+/// But no more than this: with the time that a worker may wait, leases of 4 s are renewed once a second and
+/// a half at least.
+const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+
+/// How far the owner lags, and what it leaves out.
+#[derive(Debug, Default)]
+pub(super) struct Overload {
+    lag: Duration,
+    noted_at: Time,
+    starts_end: bool,
+    jobs_end: bool,
+}
+
+impl Overload {
+    /// The lag of late: the longest, fading.
+    pub(super) fn lag(&self) -> Duration {
+        self.lag
+    }
+
+    /// Whether runs may be moved and copied.
+    pub(super) fn moves(&self) -> bool {
+        self.lag < MOVES_END_AT
+    }
+
+    /// Whether tasks may be started.
+    pub(super) fn starts(&self) -> bool {
+        !self.starts_end
+    }
+
+    /// Whether new jobs are taken.
+    pub(super) fn takes_jobs(&self) -> bool {
+        !self.jobs_end
+    }
+
+    /// How much longer than usual a worker that runs something is left alone between two holds.
+    pub(super) fn hold_pause(&self) -> Duration {
+        (self.lag * PAUSES_PER_LAG).min(LONGEST_PAUSE)
+    }
+
+    /// Takes note of how late the owner is now. Returns whether it takes jobs, if that changed.
+    pub(super) fn note_lag(&mut self, lag: Duration, now: Time) -> Option<bool> {
+        let gap_s = now.since(self.noted_at).as_secs_f64();
+        self.noted_at = now;
+        let faded = self.lag.mul_f64((-gap_s / FADES_OVER.as_secs_f64()).exp());
+        self.lag = lag.max(faded);
+        self.starts_end = self.lag >= if self.starts_end { STARTS_GO_ON_AT } else { STARTS_END_AT };
+        let took_jobs = self.takes_jobs();
+        self.jobs_end = self.lag >= if self.jobs_end { JOBS_GO_ON_AT } else { JOBS_END_AT };
+        (took_jobs != self.takes_jobs()).then_some(self.takes_jobs())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -33,7 +33,7 @@
                 self.out.push(Action::AnswerSubmit(request, SubmitAnswer::Accepted));
             }
             Some(job) => job.submit_waiters.push(request),
-            None if self.pending.is_stuck(self.now) => {
+            None if self.pending.is_stuck(self.now) || !self.overload.takes_jobs() => {
                 self.out.push(Action::AnswerSubmit(request, SubmitAnswer::Refused));
             }
             None => {
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -101,6 +101,9 @@
 
     /// Starts a copy of a run that is in trouble, or moves it, if that pays.
     fn relieve(&mut self, no: LifeNo, task: TaskName, trouble: Trouble) {
+        if !self.overload.moves() {
+            return;
+        }
         let Some(spec) = self.step_spec(task).cloned() else { return };
         if spec.gang {
             return;
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet on virtual time: workers, a store, and the scheduler.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod processor;
 mod worker;
 
 use std::{
@@ -18,6 +19,7 @@
     },
 };
 
+pub use processor::Processor;
 use worker::Work;
 pub use worker::{FakeWorker, Mood};
 
@@ -63,6 +65,8 @@
     /// The tail that a serving task on a worker reports, in milliseconds, by what fills there.
     pub tail_ms: fn(&FakeWorker) -> u32,
     pub deposed: bool,
+    /// The processor time of the owner, if it has a bounded one.
+    pub processor: Option<Processor>,
     /// How many events the scheduler took.
     pub events: u64,
     /// How many holds it asked for.
@@ -140,6 +144,7 @@
             lasting_ms: 600_000,
             tail_ms: |_| 10,
             deposed: false,
+            processor: None,
             events: 0,
             holds: 0,
             stale_answers: 0,
@@ -283,7 +288,10 @@
             self.now = self.now + STEP;
             self.step_workers();
             self.step_store();
-            self.tell(Event::Tick);
+            match self.processor.is_some() {
+                true => self.work_off(),
+                false => self.tell(Event::Tick),
+            }
         }
     }
 
@@ -317,8 +325,22 @@
         runs.map(|(id, _)| id.as_str()).collect()
     }
 
-    /// Tells the scheduler of an event and does what it asks for.
+    /// Tells the scheduler of an event and does what it asks for, once it has the time.
     pub fn tell(&mut self, event: Event) {
+        match &mut self.processor {
+            Some(processor) => processor.wait(event),
+            None => self.decide(event),
+        }
+    }
+
+    /// Lets the scheduler take as many events as it has processor time for in a step of the clock.
+    fn work_off(&mut self) {
+        while let Some(event) = self.processor.as_mut().and_then(|it| it.next(self.now)) {
+            self.decide(event);
+        }
+    }
+
+    fn decide(&mut self, event: Event) {
         let unix_ms = DAY_UNIX_MS + self.now.as_ms();
         let started = Instant::now();
         let mut actions = Vec::new();
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -116,6 +116,9 @@
     late: VecDeque<LateOrder>,
     /// What an answer that comes late says has ended, by when it comes, and for which life.
     pub late_ends: Option<(Time, LifeNo, Vec<RunEnd>)>,
+    /// The tasks that ran to their end here, and how many runs lost their lease.
+    pub done: Vec<TaskName>,
+    pub lapsed: u32,
     next_end: u64,
     /// The number of the last end that was told.
     told_end: u64,
@@ -153,6 +156,8 @@
             late_by: LATE,
             late: VecDeque::new(),
             late_ends: None,
+            done: Vec::new(),
+            lapsed: 0,
             next_end: 1,
             told_end: 0,
         }
@@ -305,6 +310,11 @@
 
     fn end(&mut self, task: TaskName, how: HowEnded) {
         let Some(running) = self.running.remove(&task) else { return };
+        match how {
+            HowEnded::Done => self.done.push(task),
+            HowEnded::Lapsed => self.lapsed += 1,
+            _ => {}
+        }
         let checkpoint = Some(format!("{task}@{}", running.done_ms));
         let number = self.next_end;
         self.next_end += 1;
--- /dev/null
+++ b/crates/kitetrail-core/tests/jobs_overload.rs
@@ -0,0 +1,132 @@
+//! An owner with too little processor time: what callers get meanwhile, and afterwards.
+
+mod fleet;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use fleet::{Processor, World, job, step, task};
+use kitetrail_core::{
+    Time,
+    jobs::{JobState, RequestNo, StepSpec},
+};
+
+/// A fleet of so many workers, each of which runs some two tasks at a time.
+const WORKERS: u32 = 120;
+/// What an event costs: the load below takes about a seventh of the owner's time.
+const EVENT_COST: Duration = Duration::from_micros(400);
+/// A job of so many tasks is handed in so often.
+const HAND_IN_EVERY_MS: u64 = 100;
+const TASKS: u32 = 20;
+/// How long a box waits for the owner's answer before it tells its caller that the job is in doubt.
+const BOX_WAITS: Duration = Duration::from_millis(900);
+
+/// A job that was handed in.
+struct HandedIn {
+    id: u64,
+    request: RequestNo,
+    at: Time,
+}
+
+/// What came of a load that was played with the owner some times slower for ten seconds.
+struct Outcome {
+    world: World,
+    jobs: Vec<HandedIn>,
+}
+
+impl Outcome {
+    fn accepted(&self) -> Vec<u64> {
+        let accepted = |job: &&HandedIn| self.world.refused(job.request) == Some(false);
+        self.jobs.iter().filter(accepted).map(|job| job.id).collect()
+    }
+
+    /// How many runs lost their lease.
+    fn lapsed(&self) -> u32 {
+        self.world.workers.values().map(|worker| worker.lapsed).sum()
+    }
+
+    /// How many callers had no answer in the time that boxes wait.
+    fn in_doubt(&self) -> usize {
+        let in_time = |job: &HandedIn| {
+            let answered = self.world.answered(job.request);
+            answered.is_some_and(|answered| answered.since(job.at) <= BOX_WAITS)
+        };
+        self.jobs.iter().filter(|job| !in_time(job)).count()
+    }
+
+    /// Panics if an accepted job is not completed, or a task ran to its end more than once.
+    fn check_done_once(&self) {
+        let mut done = BTreeMap::new();
+        for name in self.world.workers.values().flat_map(|worker| &worker.done) {
+            *done.entry(*name).or_insert(0) += 1;
+        }
+        for id in self.accepted() {
+            assert_eq!(self.world.state(id), Some(JobState::Completed), "job {id}");
+            for index in 0..TASKS {
+                assert_eq!(done.get(&task(id, 0, index)), Some(&1), "job {id}, task {index}");
+            }
+        }
+    }
+}
+
+/// Plays a load with the owner some times slower for ten seconds, and lets it end.
+fn starve(factor: u32, told_its_lag: bool) -> Outcome {
+    let mut world = World::new(WORKERS);
+    let mut processor = Processor::new(EVENT_COST, world.now);
+    processor.told_its_lag = told_its_lag;
+    world.processor = Some(processor);
+    let mut jobs = Vec::new();
+    for at_ms in (0..25_000).step_by(HAND_IN_EVERY_MS as usize) {
+        if let Some(processor) = &mut world.processor {
+            let slow = (5_000..15_000).contains(&at_ms);
+            processor.event_cost = EVENT_COST * if slow { factor } else { 1 };
+        }
+        let id = 1 + at_ms / HAND_IN_EVERY_MS;
+        let at = world.now;
+        let spec = job(vec![StepSpec { keeps_progress: true, ..step(TASKS) }]);
+        let request = world.submit(id, spec);
+        jobs.push(HandedIn { id, request, at });
+        world.run_ms(HAND_IN_EVERY_MS);
+    }
+    world.run_ms(15_000);
+    Outcome { world, jobs }
+}
+
+#[test]
+fn a_starved_owner_breaks_no_promise_and_recovers() {
+    for factor in [1, 2, 3, 5, 8, 12, 20, 30] {
+        let outcome = starve(factor, true);
+        outcome.check_done_once();
+        let lag = outcome.world.scheduler.lag();
+        assert!(lag < Duration::from_millis(100), "factor {factor}: it lags by {lag:?} at the end");
+    }
+}
+
+#[test]
+fn callers_of_a_starved_owner_are_answered_rather_than_left_in_doubt() {
+    for factor in [8, 12] {
+        let [untold, told] = [false, true].map(|told| starve(factor, told).in_doubt());
+        // Of 250 callers, 76 and 83 were left in doubt without the measure of lag, 17 and 28 with it.
+        assert!(
+            told * 2 < untold,
+            "factor {factor}: {told} in doubt, {untold} without the measure"
+        );
+    }
+}
+
+#[test]
+fn what_lasted_before_a_takeover_goes_before_short_work() {
+    let mut world = World::new(4);
+    world.submit(1, job(vec![StepSpec { lasts: true, ..step(12) }]));
+    world.run_until("the watcher runs", |world| {
+        (0..12).all(|index| !world.where_runs(task(1, 0, index)).is_empty())
+    });
+    // All leases lapse, and short work that waits could take all room.
+    world.submit(2, job(vec![step(4)]));
+    world.submit(3, job(vec![step(40)]));
+    world.run_ms(50);
+    world.workers.values_mut().for_each(|worker| worker.running.clear());
+    world.take_over(2, true);
+    world.run_ms(500);
+    let running = (0..12).filter(|&index| !world.where_runs(task(1, 0, index)).is_empty()).count();
+    assert_eq!(running, 12);
+}
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -27,7 +27,7 @@
 use super::{
     Platform,
     calls::{self, Answer, Call},
-    responses::{Body, closing, empty, json, refuse},
+    responses::{Body, closing, empty, json, refuse, refuse_job},
     shared::Shared,
 };
 
@@ -242,6 +242,7 @@
         Answer::InDoubt => {
             refuse(StatusCode::GATEWAY_TIMEOUT, "it may have been done: ask again with the same id")
         }
+        Answer::Refused => refuse_job(job, "it was not taken: hand it in again later"),
         _ => refuse(StatusCode::SERVICE_UNAVAILABLE, "it was not done: ask again later"),
     }
 }
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -47,6 +47,10 @@
             job = job.to_string(), step = *step;
             "job: waits, only zones that are being evacuated could run it"
         ),
+        Note::Overload { takes_jobs, lag_ms } => log::warn!(
+            takes_jobs = *takes_jobs, lag_ms = *lag_ms;
+            "owner: overloaded, or no more"
+        ),
         Note::Paced { worker, percent, tail_of_target_percent } => log::info!(
             worker = worker.as_str(), percent = *percent,
             tail_of_target_percent = *tail_of_target_percent;
--- a/crates/kitetraild/src/fleet/owner/callers.rs
+++ b/crates/kitetraild/src/fleet/owner/callers.rs
@@ -57,7 +57,7 @@
         let owned_ago = self.shared.owned_ago();
         let sure = owned_ago.is_some_and(|owned_ago| owned_ago <= SURE_WITHIN);
         log::info!(
-            job = job.to_string(), epoch = self.shared.claimed_epoch.get(),
+            job = job.to_string(), epoch = self.shared.claimed_epoch(),
             owned_ago_ms:? = owned_ago.map(|owned_ago| owned_ago.as_millis()), sure = sure;
             "job: unknown to the owner"
         );
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -210,8 +210,12 @@
             self.take(message)?;
         }
         let now = self.shared.clock.now();
-        let held_up = now.since(self.ticked_at) >= HELD_UP;
+        let since_last = now.since(self.ticked_at);
+        let held_up = since_last >= HELD_UP;
         self.ticked_at = now;
+        if !self.handle(Event::Lagged(since_last.saturating_sub(TICK))) {
+            return ControlFlow::Break(Ended::Deposed);
+        }
         if held_up && !self.tick_left_out {
             self.tick_left_out = true;
             return ControlFlow::Continue(());
@@ -225,6 +229,8 @@
         if !self.handle(Event::Tick) {
             return ControlFlow::Break(Ended::Deposed);
         }
+        self.shared.own_lag_ms.set(self.scheduler.lag().as_millis() as u64);
+        self.shared.state_status();
         self.publish_if_due();
         self.doubt.ask_if_due(&self.shared, &self.sender);
         self.make_way();
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -25,6 +25,12 @@
 const LOST_AFTER: Duration = Duration::from_millis(800);
 /// The same for an owner whose box answers that nothing listens there: more than one heartbeat.
 const LOST_AFTER_REFUSAL: Duration = Duration::from_millis(400);
+/// An owner that said that it lags is left so many times its lag longer: it answers and writes late, and a
+/// takeover costs another box, as slow, a question to each worker.
+const PATIENCE_PER_LAG: u32 = 4;
+/// But no longer than this: with the time until it is doubted and a takeover, its workers' leases, 4 s, just
+/// run out if it is gone after all.
+const LONGEST_LATE_PATIENCE: Duration = Duration::from_millis(2_000);
 /// How long other boxes leave the place to the one that the owner left it to: it takes some 100 ms.
 const SUCCESSOR_WAIT: Duration = Duration::from_millis(400);
 /// An owner that has not reached the store for so long, in milliseconds, is taken for lost if others
@@ -55,7 +61,7 @@
         match watch_owner(&shared).await {
             Ok(Some(claim)) => {
                 takeover::own(&shared, claim).await;
-                shared.claimed_epoch.set(0);
+                shared.claim_epoch(0);
             }
             Ok(None) => {
                 let _ = time::timeout(PING_EVERY, shared.follow_asked.notified()).await;
@@ -85,7 +91,7 @@
         Verdict::Fine => return Ok(None),
         Verdict::Stopped => Duration::ZERO,
         Verdict::Refused => LOST_AFTER_REFUSAL,
-        Verdict::Silent => LOST_AFTER,
+        Verdict::Silent => LOST_AFTER + late_patience(shared),
     };
     log::info!(epoch = owner.epoch, verdict:? = verdict; "owner: in doubt");
     let LastWrite::Unmoved(head_version) = last_write(shared, &owner, patience).await? else {
@@ -99,6 +105,11 @@
     Ok(claim(shared, Some((owner, version)), head_version, stopped))
 }
 
+/// How much longer an owner that said that it is late is left without a sign of life.
+fn late_patience<P: Platform>(shared: &Shared<P>) -> Duration {
+    shared.owner_lag().saturating_mul(PATIENCE_PER_LAG).min(LONGEST_LATE_PATIENCE)
+}
+
 /// Waits where others should come first; whether one of them did.
 async fn leaves_to_others<P: Platform>(
     shared: &Rc<Shared<P>>,
@@ -171,6 +182,7 @@
     shared.note_told_owner(answer.epoch, &answer.owner_address);
     if answer.owns_epoch != 0 {
         shared.note_pending(answer.pending.clone().into_iter());
+        shared.note_owner_lag(Duration::from_millis(answer.lag_ms));
     }
     let version = shared.config_version();
     let exchanged = match answer.config_version {
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -1,6 +1,11 @@
 //! Answers to other boxes.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use kitetrail_core::succession::{BoxStrength, Candidate};
 use kitetrail_proto::jobs::{
@@ -9,6 +14,7 @@
     jobs_server::{Jobs, JobsServer},
 };
 use tokio::{
+    runtime,
     sync::{mpsc, oneshot},
     task, time,
 };
@@ -23,6 +29,7 @@
     },
     CALL_LIMIT,
     codec::{decode_call, encode_answer, encode_config, take_config},
+    status::BoxStatus,
 };
 
 /// How many messages from other boxes may wait. Chosen, not measured.
@@ -33,14 +40,15 @@
 /// A message from another box. The server's threads may be others than the one of the shared state.
 enum PeerMessage {
     Call(CallRequest, oneshot::Sender<CallAnswer>),
-    Ping(PingRequest, oneshot::Sender<PingAnswer>),
+    /// A box asked how this one stands, and was answered.
+    Pinged(PingRequest),
     FetchConfig(oneshot::Sender<Config>),
     OfferConfig(Config),
     ReachStore(oneshot::Sender<ReachStoreAnswer>),
     TakeOver(TakeOverRequest, oneshot::Sender<TakeOverAnswer>),
 }
 
-/// Answers other boxes until the process ends.
+/// Answers other boxes until the process ends, on a thread of its own: see [`BoxStatus`].
 pub(in crate::fleet) async fn serve<P: Platform>(shared: Rc<Shared<P>>) {
     let (sender, mut messages) = mpsc::channel(QUEUE);
     let address = shared.settings.listen.peers;
@@ -48,13 +56,18 @@
     let server = Server::builder()
         .http2_keepalive_interval(Some(idle_check))
         .http2_keepalive_timeout(Some(idle_check))
-        .add_service(JobsServer::new(Handler { sender }))
+        .add_service(JobsServer::new(Handler { sender, status: shared.status.clone() }))
         .serve(address);
-    task::spawn_local(async move {
-        if let Err(error) = server.await {
-            log::error!("peer: can't answer on {address}: {error}");
+    let answered = thread::Builder::new().name("peers".to_owned()).spawn(move || {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build();
+        let served = runtime.map(|runtime| runtime.block_on(server));
+        if !matches!(served, Ok(Ok(()))) {
+            log::error!("peer: can't answer on {address}: {served:?}");
         }
     });
+    if let Err(error) = answered {
+        log::error!("peer: can't answer on {address}: {error}");
+    }
     while let Some(message) = messages.recv().await {
         take(&shared, message);
     }
@@ -66,8 +79,9 @@
         PeerMessage::Call(request, reply) => {
             task::spawn_local(answer_call(Rc::clone(shared), request, reply));
         }
-        PeerMessage::Ping(request, reply) => {
-            let _ = reply.send(ping_answer(shared, &request));
+        PeerMessage::Pinged(request) => {
+            shared.note_told_owner(request.epoch, &request.owner_address);
+            note_candidate(shared, &request);
         }
         PeerMessage::FetchConfig(reply) => {
             let _ = reply.send(encode_config(shared));
@@ -139,29 +153,10 @@
     candidates.note(address, Candidate { strength, started_at, heard_at: now });
 }
 
-/// How this box stands, told to one that takes it for the owner.
-fn ping_answer<P: Platform>(shared: &Shared<P>, request: &PingRequest) -> PingAnswer {
-    shared.note_told_owner(request.epoch, &request.owner_address);
-    note_candidate(shared, request);
-    let owner = shared.owner();
-    let owns_epoch = shared.claimed_epoch.get();
-    PingAnswer {
-        incarnation: shared.incarnation,
-        owns_epoch,
-        epoch: owner.epoch,
-        owner_address: owner.address_text(),
-        store_silent_ms: shared.store_silent_ms(),
-        config_version: shared.config_version(),
-        pending: match owns_epoch {
-            0 => HashMap::new(),
-            _ => shared.pending().into_iter().collect(),
-        },
-    }
-}
-
 /// Hands each message to the thread of the shared state.
 struct Handler {
     sender: mpsc::Sender<PeerMessage>,
+    status: BoxStatus,
 }
 
 impl Handler {
@@ -182,7 +177,11 @@
     }
 
     async fn ping(&self, request: Request<PingRequest>) -> Result<Response<PingAnswer>, Status> {
-        self.ask(|reply| PeerMessage::Ping(request.into_inner(), reply)).await
+        // What the asker says of itself may wait, and may be left out when too much waits.
+        if self.sender.try_send(PeerMessage::Pinged(request.into_inner())).is_err() {
+            log::debug!("peer: too much waits, what a box said of itself is left out");
+        }
+        Ok(Response::new(self.status.answer(Instant::now())))
     }
 
     async fn fetch_config(
--- a/crates/kitetraild/src/fleet/responses.rs
+++ b/crates/kitetraild/src/fleet/responses.rs
@@ -6,10 +6,15 @@
     Response, StatusCode,
     header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
+use kitetrail_core::jobs::JobId;
 
 /// When a caller whose request was not run should come back, in seconds.
 const COME_BACK_S: &str = "1";
 
+/// Over how many seconds more the callers of refused jobs are spread, so that they don't return at once: as
+/// long as an overloaded owner needs to take jobs again.
+const SPREAD_S: u64 = 3;
+
 /// The body of an answer.
 pub(super) type Body = Full<Bytes>;
 
@@ -29,6 +34,14 @@
     response
 }
 
+/// The answer to a job that was refused: when its caller should come back follows from the job's id.
+pub(super) fn refuse_job(job: JobId, why: &str) -> Response<Body> {
+    let mut response = refuse(StatusCode::SERVICE_UNAVAILABLE, why);
+    let come_back_s = HeaderValue::from(1 + job.0 % SPREAD_S);
+    response.headers_mut().insert(RETRY_AFTER, come_back_s);
+    response
+}
+
 /// An answer with a body that is JSON.
 pub(super) fn json(status: StatusCode, body: Bytes) -> Response<Body> {
     let mut response = Response::new(Full::new(body));
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -39,7 +39,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// How often the log says how many lines it left out, if any. Chosen: it adds a line a second at most.
 const TELL_LEFT_OUT_EVERY: Duration = Duration::from_millis(1_000);
-/// How often the answer to the platform's question is brought up to date.
+/// How often the answers to the platform's question and to other boxes are brought up to date.
 const READY_EVERY: Duration = Duration::from_millis(100);
 
 /// Runs a box until it is told to stop.
@@ -117,6 +117,7 @@
         if ready.swap(shared.is_ready(), Ordering::Relaxed) != shared.is_ready() {
             log::info!(ready = shared.is_ready(); "daemon: takes new connections, or not");
         }
+        shared.state_status();
         time::sleep(READY_EVERY).await;
     }
 }
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -12,13 +12,14 @@
     Time, evacuation::EvacuationChange, fleet_config::FleetConfig, succession::Candidates,
 };
 use kitetrail_platform::PlatformError;
+use kitetrail_proto::jobs::PingAnswer;
 use tokio::sync::{Notify, mpsc};
 
 use super::{
     FleetSettings, Platform, Services,
     evacuation::{EvacuatedZones, Source},
     owner::OwnerMessage,
-    peers::PeerClients,
+    peers::{BoxStatus, PeerClients},
 };
 use crate::{clock::Clock, metrics::Metrics};
 
@@ -29,6 +30,10 @@
 /// How long counts of jobs that wait are told on: callers may be told counts that are 2 s old.
 const PENDING_HOLDS_FOR: Duration = Duration::from_millis(2_000);
 
+/// How long what the owner says of its lag is believed. It is asked every 0.4 s; one answer that is lost and
+/// one that is late fit in.
+const LAG_HOLDS_FOR: Duration = Duration::from_millis(1_500);
+
 /// Who owns the fleet, as far as this box knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct OwnerView {
@@ -68,9 +73,15 @@
     /// The epoch that this box owns the fleet in, or has just asked the store for; 0: neither.
     ///
     /// Set before the store is asked: other boxes may read the row before its answer is here.
-    pub(super) claimed_epoch: Cell<u64>,
+    claimed_epoch: Cell<u64>,
     /// Accepted jobs that have not begun, by queue, as the owner told last, and when that was.
     pending: RefCell<Option<(BTreeMap<String, u64>, Time)>>,
+    /// How this box stands, as told to others.
+    pub(super) status: BoxStatus,
+    /// How far this box lags behind its events as the owner, in milliseconds; 0 while it is none.
+    pub(super) own_lag_ms: Cell<u64>,
+    /// How far the owner said that it lags, and when.
+    told_lag: Cell<Option<(Duration, Time)>>,
     /// The boxes that ask this one how it stands: those that could own the fleet after it.
     pub(super) candidates: RefCell<Candidates<SocketAddr>>,
     /// The epoch of an owner that has stopped and asked this box to follow it; 0: none.
@@ -117,6 +128,9 @@
             local_owner: RefCell::default(),
             claimed_epoch: Cell::new(0),
             pending: RefCell::default(),
+            status: BoxStatus::new(incarnation),
+            own_lag_ms: Cell::new(0),
+            told_lag: Cell::new(None),
             candidates: RefCell::default(),
             asked_to_follow: Cell::new(0),
             follow_asked: Notify::new(),
@@ -131,6 +145,36 @@
         })
     }
 
+    /// The epoch that this box owns the fleet in, or has just asked the store for; 0: neither.
+    pub(super) fn claimed_epoch(&self) -> u64 {
+        self.claimed_epoch.get()
+    }
+
+    /// Sets that epoch, and tells it to others from now on.
+    pub(super) fn claim_epoch(&self, epoch: u64) {
+        self.claimed_epoch.set(epoch);
+        self.status.state_epoch(epoch);
+    }
+
+    /// Leaves for others how this box stands.
+    pub(super) fn state_status(&self) {
+        let owner = self.owner();
+        let owns_epoch = self.claimed_epoch.get();
+        self.status.state(PingAnswer {
+            incarnation: self.incarnation,
+            owns_epoch,
+            epoch: owner.epoch,
+            owner_address: owner.address_text(),
+            store_silent_ms: self.store_silent_ms(),
+            config_version: self.config_version(),
+            pending: match owns_epoch {
+                0 => HashMap::new(),
+                _ => self.pending().into_iter().collect(),
+            },
+            lag_ms: self.own_lag_ms.get(),
+        });
+    }
+
     pub(super) fn config(&self) -> Option<Rc<FleetConfig>> {
         self.config.borrow().clone()
     }
@@ -182,6 +226,7 @@
             "owner: another owner is believed in"
         );
         self.owner.set(view);
+        self.state_status();
         self.owner_changed.notify_waiters();
     }
 
@@ -215,6 +260,17 @@
         *self.pending.borrow_mut() = Some((counts.collect(), self.clock.now()));
     }
 
+    /// How far the owner lags behind its events, as it said of late.
+    pub(super) fn owner_lag(&self) -> Duration {
+        let fresh = |(_, at): &(Duration, Time)| self.clock.now().since(*at) <= LAG_HOLDS_FOR;
+        self.told_lag.get().filter(fresh).map(|(lag, _)| lag).unwrap_or_default()
+    }
+
+    /// Takes note of how far the owner says that it lags.
+    pub(super) fn note_owner_lag(&self, lag: Duration) {
+        self.told_lag.set(Some((lag, self.clock.now())));
+    }
+
     /// Takes note of what a call to the store brought.
     pub(super) fn note_store<T>(&self, result: &Result<T, PlatformError>) {
         let answered = match result {
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -129,6 +129,7 @@
     }
     shared.writes_since.set(None);
     shared.owned_at.set(None);
+    shared.own_lag_ms.set(0);
     shared.metrics.note_evacuated_runs_left(0);
     ended
 }
@@ -177,7 +178,7 @@
     let (epoch, version) = owner.map_or((0, 0), |(row, version)| (row.epoch, *version));
     let strongest = owner.map(|(row, _)| row.strongest).unwrap_or_default();
     let row = own_row(shared, epoch + 1, strongest);
-    shared.claimed_epoch.set(row.epoch);
+    shared.claim_epoch(row.epoch);
     shared.asked_to_follow.set(0);
     let head = HeadRow { epoch: row.epoch, write: 0 };
     let transaction = RowTransaction {
