--- a/crates/kitetrail-core/tests/jobs_overload.rs
+++ b/crates/kitetrail-core/tests/jobs_overload.rs
@@ -96,6 +96,7 @@
     for factor in [1, 2, 3, 5, 8, 12, 20, 30] {
         let outcome = starve(factor, true);
         outcome.check_done_once();
+        assert_eq!(outcome.lapsed(), 0, "factor {factor}: leases are renewed in time");
         let lag = outcome.world.scheduler.lag();
         assert!(lag < Duration::from_millis(100), "factor {factor}: it lags by {lag:?} at the end");
     }
