--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -60,7 +60,7 @@
                 life.ends_kept = life.ends_kept.max(kept);
             }
         }
-        if !batch.new_jobs.is_empty() && self.overload.starts() > 0 {
+        if !batch.new_jobs.is_empty() && self.overload.starts_per_pass() > 0 {
             let mut pass = self.begin_pass();
             batch.new_jobs.into_iter().for_each(|id| self.place_job(id, &mut pass));
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -79,19 +79,19 @@
         match (spec.fills, spec.tail_target_ms.is_some()) {
             (true, _) => {
                 let least = if spec.keeps_progress { LEAST_PACE } else { LEAST_PACE_UNMOVED };
-                let beside = room.beside(life, self.tails);
-                let pace = |swing| beside.expected_pace(self.tails, self.image, load, swing);
+                let headroom = room.headroom(life, self.tails);
+                let pace = |swing| headroom.expected_pace(self.tails, self.image, load, swing);
                 if pace(0.0) < least {
                     return None;
                 }
-                let harm = beside.added_harm(self.tails, self.image, load);
+                let harm = headroom.added_harm(self.tails, self.image, load);
                 let slowed = 1.0 - pace(SWING);
                 let bearable = harm <= self.lateness.most_harm();
-                bearable.then_some(slowed + harm + SCARCITY * beside.tolerance)
+                bearable.then_some(slowed + harm + SCARCITY * headroom.tolerance)
             }
             (_, true) => {
                 let stress = added(self.tails, &full_loads(life), self.image).min(1.0);
-                let foreign = room.beside(life, self.tails).is_foreign(self.image);
+                let foreign = room.headroom(life, self.tails).is_foreign(self.image);
                 Some(stress + if foreign { OTHER_IMAGE } else { 0.0 })
             }
             _ => Some(0.0),
--- a/crates/kitetrail-core/src/jobs/scheduler/beside.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/headroom.rs
@@ -14,7 +14,7 @@
 
 /// What serves on a worker, and how much of what fills beside it that can take.
 #[derive(Debug, Clone)]
-pub(super) struct Beside {
+pub(super) struct Headroom {
     /// What serves there, by image.
     serving: Vec<Serving>,
     /// What each task that serves there can take still.
@@ -43,7 +43,7 @@
     added: f64,
 }
 
-impl Beside {
+impl Headroom {
     pub(super) fn of(life: &Life, tails: &TailModel) -> Self {
         let serving = serving(life, tails);
         let images = serving.iter().map(|serving| serving.image).collect::<Vec<_>>();
@@ -60,12 +60,12 @@
         load: f64,
         swing: f64,
     ) -> f64 {
-        let beside = |serving: &Serving| {
+        let pace_beside = |serving: &Serving| {
             let effect = tails.effect(image, serving.image);
             let left = serving.left - swing - serving.added;
             if effect < SLIGHT_EFFECT { 1.0 } else { (left / (effect * load)).clamp(0.0, 1.0) }
         };
-        self.serving.iter().map(beside).fold(1.0, f64::min)
+        self.serving.iter().map(pace_beside).fold(1.0, f64::min)
     }
 
     /// How much harm a task that fills would add to all that serves there: 1 for each task that it
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -1,12 +1,12 @@
 //! The scheduler of one fleet: jobs in, orders out.
 
-mod beside;
 mod commit;
 mod ends;
 mod evacuation;
 pub(super) mod filter;
 mod fit;
 mod gauges;
+mod headroom;
 mod hear;
 mod holds;
 mod inherit;
@@ -232,7 +232,7 @@
 
     fn place_if_due(&mut self) {
         let due = self.replan && self.now.since(self.placed_at) >= PLACE_EVERY;
-        if due && self.overload.starts() > 0 {
+        if due && self.overload.starts_per_pass() > 0 {
             self.replan = false;
             self.placed_at = self.now;
             self.place_all();
--- a/crates/kitetrail-core/src/jobs/scheduler/overload.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload.rs
@@ -56,13 +56,18 @@
     lag: Duration,
     noted_at: Time,
     /// How many tasks may be started in a pass.
-    starts: u32,
+    starts_per_pass: u32,
     jobs_end: bool,
 }
 
 impl Default for Overload {
     fn default() -> Self {
-        Self { lag: Duration::ZERO, noted_at: Time::ZERO, starts: ANY_STARTS, jobs_end: false }
+        Self {
+            lag: Duration::ZERO,
+            noted_at: Time::ZERO,
+            starts_per_pass: ANY_STARTS,
+            jobs_end: false,
+        }
     }
 }
 
@@ -78,8 +83,8 @@
     }
 
     /// How many tasks may be started in a pass.
-    pub(super) fn starts(&self) -> u32 {
-        self.starts
+    pub(super) fn starts_per_pass(&self) -> u32 {
+        self.starts_per_pass
     }
 
     /// Whether a worker that did not answer in time is silent, and not the owner late.
@@ -103,7 +108,7 @@
         self.noted_at = now;
         let faded = self.lag.mul_f64((-gap_s / FADES_OVER.as_secs_f64()).exp());
         self.lag = lag.max(faded);
-        self.starts = match self.starts {
+        self.starts_per_pass = match self.starts_per_pass {
             _ if self.lag >= STARTS_END_AT => 0,
             0 if self.lag < STARTS_GO_ON_AT => FIRST_STARTS,
             starts if self.lag < STARTS_GROW_BELOW => {
--- a/crates/kitetrail-core/src/jobs/scheduler/overload/tests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload/tests.rs
@@ -17,7 +17,7 @@
     let left_out = |lag_ms| {
         let mut overload = Overload::default();
         overload.note_lag(ms(lag_ms), Time::from_ms(1_000));
-        (overload.moves(), overload.starts() > 0, overload.takes_jobs())
+        (overload.moves(), overload.starts_per_pass() > 0, overload.takes_jobs())
     };
     assert_eq!(left_out(20), (true, true, true));
     assert_eq!(left_out(250), (false, true, true));
@@ -32,14 +32,14 @@
     assert_eq!(overload.note_lag(ms(900), now), Some(false));
     now = now + ms(100);
     assert_eq!(overload.note_lag(Duration::ZERO, now), None);
-    assert!(overload.starts() == 0 && !overload.takes_jobs());
+    assert!(overload.starts_per_pass() == 0 && !overload.takes_jobs());
     let mut changes = Vec::new();
     for _ in 0..150 {
         now = now + TICK;
         changes.extend(overload.note_lag(Duration::ZERO, now));
     }
     assert_eq!(changes, [true]);
-    assert!(overload.moves() && overload.starts() > 0 && overload.takes_jobs());
+    assert!(overload.moves() && overload.starts_per_pass() > 0 && overload.takes_jobs());
 }
 
 #[test]
@@ -50,7 +50,7 @@
     for at in 0..200 {
         now = now + TICK;
         overload.note_lag(ms(if at % 10 == 0 { 290 } else { 160 }), now);
-        assert!(overload.starts() > 0);
+        assert!(overload.starts_per_pass() > 0);
     }
 }
 
@@ -69,14 +69,14 @@
 #[test]
 fn starts_go_on_slowly_and_end_at_no_bound() {
     let mut overload = Overload::default();
-    assert_eq!(overload.starts(), u32::MAX);
+    assert_eq!(overload.starts_per_pass(), u32::MAX);
     let mut now = Time::from_ms(1_000);
     overload.note_lag(ms(400), now);
     let mut starts = Vec::new();
     for _ in 0..500 {
         now = now + TICK;
         overload.note_lag(Duration::ZERO, now);
-        starts.push(overload.starts());
+        starts.push(overload.starts_per_pass());
     }
     let resumed = starts.iter().position(|&starts| starts > 0).expect("starts go on");
     assert_eq!(starts[resumed], 8);
--- a/crates/kitetrail-core/src/jobs/scheduler/pass.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pass.rs
@@ -71,6 +71,11 @@
             Some(Candidate { life: no, left: room.left })
         };
         let candidates = self.lives.iter().filter_map(candidate).collect();
-        Pass { candidates, full: Vec::new(), starts_left: self.overload.starts(), short_waiting: 0 }
+        Pass {
+            candidates,
+            full: Vec::new(),
+            starts_left: self.overload.starts_per_pass(),
+            short_waiting: 0,
+        }
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{life::Life, run::RunThere, spec::StepSpec},
-    beside::Beside,
+    headroom::Headroom,
     tails::{ImageNo, Load, TailModel},
 };
 use crate::{Accelerators, CpuMillis, MemoryMb, Resources};
@@ -34,7 +34,7 @@
     pub(super) fill_share: f64,
     /// What serves there, worked out when it is first asked for: few workers are looked at so closely
     /// before something changes there again.
-    beside: OnceCell<Beside>,
+    headroom: OnceCell<Headroom>,
 }
 
 /// What of a worker's capacity is left.
@@ -89,13 +89,13 @@
             short_tasks,
             free_share: share(free.cpu_millis.0),
             fill_share: share(cpu_left_to_fill),
-            beside: OnceCell::new(),
+            headroom: OnceCell::new(),
         }
     }
 
     /// What serves on the worker whose room this is.
-    pub(super) fn beside(&self, life: &Life, tails: &TailModel) -> &Beside {
-        self.beside.get_or_init(|| Beside::of(life, tails))
+    pub(super) fn headroom(&self, life: &Life, tails: &TailModel) -> &Headroom {
+        self.headroom.get_or_init(|| Headroom::of(life, tails))
     }
 }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/slowed.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/slowed.rs
@@ -50,8 +50,8 @@
         let life = self.lives.get(no)?;
         let image = *self.jobs.get(&name.job)?.images.get(name.step as usize)?;
         let load = f64::from(spec.size.cpu_millis.0) / capacity_millis(life);
-        let beside = life.room.as_ref()?.beside(life, &self.tails);
-        Some(beside.expected_pace(&self.tails, image, load, 0.0))
+        let headroom = life.room.as_ref()?.headroom(life, &self.tails);
+        Some(headroom.expected_pace(&self.tails, image, load, 0.0))
     }
 }
 
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -230,7 +230,7 @@
             return ControlFlow::Break(Ended::Deposed);
         }
         self.shared.own_lag_ms.set(self.scheduler.lag().as_millis() as u64);
-        self.shared.state_status();
+        self.shared.publish_status();
         self.publish_if_due();
         self.doubt.ask_if_due(&self.shared, &self.sender);
         self.make_way();
--- a/crates/kitetraild/src/fleet/peers/status.rs
+++ b/crates/kitetraild/src/fleet/peers/status.rs
@@ -18,10 +18,10 @@
 /// boxes deposed each other so within 8 s. So the loop leaves here how it stands each time it gets
 /// round, and another thread answers.
 #[derive(Debug, Clone)]
-pub(in crate::fleet) struct BoxStatus(Arc<Mutex<Stated>>);
+pub(in crate::fleet) struct BoxStatus(Arc<Mutex<Published>>);
 
 #[derive(Debug)]
-struct Stated {
+struct Published {
     answer: PingAnswer,
     at: Instant,
 }
@@ -30,16 +30,16 @@
     /// A box that has said nothing yet.
     pub(in crate::fleet) fn new(incarnation: u64) -> Self {
         let answer = PingAnswer { incarnation, ..PingAnswer::default() };
-        Self(Arc::new(Mutex::new(Stated { answer, at: Instant::now() })))
+        Self(Arc::new(Mutex::new(Published { answer, at: Instant::now() })))
     }
 
     /// What is told to a box that asks.
     ///
     /// A loop that has not got round for long is no better than one that does not reach the store.
     pub(super) fn answer(&self, now: Instant) -> PingAnswer {
-        let stated = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut answer = stated.answer.clone();
-        let silent = now.saturating_duration_since(stated.at);
+        let published = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut answer = published.answer.clone();
+        let silent = now.saturating_duration_since(published.at);
         if silent > LATE_AT_MOST {
             answer.store_silent_ms = answer.store_silent_ms.max(silent.as_millis() as u64);
         }
@@ -47,15 +47,15 @@
     }
 
     /// Takes note of how the box stands.
-    pub(in crate::fleet) fn state(&self, answer: PingAnswer) {
-        let mut stated = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *stated = Stated { answer, at: Instant::now() };
+    pub(in crate::fleet) fn publish(&self, answer: PingAnswer) {
+        let mut published = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *published = Published { answer, at: Instant::now() };
     }
 
     /// Takes note of the epoch in which the box owns the fleet, or asks the store for it.
-    pub(in crate::fleet) fn state_epoch(&self, epoch: u64) {
-        let mut stated = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        stated.answer.owns_epoch = epoch;
+    pub(in crate::fleet) fn publish_epoch(&self, epoch: u64) {
+        let mut published = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        published.answer.owns_epoch = epoch;
     }
 }
 
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -117,7 +117,7 @@
         if ready.swap(shared.is_ready(), Ordering::Relaxed) != shared.is_ready() {
             log::info!(ready = shared.is_ready(); "daemon: takes new connections, or not");
         }
-        shared.state_status();
+        shared.publish_status();
         time::sleep(READY_EVERY).await;
     }
 }
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -153,14 +153,14 @@
     /// Sets that epoch, and tells it to others from now on.
     pub(super) fn claim_epoch(&self, epoch: u64) {
         self.claimed_epoch.set(epoch);
-        self.status.state_epoch(epoch);
+        self.status.publish_epoch(epoch);
     }
 
     /// Leaves for others how this box stands.
-    pub(super) fn state_status(&self) {
+    pub(super) fn publish_status(&self) {
         let owner = self.owner();
         let owns_epoch = self.claimed_epoch.get();
-        self.status.state(PingAnswer {
+        self.status.publish(PingAnswer {
             incarnation: self.incarnation,
             owns_epoch,
             epoch: owner.epoch,
@@ -226,7 +226,7 @@
             "owner: another owner is believed in"
         );
         self.owner.set(view);
-        self.state_status();
+        self.publish_status();
         self.owner_changed.notify_waiters();
     }
 
