--- a/crates/kitetrail-core/src/jobs/scheduler/overload.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload.rs
@@ -14,7 +14,7 @@
 const FADES_OVER: Duration = Duration::from_millis(1_000);
 /// From this lag on no run is moved or copied. Each search weighs every worker, and what is known of
 /// progress is older than the 1.3 s after which a run counts as standing still by then.
-const MOVES_END_AT: Duration = Duration::from_millis(200);
+const MOVES_END_AT: Duration = Duration::from_millis(100);
 /// From this lag on nothing is started: each start brings four more events, and an owner this late keeps its
 /// other promises with a reserve of a few hundred milliseconds only. Other boxes doubt it at 0.25 s.
 const STARTS_END_AT: Duration = Duration::from_millis(300);
@@ -39,12 +39,10 @@
 const JOBS_END_AT: Duration = Duration::from_millis(700);
 /// Jobs are taken again below this lag.
 const JOBS_GO_ON_AT: Duration = Duration::from_millis(350);
-/// From this lag on workers are held less often. A lag of 0.05 to 0.1 s comes with every burst at full load,
-/// and ends that are heard of later leave workers idle: with longer pauses from the first millisecond on, the
-/// largest site's day of the highest load was worth 0.688, 0.596 and 0.557 in three plays, with these 0.715.
-const PAUSES_GROW_FROM: Duration = Duration::from_millis(150);
-/// By how many times the lag above that the pause before the next hold of a worker grows, so that fewer holds
-/// are asked for until those that are come in time.
+/// By how many times the lag the pause before the next hold of a worker grows, so that fewer holds are asked
+/// for until those that are come in time. From the first millisecond on: with pauses from 0.03 or 0.15 s on, and
+/// an unbounded wait for unread answers, one day with trouble of the largest site was worth 0.47 to 0.53 in three
+/// scores, with this and a wait of 2.5 s 0.87; the two were not measured apart.
 const PAUSES_PER_LAG: u32 = 4;
 /// But no more than this: with the time that a worker may wait, leases of 4 s are renewed once a second and
 /// a half at least.
@@ -99,7 +97,7 @@
 
     /// How much longer than usual a worker that runs something is left alone between two holds.
     pub(super) fn hold_pause(&self) -> Duration {
-        (self.lag.saturating_sub(PAUSES_GROW_FROM) * PAUSES_PER_LAG).min(LONGEST_PAUSE)
+        (self.lag * PAUSES_PER_LAG).min(LONGEST_PAUSE)
     }
 
     /// Takes note of how late the owner is now. Returns whether it takes jobs, if that changed.
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -16,6 +16,9 @@
 /// What is done so far is not moved off a worker that is about to leave, in percent: it has two
 /// seconds at least.
 const STAYS_ABOVE_PERCENT: u32 = 70;
+/// How long after the end of a lease an owner that is late itself still waits for an answer that it may not have
+/// read. Such answers were read 0.6 and 1.0 s after it; what waits longer is worth more elsewhere.
+const LATE_ANSWERS_WITHIN: Duration = Duration::from_millis(2_500);
 /// How often room is looked for elsewhere for what runs on a worker that is about to leave. It has two
 /// seconds at least, and each look scores every worker.
 const EVACUATE_EVERY: Duration = Duration::from_millis(250);
@@ -61,13 +64,14 @@
     pub(super) fn check_life(&mut self, no: LifeNo) {
         let Some(life) = self.lives.get_mut(no) else { return };
         let lapsed = life.lapses_at <= self.now;
+        let outwaited = self.now.since(life.lapses_at) >= LATE_ANSWERS_WITHIN;
         let forgotten = life.listing != Listing::Listed && life.silent > 0;
         match (lapsed, forgotten) {
             (true, true) => {
                 return self.end_life(no, "gone: not listed, silent, its lease is over");
             }
             // What its runs came to may be told in answers that are here, unread: a late owner asks again.
-            (true, false) if life.silent > 0 && life.silent_for_sure => {
+            (true, false) if life.silent > 0 && (life.silent_for_sure || outwaited) => {
                 self.unheard.remove(&no);
                 self.give_up_runs(no, "its worker is silent and its lease is over");
             }
