--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -1,7 +1,10 @@
 //! A fleet on virtual time: workers, a store, and the scheduler.
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod listing;
+mod owners;
 mod processor;
+mod specs;
 mod worker;
 
 use std::{
@@ -10,16 +13,17 @@
 };
 
 use kitetrail_core::{
-    Resources, Time,
+    Time,
     jobs::{
-        Action, Discovery, EffectsRecord, Event, Hold, HoldFailure, Inheritance, JobId, JobRecord,
-        JobSpec, JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord,
-        QueueTerms, Record, RequestNo, Scheduler, SchedulerSettings, StepSpec, SubmitAnswer,
-        TaskName, WorkerEntry,
+        Action, EffectsRecord, Event, Hold, HoldFailure, Inheritance, JobId, JobRecord, JobSpec,
+        JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, ProgressRecord, Record, RequestNo,
+        Scheduler, SubmitAnswer, TaskName,
     },
 };
 
+use owners::scheduler;
 pub use processor::Processor;
+pub use specs::{job, queue, step, task};
 use worker::Work;
 pub use worker::{FakeWorker, Mood};
 
@@ -29,10 +33,6 @@
 pub const TOKEN_OF_LATER_OWNER: u64 = 9 << 20;
 /// One step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(10);
-/// Less than the time between two heartbeats of a worker.
-const BETWEEN_HEARTBEATS: Duration = Duration::from_millis(700);
-/// Entries lapse after three heartbeats of silence.
-const LAPSES_AFTER: Duration = Duration::from_millis(3_300);
 /// How long the store takes.
 const STORE: Duration = Duration::from_millis(10);
 
@@ -84,38 +84,6 @@
     handed_in: BTreeMap<RequestNo, JobId>,
 }
 
-/// A queue with usual terms.
-pub fn queue() -> QueueTerms {
-    QueueTerms {
-        name: "checks".into(),
-        service: "desk".to_owned(),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 2.0,
-        target_latency_ms: 500,
-    }
-}
-
-/// A step of tasks that take a second on a core.
-pub fn step(count: u32) -> StepSpec {
-    StepSpec {
-        count,
-        size: Resources::new(1_000, 512, 0),
-        estimate_ms: 1_000,
-        ..StepSpec::default()
-    }
-}
-
-/// A job of some steps.
-pub fn job(steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec { payload: "work".to_owned(), steps, schedule: None }
-}
-
-/// The name of a task of a job without a schedule.
-pub fn task(job: u64, step: u32, index: u32) -> TaskName {
-    TaskName { job: JobId(job), occurrence: 0, step, index }
-}
-
 impl World {
     /// A fleet of workers with four cores each, and a scheduler that knows them.
     pub fn new(workers: u32) -> Self {
@@ -160,86 +128,6 @@
         world
     }
 
-    /// Tells the scheduler of all workers.
-    pub fn list_all(&mut self) {
-        let entry = |worker: &FakeWorker| Discovery::Listed(Box::new(worker.entry.clone()));
-        let all = self.workers.values().filter(|worker| !worker.gone).map(entry).collect();
-        self.tell(Event::Discovered(all));
-    }
-
-    /// Replaces the scheduler by one of a new owner, as after the death of the one before.
-    pub fn take_over(&mut self, epoch: u64, predecessor_stopped: bool) {
-        self.replace_scheduler(epoch, predecessor_stopped);
-        self.list_all();
-    }
-
-    /// The same, with something that the new scheduler is told before it knows any worker.
-    pub fn take_over_with(&mut self, epoch: u64, predecessor_stopped: bool, first: Event) {
-        self.replace_scheduler(epoch, predecessor_stopped);
-        self.tell(first);
-        self.list_all();
-    }
-
-    fn replace_scheduler(&mut self, epoch: u64, predecessor_stopped: bool) {
-        self.batches.clear();
-        for worker in self.workers.values_mut() {
-            worker.held = None;
-        }
-        let inherit = |job: &JobRecord| (job.clone(), self.progress.get(&job.id).cloned());
-        let ended = self.progress.values().filter(|it| !self.jobs.contains_key(&it.id)).cloned();
-        let inheritance = Inheritance {
-            jobs: self.jobs.values().map(inherit).collect(),
-            ended: ended.collect(),
-            lives: self.lives.values().cloned().collect(),
-            effects: self.effects.clone(),
-            predecessor_stopped,
-        };
-        self.scheduler = scheduler(epoch, inheritance, self.now);
-    }
-
-    /// A worker crashes and lives anew on its machine under another id. Returns the entry of the life
-    /// that is over.
-    pub fn reborn(&mut self, id: &str, new_id: &str) -> WorkerEntry {
-        let worker = self.workers.remove(id).expect("the fleet has this worker");
-        let entry = WorkerEntry { id: new_id.into(), ..worker.entry.clone() };
-        self.workers.insert(new_id.to_owned(), FakeWorker::with_entry(entry));
-        self.over.insert(id.to_owned());
-        worker.entry
-    }
-
-    /// Tells the scheduler that a worker's entry is in the list, or changed there.
-    pub fn list(&mut self, entry: WorkerEntry) {
-        self.tell(Event::Discovered(vec![Discovery::Listed(Box::new(entry))]));
-    }
-
-    /// Tells the scheduler that a worker withdrew its entry from the list, between two heartbeats.
-    pub fn unlist(&mut self, id: &str) {
-        self.unlist_after(id, BETWEEN_HEARTBEATS);
-    }
-
-    /// Tells the scheduler that a worker's entry lapsed for want of heartbeats.
-    pub fn lapse(&mut self, id: &str) {
-        self.unlist_after(id, LAPSES_AFTER);
-    }
-
-    fn unlist_after(&mut self, id: &str, silent_for: Duration) {
-        self.worker(id).gone = true;
-        let gone = Discovery::Gone { id: id.into(), silent_for: Some(silent_for) };
-        self.tell(Event::Discovered(vec![gone]));
-    }
-
-    /// Tells the scheduler that a worker's entry is in the list again.
-    pub fn relist(&mut self, id: &str) {
-        self.worker(id).gone = false;
-        let entry = self.worker(id).entry.clone();
-        self.list(entry);
-    }
-
-    /// Tells the scheduler that the store is in trouble, or was until now.
-    pub fn trouble_store(&mut self) {
-        self.tell(Event::StoreTrouble { until: self.now });
-    }
-
     /// Hands a job in.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> RequestNo {
         let request = self.request();
@@ -482,38 +370,4 @@
             assert!(!twice, "{name} runs twice at {}", self.now);
         }
     }
-
-    fn step_store(&mut self) {
-        while !self.store_down && self.batches.front().is_some_and(|(at, ..)| *at <= self.now) {
-            let Some((_, batch, records)) = self.batches.pop_front() else { return };
-            for record in records {
-                self.keep(record);
-            }
-            self.tell(Event::Committed(batch));
-        }
-    }
-
-    fn keep(&mut self, record: Record) {
-        match record {
-            Record::Job(job) => drop(self.jobs.insert(job.id, job)),
-            Record::Progress(progress) => drop(self.progress.insert(progress.id, progress)),
-            Record::DropJob(id) => {
-                assert!(self.jobs.remove(&id).is_some(), "only a row that is there is dropped");
-            }
-            Record::LifeUsed(life) => drop(self.lives.insert(life.id.to_string(), life)),
-            Record::LifeOver(id) => drop(self.lives.remove(id.as_str())),
-            Record::Effects(effects) => self.effects = effects,
-            Record::Forget(id) => drop(self.progress.remove(&id)),
-        }
-    }
-}
-
-fn scheduler(epoch: u64, inheritance: Inheritance, now: Time) -> Scheduler {
-    let settings = SchedulerSettings {
-        longest_lease: Duration::from_secs(6),
-        remember_ended: Duration::from_secs(120),
-        renew_without_store: Duration::from_secs(12),
-        worker_heartbeat: Duration::from_millis(1_100),
-    };
-    Scheduler::new(settings, epoch, inheritance, now, DAY_UNIX_MS + now.as_ms())
 }
