--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod slowed;
 mod stragglers;
 pub(super) mod tails;
+mod unique_queue;
 mod unlisted;
 mod workers;
 
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -2,14 +2,17 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    mem,
+    iter, mem,
     time::Duration,
 };
 
-use super::super::{
-    life::LifeNo,
-    names::{JobId, LifeId},
-    record::Outcome,
+use super::{
+    super::{
+        life::LifeNo,
+        names::{JobId, LifeId},
+        record::Outcome,
+    },
+    unique_queue::UniqueQueue,
 };
 use crate::Time;
 
@@ -26,8 +29,14 @@
 /// What waits to be kept for good.
 #[derive(Debug, Default)]
 pub(super) struct Pending {
-    new_jobs: BTreeSet<JobId>,
-    progress: BTreeSet<JobId>,
+    new_jobs: UniqueQueue<JobId>,
+    /// Jobs that ended. Callers who cancelled them wait.
+    ended: UniqueQueue<JobId>,
+    /// Other jobs with something new.
+    ///
+    /// What waits longest goes first, here as above. In the order of their ids, jobs of high ids
+    /// were passed over for as long as the store was behind: four tries to cancel one had no answer in 6 s.
+    progress: UniqueQueue<JobId>,
     forgotten: BTreeSet<JobId>,
     new_lives: BTreeSet<LifeNo>,
     lives_over: BTreeSet<LifeId>,
@@ -75,9 +84,10 @@
         let new_jobs = self.take_new_jobs(&mut room, kept_bytes);
         let lives = take_some(&mut self.new_lives, &mut room);
         // What is known of a new job goes with it: its caller is told that it is kept.
-        let with_new = new_jobs.iter().copied().filter(|id| self.progress.remove(id));
+        let with_new = new_jobs.iter().copied().filter(|&id| self.remove_progress(id));
         let mut progress = with_new.collect::<Vec<_>>();
-        progress.extend(take_some(&mut self.progress, &mut room));
+        progress.extend(self.take_ended(&mut room));
+        progress.extend(take_first(&mut self.progress, &mut room));
         let lives_over = take_some(&mut self.lives_over, &mut room);
         let forgotten = take_some(&mut self.forgotten, &mut room);
         let complete = self.is_empty();
@@ -92,7 +102,7 @@
     ) -> Vec<JobId> {
         let (mut taken, mut bytes) = (Vec::new(), 0);
         while *room > 0 && bytes < MAX_JOB_BYTES_OF_BATCH {
-            let Some(first) = self.new_jobs.pop_first() else { break };
+            let Some(first) = self.new_jobs.pop() else { break };
             bytes += kept_bytes(first);
             taken.push(first);
             *room -= 1;
@@ -100,6 +110,20 @@
         taken
     }
 
+    fn take_ended(&mut self, room: &mut usize) -> Vec<JobId> {
+        let taken = take_first(&mut self.ended, room);
+        for id in &taken {
+            self.progress.remove(id);
+        }
+        taken
+    }
+
+    /// Removes a job from those with something new; whether there was any.
+    fn remove_progress(&mut self, id: JobId) -> bool {
+        // Not `||`: it may wait in both.
+        self.progress.remove(&id) | self.ended.remove(&id)
+    }
+
     /// Takes note that a batch leaves, and returns its number.
     pub(super) fn note_sent(&mut self, batch: impl FnOnce(u64) -> Batch, now: Time) -> u64 {
         let number = self.next_batch;
@@ -110,18 +134,18 @@
     }
 
     pub(super) fn add_job(&mut self, id: JobId) {
-        self.new_jobs.insert(id);
+        self.new_jobs.push(id);
         self.urgent = true;
     }
 
     /// Some task ended: to be kept soon.
     pub(super) fn note(&mut self, id: JobId) {
-        self.progress.insert(id);
+        self.progress.push(id);
     }
 
     /// The job ended: to be kept at once.
     pub(super) fn note_urgent(&mut self, id: JobId) {
-        self.progress.insert(id);
+        self.ended.push(id);
         self.urgent = true;
     }
 
@@ -132,7 +156,7 @@
     /// A job that was about to be forgotten is handed in again: its row is written over instead.
     pub(super) fn keep_forgotten(&mut self, id: JobId) {
         if self.forgotten.remove(&id) {
-            self.progress.insert(id);
+            self.progress.push(id);
         }
     }
 
@@ -159,15 +183,16 @@
 
     /// Takes back the jobs that were not sent: they certainly are not kept.
     pub(super) fn take_unsent(&mut self) -> Vec<JobId> {
-        let unsent = mem::take(&mut self.new_jobs);
-        for id in &unsent {
-            self.progress.remove(id);
+        let unsent = iter::from_fn(|| self.new_jobs.pop()).collect::<Vec<_>>();
+        for &id in &unsent {
+            self.remove_progress(id);
         }
-        unsent.into_iter().collect()
+        unsent
     }
 
     pub(super) fn is_empty(&self) -> bool {
         self.new_jobs.is_empty()
+            && self.ended.is_empty()
             && self.progress.is_empty()
             && self.forgotten.is_empty()
             && self.new_lives.is_empty()
@@ -175,6 +200,12 @@
     }
 }
 
+fn take_first(from: &mut UniqueQueue<JobId>, room: &mut usize) -> Vec<JobId> {
+    let taken = iter::from_fn(|| from.pop()).take(*room).collect::<Vec<_>>();
+    *room -= taken.len();
+    taken
+}
+
 fn take_some<T: Ord + Clone>(from: &mut BTreeSet<T>, room: &mut usize) -> Vec<T> {
     let mut taken = Vec::new();
     while *room > 0 {
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -33,7 +33,7 @@
 pub const TOKEN_OF_LATER_OWNER: u64 = 9 << 20;
 /// One step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(10);
-/// How long the store takes.
+/// How long the store takes, unless it is told otherwise.
 const STORE: Duration = Duration::from_millis(10);
 
 /// The fleet.
@@ -58,6 +58,8 @@
     held_by_another: Vec<(LifeNo, Hold, Time)>,
     /// The store answers nothing.
     pub store_down: bool,
+    /// How long it takes over a batch.
+    pub store_takes: Duration,
     /// Work of a task, in milliseconds, if it is not its estimate.
     pub work_ms: Option<u64>,
     /// After how long a task that lasts ends by itself, in milliseconds.
@@ -108,6 +110,7 @@
             over: BTreeSet::new(),
             held_by_another: Vec::new(),
             store_down: false,
+            store_takes: STORE,
             work_ms: None,
             lasting_ms: 600_000,
             tail_ms: |_| 10,
@@ -259,7 +262,7 @@
                 self.hold(life, entry.id.as_str(), hold);
             }
             Action::Commit { batch, records } => {
-                self.batches.push_back((self.now + STORE, batch, records));
+                self.batches.push_back((self.now + self.store_takes, batch, records));
             }
             Action::Note(note) => self.notes.push((self.now, note)),
             Action::Deposed => self.deposed = true,
--- a/crates/kitetrail-core/tests/jobs_kept.rs
+++ b/crates/kitetrail-core/tests/jobs_kept.rs
@@ -3,6 +3,8 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use fleet::{DAY_UNIX_MS, World, job, step};
 use kitetrail_core::jobs::{InvalidJob, JobId, JobSpec, JobState, Schedule, StepSpec};
 
@@ -52,6 +54,28 @@
     assert_eq!(world.starts.len(), 6, "each time ran once");
 }
 
+#[test]
+fn callers_who_cancel_are_answered_while_a_slow_store_is_behind() {
+    // A batch holds 45 rows and takes 0.3 s; 200 jobs each have a task that ends about every 0.25 s.
+    let mut world = World::new(60);
+    world.work_ms = Some(250);
+    world.store_takes = Duration::from_millis(300);
+    let after = |number: u32| number.checked_sub(1).into_iter().collect();
+    let steps = (0..40).map(|number| StepSpec { depends_on: after(number), ..step(1) });
+    for id in 1..=200 {
+        world.submit(id, job(steps.clone().collect()));
+    }
+    world.run_ms(4_000);
+    let requests = [3, 100, 197, 200].map(|id| (id, world.now, world.cancel(id)));
+    world.run_ms(5_000);
+    for (id, at, request) in requests {
+        let answered = world.answered(request).map(|answered| answered.since(at));
+        // Boxes wait 1.3 s for the owner. Lower ids went first before, and 197 and 200 had no answer in 5 s.
+        let in_time = answered.is_some_and(|waited| waited <= Duration::from_millis(1_300));
+        assert!(in_time, "job {id}: answered after {answered:?}");
+    }
+}
+
 #[test]
 fn a_job_that_no_row_holds_is_told_so() {
     let long = |on: Vec<u32>| StepSpec { depends_on: on, ..step(1) };
