--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -93,7 +93,7 @@
         Verdict::Refused => LOST_AFTER_REFUSAL,
         Verdict::Silent => LOST_AFTER + late_patience(shared),
     };
-    log::info!(epoch = owner.epoch, verdict:? = verdict; "owner: in doubt");
+    log::info!(epoch = owner.epoch, verdict:? = verdict; "owner: suspected");
     let LastWrite::Unmoved(head_version) = last_write(shared, &owner, patience).await? else {
         return Ok(None);
     };
