Sight: the owner tells each second what waits, what starts, and what is not kept

Two lines a second: of each kind of work the tasks that wait and that were started, by whether their jobs can still end in time; records that wait for the store and ends that workers were not told are kept. They tell the hypotheses of the incident apart.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -117,6 +117,22 @@
         if self.begun { JobState::Running } else { JobState::Queued }
     }
 
+    /// The estimated time of the longest chain of steps that are not done, in milliseconds.
+    ///
+    /// Of a schedule the whole chain counts: its times overlap.
+    pub(super) fn chain_left_ms(&self) -> u64 {
+        let occurrence = self.occurrences.values().next().filter(|_| self.spec.schedule.is_none());
+        let is_done = |step: usize| occurrence.is_some_and(|there| there.steps[step].is_done());
+        let left_ms = |number, step: &StepSpec| if is_done(number) { 0 } else { step.estimate_ms };
+        self.spec.longest_chain_by(left_ms)
+    }
+
+    /// Whether it ends in time if what is left of it begins now, by what its caller estimated.
+    pub(super) fn can_be_in_time(&self, now: Time) -> bool {
+        let untimed = self.lasts() || self.spec.schedule.is_some();
+        untimed || now + Duration::from_millis(self.chain_left_ms()) <= self.due_at
+    }
+
     /// Whether some of its tasks run until the job is cancelled.
     pub(super) fn lasts(&self) -> bool {
         self.spec.steps.iter().any(|step| step.lasts)
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -29,5 +29,5 @@
 };
 pub use report::{Hold, HoldFailure, HowEnded, Report, RunEnd, RunningTask};
 pub use scheduler::{Inheritance, Scheduler, SchedulerSettings};
-pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec};
+pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
 pub use worker_entry::WorkerEntry;
--- a/crates/kitetrail-core/src/jobs/note.rs
+++ b/crates/kitetrail-core/src/jobs/note.rs
@@ -5,6 +5,7 @@
     names::{JobId, LifeId, QueueName, TaskName},
     order::OrderAnswer,
     report::HowEnded,
+    spec::WorkKind,
 };
 use crate::Resources;
 
@@ -114,6 +115,32 @@
         /// How far the owner lags, in milliseconds.
         lag_ms: u64,
     },
+    /// What of one kind of work waits for a worker, and what was started in the last second.
+    Backlog {
+        /// The kind.
+        kind: WorkKind,
+        /// Tasks that wait and whose jobs can still end in time, by what their callers estimated.
+        waiting_in_time: u32,
+        /// Tasks that wait and whose jobs can't.
+        waiting_late: u32,
+        /// The age of the oldest job with a task that waits, in milliseconds.
+        oldest_ms: u64,
+        /// Tasks started of jobs that could still end in time.
+        started_in_time: u32,
+        /// Tasks started of jobs that could not.
+        started_late: u32,
+        /// How far the owner lags, in milliseconds.
+        lag_ms: u64,
+    },
+    /// What waits to be kept for good.
+    Unkept {
+        /// Records that wait for a batch.
+        records: u64,
+        /// Ends of runs that workers were not told are kept, and tell again.
+        ends: u64,
+        /// How long ago the batch on its way left, in milliseconds; `None`: there is none.
+        batch_sent_ago_ms: Option<u64>,
+    },
     /// The runs of a worker that fill were paced.
     Paced {
         /// The worker.
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler of one fleet: jobs in, orders out.
 
+mod backlog;
 mod commit;
 mod ends;
 mod evacuation;
@@ -37,8 +38,8 @@
 
 pub use self::inherit::Inheritance;
 use self::{
-    evacuation::ZoneEvacuation, overload::Overload, pending::Pending, short_work::ShortWork,
-    tails::TailModel,
+    backlog::Started, evacuation::ZoneEvacuation, overload::Overload, pending::Pending,
+    short_work::ShortWork, tails::TailModel,
 };
 use super::{
     event::{Action, Event, JobState},
@@ -110,6 +111,7 @@
     short_work: ShortWork,
     evacuation: ZoneEvacuation,
     overload: Overload,
+    started: Started,
     /// Something changed, so that tasks that wait may find a worker.
     replan: bool,
     /// When all jobs were looked at last.
@@ -148,6 +150,7 @@
             short_work: ShortWork::default(),
             evacuation: ZoneEvacuation::default(),
             overload: Overload::default(),
+            started: Started::default(),
             replan: true,
             placed_at: Time::ZERO,
             out: Vec::new(),
@@ -283,6 +286,7 @@
             self.check_life(no);
         }
         self.move_out_if_due();
+        self.tell_backlog_if_due();
         // Back-offs and times set aside end without an event of their own.
         self.replan = true;
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -176,9 +176,14 @@
         self.unkept_ends.insert(life);
     }
 
+    /// How long ago the batch left that the store has not answered, if there is one.
+    pub(super) fn sent_ago(&self, now: Time) -> Option<Duration> {
+        self.sent.as_ref().map(|_| now.since(self.last_sent_at))
+    }
+
     /// Whether the store takes too long over what was sent to it.
     pub(super) fn is_stuck(&self, now: Time) -> bool {
-        self.sent.is_some() && now.since(self.last_sent_at) >= STUCK_AFTER
+        self.sent_ago(now).is_some_and(|ago| ago >= STUCK_AFTER)
     }
 
     /// Takes back the jobs that were not sent: they certainly are not kept.
@@ -190,6 +195,16 @@
         unsent
     }
 
+    /// How many records wait, at most: one that is in two queues counts twice.
+    pub(super) fn len(&self) -> usize {
+        self.new_jobs.len()
+            + self.ended.len()
+            + self.progress.len()
+            + self.forgotten.len()
+            + self.new_lives.len()
+            + self.lives_over.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.new_jobs.is_empty()
             && self.ended.is_empty()
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -219,6 +219,7 @@
         task.last_run = run;
         task.placed.push(Placement { life: no, run });
         let checkpoint = task.checkpoint.clone().filter(|_| spec.keeps_progress);
+        self.started.note(spec.kind(), job.can_be_in_time(self.now));
         self.out.push(Action::Note(Note::Placed {
             task: name,
             run,
--- a/crates/kitetrail-core/src/jobs/scheduler/unique_queue.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unique_queue.rs
@@ -25,6 +25,11 @@
         self.present.is_empty()
     }
 
+    /// How many items wait.
+    pub(super) fn len(&self) -> usize {
+        self.present.len()
+    }
+
     /// Adds an item behind all others, unless it waits already.
     pub(super) fn push(&mut self, item: T) {
         if self.present.insert(item) {
--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -1,5 +1,7 @@
 //! What a caller asks for: jobs, their steps, and the terms of the queue that takes them.
 
+use std::fmt::{self, Display, Formatter};
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -113,6 +115,43 @@
     pub may_miss: Option<u32>,
 }
 
+impl StepSpec {
+    /// What its tasks ask of workers.
+    pub fn kind(&self) -> WorkKind {
+        match (self.lasts, self.fills) {
+            (true, _) => WorkKind::Lasting,
+            (false, true) => WorkKind::BestEffort,
+            (false, false) => WorkKind::Short,
+        }
+    }
+}
+
+/// What a task asks of workers. Each kind waits for room of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// It reserves processor time and ends by itself.
+    Short,
+    /// It uses the processor time that others leave, and ends by itself.
+    BestEffort,
+    /// It runs until its job is cancelled.
+    Lasting,
+}
+
+impl WorkKind {
+    /// All kinds.
+    pub const ALL: [Self; 3] = [Self::Short, Self::BestEffort, Self::Lasting];
+}
+
+impl Display for WorkKind {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Short => "short",
+            Self::BestEffort => "best-effort",
+            Self::Lasting => "lasting",
+        })
+    }
+}
+
 /// Whether a field says nothing, so that it need not be kept.
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
@@ -186,12 +225,17 @@
 
     /// The estimated time of the longest chain of steps, in milliseconds.
     pub fn longest_chain_ms(&self) -> u64 {
+        self.longest_chain_by(|_, step| step.estimate_ms)
+    }
+
+    /// The time of the longest chain of steps, each of which takes a given time, in milliseconds.
+    pub(super) fn longest_chain_by(&self, step_ms: impl Fn(usize, &StepSpec) -> u64) -> u64 {
         let mut until_ms = vec![0_u64; self.steps.len()];
         // Dependencies may point forward, so lengths are settled in as many rounds as steps.
         for _ in 0..self.steps.len() {
             for (number, step) in self.steps.iter().enumerate() {
                 let before = step.depends_on.iter().map(|&on| until_ms[on as usize]).max();
-                until_ms[number] = before.unwrap_or(0) + step.estimate_ms;
+                until_ms[number] = before.unwrap_or(0) + step_ms(number, step);
             }
         }
         until_ms.into_iter().max().unwrap_or(0)
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -64,6 +64,11 @@
         self.tasks.iter().any(|task| !task.done && task.placed.is_empty())
     }
 
+    /// How many tasks are neither done nor placed.
+    pub(super) fn unplaced(&self) -> u32 {
+        self.tasks.iter().filter(|task| !task.done && task.placed.is_empty()).count() as u32
+    }
+
     /// Marks a task as done, or all members of a gang. Returns where what is done is still placed.
     pub(super) fn mark_done(&mut self, name: TaskName, gang: bool) -> Vec<Placement> {
         let mut placed = Vec::new();
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -51,6 +51,24 @@
             takes_jobs = *takes_jobs, lag_ms = *lag_ms;
             "owner: overloaded, or no more"
         ),
+        Note::Backlog {
+            kind,
+            waiting_in_time,
+            waiting_late,
+            oldest_ms,
+            started_in_time,
+            started_late,
+            lag_ms,
+        } => log::info!(
+            kind = kind.to_string(), waiting_in_time = *waiting_in_time, waiting_late = *waiting_late,
+            oldest_ms = *oldest_ms, started_in_time = *started_in_time,
+            started_late = *started_late, lag_ms = *lag_ms;
+            "owner: backlog"
+        ),
+        Note::Unkept { records, ends, batch_sent_ago_ms } => log::info!(
+            records = *records, ends = *ends, batch_sent_ago_ms:? = *batch_sent_ago_ms;
+            "owner: not kept yet"
+        ),
         Note::Paced { worker, percent, tail_of_target_percent } => log::info!(
             worker = worker.as_str(), percent = *percent,
             tail_of_target_percent = *tail_of_target_percent;
