--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -153,6 +153,13 @@
         self.scheduler.state(JobId(id))
     }
 
+    /// How long after a moment a job was completed, `None` if it was not.
+    pub fn completed_after(&self, id: u64, moment: Time) -> Option<Duration> {
+        let is_it = |note: &Note| matches!(note, Note::JobEnded { job, state: JobState::Completed, .. } if *job == JobId(id));
+        let ended = self.notes.iter().find(|(_, note)| is_it(note));
+        ended.map(|(at, _)| at.since(moment))
+    }
+
     /// When a request was answered.
     pub fn answered(&self, request: RequestNo) -> Option<Time> {
         let is_it = |action: &Action| match action {
--- a/crates/kitetrail-core/tests/fleet/processor.rs
+++ b/crates/kitetrail-core/tests/fleet/processor.rs
@@ -14,6 +14,8 @@
 pub struct Processor {
     /// What an event costs.
     pub event_cost: Duration,
+    /// What it costs more to read an end that a report tells.
+    pub end_cost: Duration,
     /// It is told how late it is.
     pub told_its_lag: bool,
     inbox: VecDeque<Event>,
@@ -32,6 +34,7 @@
     pub fn new(event_cost: Duration, now: Time) -> Self {
         Self {
             event_cost,
+            end_cost: Duration::ZERO,
             told_its_lag: true,
             inbox: VecDeque::new(),
             before_tick: 0,
@@ -65,7 +68,7 @@
                 self.inbox.pop_front()?
             }
         };
-        self.busy_until = self.busy_until + self.event_cost;
+        self.busy_until = self.busy_until + self.event_cost + self.end_cost * ends_told(&event);
         Some(event)
     }
 
@@ -88,3 +91,11 @@
         Some(Event::Lagged(if self.told_its_lag { lag } else { Duration::ZERO }))
     }
 }
+
+/// How many ends of runs an event tells.
+fn ends_told(event: &Event) -> u32 {
+    match event {
+        Event::Held { answer: Ok(report), .. } => report.ended.len() as u32,
+        _ => 0,
+    }
+}
