--- a/crates/kitetrail-core/src/jobs/scheduler/unique_queue.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unique_queue.rs
@@ -1,7 +1,7 @@
 //! A queue in which nothing stands twice.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, VecDeque, hash_map::Entry},
     hash::Hash,
 };
 
@@ -46,8 +46,8 @@
 
     /// Adds an item behind all others, unless it waits already.
     pub(super) fn push(&mut self, item: T, seq: u64) {
-        if !self.present.contains_key(&item) {
-            self.present.insert(item, seq);
+        if let Entry::Vacant(vacant) = self.present.entry(item) {
+            vacant.insert(seq);
             self.order.push_back((item, seq));
         }
     }
