What lasts goes before late work, and no room is kept for late work

Change: late and hopeless jobs go behind what lasts anew; only short tasks of jobs in time count as need of short work.

--- a/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
@@ -44,3 +44,28 @@
         }
     }
 }
+
+/// In which order jobs of one priority are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    /// It can be in time, or lasted before.
+    InTime,
+    /// It is to last, and never ran. It takes its room for long, so work that can be in time goes first.
+    LastsAnew,
+    /// It is worth little to its caller by now. What lasts goes before it: on a fleet that had lost two fifths of
+    /// its workers, 3,000 tasks of such jobs kept up to 180 that were to last waiting for 31 s.
+    Late,
+    /// The same, and less.
+    Hopeless,
+}
+
+impl Turn {
+    pub(super) fn of(job: &Job, now: Time) -> Self {
+        match Lateness::of(job, now) {
+            _ if job.lasts() && !job.begun && !job.inherited => Self::LastsAnew,
+            Lateness::InTime => Self::InTime,
+            Lateness::Late => Self::Late,
+            Lateness::Hopeless => Self::Hopeless,
+        }
+    }
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/pass.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pass.rs
@@ -53,7 +53,8 @@
 
     /// Takes note that a step found no room for some of its tasks.
     pub(super) fn note_full(&mut self, spec: StepSpec, lateness: Lateness) {
-        if !spec.fills && !spec.lasts {
+        // Room is kept for short work that can be in time, not for what is late: however much of it waits.
+        if !spec.fills && !spec.lasts && lateness == Lateness::InTime {
             self.short_waiting += spec.count;
         }
         if spec.label.is_none() && spec.max_per_worker.is_none() {
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -16,7 +16,7 @@
     },
     Scheduler,
     fit::Fit,
-    lateness::Lateness,
+    lateness::{Lateness, Turn},
     pass::Pass,
     ranking::Ranking,
     room::Room,
@@ -42,9 +42,7 @@
         );
         let key = |&(priority, due_at, id): &(u32, Time, JobId)| {
             let job = self.jobs.get(&id).filter(|job| job.may_wait)?;
-            // What lasts takes its room for long, so short work of the same priority goes first.
-            let lasts_anew = job.lasts() && !job.begun && !job.inherited;
-            Some((priority, lasts_anew, Lateness::of(job, self.now), due_at, id))
+            Some((priority, Turn::of(job, self.now), due_at, id))
         };
         let mut waiting = self.open.iter().filter_map(key).collect::<Vec<_>>();
         waiting.sort_unstable();
