Entries in the list of workers are checked as they are read; one that no worker wrote names none to use

An entry that could not be read was left out, so that a worker that was known went on being used by its old entry for good; any state but draining counted as ready, and missing capacity as none. Now each field that the platform promises has to be there with its type, state, address and capacity are checked, and an entry that fails is told to the owner: nothing new starts there, orders that wait are taken back, what runs goes on. A worker of a service that no queue uses is asked nothing until one does. Tests: each fault, bytes and damaged entries drawn at random, seven cases on virtual time (before and after a takeover), one with a real box. Seen red: unusable ignored (2 tests), order not taken back (1), strangers used (1); not seen red: that such a life counts as not missing.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -100,6 +100,8 @@
         /// How long its entry had shown no heartbeat, if that is known.
         silent_for: Option<Duration>,
     },
+    /// The entry of a worker can't be what a worker writes: it names none to use until it is put right.
+    Unusable(LifeId),
     /// The list was read as a whole, and all workers that stand there were told of.
     Whole,
 }
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -35,6 +35,9 @@
     Unread,
     /// It stands there.
     Listed,
+    /// An entry stands there that is not the worker's own, or not whole. The worker gets nothing new until its next
+    /// heartbeat puts that right; what it runs goes on under the entry before.
+    Unusable,
     /// Its entry went for want of heartbeats while the store was well: the worker crashed, or does
     /// not reach the store and serves on.
     Lapsed,
@@ -176,12 +179,20 @@
             && !set_aside
     }
 
+    /// Whether it is missing from the list, or was not told of yet.
+    pub(super) fn is_missing(&self) -> bool {
+        match self.listing {
+            Listing::Listed | Listing::Unusable => false,
+            Listing::Unread | Listing::Lapsed | Listing::Gone { .. } => true,
+        }
+    }
+
     /// Whether it is about to leave: it said so, or its entry went for good and it still answers.
     pub(super) fn is_leaving(&self, now: Time) -> bool {
         match self.listing {
             _ if self.entry.draining => true,
             Listing::Gone { certain_at } => certain_at <= now && self.silent == 0,
-            Listing::Unread | Listing::Listed | Listing::Lapsed => false,
+            Listing::Unread | Listing::Listed | Listing::Unusable | Listing::Lapsed => false,
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -29,6 +29,7 @@
 mod unique_queue;
 mod unkept_ends;
 mod unlisted;
+mod unusable;
 mod workers;
 
 use std::{
@@ -52,6 +53,7 @@
     record::Outcome,
     spec::{QueueTerms, StepSpec},
     steps::Task,
+    worker_entry::WorkerEntry,
 };
 use crate::Time;
 
@@ -101,6 +103,8 @@
     queues: BTreeMap<QueueName, QueueTerms>,
     lives: Lives,
     life_by_id: HashMap<LifeId, LifeNo>,
+    /// Entries that name a service which no queue uses: nothing is asked of their workers.
+    strangers: BTreeMap<LifeId, WorkerEntry>,
     /// Lives that the owner before used and that have not been heard or outwaited yet.
     unheard: BTreeSet<LifeNo>,
     /// How long the owner before may go on to renew the leases of workers that are listed.
@@ -143,6 +147,7 @@
             queues: BTreeMap::new(),
             lives: Lives::default(),
             life_by_id: HashMap::new(),
+            strangers: BTreeMap::new(),
             unheard: BTreeSet::new(),
             may_be_renewed_for: Duration::ZERO,
             store_trouble_until: None,
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         event::Action,
-        life::LifeNo,
+        life::{LifeNo, Listing},
         names::TaskName,
         note::Note,
         order::{Order, OrderAnswer, Refusal},
@@ -83,9 +83,10 @@
         let Some(clock_ms) = life.clock_ms(now) else { return };
         let Some(order) = life.orders.pop_front() else { return };
         if let Order::Start(start) = &order
-            && (life.entry.draining || life.zone_evacuated)
+            && (life.entry.draining || life.zone_evacuated || life.listing == Listing::Unusable)
         {
-            // It was placed before the worker said that it leaves, or its zone was to be evacuated.
+            // It was placed before the worker said that it leaves, its zone was to be evacuated, or somebody else
+            // wrote its entry.
             self.drop_run(no, start.task, start.run);
             return self.send_next_order(no);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -79,6 +79,7 @@
                 self.open.insert((job.queue.priority, job.due_at, job.id));
             }
         }
+        self.discover_strangers();
         self.replan = true;
     }
 
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/unusable.rs
@@ -0,0 +1,57 @@
+//! Entries in the list of workers that name no worker to use.
+//!
+//! An entry may be written by somebody else than its worker: without fields, with other ones, or for a service that
+//! nobody uses. Nothing is started on its worker until an entry comes that can be its own; workers
+//! renew theirs with each heartbeat. What runs there goes on: its worker still answers under the entry before, and
+//! only an answer, or a lease that is over, tells that a run ended.
+
+use std::mem;
+
+use super::{
+    super::{life::Listing, names::LifeId, worker_entry::WorkerEntry},
+    Scheduler,
+};
+
+impl Scheduler {
+    /// The entry of a worker can't be its own, or is not whole.
+    pub(super) fn note_unusable(&mut self, id: &LifeId) {
+        self.strangers.remove(id);
+        let Some(&no) = self.life_by_id.get(id) else { return };
+        let (renewed_for, is_unheard) = (self.may_be_renewed_for, self.unheard.contains(&no));
+        let Some(life) = self.lives.get_mut(no) else { return };
+        if life.listing == Listing::Unusable {
+            return;
+        }
+        if life.is_missing() && is_unheard {
+            // Somebody writes there, so it may live and the owner before may reach it still.
+            life.lapses_at = life.lapses_at + renewed_for;
+        }
+        life.listing = Listing::Unusable;
+        self.note_belief(no, "not used, its entry can't be its own");
+    }
+
+    /// Whether a worker runs a service that no queue uses.
+    pub(super) fn serves_nobody(&self, entry: &WorkerEntry) -> bool {
+        let uses = |service: &str| service == entry.service;
+        let configured = self.queues.values().any(|queue| uses(&queue.service));
+        let open = || self.jobs.values().any(|job| job.is_open() && uses(&job.queue.service));
+        // Before the first configuration nothing is known of services.
+        !self.queues.is_empty() && !configured && !open()
+    }
+
+    /// The entry of a worker names a service that no queue uses.
+    pub(super) fn note_stranger(&mut self, entry: WorkerEntry) {
+        self.note_unusable(&entry.id);
+        self.strangers.insert(entry.id.clone(), entry);
+    }
+
+    /// Looks again at entries whose service no queue used: the queues are other ones now.
+    pub(super) fn discover_strangers(&mut self) {
+        for (_, entry) in mem::take(&mut self.strangers) {
+            match self.serves_nobody(&entry) {
+                true => drop(self.strangers.insert(entry.id.clone(), entry)),
+                false => self.listed(entry),
+            }
+        }
+    }
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -28,8 +28,15 @@
     pub(super) fn discover(&mut self, changes: Vec<Discovery>) {
         for change in changes {
             match change {
+                Discovery::Listed(entry) if self.serves_nobody(&entry) => {
+                    self.note_stranger(*entry)
+                }
                 Discovery::Listed(entry) => self.listed(*entry),
-                Discovery::Gone { id, silent_for } => self.unlisted(&id, silent_for),
+                Discovery::Unusable(id) => self.note_unusable(&id),
+                Discovery::Gone { id, silent_for } => {
+                    self.strangers.remove(&id);
+                    self.unlisted(&id, silent_for);
+                }
                 Discovery::Whole => self.unlist_untold(),
             }
         }
@@ -65,7 +72,7 @@
         let Some(life) = self.lives.get_mut(no) else { return };
         let lapsed = life.lapses_at <= self.now;
         let outwaited = self.now.since(life.lapses_at) >= LATE_ANSWERS_WITHIN;
-        let forgotten = life.listing != Listing::Listed && life.silent > 0;
+        let forgotten = life.is_missing() && life.silent > 0;
         match (lapsed, forgotten) {
             (true, true) => {
                 return self.end_life(no, "gone: not listed, silent, its lease is over");
@@ -104,7 +111,8 @@
         }
     }
 
-    fn listed(&mut self, entry: WorkerEntry) {
+    pub(super) fn listed(&mut self, entry: WorkerEntry) {
+        self.strangers.remove(&entry.id);
         match self.life_by_id.get(&entry.id).copied() {
             Some(no) if self.lives.contains(no) => self.listed_known(no, entry),
             _ => self.listed_new(entry),
@@ -118,13 +126,13 @@
     fn listed_known(&mut self, no: LifeNo, mut entry: WorkerEntry) {
         let Some(life) = self.lives.get_mut(no) else { return };
         entry.draining |= life.entry.draining;
-        let was_listed = life.listing == Listing::Listed;
+        let (was_listed, was_missing) = (life.listing == Listing::Listed, life.is_missing());
         let belief = match (entry.draining && !life.entry.draining, was_listed) {
             (true, _) => Some("draining"),
             (false, false) => Some("listed again"),
             (false, true) => None,
         };
-        if !was_listed && self.unheard.contains(&no) {
+        if was_missing && self.unheard.contains(&no) {
             // It lives, so the owner before may reach it still. One that is not listed is to be
             // taken for gone once its lease is over.
             life.lapses_at = life.lapses_at + self.may_be_renewed_for;
--- a/crates/kitetrail-core/tests/fleet/listing.rs
+++ b/crates/kitetrail-core/tests/fleet/listing.rs
@@ -34,6 +34,11 @@
         self.tell(Event::Discovered(vec![Discovery::Listed(Box::new(entry))]));
     }
 
+    /// Tells the scheduler that a worker's entry is one that names no worker to use.
+    pub fn spoil(&mut self, id: &str) {
+        self.tell(Event::Discovered(vec![Discovery::Unusable(id.into())]));
+    }
+
     /// Tells the scheduler that a worker withdrew its entry from the list, between two heartbeats.
     pub fn unlist(&mut self, id: &str) {
         self.unlist_after(id, BETWEEN_HEARTBEATS);
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -75,6 +75,7 @@
     pub events: u64,
     /// How many holds it asked for.
     pub holds: u64,
+    holds_by_worker: BTreeMap<String, u64>,
     /// How many of their answers told of nothing but ends that were told before.
     pub stale_answers: u64,
     /// The time that it took over them, by the machine's clock.
@@ -120,6 +121,7 @@
             processor: None,
             events: 0,
             holds: 0,
+            holds_by_worker: BTreeMap::new(),
             stale_answers: 0,
             spent: Duration::ZERO,
             allocations: 0,
@@ -181,6 +183,11 @@
         })
     }
 
+    /// How many holds went to a worker.
+    pub fn holds_of(&self, id: &str) -> u64 {
+        self.holds_by_worker.get(id).copied().unwrap_or(0)
+    }
+
     /// Lets time pass.
     pub fn run_ms(&mut self, ms: u64) {
         let until = self.now + Duration::from_millis(ms);
@@ -268,6 +275,7 @@
             }
             Action::Hold { life, entry, hold } => {
                 self.holds += 1;
+                *self.holds_by_worker.entry(entry.id.to_string()).or_default() += 1;
                 self.hold(life, entry.id.as_str(), hold);
             }
             Action::Commit { batch, records } => {
--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -4,11 +4,14 @@
 
 use bytes::Bytes;
 use kitetrail_core::{
+    Resources,
     evacuation::EvacuationChange,
     fleet_config::FleetConfig,
     jobs::{Hold, HoldFailure, JobSpec, JobState, LifeId, Order, OrderAnswer, Report, WorkerEntry},
 };
 
+use thiserror::Error;
+
 use crate::{CallLimits, PlatformError};
 
 /// The name of a row: tables hold parts, parts hold keys.
@@ -118,6 +121,63 @@
     ) -> impl Future<Output = Result<TableChanges, PlatformError>>;
 }
 
+/// An entry in the list of workers that names no worker to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnusableEntry {
+    /// Under whose id it stands.
+    pub id: LifeId,
+    /// What is wrong with it.
+    pub fault: EntryFault,
+}
+
+/// What is wrong with an entry in the list of workers.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum EntryFault {
+    /// Its bytes can't be read.
+    #[error("it can't be read: {0}")]
+    Unreadable(String),
+    /// A field is missing or holds something else than it should.
+    #[error("it has not the fields of a worker: {0}")]
+    Fields(String),
+    /// Its state is none that workers have.
+    #[error("its state is unknown: {0:?}")]
+    State(String),
+    /// Its address is none at which a worker can answer.
+    #[error("it names no address of a worker: {0:?}")]
+    Address(String),
+    /// A field is empty that workers fill.
+    #[error("its {0} is empty")]
+    Empty(&'static str),
+    /// Its capacity is none, or more than any machine has.
+    #[error("its capacity is none that a machine has: {0}")]
+    Capacity(Resources),
+}
+
+impl EntryFault {
+    /// What is wrong, in a word for counters.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Unreadable(_) => "unreadable",
+            Self::Fields(_) => "fields",
+            Self::State(_) => "state",
+            Self::Address(_) => "address",
+            Self::Empty(_) => "empty",
+            Self::Capacity(_) => "capacity",
+        }
+    }
+}
+
+/// The list of workers as it was read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListedWorkers {
+    /// The entries of workers.
+    pub entries: Vec<WorkerEntry>,
+    /// Entries that name no worker to use.
+    pub unusable: Vec<UnusableEntry>,
+    /// Where to go on for changes.
+    pub version: u64,
+}
+
 /// A change in the list of workers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WorkerChanges {
@@ -125,6 +185,8 @@
     Changed {
         /// The entries.
         listed: Vec<WorkerEntry>,
+        /// Entries that name no worker to use.
+        unusable: Vec<UnusableEntry>,
         /// The ids.
         gone: Vec<LifeId>,
         /// Where to go on.
@@ -137,7 +199,7 @@
 /// The list of workers that live.
 pub trait WorkerList {
     /// All workers, and where to go on for changes.
-    fn workers(&self) -> impl Future<Output = Result<(Vec<WorkerEntry>, u64), PlatformError>>;
+    fn workers(&self) -> impl Future<Output = Result<ListedWorkers, PlatformError>>;
 
     /// What changed after a version; waits until there is something, or `wait` is over.
     fn worker_changes(
--- a/crates/kitetraild/src/fleet/workers_watch.rs
+++ b/crates/kitetraild/src/fleet/workers_watch.rs
@@ -10,10 +10,13 @@
     Time,
     jobs::{Discovery, Event, LifeId, WorkerEntry},
 };
-use kitetrail_platform::fleet::{WorkerChanges, WorkerList};
+use kitetrail_platform::fleet::{
+    EntryFault, ListedWorkers, UnusableEntry, WorkerChanges, WorkerList,
+};
 use tokio::{sync::mpsc, time};
 
 use super::{Platform, owner::OwnerMessage, shared::Shared};
+use crate::metrics::Metrics;
 
 /// How long to wait between calls that brought changes. Workers change their entries about once a
 /// second each, so with hundreds of them each call would bring one or two, at the price of a call.
@@ -33,11 +36,35 @@
 }
 
 /// The entries that the owner was told.
-type Entries = BTreeMap<LifeId, Known>;
+#[derive(Default)]
+struct Entries {
+    workers: BTreeMap<LifeId, Known>,
+    /// Those that name no worker to use, and why.
+    unusable: BTreeMap<LifeId, EntryFault>,
+}
+
+impl Entries {
+    /// Takes note of an entry that names no worker to use. `None`: it was told already.
+    fn note_unusable(&mut self, entry: UnusableEntry, metrics: &Metrics) -> Option<Discovery> {
+        let UnusableEntry { id, fault } = entry;
+        if self.unusable.get(&id) == Some(&fault) {
+            return None;
+        }
+        log::warn!(
+            worker = id.as_str(), reason = fault.reason();
+            "worker: its entry can't be its own, it gets nothing new: {fault}"
+        );
+        metrics.note_unusable_entry(fault.reason());
+        // An entry like the last one is told again.
+        self.workers.remove(&id);
+        let is_new = self.unusable.insert(id.clone(), fault).is_none();
+        is_new.then_some(Discovery::Unusable(id))
+    }
+}
 
 /// Follows the list until the owner is gone.
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>, owner: mpsc::Sender<OwnerMessage>) {
-    let mut known = Entries::new();
+    let mut known = Entries::default();
     let mut version = None;
     while !owner.is_closed() {
         let changes = match version {
@@ -62,14 +89,20 @@
 async fn list<P: Platform>(shared: &Rc<Shared<P>>, known: &mut Entries) -> Changes {
     let listed = shared.services.store.workers().await;
     shared.note_store(&listed);
-    let (entries, version) = listed.ok()?;
-    let ids = entries.iter().map(|entry| entry.id.clone()).collect::<BTreeSet<_>>();
-    let gone = known.keys().filter(|id| !ids.contains(id)).cloned().collect::<Vec<_>>();
+    let ListedWorkers { entries, unusable, version } = listed.ok()?;
+    let ids = entries.iter().map(|entry| &entry.id).chain(unusable.iter().map(|entry| &entry.id));
+    let ids = ids.collect::<BTreeSet<_>>();
+    let told_before = known.workers.keys().chain(known.unusable.keys());
+    let gone = told_before.filter(|id| !ids.contains(id)).cloned().collect::<Vec<_>>();
     let now = shared.clock.now();
     let mut told = changes(known, Vec::new(), gone, now);
     // The whole list is told, also what was told before: whatever the owner believes, it is put right.
-    known.clear();
+    known.workers.clear();
     told.extend(changes(known, entries, Vec::new(), now));
+    told.extend(unusable.iter().map(|entry| Discovery::Unusable(entry.id.clone())));
+    for entry in unusable {
+        known.note_unusable(entry, &shared.metrics);
+    }
     told.push(Discovery::Whole);
     Some((told, Some(version)))
 }
@@ -83,8 +116,11 @@
             log::info!(version = version; "store: forgot its history, the workers are listed anew");
             Some((Vec::new(), None))
         }
-        WorkerChanges::Changed { listed, gone, version } => {
-            Some((changes(known, listed, gone, shared.clock.now()), Some(version)))
+        WorkerChanges::Changed { listed, unusable, gone, version } => {
+            let mut told = changes(known, listed, gone, shared.clock.now());
+            let unusable = unusable.into_iter();
+            told.extend(unusable.filter_map(|entry| known.note_unusable(entry, &shared.metrics)));
+            Some((told, Some(version)))
         }
     }
 }
@@ -99,11 +135,16 @@
 ) -> Vec<Discovery> {
     let mut changes = Vec::new();
     for id in gone {
-        let silent_for = known.remove(&id).map(|known| now.since(known.renewed_at));
+        known.unusable.remove(&id);
+        let silent_for = known.workers.remove(&id).map(|known| now.since(known.renewed_at));
         changes.push(Discovery::Gone { id, silent_for });
     }
     for entry in listed {
-        let told = known.insert(entry.id.clone(), Known { entry: entry.clone(), renewed_at: now });
+        if known.unusable.remove(&entry.id).is_some() {
+            log::info!(worker = entry.id.as_str(); "worker: its entry is its own again");
+        }
+        let renewed = Known { entry: entry.clone(), renewed_at: now };
+        let told = known.workers.insert(entry.id.clone(), renewed);
         if told.is_none_or(|told| told.entry != entry) {
             changes.push(Discovery::Listed(Box::new(entry)));
         }
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -20,6 +20,7 @@
     policy_faults: Counter<u64>,
     peer_messages: Counter<u64>,
     log_lines_left_out: Counter<u64>,
+    unusable_entries: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
 }
@@ -63,6 +64,10 @@
                 .u64_counter("kitetrail.log.lines_left_out")
                 .with_description("Lines that the log left out, to stay within its bounds")
                 .build(),
+            unusable_entries: meter
+                .u64_counter("kitetrail.workers.unusable_entries")
+                .with_description("Entries in the list of workers that turned unusable, by reason")
+                .build(),
             evacuated_zones: meter
                 .u64_gauge("kitetrail.evacuated.zones")
                 .with_description(
@@ -95,6 +100,11 @@
         self.commits.add(1, &[KeyValue::new("answer", answer)]);
     }
 
+    /// Counts an entry in the list of workers that names none to use.
+    pub fn note_unusable_entry(&self, reason: &'static str) {
+        self.unusable_entries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a question that a policy failed to answer.
     pub fn note_policy_fault(&self, function: &'static str) {
         self.policy_faults.add(1, &[KeyValue::new("function", function)]);
