--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -45,12 +45,33 @@
 /// believed in after ten writes.
 const USUAL_PARTS: u32 = 8;
 
-/// The HTTP statuses with which the store says that it will never take a write.
-const REFUSED_AS_MALFORMED: u16 = 400;
-const REFUSED_AS_TOO_LARGE: u16 = 413;
+/// The HTTP statuses with which the store says that it will never take a write: malformed, and too large.
+const REFUSED_FOR_GOOD: [u16; 2] = [400, 413];
+/// An owner gives the fleet up once the store has refused a write for good so often in a row. The next one knows
+/// what is kept alone; with this write in hand it would keep nothing any more. More than once, since a platform in
+/// trouble may say so by mistake.
+const REFUSALS_AT_MOST: u32 = 3;
 
 type Tries = JoinSet<Result<TransactionAnswer, PlatformError>>;
 
+/// Why records are not kept, and never will be by this owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotWritten {
+    /// Another owner has written.
+    AnotherOwner,
+    /// They can't be encoded, or the store refuses them for good.
+    Refused,
+}
+
+impl NotWritten {
+    fn text(self) -> &'static str {
+        match self {
+            Self::AnotherOwner => "another owner wrote",
+            Self::Refused => "a write is refused for good",
+        }
+    }
+}
+
 /// Records to keep for good.
 #[derive(Debug)]
 pub(super) struct Batch {
@@ -93,9 +114,9 @@
             self.shared.writes_since.set(Some(began_at));
             let written = self.write(&records).await;
             self.shared.writes_since.set(None);
-            self.shared.owned_at.set(written.then_some(began_at));
-            if !written {
-                let _ = self.owner.send(OwnerMessage::Deposed("another owner wrote")).await;
+            self.shared.owned_at.set(written.is_ok().then_some(began_at));
+            if let Err(why) = written {
+                let _ = self.owner.send(OwnerMessage::Deposed(why.text())).await;
                 return;
             }
             if let Some(number) = number {
@@ -104,26 +125,34 @@
         }
     }
 
-    /// Writes records. `false`: another owner has written.
-    async fn write(&mut self, records: &[Record]) -> bool {
+    /// Writes records.
+    async fn write(&mut self, records: &[Record]) -> Result<(), NotWritten> {
         self.write += 1;
         let head = HeadRow { epoch: self.epoch, write: self.write };
         let transaction = match self.transaction(head, records) {
             Ok(transaction) => transaction,
             Err(error) => {
                 log::error!("owner: records can't be encoded: {error}");
-                return false;
+                return Err(NotWritten::Refused);
             }
         };
+        let mut refused = 0;
         loop {
             let answer = self.transact(&transaction).await;
             self.shared.note_store(&answer);
             match answer {
-                Ok(answer) => return self.note_answer(&answer, head),
-                Err(error) => self.note_failure(&error).await,
+                Ok(answer) if self.note_answer(&answer, head) => return Ok(()),
+                Ok(_) => return Err(NotWritten::AnotherOwner),
+                Err(error) => {
+                    refused = if is_for_good(&error) { refused + 1 } else { 0 };
+                    self.note_failure(&error).await;
+                }
+            }
+            if refused >= REFUSALS_AT_MOST {
+                return Err(NotWritten::Refused);
             }
             if self.owner.is_closed() {
-                return true;
+                return Ok(());
             }
         }
     }
@@ -189,21 +218,17 @@
 
     async fn note_failure(&self, error: &PlatformError) {
         self.shared.metrics.note_commit("failed");
-        let refused = match error {
-            PlatformError::Refused { status, .. } => Some(*status),
-            _ => None,
-        };
-        match refused {
-            // Nothing that this owner does later makes the store take it.
-            Some(REFUSED_AS_MALFORMED | REFUSED_AS_TOO_LARGE) => log::error!(
-                write = self.write, status:? = refused;
+        match is_for_good(error) {
+            true => log::error!(
+                write = self.write;
                 "owner: the store refuses a write for good: {error}"
             ),
-            _ => {
-                log::debug!(write = self.write; "owner: a write failed and is tried again: {error}")
-            }
+            false => log::debug!(
+                write = self.write;
+                "owner: a write failed and is tried again: {error}"
+            ),
         }
-        let busy = refused.is_some();
+        let busy = matches!(error, PlatformError::Refused { .. });
         time::sleep(if busy { BUSY_RETRY } else { RETRY }).await;
     }
 
@@ -222,6 +247,11 @@
     }
 }
 
+/// Whether the store will never take a write, by what it answered.
+fn is_for_good(error: &PlatformError) -> bool {
+    matches!(error, PlatformError::Refused { status, .. } if REFUSED_FOR_GOOD.contains(status))
+}
+
 fn broken(error: &JoinError) -> PlatformError {
     PlatformError::AnswerLost { service: "store", cause: error.to_string() }
 }
