--- a/crates/kitetrail-core/src/jobs/scheduler/backlog.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/backlog.rs
@@ -80,8 +80,11 @@
         }
     }
 
-    /// Tells what waits to be kept for good.
+    /// Tells what waits to be kept for good, if anything does.
     fn tell_unkept(&mut self) {
+        if self.pending.is_empty() && self.pending.unkept_ends() == 0 {
+            return;
+        }
         self.out.push(Action::Note(Note::Unkept {
             records: self.pending.len() as u64,
             ends: self.pending.unkept_ends() as u64,
--- a/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// In which order jobs of one priority are served.
+/// In which order jobs of one priority are served: the first ones first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Turn {
     /// It can be in time, or lasted before.
@@ -53,7 +53,7 @@
     /// It is to last, and never ran. It takes its room for long, so work that can be in time goes first.
     LastsAnew,
     /// It is worth little to its caller by now. What lasts goes before it: on a fleet that had lost two fifths of
-    /// its workers, 3,000 tasks of such jobs kept up to 180 that were to last waiting for 31 s.
+    /// its workers, 3,000 tasks of such jobs kept up to 180 that were to last waiting for 31 s (the log of one play).
     Late,
     /// The same, and less.
     Hopeless,
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -104,7 +104,7 @@
     lives: Lives,
     life_by_id: HashMap<LifeId, LifeNo>,
     /// Entries that name a service which no queue uses: nothing is asked of their workers.
-    strangers: BTreeMap<LifeId, WorkerEntry>,
+    of_unused_services: BTreeMap<LifeId, WorkerEntry>,
     /// Lives that the owner before used and that have not been heard or outwaited yet.
     unheard: BTreeSet<LifeNo>,
     /// How long the owner before may go on to renew the leases of workers that are listed.
@@ -147,7 +147,7 @@
             queues: BTreeMap::new(),
             lives: Lives::default(),
             life_by_id: HashMap::new(),
-            strangers: BTreeMap::new(),
+            of_unused_services: BTreeMap::new(),
             unheard: BTreeSet::new(),
             may_be_renewed_for: Duration::ZERO,
             store_trouble_until: None,
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -79,7 +79,7 @@
                 self.open.insert((job.queue.priority, job.due_at, job.id));
             }
         }
-        self.discover_strangers();
+        self.list_used_services();
         self.replan = true;
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/unusable.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unusable.rs
@@ -15,7 +15,7 @@
 impl Scheduler {
     /// The entry of a worker can't be its own, or is not whole.
     pub(super) fn note_unusable(&mut self, id: &LifeId) {
-        self.strangers.remove(id);
+        self.of_unused_services.remove(id);
         let Some(&no) = self.life_by_id.get(id) else { return };
         let (renewed_for, is_unheard) = (self.may_be_renewed_for, self.unheard.contains(&no));
         let Some(life) = self.lives.get_mut(no) else { return };
@@ -40,16 +40,16 @@
     }
 
     /// The entry of a worker names a service that no queue uses.
-    pub(super) fn note_stranger(&mut self, entry: WorkerEntry) {
+    pub(super) fn note_unused_service(&mut self, entry: WorkerEntry) {
         self.note_unusable(&entry.id);
-        self.strangers.insert(entry.id.clone(), entry);
+        self.of_unused_services.insert(entry.id.clone(), entry);
     }
 
     /// Looks again at entries whose service no queue used: the queues are other ones now.
-    pub(super) fn discover_strangers(&mut self) {
-        for (_, entry) in mem::take(&mut self.strangers) {
+    pub(super) fn list_used_services(&mut self) {
+        for (_, entry) in mem::take(&mut self.of_unused_services) {
             match self.serves_nobody(&entry) {
-                true => drop(self.strangers.insert(entry.id.clone(), entry)),
+                true => drop(self.of_unused_services.insert(entry.id.clone(), entry)),
                 false => self.listed(entry),
             }
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -29,12 +29,12 @@
         for change in changes {
             match change {
                 Discovery::Listed(entry) if self.serves_nobody(&entry) => {
-                    self.note_stranger(*entry)
+                    self.note_unused_service(*entry)
                 }
                 Discovery::Listed(entry) => self.listed(*entry),
                 Discovery::Unusable(id) => self.note_unusable(&id),
                 Discovery::Gone { id, silent_for } => {
-                    self.strangers.remove(&id);
+                    self.of_unused_services.remove(&id);
                     self.unlisted(&id, silent_for);
                 }
                 Discovery::Whole => self.unlist_untold(),
@@ -112,7 +112,7 @@
     }
 
     pub(super) fn listed(&mut self, entry: WorkerEntry) {
-        self.strangers.remove(&entry.id);
+        self.of_unused_services.remove(&entry.id);
         match self.life_by_id.get(&entry.id).copied() {
             Some(no) if self.lives.contains(no) => self.listed_known(no, entry),
             _ => self.listed_new(entry),
--- a/crates/kitetrail-core/tests/fleet/listing.rs
+++ b/crates/kitetrail-core/tests/fleet/listing.rs
@@ -35,7 +35,7 @@
     }
 
     /// Tells the scheduler that a worker's entry is one that names no worker to use.
-    pub fn spoil(&mut self, id: &str) {
+    pub fn list_unusable(&mut self, id: &str) {
         self.tell(Event::Discovered(vec![Discovery::Unusable(id.into())]));
     }
 
--- a/crates/kitetrail-core/tests/jobs_unusable.rs
+++ b/crates/kitetrail-core/tests/jobs_unusable.rs
@@ -18,7 +18,7 @@
 #[test]
 fn a_worker_whose_entry_is_unusable_gets_nothing_new_until_it_is_mended() {
     let mut world = World::new(2);
-    world.spoil("w0");
+    world.list_unusable("w0");
     world.submit(1, job(vec![step(6)]));
     world.run_until("the job completes", |world| world.state(1) == Some(JobState::Completed));
     assert_eq!(orders_to(&world, "w0"), 0, "all of it ran elsewhere");
@@ -35,7 +35,7 @@
     world.submit(2, job(vec![step(2)]));
     world.run_until("all run", |world| world.starts.len() == 8);
     for id in ["w0", "w1"] {
-        world.spoil(id);
+        world.list_unusable(id);
     }
     world.run_ms(20_000);
     assert_eq!(world.state(2), Some(JobState::Completed));
@@ -52,7 +52,7 @@
     let orders = orders_to(&world, &id);
     world.worker(&id).gone = true;
     world.take_over(2, true);
-    world.spoil(&id);
+    world.list_unusable(&id);
     world.run_ms(10_000);
     assert_eq!(world.starts.len(), 3, "nothing is started anew");
     assert_eq!(world.worker_of(task(1, 0, 0)), id);
@@ -67,7 +67,7 @@
     world.submit(1, job(vec![watcher(1)]));
     world.run_until("it runs", |world| world.starts.len() == 1);
     let id = world.worker_of(task(1, 0, 0));
-    world.spoil(&id);
+    world.list_unusable(&id);
     world.worker(&id).mood = Mood::Cut;
     world.run_ms(10_000);
     assert_eq!(world.starts.len(), 2);
@@ -80,7 +80,7 @@
     world.worker("w0").mood = Mood::Late;
     world.submit(1, job(vec![step(2)]));
     world.run_until("the first order left", |world| !world.start_orders.is_empty());
-    world.spoil("w0");
+    world.list_unusable("w0");
     world.worker("w0").mood = Mood::Well;
     world.run_ms(5_000);
     let second = world.start_orders.iter().filter(|(_, name, _)| *name == task(1, 0, 1));
@@ -92,7 +92,7 @@
     let mut world = World::new(1);
     world.tell(Event::Queues(vec![queue()]));
     let entry = world.worker("w0").entry.clone();
-    let stranger = WorkerEntry {
+    let unused = WorkerEntry {
         id: "w9".into(),
         machine: None,
         service: "nowhere".to_owned(),
@@ -100,7 +100,7 @@
         ..entry
     };
     let holds = world.holds_of("w9");
-    world.list(stranger);
+    world.list(unused);
     world.run_ms(3_000);
     assert_eq!((world.holds_of("w9"), holds), (0, 0), "it is not even asked what it runs");
     assert!(!world.lives.contains_key("w9"), "nothing of it is kept");
