--- a/crates/kitetrail-core/tests/jobs_kept.rs
+++ b/crates/kitetrail-core/tests/jobs_kept.rs
@@ -70,7 +70,7 @@
 
 #[test]
 fn callers_who_cancel_are_answered_while_a_slow_store_is_behind() {
-    // A batch holds 45 rows and takes 0.3 s; 200 jobs each have a task that ends about every 0.25 s.
+    // A batch holds 90 entries and takes 0.3 s; 200 jobs each have a task that ends about every 0.25 s.
     let mut world = World::new(60);
     world.work_ms = Some(250);
     world.store_takes = Duration::from_millis(300);
@@ -90,6 +90,28 @@
     }
 }
 
+#[test]
+fn callers_who_cancel_do_not_wait_for_the_news_of_all_other_jobs() {
+    // News of 450 jobs fill five batches, 0.3 s each: behind them a cancel takes 1.8 s.
+    let mut world = World::new(120);
+    world.work_ms = Some(250);
+    let after = |number: u32| number.checked_sub(1).into_iter().collect();
+    let steps = (0..60).map(|number| StepSpec { depends_on: after(number), ..step(1) });
+    for id in 1..=450 {
+        world.submit(id, job(steps.clone().collect()));
+        world.run_ms(10);
+    }
+    world.store_takes = Duration::from_millis(300);
+    world.run_ms(3_000);
+    let requests = [3, 100, 330, 450].map(|id| (id, world.now, world.cancel(id)));
+    world.run_ms(5_000);
+    for (id, at, request) in requests {
+        let answered = world.answered(request).map(|answered| answered.since(at));
+        let in_time = answered.is_some_and(|waited| waited <= Duration::from_millis(1_300));
+        assert!(in_time, "job {id}: answered after {answered:?}");
+    }
+}
+
 #[test]
 fn a_job_that_no_row_holds_is_told_so() {
     let long = |on: Vec<u32>| StepSpec { depends_on: on, ..step(1) };
