--- a/crates/kitetrail-core/tests/jobs_overload.rs
+++ b/crates/kitetrail-core/tests/jobs_overload.rs
@@ -141,6 +141,20 @@
     }
 }
 
+/// The last batch of an idle fleet was slow, and no other one follows that could show that the store is well again.
+#[test]
+fn an_idle_owner_takes_jobs_again_after_a_slow_batch() {
+    let mut world = World::new(4);
+    world.store_takes = Duration::from_millis(2_000);
+    world.submit(1, job(vec![step(1)]));
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+    world.store_takes = Duration::from_millis(10);
+    world.run_ms(3_000);
+    let request = world.submit(2, job(vec![step(1)]));
+    world.run_ms(1_000);
+    assert_eq!(world.refused(request), Some(false));
+}
+
 #[test]
 fn what_lasted_before_a_takeover_goes_before_short_work() {
     let mut world = World::new(4);
