run: lost tells how long the run ran and what was lost beside it

Sight for the incident of crashing tasks: the hypotheses differ in how old runs are when they are lost, and in what runs beside them; no line told either. No decision changes.

--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -277,6 +277,13 @@
         }
     }
 
+    /// For how long a run is known to have run here: from when its start was confirmed to the worker's last answer.
+    /// `None` if no start was confirmed.
+    pub(super) fn known_to_run(&self, run: &RunThere) -> Option<Duration> {
+        let Phase::Running(since) = run.phase else { return None };
+        Some(self.heard_at.map_or(Duration::ZERO, |heard_at| heard_at.since(since)))
+    }
+
     /// Copies what a report says of runs that are known to run.
     pub(super) fn note_running(&mut self, report: &Report) {
         for reported in &report.running {
--- a/crates/kitetrail-core/src/jobs/note.rs
+++ b/crates/kitetrail-core/src/jobs/note.rs
@@ -68,6 +68,10 @@
         worker: LifeId,
         /// Why.
         why: &'static str,
+        /// For how long it is known to have run there, in milliseconds; `None`: not known to have begun.
+        ran_ms: Option<u64>,
+        /// How many other runs were believed there.
+        beside: u32,
     },
     /// A run is stopped to go on elsewhere.
     RunMoved {
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -2,10 +2,8 @@
 
 use super::{
     super::{
-        event::Action,
         life::LifeNo,
         names::TaskName,
-        note::Note,
         report::{Hold, HoldFailure, Report, RunEnd, RunningTask},
         run::{Phase, Progress, RunThere, UNKNOWN_PACE_PERCENT},
         spec::StepSpec,
@@ -169,12 +167,10 @@
             };
             settled && !reported(name, there.run)
         });
+        let why = "its worker does not run it and would not start it any more";
         let missing = missing.map(|(&name, there)| (name, there.run)).collect::<Vec<_>>();
-        let worker = life.id().clone();
         for (task, run) in missing {
-            let why = "its worker does not run it and would not start it any more";
-            let worker = worker.clone();
-            self.out.push(Action::Note(Note::RunGivenUp { task, run, worker, why }));
+            self.note_given_up(no, task, why);
             self.drop_run(no, task, run);
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -153,17 +153,28 @@
 
     /// Gives up all runs of a worker that can't be running them any more.
     pub(super) fn give_up_runs(&mut self, no: LifeNo, why: &'static str) {
+        let Some(life) = self.lives.get(no) else { return };
+        for task in life.runs().keys().copied().collect::<Vec<_>>() {
+            self.note_given_up(no, task, why);
+        }
         let Some(life) = self.lives.get_mut(no) else { return };
-        let worker = life.id().clone();
         life.orders.clear();
         for (task, there) in life.take_runs() {
-            let (run, worker) = (there.run, worker.clone());
-            self.out.push(Action::Note(Note::RunGivenUp { task, run, worker, why }));
-            self.unplace(task, Placement { life: no, run });
+            self.unplace(task, Placement { life: no, run: there.run });
             self.replan = true;
         }
     }
 
+    /// Writes to the log that a run is given up, with how long it ran and what was lost beside it.
+    pub(super) fn note_given_up(&mut self, no: LifeNo, task: TaskName, why: &'static str) {
+        let Some(life) = self.lives.get(no) else { return };
+        let Some(there) = life.runs().get(&task) else { return };
+        let (run, worker) = (there.run, life.id().clone());
+        let ran_ms = life.known_to_run(there).map(|ran| ran.as_millis() as u64);
+        let beside = life.runs().len().saturating_sub(1) as u32;
+        self.out.push(Action::Note(Note::RunGivenUp { task, run, worker, why, ran_ms, beside }));
+    }
+
     /// An order was not answered: it may have been done, or be done later.
     fn doubt(&mut self, no: LifeNo, order: &Order) {
         self.raise_token(no);
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -24,9 +24,9 @@
             how:? = *how;
             "run: ended"
         ),
-        Note::RunGivenUp { task, run, worker, why } => log::warn!(
+        Note::RunGivenUp { task, run, worker, why, ran_ms, beside } => log::warn!(
             job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
-            why = *why;
+            why = *why, ran_ms:? = *ran_ms, beside = *beside;
             "run: lost"
         ),
         Note::RunMoved { task, run, worker, why } => log::info!(
