Failing tests: a task that crashes its workers is started for ever

The virtual fleet has workers that crash, by a task's doing or by themselves, and come back under another id.

--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet on virtual time: workers, a store, and the scheduler.
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod crashes;
 mod listing;
 mod owners;
 mod processor;
@@ -21,6 +22,7 @@
     },
 };
 
+pub use crashes::Crashes;
 use owners::scheduler;
 pub use processor::Processor;
 pub use specs::{job, queue, step, task};
@@ -54,6 +56,8 @@
     pub progress: BTreeMap<JobId, ProgressRecord>,
     pub lives: BTreeMap<String, LifeRecord>,
     pub effects: EffectsRecord,
+    /// Tasks that crash their workers, and what came of it.
+    pub crashes: Crashes,
     /// Workers' lives that crashed and whose machines live anew: there another life answers.
     over: BTreeSet<String>,
     /// Holds that reached such a machine.
@@ -110,6 +114,7 @@
             progress: BTreeMap::new(),
             lives: BTreeMap::new(),
             effects: EffectsRecord::default(),
+            crashes: Crashes::default(),
             over: BTreeSet::new(),
             held_by_another: Vec::new(),
             store_down: false,
@@ -194,6 +199,7 @@
         while self.now < until {
             self.now = self.now + STEP;
             self.step_workers();
+            self.step_crashes();
             self.step_store();
             match self.processor.is_some() {
                 true => self.work_off(),
@@ -315,9 +321,8 @@
                 worker.take_later(now + worker.late_by, token, lease_until_ms, order, work);
                 OrderAnswer::Unanswered
             }
-            (Mood::Cut | Mood::Delayed, _) | (Mood::Unstoppable, Order::Stop { .. }) => {
-                OrderAnswer::Unanswered
-            }
+            (Mood::Cut | Mood::Delayed | Mood::Down, _)
+            | (Mood::Unstoppable, Order::Stop { .. }) => OrderAnswer::Unanswered,
             _ => {
                 let answer = worker.take(now, token, lease_until_ms, order, work);
                 if let (OrderAnswer::Done { .. }, Order::Start(start)) = (answer, order) {
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -31,6 +31,8 @@
 pub enum Mood {
     /// It answers and works.
     Well,
+    /// It crashed and is not back: what is sent to it fails at once.
+    Down,
     /// Nothing reaches it and nothing comes back; it works on.
     Cut,
     /// It answers, and what it runs stands still.
@@ -163,6 +165,13 @@
         }
     }
 
+    /// Loses all that runs here and all that has ended, and answers nothing any more.
+    pub fn crash(&mut self) {
+        self.mood = Mood::Down;
+        self.running.clear();
+        self.ended.clear();
+    }
+
     /// Carries an order out, or refuses it.
     pub fn take(
         &mut self,
@@ -237,6 +246,9 @@
         sent_at: Time,
         tail_ms: fn(&FakeWorker) -> u32,
     ) -> Option<Result<Report, HoldFailure>> {
+        if self.mood == Mood::Down {
+            return Some(Err(HoldFailure::Unanswered));
+        }
         let waited = now.since(sent_at);
         if matches!(self.mood, Mood::Cut | Mood::Delayed | Mood::Unread) {
             let gives_up = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
