A run that is lost with its worker may be what its worker was lost by: crashes are counted, and kept

Cause: attempts were counted where a worker reports an end as failed. A worker that crashes reports nothing, so a task that crashes its worker was started for ever. Ruled out: counts lost at takeovers (six starts in a row by one owner), workers that crash by themselves (each of these runs was over after 10 ms, on another worker), orders repeated by mistake (no line).

Change: as a worker's life is over by a crash, the runs that may have caused it are worked out (what had just been started, else all), and counted with what that weighs; three strong crashes in a row, each after about the same time of running, or four of any weight, fail the job. Suspects run alone, what runs on is cleared, waves speak for little. The count is kept with the job; starts of suspects are kept before they are ordered, so that an owner that dies before it hears of a crash does not lose it; after a takeover that found workers crashed, so are the first starts of tasks nobody can account for.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    crashes::BegunRun,
     event::{JobState, RequestNo},
     names::{JobId, StepName, TaskName},
     record::{JobRecord, OccurrenceProgress, Outcome, ProgressRecord},
@@ -101,7 +102,10 @@
             job.restore_progress(progress);
         }
         for step in job.occurrences.values_mut().flat_map(|occurrence| &mut occurrence.steps) {
-            step.tasks.iter_mut().for_each(|task| task.last_run = task.last_run.max(run_floor));
+            for task in &mut step.tasks {
+                task.last_run = task.last_run.max(run_floor);
+                task.unaccounted = !task.done;
+            }
         }
         job
     }
@@ -199,6 +203,31 @@
         tasks.flat_map(|task| &task.failed_runs).collect::<BTreeSet<_>>().len() as u32
     }
 
+    /// Makes a task start without its checkpoint: a gang as a whole, as its members bring the same one.
+    pub(super) fn drop_checkpoint(&mut self, name: TaskName) {
+        let gang = self.step_spec(name.step).is_some_and(|spec| spec.gang);
+        let Some(step) = self.step_mut(name.step_name()) else { return };
+        for (index, task) in (0..).zip(&mut step.tasks) {
+            if gang || index == name.index {
+                task.checkpoint = None;
+            }
+        }
+    }
+
+    /// The tasks that an earlier owner was about to start, as it kept, and on which worker.
+    pub(super) fn begun_tasks(&self) -> Vec<(TaskName, BegunRun)> {
+        let mut begun = Vec::new();
+        for (&occurrence, there) in &self.occurrences {
+            for (step, tasks) in (0_u32..).zip(&there.steps) {
+                for (index, task) in (0_u32..).zip(&tasks.tasks).filter(|(_, task)| !task.done) {
+                    let name = TaskName { job: self.id, occurrence, step, index };
+                    begun.extend(task.crashes.begun.clone().map(|run| (name, run)));
+                }
+            }
+        }
+        begun
+    }
+
     pub(super) fn begin(&mut self, occurrence: u32) {
         if !self.occurrences.contains_key(&occurrence) {
             self.occurrences.insert(occurrence, Occurrence::new(&self.spec));
--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -13,7 +13,7 @@
     order::Order,
     report::Report,
     run::{Phase, RunThere},
-    scheduler::{room::Room, tails::ImageNo},
+    scheduler::{crashed::Suspect, room::Room, tails::ImageNo},
     worker_entry::WorkerEntry,
 };
 use crate::Time;
@@ -49,6 +49,27 @@
     },
 }
 
+/// Why everything that ran in a life is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LifeEnd {
+    /// Another life answers where it did.
+    AnotherAnswers,
+    /// A life that came after it answers on its machine.
+    LaterAnswers,
+    /// It is not listed and silent, and its leases are over: it crashed for good, left, or is cut off.
+    Gone,
+}
+
+impl LifeEnd {
+    pub(super) fn why(self) -> &'static str {
+        match self {
+            Self::AnotherAnswers => "over: it answers as another life",
+            Self::LaterAnswers => "over: a later life answers on its machine",
+            Self::Gone => "gone: not listed, silent, its lease is over",
+        }
+    }
+}
+
 /// The pace of the runs of an image that fills on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Pace {
@@ -100,6 +121,14 @@
     pub(super) evacuated_at: Option<Time>,
     /// Holds in a row that brought nothing.
     pub(super) silent: u32,
+    /// When the first of them brought nothing, or an order before it.
+    pub(super) silent_since: Option<Time>,
+    /// Its machine crashed of late.
+    pub(super) fell_of_late: bool,
+    /// Runs that may have made it fall silent and were given up since.
+    pub(super) suspects: Vec<Suspect>,
+    /// Tasks that the owner before was about to start here, each as one that may crash it.
+    pub(super) begun_before: Vec<TaskName>,
     /// One of them brought nothing while the owner was not late itself.
     pub(super) silent_for_sure: bool,
     /// The number of the last end that was heard of.
@@ -139,6 +168,10 @@
             zone_evacuated: false,
             evacuated_at: None,
             silent: 0,
+            silent_since: None,
+            fell_of_late: false,
+            suspects: Vec::new(),
+            begun_before: Vec::new(),
             silent_for_sure: false,
             ends_seen: 0,
             ends_kept: 0,
@@ -257,6 +290,8 @@
     pub(super) fn note_heard(&mut self, clock_ms: u64, now: Time) {
         self.heard_at = Some(now);
         self.silent = 0;
+        self.silent_since = None;
+        self.suspects.clear();
         self.silent_for_sure = false;
         self.clock_ahead_ms = Some(clock_ms as i64 - now.as_ms() as i64);
     }
@@ -277,6 +312,16 @@
         }
     }
 
+    /// Whether the order to start a run has left, so that it may have begun.
+    pub(super) fn was_sent(&self, task: TaskName, run: &RunThere) -> bool {
+        let waits = |order: &Order| matches!(order, Order::Start(start) if start.task == task);
+        match run.phase {
+            Phase::Unkept => false,
+            Phase::Ordered => !self.orders.iter().any(waits),
+            Phase::Doubtful { .. } | Phase::Running(_) => true,
+        }
+    }
+
     /// For how long a run is known to have run here: from when its start was confirmed to the worker's last answer.
     /// `None` if no start was confirmed.
     pub(super) fn known_to_run(&self, run: &RunThere) -> Option<Duration> {
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! One [`Scheduler`] decides for a fleet. It is told what happened as [`Event`]s and answers with
 //! [`Action`]s; it does no input or output and reads no clock.
 
+mod crashes;
 mod event;
 mod job;
 mod life;
@@ -18,6 +19,7 @@
 mod steps;
 mod worker_entry;
 
+pub use crashes::{BegunRun, CrashEvidence, RanFor, TaskCrashes};
 pub use event::{Action, CancelAnswer, Discovery, Event, JobState, RequestNo, SubmitAnswer};
 pub use life::LifeNo;
 pub use names::{InvalidName, JobId, LifeId, QueueName, TaskName};
--- a/crates/kitetrail-core/src/jobs/note.rs
+++ b/crates/kitetrail-core/src/jobs/note.rs
@@ -1,6 +1,7 @@
 //! The scheduler's decisions, as data for the log.
 
 use super::{
+    crashes::CrashEvidence,
     event::JobState,
     names::{JobId, LifeId, QueueName, TaskName},
     order::OrderAnswer,
@@ -73,6 +74,29 @@
         /// How many other runs were believed there.
         beside: u32,
     },
+    /// A worker crashed under a task, which may be what crashed it.
+    CrashedUnder {
+        /// The task.
+        task: TaskName,
+        /// The worker.
+        worker: LifeId,
+        /// How strongly that speaks against the task.
+        evidence: CrashEvidence,
+        /// How many workers have crashed under it in a row.
+        crashes: u32,
+    },
+    /// A task under which workers crashed has run for long: it is no suspect any more.
+    NoMoreSuspected {
+        /// The task.
+        task: TaskName,
+    },
+    /// A job failed for a task that crashes its workers.
+    CrashingTaskGivenUp {
+        /// The task.
+        task: TaskName,
+        /// The workers that crashed under it, in order.
+        workers: Vec<LifeId>,
+    },
     /// A run is stopped to go on elsewhere.
     RunMoved {
         /// The task.
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    crashes::TaskCrashes,
     names::{JobId, LifeId},
     spec::{JobSpec, QueueTerms},
 };
@@ -130,6 +131,9 @@
     /// The runs of each task that failed.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub failed_runs: BTreeMap<u32, Vec<u32>>,
+    /// The workers that crashed under each task.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub crashes: BTreeMap<u32, TaskCrashes>,
 }
 
 impl StepProgress {
--- a/crates/kitetrail-core/src/jobs/run.rs
+++ b/crates/kitetrail-core/src/jobs/run.rs
@@ -17,6 +17,8 @@
 /// How far the order to start a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
+    /// The order is held back until it is kept that it leaves.
+    Unkept,
     /// The order waits or is on its way.
     Ordered,
     /// The order was not answered: it may run, now or later.
@@ -55,6 +57,12 @@
     pub(super) fills: bool,
     /// It was told to stop.
     pub(super) stopping: bool,
+    /// An earlier owner started it: it had begun by then.
+    pub(super) adopted: bool,
+    /// Workers crashed under its task.
+    pub(super) suspected: bool,
+    /// Nothing is started beside it.
+    pub(super) alone: bool,
     pub(super) keeps_progress: bool,
     pub(super) lasts: bool,
     /// Given if it serves users.
@@ -85,6 +93,9 @@
             size: spec.size,
             fills: spec.fills,
             stopping: false,
+            adopted: false,
+            suspected: false,
+            alone: false,
             keeps_progress: spec.keeps_progress,
             lasts: spec.lasts,
             tail_target_ms: spec.tail_target_ms,
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -52,6 +52,7 @@
                 life.recorded = true;
             }
         }
+        self.order_kept(batch.starts);
         self.note_kept_ends();
         if !batch.new_jobs.is_empty() && self.overload.starts_per_pass() > 0 {
             let mut pass = self.begin_pass();
@@ -101,8 +102,9 @@
         let job = |id: &JobId| self.jobs.get(id);
         let outcomes = taken.progress.iter().filter_map(job);
         let outcomes = outcomes.map(|job| (job.id, job.outcome)).collect();
+        let starts = self.kept_starts.take(&taken.progress);
         let (new_jobs, lives) = (taken.new_jobs, taken.lives);
-        let batch = |number| Batch { number, new_jobs, outcomes, lives };
+        let batch = |number| Batch { number, new_jobs, outcomes, lives, starts };
         let batch = self.pending.note_sent(batch, self.now);
         self.pending.urgent = !taken.complete;
         self.out.push(Action::Commit { batch, records });
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -57,6 +57,7 @@
     fn note_checkpoint(&mut self, end: &RunEnd) {
         let Some(task) = self.task_mut(end.task) else { return };
         task.last_run = task.last_run.max(end.run);
+        task.unaccounted = false;
         if end.checkpoint.is_some() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -4,6 +4,7 @@
     super::{
         life::{Life, LifeNo},
         names::TaskName,
+        run::RunThere,
         spec::StepSpec,
     },
     lateness::Lateness,
@@ -32,6 +33,15 @@
 /// Weight of the worker on which the task failed last.
 const FAILED_THERE: f64 = 8.0;
 
+/// Weight of each run that would be lost with the worker if a suspect crashed it, above all other weights: suspects go
+/// where nothing runs, or as little as can be.
+const LOST_BESIDE: f64 = 50.0;
+/// The same for a run that lasts: users wait for it to be back.
+const LOST_LASTING_BESIDE: f64 = 150.0;
+
+/// The same for a machine that crashed of late: it may crash again by itself, and speak against a task that is blameless.
+const FELL_OF_LATE: f64 = 25.0;
+
 /// A task that looks for a worker.
 pub(super) struct Fit<'a> {
     pub(super) name: TaskName,
@@ -45,6 +55,8 @@
     pub(super) rack: Option<&'a str>,
     /// Where it failed, or was slow.
     pub(super) avoid: Option<LifeNo>,
+    /// Workers crashed under it: it is to run alone.
+    pub(super) suspected: bool,
     /// How late its job is: what is hopeless takes places that are worse.
     pub(super) lateness: Lateness,
     pub(super) tails: &'a TailModel,
@@ -72,7 +84,8 @@
         let apart = spec.same_rack && self.rack.is_some_and(|rack| rack != life.entry.rack);
         let far = if far || apart { FAR } else { 0.0 };
         let failed = if self.avoid == Some(no) { FAILED_THERE } else { 0.0 };
-        Some(FULLNESS * fullness + DISTURBANCE * disturbance + far + failed)
+        let lost = if self.suspected { lost_beside(life) } else { 0.0 };
+        Some(FULLNESS * fullness + DISTURBANCE * disturbance + far + failed + lost)
     }
 
     /// How much of what the worker runs would disturb the task, or be disturbed by it; `None` if so
@@ -104,10 +117,13 @@
 
     /// Whether a worker with room for the task has room for it beside what is about to be placed there.
     fn has_room(&self, no: LifeNo, life: &Life, room: &Room) -> bool {
-        if life.runs().contains_key(&self.name) {
+        if life.runs().contains_key(&self.name) || room.has_lone_suspect {
             return false;
         }
         let members_here = self.members.iter().filter(|&&member| member == no).count() as u32;
+        if self.suspected && members_here > 0 {
+            return false;
+        }
         !self.has_most_siblings(life, members_here)
             && room.left.fits_beside(self.spec, members_here)
     }
@@ -120,3 +136,10 @@
         siblings + members_here >= most
     }
 }
+
+/// How bad a place a worker is for a task that may crash it.
+fn lost_beside(life: &Life) -> f64 {
+    let fell = if life.fell_of_late { FELL_OF_LATE } else { 0.0 };
+    let weight = |run: &RunThere| if run.lasts { LOST_LASTING_BESIDE } else { LOST_BESIDE };
+    fell + life.runs().values().map(weight).sum::<f64>()
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -1,8 +1,10 @@
 //! Answers to holds: what workers run, compared with what is believed.
 
+use std::mem;
+
 use super::{
     super::{
-        life::LifeNo,
+        life::{LifeEnd, LifeNo},
         names::TaskName,
         report::{Hold, HoldFailure, Report, RunEnd, RunningTask},
         run::{Phase, Progress, RunThere, UNKNOWN_PACE_PERCENT},
@@ -28,7 +30,7 @@
         match answer {
             Ok(report) => self.heard(no, hold, sent_at, &report),
             Err(HoldFailure::LifeOver) => {
-                return self.end_life(no, "over: it answers as another life");
+                return self.end_life(no, LifeEnd::AnotherAnswers);
             }
             Err(HoldFailure::Fenced) => self.hold_fenced(no, hold.token),
             Err(HoldFailure::Unhealthy) => {
@@ -69,6 +71,7 @@
         self.unheard.remove(&no);
         if first {
             self.end_earlier_lives(no, sent_at);
+            self.forget_begun(no, report);
         }
         for end in &report.ended {
             self.run_ended(no, end);
@@ -77,6 +80,7 @@
             self.compare_running(no, running);
         }
         self.compare_missing(no, hold, sent_at, report);
+        self.check_suspects(no);
         self.check_progress(no);
         self.control_pace(no);
         if first {
@@ -102,6 +106,17 @@
         }
     }
 
+    /// A worker that earlier owners used answers: what it does not run of what they were about to start there never ran.
+    fn forget_begun(&mut self, no: LifeNo, report: &Report) {
+        let Some(life) = self.lives.get_mut(no) else { return };
+        for name in mem::take(&mut life.begun_before) {
+            let runs = report.running.iter().any(|running| running.task == name);
+            let Some(task) = self.task_mut(name).filter(|_| !runs) else { continue };
+            task.crashes.begun = None;
+            self.pending.note(name.job);
+        }
+    }
+
     /// Whether a run may go on: its job is open, its task not done and not placed elsewhere.
     fn wants(&self, name: TaskName, placement: Placement) -> bool {
         let Some(job) = self.jobs.get(&name.job).filter(|job| job.is_open()) else { return false };
@@ -120,6 +135,7 @@
             task.placed.push(placement);
         }
         task.last_run = task.last_run.max(placement.run);
+        task.unaccounted = false;
         if checkpoint.is_some() && checkpoint != task.checkpoint.as_deref() {
             task.checkpoint = checkpoint.map(str::to_owned);
         }
@@ -140,6 +156,7 @@
             progress: Progress { from_percent: running.percent, ..Progress::new(now) },
             gauge: running.gauge,
             paced_percent: UNKNOWN_PACE_PERCENT,
+            adopted: true,
             ..RunThere::new(running.run, spec, image, now)
         };
         if let Some(life) = self.lives.get_mut(no) {
@@ -161,7 +178,7 @@
         };
         let missing = life.runs().iter().filter(|&(&name, there)| {
             let settled = match there.phase {
-                Phase::Ordered => false,
+                Phase::Unkept | Phase::Ordered => false,
                 Phase::Doubtful { settled_by } => hold.token >= settled_by,
                 Phase::Running(since) => since < sent_at,
             };
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -1,15 +1,17 @@
 //! What an owner takes over from the one before.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
     super::{
         job::Job,
         life::Listing,
+        names::{LifeId, TaskName},
         record::{EffectsRecord, JobRecord, LifeRecord, Outcome, ProgressRecord},
         worker_entry::WorkerEntry,
     },
     Scheduler,
+    crashed::Suspect,
 };
 use crate::{Resources, Time};
 
@@ -55,13 +57,28 @@
             true => Duration::ZERO,
             false => self.settings.renew_without_store,
         };
+        let mut begun = self.begun_by_worker();
         for record in inheritance.lives {
-            self.inherit_life(record, self.now + self.lapse_after());
+            let begun_here = begun.remove(&record.id).unwrap_or_default();
+            self.inherit_life(record, begun_here, self.now + self.lapse_after());
         }
+        // Their workers' lives are over, and nobody kept how these runs ended.
+        for (worker, tasks) in begun {
+            self.note_crash(&worker, tasks.into_iter().map(Suspect::begun).collect());
+        }
+    }
+
+    /// The tasks that the owner before was about to start as ones that may crash their worker.
+    fn begun_by_worker(&self) -> BTreeMap<LifeId, Vec<TaskName>> {
+        let mut by_worker = BTreeMap::<_, Vec<_>>::new();
+        for (task, begun) in self.jobs.values().flat_map(Job::begun_tasks) {
+            by_worker.entry(begun.worker).or_default().push(task);
+        }
+        by_worker
     }
 
     /// A life that an earlier owner used; where it answers is all we know.
-    fn inherit_life(&mut self, record: LifeRecord, lapses_at: Time) {
+    fn inherit_life(&mut self, record: LifeRecord, begun_before: Vec<TaskName>, lapses_at: Time) {
         let entry = WorkerEntry {
             id: record.id,
             machine: None,
@@ -78,6 +95,7 @@
         if let Some(life) = self.lives.get_mut(no) {
             life.listing = Listing::Unread;
             life.recorded = true;
+            life.begun_before = begun_before;
         }
         self.unheard.insert(no);
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod commit;
+pub(super) mod crashed;
 mod ends;
 mod evacuation;
 pub(super) mod filter;
@@ -11,6 +12,7 @@
 mod hear;
 mod holds;
 mod inherit;
+mod kept_starts;
 mod lateness;
 mod orders;
 mod overload;
@@ -40,8 +42,8 @@
 
 pub use self::inherit::Inheritance;
 use self::{
-    backlog::Started, evacuation::ZoneEvacuation, overload::Overload, pending::Pending,
-    short_work::ShortWork, tails::TailModel,
+    backlog::Started, crashed::Fallen, evacuation::ZoneEvacuation, kept_starts::KeptStarts,
+    overload::Overload, pending::Pending, short_work::ShortWork, tails::TailModel,
 };
 use super::{
     event::{Action, Event, JobState},
@@ -109,9 +111,14 @@
     unheard: BTreeSet<LifeNo>,
     /// How long the owner before may go on to renew the leases of workers that are listed.
     may_be_renewed_for: Duration,
+    /// Some of those were found crashed: tasks of which nobody knows whether they ran there may have caused it.
+    inherited_crashed: bool,
+    /// Workers whose lives are over of late.
+    fallen: Vec<Fallen>,
     /// Until when the store was in trouble last, if it ever was.
     store_trouble_until: Option<Time>,
     pending: Pending,
+    kept_starts: KeptStarts,
     tails: TailModel,
     short_work: ShortWork,
     evacuation: ZoneEvacuation,
@@ -150,8 +157,11 @@
             of_unused_services: BTreeMap::new(),
             unheard: BTreeSet::new(),
             may_be_renewed_for: Duration::ZERO,
+            inherited_crashed: false,
+            fallen: Vec::new(),
             store_trouble_until: None,
             pending: Pending::default(),
+            kept_starts: KeptStarts::default(),
             tails: TailModel::default(),
             short_work: ShortWork::default(),
             evacuation: ZoneEvacuation::default(),
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         event::Action,
-        life::{LifeNo, Listing},
+        life::{LifeEnd, LifeNo, Listing},
         names::TaskName,
         note::Note,
         order::{Order, OrderAnswer, Refusal},
@@ -47,6 +47,9 @@
         if !life.runs().get(&task).is_some_and(|there| there.run == run && !there.stopping) {
             return;
         }
+        if life.runs().get(&task).is_some_and(|there| there.phase == Phase::Unkept) {
+            return self.drop_run(no, task, run);
+        }
         let waiting = life.orders.iter().position(|waiting| {
             matches!(waiting, Order::Start(start) if start.task == task && start.run == run)
         });
@@ -117,7 +120,7 @@
             self.out.push(Action::Note(Note::OrderFailed { task, run, worker, answer }));
         }
         match answer {
-            OrderAnswer::LifeOver => return self.end_life(no, "over: it answers as another life"),
+            OrderAnswer::LifeOver => return self.end_life(no, LifeEnd::AnotherAnswers),
             OrderAnswer::Unanswered => self.doubt(no, &order),
             OrderAnswer::Done { .. } => self.order_done(no, &order),
             OrderAnswer::Refused(refusal) => self.order_refused(no, &order, refusal),
@@ -130,6 +133,7 @@
         if let Some(life) = self.lives.get_mut(no) {
             life.token += 1;
             life.silent += 1;
+            life.silent_since.get_or_insert(self.now);
             life.silent_for_sure |= self.overload.silence_proves();
         }
     }
@@ -146,8 +150,10 @@
     pub(super) fn unplace(&mut self, name: TaskName, placement: Placement) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         job.may_wait = true;
-        if let Some(task) = job.task_mut(name) {
-            task.placed.retain(|placed| *placed != placement);
+        let Some(task) = job.task_mut(name) else { return };
+        task.placed.retain(|placed| *placed != placement);
+        if task.crashes.begun.take_if(|begun| begun.run == placement.run).is_some() {
+            self.pending.note(name.job);
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -8,6 +8,7 @@
         names::{JobId, LifeId},
         record::Outcome,
     },
+    kept_starts::KeptStart,
     unique_queue::UniqueQueue,
     unkept_ends::{ToldEnd, UnkeptEnds},
 };
@@ -66,6 +67,8 @@
     pub(super) new_jobs: Vec<JobId>,
     pub(super) outcomes: Vec<(JobId, Outcome)>,
     pub(super) lives: Vec<LifeNo>,
+    /// Starts that leave once it is kept.
+    pub(super) starts: Vec<KeptStart>,
 }
 
 /// What one batch keeps.
@@ -168,6 +171,12 @@
         self.progress.push(id, self.unkept_ends.last_seq());
     }
 
+    /// A start of the job waits until it is kept.
+    pub(super) fn note_soon(&mut self, id: JobId) {
+        self.note(id);
+        self.urgent = true;
+    }
+
     /// The job ended: to be kept at once.
     pub(super) fn note_urgent(&mut self, id: JobId) {
         self.ended.push(id, self.unkept_ends.last_seq());
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -4,13 +4,14 @@
 
 use super::{
     super::{
+        crashes::BegunRun,
         event::Action,
         job::Job,
         life::{Life, LifeNo},
         names::{JobId, StepName, TaskName},
         note::Note,
         order::{Order, StartOrder},
-        run::RunThere,
+        run::{Phase, RunThere},
         spec::StepSpec,
         steps::Placement,
     },
@@ -105,7 +106,7 @@
     fn rank(&mut self, name: TaskName, spec: &StepSpec, pass: &Pass) -> Ranking {
         self.refresh_rooms();
         // What one task should avoid, its siblings need not.
-        let fit = self.fit(name, spec, &[]).map(|fit| Fit { avoid: None, ..fit });
+        let fit = self.fit(name, spec, &[]).map(|fit| Fit { avoid: None, suspected: false, ..fit });
         let Some(fit) = fit else { return Ranking::new(iter::empty()) };
         let score = |no| Some((self.score_with(&fit, no, self.lives.get(no)?)?, no));
         Ranking::new(pass.with_room_for(spec).filter_map(score))
@@ -142,6 +143,7 @@
             members,
             rack: first.map(|life| life.entry.rack.as_str()),
             avoid: job.task(name).and_then(|task| task.avoid),
+            suspected: job.task(name).is_some_and(|task| task.crashes.is_suspected()),
             lateness: Lateness::of(job, self.now),
             tails: &self.tails,
             short_work: &self.short_work,
@@ -169,6 +171,7 @@
             return;
         }
         let run = tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
+        let watched = tasks.iter().any(|task| task.watched);
         let checkpoint = tasks.iter().find_map(|task| task.checkpoint.clone());
         let mut chosen = Vec::new();
         for index in 0..spec.count {
@@ -182,6 +185,8 @@
             let name = step.task(index);
             if let Some(task) = self.task_mut(name) {
                 task.checkpoint.clone_from(&checkpoint);
+                // They wait for each other, so they leave together.
+                task.watched = watched;
             }
             self.start(name, life, spec, Some(run));
         }
@@ -215,6 +220,10 @@
         let Some(life) = self.lives.get_mut(no) else { return };
         let run = run.unwrap_or(task.last_run + 1);
         task.last_run = run;
+        let suspected = task.crashes.is_suspected();
+        let keep_first = task.watched || (self.inherited_crashed && task.unaccounted);
+        task.unaccounted = false;
+        task.crashes.begun = keep_first.then(|| BegunRun { run, worker: life.id().clone() });
         task.placed.push(Placement { life: no, run });
         let checkpoint = task.checkpoint.clone().filter(|_| spec.keeps_progress);
         self.started.note(spec.kind(), job.can_be_in_time(self.now));
@@ -228,8 +237,13 @@
         if !spec.fills && !spec.lasts {
             self.short_work.note_size(spec.size.cpu_millis.0);
         }
-        life.insert_run(name, RunThere::new(run, spec, image, self.now));
+        let phase = if keep_first { Phase::Unkept } else { Phase::Ordered };
+        let there = RunThere::new(run, spec, image, self.now);
+        life.insert_run(name, RunThere { phase, suspected, alone: suspected, ..there });
         let order = StartOrder { task: name, run, payload, checkpoint, ticket: None };
-        self.order(no, Order::Start(order));
+        match keep_first {
+            true => self.order_once_kept(no, order),
+            false => self.order(no, Order::Start(order)),
+        }
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Clone)]
 pub(in crate::jobs) struct Room {
     pub(super) left: Left,
+    /// A suspect runs there alone.
+    pub(super) has_lone_suspect: bool,
     /// How many tasks run there that reserve processors and end by themselves.
     pub(super) short_tasks: u32,
     /// The share of the processor time that is not reserved, 0 to 1.
@@ -86,6 +88,7 @@
         let share = |left: u32| f64::from(left) / f64::from(cpu.max(1));
         Self {
             left: Left { free, cpu_left_to_fill },
+            has_lone_suspect: life.runs().values().any(|run| run.alone),
             short_tasks,
             free_share: share(free.cpu_millis.0),
             fill_share: share(cpu_left_to_fill),
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -7,6 +7,7 @@
         life::{Life, LifeNo},
         names::TaskName,
         run::{Phase, RunThere},
+        steps::Task,
     },
     Scheduler,
 };
@@ -126,12 +127,13 @@
         self.move_run(no, task, run, why);
     }
 
-    /// Starts a second run of a task beside the one there is.
+    /// Starts a second run of a task beside the one there is; not of one that may crash its worker, which would cost two.
     fn copy(&mut self, no: LifeNo, name: TaskName) {
         let Some(spec) = self.step_spec(name).cloned() else { return };
         let Some(job) = self.jobs.get(&name.job).filter(|job| job.is_open()) else { return };
         let task = job.task(name);
-        if task.is_none_or(|task| task.done || task.placed.len() != 1) {
+        let suspected = |task: &Task| task.crashes.is_suspected();
+        if task.is_none_or(|task| task.done || task.placed.len() != 1 || suspected(task)) {
             return;
         }
         self.avoid(name, no);
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -5,11 +5,12 @@
 use super::{
     super::{
         event::Discovery,
-        life::{Life, LifeNo, Listing},
+        life::{Life, LifeEnd, LifeNo, Listing},
         run::RunThere,
         worker_entry::WorkerEntry,
     },
     Scheduler,
+    crashed::suspects_among,
 };
 use crate::Time;
 
@@ -52,17 +53,23 @@
             .iter()
             .filter(|(_, other)| other.shares_place(&entry) && other.precedes(sent_at));
         for no in earlier.map(|(no, _)| no).collect::<Vec<_>>() {
-            self.end_life(no, "over: a later life answers on its machine");
+            self.end_life(no, LifeEnd::LaterAnswers);
         }
     }
 
     /// Everything that ran in this life is over for good.
-    pub(super) fn end_life(&mut self, no: LifeNo, why: &'static str) {
-        self.note_belief(no, why);
-        self.give_up_runs(no, why);
+    ///
+    /// Of a worker that crashed no end is reported, so what crashed it is worked out here: a run that is lost with its
+    /// worker may be what its worker was lost by.
+    pub(super) fn end_life(&mut self, no: LifeNo, end: LifeEnd) {
+        self.note_belief(no, end.why());
+        let suspects = self.crash_suspects(no, end);
+        self.give_up_runs(no, end.why());
         let Some(life) = self.lives.remove(no) else { return };
         self.life_by_id.remove(life.id());
-        self.unheard.remove(&no);
+        self.inherited_crashed |= self.unheard.remove(&no);
+        self.note_fallen(&life);
+        self.note_crash(life.id(), suspects);
         self.pending.end_life(no, life.id().clone());
         self.replan = true;
     }
@@ -75,10 +82,12 @@
         let forgotten = life.is_missing() && life.silent > 0;
         match (lapsed, forgotten) {
             (true, true) => {
-                return self.end_life(no, "gone: not listed, silent, its lease is over");
+                return self.end_life(no, LifeEnd::Gone);
             }
             // What its runs came to may be told in answers that are here, unread: a late owner asks again.
             (true, false) if life.silent > 0 && (life.silent_for_sure || outwaited) => {
+                // It may have crashed, which shows once another life answers or its entry has lapsed.
+                life.suspects.extend(suspects_among(life, self.now));
                 self.unheard.remove(&no);
                 self.give_up_runs(no, "its worker is silent and its lease is over");
             }
@@ -152,7 +161,11 @@
     /// those of the one that followed it. Which of them lives, answers to holds tell.
     fn listed_new(&mut self, entry: WorkerEntry) {
         // A worker that is new to the list has been leased by nobody else, or its record says so.
+        let fell_of_late = self.has_fallen(&entry.address);
         let no = self.insert_life(entry, self.now);
+        if let Some(life) = self.lives.get_mut(no) {
+            life.fell_of_late = fell_of_late;
+        }
         self.pending.add_life(no);
         self.note_belief(no, "listed");
         self.hold_if_due(no);
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{
+    crashes::TaskCrashes,
     life::LifeNo,
     names::TaskName,
     record::StepProgress,
@@ -30,6 +31,12 @@
     pub(super) not_before: Option<Time>,
     /// Where its last failed run was.
     pub(super) avoid: Option<LifeNo>,
+    /// The workers that crashed under it.
+    pub(super) crashes: TaskCrashes,
+    /// Its starts are kept before they are ordered.
+    pub(super) watched: bool,
+    /// The owner before may have started it; this one has neither started it nor heard of a run.
+    pub(super) unaccounted: bool,
 }
 
 impl Task {
@@ -88,9 +95,14 @@
             (!task.failed_runs.is_empty())
                 .then(|| (index, task.failed_runs.iter().copied().collect()))
         };
+        let crashes = |(index, task): (u32, &Task)| {
+            let counts = !task.done && !task.crashes.is_empty();
+            counts.then(|| (index, task.crashes.clone()))
+        };
         StepProgress {
             done: StepProgress::pack_done(self.tasks.iter().map(|task| task.done)),
             failed_runs: (0..).zip(&self.tasks).filter_map(failed).collect(),
+            crashes: (0..).zip(&self.tasks).filter_map(crashes).collect(),
         }
     }
 
@@ -103,7 +115,9 @@
             let failed = kept.failed_runs.get(&index).into_iter().flatten().copied();
             task.failed_runs = failed.collect();
             task.last_run = task.failed_runs.last().copied().unwrap_or(0);
-            begun |= task.done || !task.failed_runs.is_empty();
+            task.crashes = kept.crashes.get(&index).cloned().unwrap_or_default();
+            task.watched = !task.crashes.is_empty();
+            begun |= task.done || task.watched || !task.failed_runs.is_empty();
         }
         begun
     }
--- a/crates/kitetrail-core/tests/fleet/crashes.rs
+++ b/crates/kitetrail-core/tests/fleet/crashes.rs
@@ -4,7 +4,7 @@
 
 use kitetrail_core::{
     Time,
-    jobs::{Discovery, Event, TaskName},
+    jobs::{Discovery, Event, Note, TaskName},
 };
 
 use super::World;
@@ -77,6 +77,12 @@
         self.starts.iter().filter(|(at, task, ..)| *task == name && *at > third).count()
     }
 
+    /// How often the scheduler counted a crash against a task.
+    pub fn crashes_noticed(&self) -> usize {
+        let counted = |note: &Note| matches!(note, Note::CrashedUnder { .. });
+        self.notes.iter().filter(|(_, note)| counted(note)).count()
+    }
+
     pub(super) fn step_crashes(&mut self) {
         self.crash_by_tasks();
         let now = self.now;
@@ -94,6 +100,17 @@
         }
     }
 
+    /// The other members of a gang end where one of them is lost.
+    fn break_gang(&mut self, name: TaskName) {
+        let spec = self.specs.get(&name.job).and_then(|spec| spec.steps.get(name.step as usize));
+        if !spec.is_some_and(|step| step.gang) {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            worker.break_step(name);
+        }
+    }
+
     fn crash_by_tasks(&mut self) {
         let mut crashed = Vec::new();
         for (id, worker) in &self.workers {
@@ -109,6 +126,7 @@
             self.crashes.by_tasks.push((self.now, name, id.clone()));
             self.crashes.lost_beside += beside;
             self.crash(&id);
+            self.break_gang(name);
         }
     }
 }
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -320,6 +320,15 @@
         }
     }
 
+    /// Ends the runs of a gang that lost a member.
+    pub fn break_step(&mut self, lost: TaskName) {
+        let of_gang = |task: &TaskName| TaskName { index: lost.index, ..*task } == lost;
+        let members = self.running.keys().copied().filter(of_gang);
+        for task in members.collect::<Vec<_>>() {
+            self.end(task, HowEnded::Broken);
+        }
+    }
+
     fn end(&mut self, task: TaskName, how: HowEnded) {
         let Some(running) = self.running.remove(&task) else { return };
         match how {
--- a/crates/kitetrail-core/tests/jobs_crashing.rs
+++ b/crates/kitetrail-core/tests/jobs_crashing.rs
@@ -16,9 +16,14 @@
 
 mod fleet;
 
-use fleet::{World, job, step, task};
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+use fleet::{Mood, World, job, step, task};
 use kitetrail_core::{
-    Time,
+    Resources, Time,
     jobs::{JobState, StepSpec},
 };
 
@@ -79,3 +84,154 @@
     assert!(starts <= STARTS_AFTER_THIRD_CRASH, "{starts} starts after the third crash");
     assert_eq!(world.state(1), Some(JobState::Failed));
 }
+
+/// A job of one task that lasts, as one of many beside a task that crashes its workers.
+fn lasting(count: u32) -> StepSpec {
+    StepSpec { lasts: true, size: Resources::new(500, 256, 0), ..step(count) }
+}
+
+/// The ids of workers that live, in a random order.
+fn shuffled_workers(world: &World, rng: &mut ChaCha8Rng) -> Vec<String> {
+    let well = world.workers.iter().filter(|(_, worker)| worker.mood == Mood::Well);
+    let mut ids = well.map(|(id, _)| id.clone()).collect::<Vec<_>>();
+    ids.shuffle(rng);
+    ids
+}
+
+/// Panics unless all these jobs are completed.
+fn check_completed(world: &World, ids: impl Iterator<Item = u64>, seed: u64) {
+    let others = ids.filter(|&id| world.state(id) != Some(JobState::Completed));
+    assert_eq!(others.collect::<Vec<_>>(), [0; 0], "jobs not completed, seed {seed}");
+}
+
+#[test]
+fn waves_of_crashes_that_no_task_causes_fail_no_job() {
+    // A quarter of the workers at once, also as soon as what ran there runs again elsewhere.
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World::new(16);
+        world.submit(1, job(vec![lasting(24)]));
+        for wave in 0..8 {
+            world.submit(
+                10 + wave,
+                job(vec![step(12), StepSpec { depends_on: vec![0], ..step(12) }]),
+            );
+            for id in shuffled_workers(&world, &mut rng).iter().take(4) {
+                world.crash(id);
+            }
+            world.run_ms(rng.random_range(1_000..8_000));
+        }
+        world.run_ms(30_000);
+        assert_eq!(world.state(1), Some(JobState::Running), "seed {seed}");
+        check_completed(&world, 10..18, seed);
+    }
+}
+
+#[test]
+fn single_workers_that_crash_by_themselves_fail_no_job() {
+    // Each worker crashes every 32 s, on average.
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World::new(16);
+        world.submit(1, job(vec![lasting(24)]));
+        for round in 0..30 {
+            for id in shuffled_workers(&world, &mut rng).iter().take(1) {
+                world.crash(id);
+            }
+            world.submit(10 + round, job(vec![step(4)]));
+            world.run_ms(rng.random_range(0..4_000));
+        }
+        world.run_ms(30_000);
+        assert_eq!(world.state(1), Some(JobState::Running), "seed {seed}");
+        check_completed(&world, 10..40, seed);
+    }
+}
+
+#[test]
+fn a_worker_that_leaves_or_is_cut_off_speaks_against_no_task() {
+    let mut world = World::new(4);
+    world.work_ms = Some(60_000);
+    world.submit(1, job(vec![step(1)]));
+    for round in 0..6 {
+        world.run_until("it runs", |world| !world.where_runs(task(1, 0, 0)).is_empty());
+        world.run_ms(if round % 2 == 0 { 50 } else { 2_000 });
+        let on = world.worker_of(task(1, 0, 0));
+        world.worker(&on).entry.draining = true;
+        let entry = world.worker(&on).entry.clone();
+        world.list(entry);
+        world.worker(&on).crash();
+        let again = format!("again-{round}");
+        world.reborn(&on, &again);
+        world.worker(&again).entry.draining = false;
+        world.list_all();
+    }
+    world.run_ms(5_000);
+    assert_eq!(world.state(1), Some(JobState::Running));
+    assert_eq!(world.crashes_noticed(), 0);
+}
+
+#[test]
+fn a_suspect_runs_where_it_takes_nothing_with_it() {
+    let mut world = World::new(12);
+    let crashing = task(1, 0, 0);
+    world.make_crashing(crashing);
+    for id in 2..=6 {
+        world.submit(id, job(vec![lasting(4)]));
+    }
+    world.run_ms(1_000);
+    world.submit(1, job(vec![step(1)]));
+    world.run_until("the first crash", |world| world.crashes_of(crashing) == 1);
+    let lost = world.crashes.lost_beside;
+    world.run_until("it is given up", |world| world.state(1) == Some(JobState::Failed));
+    assert_eq!(world.crashes.lost_beside, lost, "a later crash took other runs with it");
+    assert_eq!(world.crashes_of(crashing), 3);
+}
+
+#[test]
+fn a_task_that_crashes_its_worker_late_is_given_up() {
+    for after_ms in [300, 700, 1_500, 4_000] {
+        let mut world = World::new(8);
+        world.work_ms = Some(9_000);
+        let crashing = task(1, 0, 1);
+        world.make_crashing_after(crashing, Duration::from_millis(after_ms));
+        world.submit(2, job(vec![lasting(8)]));
+        world.run_ms(12_000);
+        world.submit(1, job(vec![step(3)]));
+        world.run_ms(60_000);
+        let starts = world.starts_after_third_crash(crashing);
+        assert!(starts <= STARTS_AFTER_THIRD_CRASH, "{starts} starts, {after_ms} ms");
+        assert_eq!(world.state(1), Some(JobState::Failed), "{after_ms} ms");
+        assert_eq!(world.state(2), Some(JobState::Running), "{after_ms} ms");
+    }
+}
+
+#[test]
+fn many_crashing_tasks_at_once_take_no_other_job_with_them() {
+    // As users saw it: many such jobs come within some seconds, of all kinds, on a fleet that is half full.
+    let mut world = World::new(32);
+    let kinds = [
+        step(1),
+        lasting(2),
+        StepSpec { gang: true, ..step(3) },
+        StepSpec { copies_allowed: true, ..step(2) },
+        StepSpec { keeps_progress: true, ..step(2) },
+    ];
+    for id in 200..216 {
+        world.submit(id, job(vec![lasting(3)]));
+    }
+    for id in 1..=10 {
+        world.make_crashing(task(id, 0, 0));
+        world.submit(id, job(vec![kinds[id as usize % kinds.len()].clone()]));
+        world.submit(100 + id, job(vec![step(6)]));
+        world.run_ms(400);
+    }
+    world.run_ms(60_000);
+    for id in 1..=10 {
+        let starts = world.starts_after_third_crash(task(id, 0, 0));
+        assert!(starts <= STARTS_AFTER_THIRD_CRASH, "{starts} starts of job {id}");
+        assert_eq!(world.state(id), Some(JobState::Failed), "job {id}");
+        assert_eq!(world.state(100 + id), Some(JobState::Completed), "job {}", 100 + id);
+    }
+    let lasting = (200..216).filter(|&id| world.state(id) != Some(JobState::Running));
+    assert_eq!(lasting.collect::<Vec<_>>(), [0; 0], "jobs that last are not running");
+}
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -1,6 +1,6 @@
 //! The scheduler's decisions as lines of the log.
 
-use kitetrail_core::jobs::{Note, TaskName};
+use kitetrail_core::jobs::{LifeId, Note, TaskName};
 
 /// Writes a decision.
 pub(super) fn write(note: &Note) {
@@ -29,6 +29,19 @@
             why = *why, ran_ms:? = *ran_ms, beside = *beside;
             "run: lost"
         ),
+        Note::CrashedUnder { task, worker, evidence, crashes } => log::warn!(
+            job = task.job.to_string(), task = short(task), worker = worker.as_str(),
+            evidence:? = *evidence, crashes = *crashes;
+            "task: its worker crashed"
+        ),
+        Note::NoMoreSuspected { task } => log::info!(
+            job = task.job.to_string(), task = short(task);
+            "task: suspected of crashes no more"
+        ),
+        Note::CrashingTaskGivenUp { task, workers } => log::error!(
+            job = task.job.to_string(), task = short(task), crashed = join(workers);
+            "job: failed, a task crashes its workers"
+        ),
         Note::RunMoved { task, run, worker, why } => log::info!(
             job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
             why = *why;
@@ -77,6 +90,10 @@
     }
 }
 
+fn join(workers: &[LifeId]) -> String {
+    workers.iter().map(LifeId::as_str).collect::<Vec<_>>().join(" ")
+}
+
 /// The task within its job.
 fn short(task: &TaskName) -> String {
     format!("{}.{}.{}", task.occurrence, task.step, task.index)
