Only a task whose worker fell at once, alone of all workers, runs alone after the first crash

Change: after one crash only a task whose worker fell at once while no others did runs alone and waits.

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -79,9 +79,9 @@
     /// What these crashes weigh together.
     #[serde(default)]
     pub weight: u32,
-    /// In one of them it had just been started.
+    /// In one of them its worker fell at once, and no other.
     #[serde(default)]
-    pub just_started: bool,
+    pub fell_at_once: bool,
     /// For how long the last of these runs had run.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ran: Option<RanFor>,
@@ -98,7 +98,7 @@
 
     /// Whether the task is to run alone.
     pub fn is_suspected(&self) -> bool {
-        self.just_started || self.workers.len() >= ALONE_AFTER
+        self.fell_at_once || self.workers.len() >= ALONE_AFTER
     }
 
     /// Whether it starts without its checkpoint.
@@ -126,7 +126,7 @@
         self.begun = None;
         self.workers.push(worker);
         self.ran = ran.or(self.ran).or(Some(RanFor::UNKNOWN));
-        self.just_started |= evidence != CrashEvidence::RanThere;
+        self.fell_at_once |= evidence == CrashEvidence::FellAtOnce;
         self.weight += match evidence {
             CrashEvidence::FellAtOnce => STRONG,
             CrashEvidence::OthersFell | CrashEvidence::JustStarted | CrashEvidence::RanThere => {
--- a/crates/kitetrail-core/src/jobs/scheduler/crashed.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crashed.rs
@@ -101,7 +101,9 @@
         task.crashes.note(worker.clone(), suspect.evidence, suspect.ran);
         task.watched = true;
         let crashes = task.crashes.workers.len() as u32;
-        task.not_before = Some(now + CRASH_PAUSE * 2_u32.pow(crashes - 1));
+        if task.crashes.is_suspected() {
+            task.not_before = Some(now + CRASH_PAUSE * 2_u32.pow(crashes - 1));
+        }
         let given_up = task.crashes.is_given_up();
         if task.crashes.drops_checkpoint() {
             job.drop_checkpoint(name);
