--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -39,6 +39,18 @@
     RanThere,
 }
 
+impl CrashEvidence {
+    /// The word for it in log lines and on the metrics page.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FellAtOnce => "fell-at-once",
+            Self::OthersFell => "others-fell",
+            Self::JustStarted => "just-started",
+            Self::RanThere => "ran-there",
+        }
+    }
+}
+
 /// For how long a run had run when its worker fell: what is known for sure, and what is possible.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RanFor {
--- a/crates/kitetrail-standins/tests/placement_failures.rs
+++ b/crates/kitetrail-standins/tests/placement_failures.rs
@@ -309,3 +309,49 @@
     let own_commits = world.commits() - before - 40;
     assert!(own_commits <= 20, "{own_commits} transactions for 400 cancels");
 }
+
+/// A part of a job crashes each worker that runs it: the worker restarts and reports nothing of it, so no run of it
+/// ever fails. It was requeued as often as it was started; the job comes to rest as failed instead, and its neighbours
+/// are done.
+#[test]
+fn a_job_that_crashes_its_workers_comes_to_rest() {
+    let mut world = world(2, 4);
+    world.submit(spec("bad", Kind::Job, 1, 2_000));
+    world.submit(spec("packs", Kind::Job, 6, 3_000));
+    let mut crashes = 0;
+    for step in 0..12_000 {
+        world.run_ms(10);
+        if let Some(&(worker, _)) = world.where_runs("bad:0").first() {
+            world.run_ms(50);
+            world.restart_worker(worker);
+            crashes += 1;
+        }
+        if step == 600 {
+            world.kill_owner(0);
+        }
+    }
+    assert!(crashes <= 5, "{crashes} workers crashed\n{}", world.log);
+    let rows = world.rows();
+    let of =
+        |name: &str| rows.iter().filter(|row| row.id.spec.as_str() == name).collect::<Vec<_>>();
+    let (bad, packs) = (of("bad"), of("packs"));
+    assert!(bad.iter().all(|row| row.stage == Stage::Ended(Ending::Failed)), "{bad:?}");
+    assert!(packs.iter().all(|row| row.stage == Stage::Ended(Ending::Done)), "{packs:?}");
+}
+
+/// Workers that restart again and again under a long job, which saves its progress, fail nothing.
+#[test]
+fn workers_that_restart_by_themselves_fail_no_job() {
+    let mut world = world(1, 4);
+    world.submit(spec("packs", Kind::Job, 8, 20_000));
+    for round in 0..40 {
+        world.run_ms(2_300);
+        world.restart_worker(round % 4);
+    }
+    world.run_ms(120_000);
+    assert!(
+        world.rows().iter().all(|row| row.stage == Stage::Ended(Ending::Done)),
+        "{}",
+        world.log
+    );
+}
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -31,7 +31,7 @@
         ),
         Note::CrashedUnder { task, worker, evidence, crashes } => log::warn!(
             job = task.job.to_string(), task = short(task), worker = worker.as_str(),
-            evidence:? = *evidence, crashes = *crashes;
+            evidence = evidence.as_str(), crashes = *crashes;
             "task: its worker crashed"
         ),
         Note::NoMoreSuspected { task } => log::info!(
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use kitetrail_core::jobs::{
-    Action, CancelAnswer, Event, Hold, HoldFailure, LifeNo, Order, SubmitAnswer, WorkerEntry,
+    Action, CancelAnswer, Event, Hold, HoldFailure, LifeNo, Note, Order, SubmitAnswer, WorkerEntry,
 };
 use kitetrail_platform::{CallLimits, fleet::WorkerControl, within};
 use tokio::task;
@@ -45,7 +45,7 @@
             Action::AnswerCancel(request, CancelAnswer::Unknown(job)) => {
                 self.reply(request, self.unknown(job));
             }
-            Action::Note(note) => notes::write(&note),
+            Action::Note(note) => self.note(&note),
             Action::Deposed => {
                 log::warn!("owner: deposed, a worker has seen a higher fencing token");
                 return false;
@@ -54,6 +54,18 @@
         true
     }
 
+    /// Writes a decision to the log, and counts it.
+    fn note(&self, note: &Note) {
+        match note {
+            Note::CrashedUnder { evidence, .. } => {
+                self.shared.metrics.note_task_crash(evidence.as_str());
+            }
+            Note::CrashingTaskGivenUp { .. } => self.shared.metrics.note_crashing_job(),
+            _ => {}
+        }
+        notes::write(note);
+    }
+
     fn send_order(
         &self,
         life: LifeNo,
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -21,6 +21,8 @@
     peer_messages: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     unusable_entries: Counter<u64>,
+    task_crashes: Counter<u64>,
+    crashing_jobs: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
 }
@@ -68,6 +70,14 @@
                 .u64_counter("kitetrail.workers.unusable_entries")
                 .with_description("Entries in the list of workers that turned unusable, by reason")
                 .build(),
+            task_crashes: meter
+                .u64_counter("kitetrail.task.crashes")
+                .with_description("Crashes of workers counted against a task, by evidence")
+                .build(),
+            crashing_jobs: meter
+                .u64_counter("kitetrail.crashing_jobs")
+                .with_description("Jobs that failed because a task crashes its workers")
+                .build(),
             evacuated_zones: meter
                 .u64_gauge("kitetrail.evacuated.zones")
                 .with_description(
@@ -105,6 +115,16 @@
         self.unusable_entries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a crash of a worker against a task that ran there.
+    pub fn note_task_crash(&self, evidence: &'static str) {
+        self.task_crashes.add(1, &[KeyValue::new("evidence", evidence)]);
+    }
+
+    /// Counts a job that failed because a task crashes its workers.
+    pub fn note_crashing_job(&self) {
+        self.crashing_jobs.add(1, &[]);
+    }
+
     /// Counts a question that a policy failed to answer.
     pub fn note_policy_fault(&self, function: &'static str) {
         self.policy_faults.add(1, &[KeyValue::new("function", function)]);
