Own interface: workers that are lost just as a job's task had started there count against the job

A run counts as started soundly once its worker has answered again after it had reported it running.

--- a/crates/kitetrail-core/src/shard/ledger.rs
+++ b/crates/kitetrail-core/src/shard/ledger.rs
@@ -30,6 +30,8 @@
     pub ordered_at: Option<u64>,
     /// Whether the worker reported it running.
     pub running: bool,
+    /// Whether the worker answered again after it had reported it running.
+    pub runs_on: bool,
     /// The work not saved by a checkpoint yet, in milliseconds.
     pub unsaved_ms: u64,
 }
@@ -47,6 +49,7 @@
             drain_until: None,
             ordered_at: None,
             running: false,
+            runs_on: false,
             unsaved_ms: 0,
         }
     }
@@ -63,6 +66,7 @@
             drain_until: None,
             ordered_at: Some(0),
             running: true,
+            runs_on: false,
             unsaved_ms: 0,
         }
     }
@@ -142,6 +146,13 @@
         }
     }
 
+    /// Takes note that the worker answered in the given run of its process.
+    pub fn note_answer(&mut self, boot: u64) {
+        for grant in self.grants.values_mut().filter(|grant| grant.boot == boot) {
+            grant.runs_on |= grant.running;
+        }
+    }
+
     /// The grant of a run, to be changed. Its size must stay.
     pub fn get_mut(&mut self, task: &TaskId, attempt: Attempt) -> Option<&mut Grant> {
         self.grants.get_mut(&(task.clone(), attempt))
--- a/crates/kitetrail-core/src/shard/owner.rs
+++ b/crates/kitetrail-core/src/shard/owner.rs
@@ -37,6 +37,9 @@
 const AVOID_AFTER_EVICTION: Duration = Duration::from_secs(30);
 /// How long room made for an urgent task is waited for before more is made.
 const PREEMPTION_PATIENCE: Duration = Duration::from_secs(3);
+/// How many workers that are lost in a row, each just as a job's task had started there, end the job. A worker that is lost
+/// by itself hits a task just then once in some tens of losses, so four in a row are the task's doing.
+const MAX_CRASHES: usize = 4;
 /// How many failed runs end a job, if there are too few workers to tell.
 const MAX_RUNS_ANYWHERE: u32 = 8;
 
@@ -114,6 +117,29 @@
     /// The progress it saved, in milliseconds of work.
     checkpoint_ms: u64,
     how: RunEnd,
+    crash: CrashSign,
+}
+
+/// Whether a task may have crashed the worker that was to run it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashSign {
+    /// It was ordered, and its worker was lost just as it had started there.
+    Suspected,
+    /// Its worker answered after it had reported it running, or reported its end.
+    Refuted,
+    /// An earlier owner may have ordered it.
+    Unknown,
+}
+
+impl CrashSign {
+    /// Of a run that is lost with its worker.
+    fn of(grant: &Grant) -> Self {
+        match grant.ordered_at {
+            _ if grant.runs_on => Self::Refuted,
+            Some(_) => Self::Suspected,
+            None => Self::Unknown,
+        }
+    }
 }
 
 /// How a run came to its end.
--- a/crates/kitetrail-core/src/shard/owner/relieve.rs
+++ b/crates/kitetrail-core/src/shard/owner/relieve.rs
@@ -1,6 +1,6 @@
 //! Takes work off workers that are silent, about to go, or under pressure.
 
-use super::{DRAIN, EndedRun, Owner, RunEnd};
+use super::{CrashSign, DRAIN, EndedRun, Owner, RunEnd};
 use crate::placement::Step;
 use crate::{
     Time,
@@ -34,6 +34,7 @@
                         attempt: *attempt,
                         checkpoint_ms: 0,
                         how: RunEnd::Stopped(RequeueReason::LeaseLapsed),
+                        crash: CrashSign::of(grant),
                     }),
                     Kind::Service if attached && self.is_current(task, *attempt, id) => {
                         replaced.push(task.clone());
--- a/crates/kitetrail-core/src/shard/owner/reply.rs
+++ b/crates/kitetrail-core/src/shard/owner/reply.rs
@@ -1,6 +1,9 @@
 //! Takes in what workers say.
 
-use super::{AVOID_AFTER_EVICTION, EndedRun, MAX_RUNS_ANYWHERE, Owner, RunEnd, queue_key};
+use super::{
+    AVOID_AFTER_EVICTION, CrashSign, EndedRun, MAX_CRASHES, MAX_RUNS_ANYWHERE, Owner, RunEnd,
+    queue_key,
+};
 use crate::{
     TaskId, Time, WorkerId,
     placement::{Band, Placer},
@@ -33,6 +36,7 @@
         if !state.hear(&reply, settings, now) {
             return;
         }
+        state.ledger.note_answer(reply.boot);
         if first_word {
             state.due = now;
         }
@@ -77,6 +81,10 @@
                 attempt: *attempt,
                 checkpoint_ms: 0,
                 how: RunEnd::Stopped(reason),
+                crash: match reason {
+                    RequeueReason::WorkerRestarted => CrashSign::of(grant),
+                    _ => CrashSign::Refuted,
+                },
             });
         }
         ends
@@ -115,6 +123,7 @@
             attempt: report.attempt,
             checkpoint_ms: report.checkpoint_ms,
             how,
+            crash: CrashSign::Refuted,
         })
     }
 
@@ -127,7 +136,7 @@
         now: Time,
         actions: &mut Vec<Action>,
     ) {
-        let EndedRun { worker, task, attempt, checkpoint_ms, how } = ended;
+        let EndedRun { worker, task, attempt, checkpoint_ms, how, .. } = ended;
         let current = self.is_current(task, *attempt, worker);
         let released = match self.workers.get_mut(worker) {
             Some(state) => state.ledger.release(task, *attempt).is_some(),
@@ -140,6 +149,13 @@
         self.note_health(ended, settings, now, actions);
         let Some(row) = self.rows.get_mut(task) else { return };
         row.checkpoint_ms = row.checkpoint_ms.max(*checkpoint_ms);
+        // A worker that crashed reports nothing, so a run that it loses can't count as failed.
+        match ended.crash {
+            CrashSign::Suspected => row.crashed_on.push(worker.clone()),
+            CrashSign::Refuted => row.crashed_on.clear(),
+            CrashSign::Unknown => {}
+        }
+        let crashes_workers = row.crashed_on.len() >= MAX_CRASHES;
         let kind = row.spec.kind;
         let gave_up = row.failed_on.len() as u32 >= settings.max_failures
             || row.failed_on.len() as u32 >= 1 && row.attempt.0 >= MAX_RUNS_ANYWHERE;
@@ -149,6 +165,9 @@
             RunEnd::Failed if kind == Kind::Job && gave_up => {
                 self.finish(task, Ending::Failed, actions);
             }
+            RunEnd::Stopped(_) if kind == Kind::Job && crashes_workers => {
+                self.finish(task, Ending::Failed, actions);
+            }
             RunEnd::Done => self.requeue(task, RequeueReason::Restarted, placer, actions),
             RunEnd::Failed => self.requeue(task, RequeueReason::Failed, placer, actions),
             RunEnd::Stopped(reason) => {
--- a/crates/kitetrail-core/src/task.rs
+++ b/crates/kitetrail-core/src/task.rs
@@ -80,7 +80,7 @@
 pub enum Ending {
     /// It ran to its end.
     Done,
-    /// It failed on too many sound workers.
+    /// It failed on too many sound workers, or crashed too many.
     Failed,
     /// Its operator cancelled it.
     Cancelled,
@@ -133,6 +133,9 @@
     /// The workers on which a run failed.
     #[serde(default)]
     pub failed_on: Vec<WorkerId>,
+    /// The workers that were lost just as it had started there, one run after the other.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed_on: Vec<WorkerId>,
     /// Whether its operator cancelled it while it was placed.
     #[serde(default)]
     pub cancelled: bool,
@@ -152,6 +155,7 @@
             stage: Stage::Queued,
             checkpoint_ms: 0,
             failed_on: Vec::new(),
+            crashed_on: Vec::new(),
             cancelled: false,
             ended_unix_ms: 0,
         }
