Crashing tasks: no copies of a task whose starts are kept, fewer tries where an owner was lost that may have known of crashes

Change: what may crash its worker is not copied; where an owner was lost, three crashes of any weight are enough. A test for clearing, and one that puts the first crash beside others: both see-red lines had stayed green.

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -11,8 +11,11 @@
 /// A task of this weight is given up: three strong crashes in a row. The platform bears two more after the third, and an owner
 /// that dies between a start and the news of its crash may miss one.
 const GIVEN_UP_AT: u32 = 3 * STRONG;
-/// After so many crashes in a row it is given up whatever they weigh. One that was missed makes five: two after the third.
+/// After so many crashes in a row it is given up whatever they weigh.
 const GIVEN_UP_AFTER: usize = 4;
+/// The same where an owner was lost that may have known of others: two, if it had started a copy. They make five, two after
+/// the third.
+const GIVEN_UP_AFTER_LOSS: usize = 3;
 /// After so many crashes in a row it starts without its checkpoint, which may be what crashes the worker: it has one or two
 /// tries left.
 const WITHOUT_CHECKPOINT_AFTER: usize = 2;
@@ -94,6 +97,9 @@
     /// In one of them its worker fell at once, and no other.
     #[serde(default)]
     pub fell_at_once: bool,
+    /// An owner was lost that may have known of others.
+    #[serde(default)]
+    pub may_miss_some: bool,
     /// For how long the last of these runs had run.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ran: Option<RanFor>,
@@ -120,7 +126,8 @@
 
     /// Whether the task is not to be started again.
     pub fn is_given_up(&self) -> bool {
-        self.weight >= GIVEN_UP_AT || self.workers.len() >= GIVEN_UP_AFTER
+        let most = if self.may_miss_some { GIVEN_UP_AFTER_LOSS } else { GIVEN_UP_AFTER };
+        self.weight >= GIVEN_UP_AT || self.workers.len() >= most
     }
 
     /// Whether a run that is known to have run for so long shows that the task does not crash its workers.
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -221,8 +221,8 @@
         let run = run.unwrap_or(task.last_run + 1);
         task.last_run = run;
         let suspected = task.crashes.is_suspected();
-        let keep_first = task.watched || (self.inherited_crashed && task.unaccounted);
-        task.unaccounted = false;
+        task.note_start(self.inherited_crashed);
+        let keep_first = task.watched;
         task.crashes.begun = keep_first.then(|| BegunRun { run, worker: life.id().clone() });
         task.placed.push(Placement { life: no, run });
         let checkpoint = task.checkpoint.clone().filter(|_| spec.keeps_progress);
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -7,7 +7,6 @@
         life::{Life, LifeNo},
         names::TaskName,
         run::{Phase, RunThere},
-        steps::Task,
     },
     Scheduler,
 };
@@ -132,8 +131,7 @@
         let Some(spec) = self.step_spec(name).cloned() else { return };
         let Some(job) = self.jobs.get(&name.job).filter(|job| job.is_open()) else { return };
         let task = job.task(name);
-        let suspected = |task: &Task| task.crashes.is_suspected();
-        if task.is_none_or(|task| task.done || task.placed.len() != 1 || suspected(task)) {
+        if task.is_none_or(|task| task.done || task.placed.len() != 1 || task.watched) {
             return;
         }
         self.avoid(name, no);
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -1,6 +1,6 @@
 //! The tasks of a job's steps: where they are and how far.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, mem};
 
 use super::{
     crashes::TaskCrashes,
@@ -40,6 +40,15 @@
 }
 
 impl Task {
+    /// Takes note that it is started. `owner_lost`: the owner before may have started it on a worker that crashed, and was
+    /// lost before it could count that.
+    pub(super) fn note_start(&mut self, owner_lost: bool) {
+        if mem::take(&mut self.unaccounted) && owner_lost {
+            self.watched = true;
+            self.crashes.may_miss_some = true;
+        }
+    }
+
     /// Whether it waits for a worker.
     pub(super) fn waits(&self, now: Time) -> bool {
         !self.done && self.placed.is_empty() && self.not_before.is_none_or(|at| at <= now)
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -162,6 +162,14 @@
         self.scheduler.state(JobId(id))
     }
 
+    /// How a job ended, as the log says, also after it was forgotten.
+    pub fn ended_as(&self, id: u64) -> Option<JobState> {
+        self.notes.iter().rev().find_map(|(_, note)| match note {
+            Note::JobEnded { job, state, .. } if *job == JobId(id) => Some(*state),
+            _ => None,
+        })
+    }
+
     /// How long after a moment a job was completed, `None` if it was not.
     pub fn completed_after(&self, id: u64, moment: Time) -> Option<Duration> {
         let is_it = |note: &Note| matches!(note, Note::JobEnded { job, state: JobState::Completed, .. } if *job == JobId(id));
--- a/crates/kitetrail-core/tests/jobs_crashing.rs
+++ b/crates/kitetrail-core/tests/jobs_crashing.rs
@@ -170,6 +170,34 @@
     assert_eq!(world.crashes_noticed(), 0);
 }
 
+#[test]
+fn a_task_that_runs_on_between_crashes_is_no_suspect_any_more() {
+    let mut world = World::new(6);
+    let name = task(1, 0, 0);
+    world.submit(1, job(vec![lasting(1)]));
+    for round in 0..6 {
+        // Its worker crashes just as it has started there; then it runs for long and leaves a worker that drains.
+        world.run_until("it runs", |world| !world.where_runs(name).is_empty());
+        let on = world.worker_of(name);
+        world.run_ms(50);
+        world.crash(&on);
+        world.run_until("it runs elsewhere", |world| !world.where_runs(name).is_empty());
+        world.run_ms(5_000);
+        let on = world.worker_of(name);
+        world.worker(&on).entry.draining = true;
+        let entry = world.worker(&on).entry.clone();
+        world.list(entry);
+        world.run_until("it has left", |world| !world.where_runs(name).contains(&on.as_str()));
+        world.worker(&on).crash();
+        let again = format!("again-{round}");
+        world.reborn(&on, &again);
+        world.worker(&again).entry.draining = false;
+        world.list_all();
+    }
+    world.run_ms(5_000);
+    assert_eq!(world.state(1), Some(JobState::Running));
+}
+
 #[test]
 fn a_suspect_runs_where_it_takes_nothing_with_it() {
     let mut world = World::new(12);
@@ -179,9 +207,14 @@
         world.submit(id, job(vec![lasting(4)]));
     }
     world.run_ms(1_000);
-    world.submit(1, job(vec![step(1)]));
+    // Of its size few fit on a worker, so that it is put beside others at first.
+    let large = |count| StepSpec { size: Resources::new(1_500, 512, 0), ..step(count) };
+    world.submit(7, job(vec![large(12)]));
+    world.run_ms(3_000);
+    world.submit(1, job(vec![large(1)]));
     world.run_until("the first crash", |world| world.crashes_of(crashing) == 1);
     let lost = world.crashes.lost_beside;
+    assert!(lost > 0, "the first crash took nothing with it");
     world.run_until("it is given up", |world| world.state(1) == Some(JobState::Failed));
     assert_eq!(world.crashes.lost_beside, lost, "a later crash took other runs with it");
     assert_eq!(world.crashes_of(crashing), 3);
@@ -235,3 +268,53 @@
     let lasting = (200..216).filter(|&id| world.state(id) != Some(JobState::Running));
     assert_eq!(lasting.collect::<Vec<_>>(), [0; 0], "jobs that last are not running");
 }
+
+/// One of the kinds of steps that a task may belong to which crashes its workers.
+fn any_kind(rng: &mut ChaCha8Rng) -> StepSpec {
+    match rng.random_range(0..5) {
+        0 => lasting(2),
+        1 => StepSpec { gang: true, ..step(3) },
+        2 => StepSpec { copies_allowed: true, ..step(2) },
+        3 => StepSpec { keeps_progress: true, ..step(2) },
+        _ => step(2),
+    }
+}
+
+#[test]
+fn crashing_tasks_are_given_up_whatever_else_happens() {
+    // Owners that die at any moment, a store that is away for seconds, workers that take 1 to 12 s to be back.
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World::new(16);
+        world.crashes.back_after = Duration::from_millis(rng.random_range(1_000..12_000));
+        world.submit(200, job(vec![lasting(6)]));
+        let mut epoch = 1;
+        for id in 1..=4 {
+            world.make_crashing(task(id, 0, 0));
+            world.submit(id, job(vec![any_kind(&mut rng)]));
+            world.submit(100 + id, job(vec![step(6)]));
+            world.run_ms(rng.random_range(0..3_000));
+        }
+        for _ in 0..6 {
+            match rng.random_range(0..3) {
+                0 => world.store_down = true,
+                _ => {
+                    epoch += 1;
+                    world.take_over(epoch, rng.random_bool(0.5));
+                }
+            }
+            world.run_ms(rng.random_range(100..4_000));
+            world.store_down = false;
+            world.run_ms(rng.random_range(100..6_000));
+        }
+        world.run_ms(90_000);
+        for id in 1..=4 {
+            let starts = world.starts_after_third_crash(task(id, 0, 0));
+            assert!(starts <= STARTS_AFTER_THIRD_CRASH, "{starts} starts, job {id}, seed {seed}");
+            assert_eq!(world.ended_as(id), Some(JobState::Failed), "job {id}, seed {seed}");
+            let beside = world.ended_as(100 + id);
+            assert_eq!(beside, Some(JobState::Completed), "job {}, seed {seed}", 100 + id);
+        }
+        assert_eq!(world.state(200), Some(JobState::Running), "seed {seed}");
+    }
+}
