--- a/crates/kitetrail-core/tests/jobs_crashing.rs
+++ b/crates/kitetrail-core/tests/jobs_crashing.rs
@@ -189,6 +189,7 @@
         world.list(entry);
         world.run_until("it has left", |world| !world.where_runs(name).contains(&on.as_str()));
         world.worker(&on).crash();
+        world.run_ms(50);
         let again = format!("again-{round}");
         world.reborn(&on, &again);
         world.worker(&again).entry.draining = false;
