Starts that have not left are taken back from a worker whose room shrinks

Cause: a start is placed by the room of that moment and may leave later: behind an order that is not answered, or once it is kept. The new room was used for the next placement alone, so such starts brought a worker over it. Change: as an entry with less room is read, starts that have not left are taken back, the last first, until the rest fits; of a gang all.

--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -25,6 +25,7 @@
 pub(super) mod room;
 mod set_aside;
 mod short_work;
+mod shrunk;
 mod slowed;
 mod stragglers;
 pub(super) mod tails;
--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -131,6 +131,11 @@
     }
 }
 
+/// Whether what runs on a worker, is about to or is being stopped takes more than the worker has.
+pub(super) fn is_over_room(life: &Life) -> bool {
+    !Taken::of(life).reserved.fits_in(&life.entry.capacity)
+}
+
 /// The processor time that a run uses of what is reserved for it, in thousandths of a core: of a task
 /// that serves its load, all of any other.
 fn used_millis(run: &RunThere) -> u32 {
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -143,10 +143,14 @@
             // taken for gone once its lease is over.
             life.lapses_at = life.lapses_at + self.may_be_renewed_for;
         }
+        let shrank = !life.entry.capacity.fits_in(&entry.capacity);
         life.listing = Listing::Listed;
         life.entry = Arc::new(entry);
         life.room = None;
         self.note_zone(no);
+        if shrank {
+            self.take_back_unfit(no);
+        }
         if let Some(belief) = belief {
             self.note_belief(no, belief);
         }
--- a/crates/kitetrail-core/tests/fleet/listing.rs
+++ b/crates/kitetrail-core/tests/fleet/listing.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use kitetrail_core::jobs::{Discovery, Event, WorkerEntry};
+use kitetrail_core::{
+    CpuMillis, Resources,
+    jobs::{Discovery, Event, WorkerEntry},
+};
 
 use super::{FakeWorker, World};
 
@@ -34,6 +37,17 @@
         self.tell(Event::Discovered(vec![Discovery::Listed(Box::new(entry))]));
     }
 
+    /// A worker has other cores from now on, in thousandths, and says so in the list.
+    pub fn set_cores(&mut self, id: &str, cpu_millis: u32) {
+        let now = self.now;
+        let worker = self.worker(id);
+        worker.had_cores.push((now, worker.entry.capacity.cpu_millis.0));
+        worker.entry.capacity =
+            Resources { cpu_millis: CpuMillis(cpu_millis), ..worker.entry.capacity };
+        let entry = worker.entry.clone();
+        self.list(entry);
+    }
+
     /// Tells the scheduler that a worker's entry is one that names no worker to use.
     pub fn list_unusable(&mut self, id: &str) {
         self.tell(Event::Discovered(vec![Discovery::Unusable(id.into())]));
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -23,6 +23,8 @@
 const STARTS_WITHIN_MS: u64 = 300;
 /// A member of a gang ends once it has waited so long for the others.
 const GANG_WAITS_MS: u64 = 3_000;
+/// A room that shrank counts so much later: what the platform calls being in touch, and a heartbeat.
+const SHRINKS_COUNT_AFTER: Duration = Duration::from_millis(4_100);
 /// A run that fails does so after this much work.
 const FAILS_AFTER_MS: u64 = 100;
 /// How much later a worker that is late carries an order out, unless it is told otherwise.
@@ -123,6 +125,8 @@
     pub mood: Mood,
     /// It left the list.
     pub gone: bool,
+    /// What it had before, in thousandths of a core, each with the moment at which that changed.
+    pub had_cores: Vec<(Time, u32)>,
     pub running: BTreeMap<TaskName, Running>,
     pub ended: Vec<RunEnd>,
     pub token: u64,
@@ -166,6 +170,7 @@
             entry,
             mood: Mood::Well,
             gone: false,
+            had_cores: Vec::new(),
             running: BTreeMap::new(),
             ended: Vec::new(),
             token: 0,
@@ -209,6 +214,7 @@
             Order::Start(start) => {
                 self.leased_until_ms = self.leased_until_ms.max(lease_until_ms);
                 self.running.insert(start.task, Running::new(start.run, work));
+                self.check_room(now);
             }
             Order::Stop { task, run } => {
                 if self.running.get(task).is_some_and(|running| running.run == *run) {
@@ -224,6 +230,18 @@
         OrderAnswer::Done { clock_ms }
     }
 
+    /// Panics if what runs takes more than the worker has said to have of late.
+    fn check_room(&self, now: Time) {
+        if self.had_cores.is_empty() {
+            return;
+        }
+        let of_late =
+            self.had_cores.iter().filter(|(until, _)| now.since(*until) <= SHRINKS_COUNT_AFTER);
+        let most = of_late.map(|(_, cores)| *cores).chain([self.entry.capacity.cpu_millis.0]).max();
+        let taken = self.running.values().map(|running| running.cpu_millis).sum::<u32>();
+        assert!(Some(taken) <= most, "{} takes {taken} of {most:?} at {now}", self.entry.id);
+    }
+
     /// Keeps an order to carry it out at a later moment.
     pub fn take_later(
         &mut self,
