A box counts the time that its machine was suspended

Cause: the core's time came from Instant, which stands still while a machine is suspended. A box that woke believed that no time had passed: that it reached the store a moment ago and owns the fleet, that what it read is fresh, and that its workers' clocks were behind by the suspension. A frozen process was caught by these checks, a suspended one by none. Not proved there: no real suspension was played.

--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -39,6 +39,9 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// How often the log says how many lines it left out, if any. Chosen: it adds a line a second at most.
 const TELL_LEFT_OUT_EVERY: Duration = Duration::from_millis(1_000);
+/// The two clocks of a machine that runs are read one after the other, some microseconds apart; a pause that others notice is
+/// longer than this.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
 /// How often the answers to the platform's question and to other boxes are brought up to date.
 const READY_EVERY: Duration = Duration::from_millis(100);
 
@@ -113,7 +116,9 @@
 }
 
 async fn keep_ready<P: Platform>(shared: Rc<Shared<P>>, ready: ReadyFlag) {
+    let mut suspended = Duration::ZERO;
     loop {
+        suspended = tell_suspension(&shared, suspended);
         if ready.swap(shared.is_ready(), Ordering::Relaxed) != shared.is_ready() {
             log::info!(ready = shared.is_ready(); "daemon: takes new connections, or not");
         }
@@ -122,6 +127,21 @@
     }
 }
 
+/// Says that the machine was suspended, if it was since a look that found it suspended for so long in all.
+fn tell_suspension<P: Platform>(shared: &Rc<Shared<P>>, before: Duration) -> Duration {
+    let suspended = shared.clock.suspended();
+    let lately = suspended.saturating_sub(before);
+    if lately < LEAST_SUSPENSION {
+        return before;
+    }
+    shared.metrics.note_suspension();
+    log::warn!(
+        suspended_ms = lately.as_millis() as u64, owns = shared.local_owner.borrow().is_some();
+        "daemon: its machine was suspended"
+    );
+    suspended
+}
+
 /// Gives the fleet up, finishes what is in progress, and returns.
 async fn stop<P: Platform>(shared: &Rc<Shared<P>>) {
     let started = Instant::now();
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -23,6 +23,7 @@
     unusable_entries: Counter<u64>,
     task_crashes: Counter<u64>,
     crashing_jobs: Counter<u64>,
+    suspensions: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
 }
@@ -78,6 +79,10 @@
                 .u64_counter("kitetrail.crashing_jobs")
                 .with_description("Jobs that failed because a task crashes its workers")
                 .build(),
+            suspensions: meter
+                .u64_counter("kitetrail.suspensions")
+                .with_description("Times that the box found its machine was suspended")
+                .build(),
             evacuated_zones: meter
                 .u64_gauge("kitetrail.evacuated.zones")
                 .with_description(
@@ -125,6 +130,11 @@
         self.crashing_jobs.add(1, &[]);
     }
 
+    /// Counts a suspension of the box's machine.
+    pub fn note_suspension(&self) {
+        self.suspensions.add(1, &[]);
+    }
+
     /// Counts a question that a policy failed to answer.
     pub fn note_policy_fault(&self, function: &'static str) {
         self.policy_faults.add(1, &[KeyValue::new("function", function)]);
