--- a/crates/kitetrail-core/tests/jobs_crashing.rs
+++ b/crates/kitetrail-core/tests/jobs_crashing.rs
@@ -199,6 +199,25 @@
     assert_eq!(world.state(1), Some(JobState::Running));
 }
 
+#[test]
+fn a_task_that_is_hit_by_three_waves_as_it_starts_is_not_failed() {
+    let mut world = World::new(12);
+    let name = task(1, 0, 0);
+    world.submit(1, job(vec![lasting(1)]));
+    for _ in 0..3 {
+        world.run_until("it runs", |world| !world.where_runs(name).is_empty());
+        world.run_ms(50);
+        let on = world.worker_of(name);
+        let well = world.workers.iter().filter(|(_, worker)| worker.mood == Mood::Well);
+        let others = well.map(|(id, _)| id.clone()).filter(|id| *id != on).take(5);
+        for id in others.collect::<Vec<_>>().iter().chain([&on]) {
+            world.crash(id);
+        }
+    }
+    world.run_ms(10_000);
+    assert_eq!(world.state(1), Some(JobState::Running));
+}
+
 #[test]
 fn a_suspect_runs_where_it_takes_nothing_with_it() {
     let mut world = World::new(12);
