Crashing tasks: any task with a crash is cleared by a run that goes on; checkpoints are dropped only after a crash at once

Read as a newcomer: only tasks that run alone were cleared, so weak crashes of a blameless task added up however long it ran between; a task that was in the way of two crashes lost its saved progress.

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -16,8 +16,8 @@
 const GIVEN_UP_AT: u32 = 60;
 /// The same where an owner was lost that may have known of others: one, or two if it had started a copy.
 const GIVEN_UP_AT_AFTER_LOSS: u32 = 45;
-/// After so many crashes in a row it starts without its checkpoint, which may be what crashes the worker: it has one or two
-/// tries left.
+/// After so many crashes in a row, one of them at once, it starts without its checkpoint, which may be what crashes the worker: it
+/// has one or two tries left.
 const WITHOUT_CHECKPOINT_AFTER: usize = 2;
 /// After so many it runs alone, also if it had run for a while each time.
 const ALONE_AFTER: usize = 2;
@@ -118,13 +118,13 @@
     }
 
     /// Whether the task is to run alone.
-    pub fn is_suspected(&self) -> bool {
+    pub fn runs_alone(&self) -> bool {
         self.fell_at_once || self.workers.len() >= ALONE_AFTER
     }
 
     /// Whether it starts without its checkpoint.
     pub fn drops_checkpoint(&self) -> bool {
-        self.workers.len() >= WITHOUT_CHECKPOINT_AFTER
+        self.fell_at_once && self.workers.len() >= WITHOUT_CHECKPOINT_AFTER
     }
 
     /// Whether the task is not to be started again.
--- a/crates/kitetrail-core/src/jobs/scheduler/crashed.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crashed.rs
@@ -122,7 +122,7 @@
         task.crashes.note(worker.clone(), suspect.evidence, suspect.ran);
         task.watched = true;
         let crashes = task.crashes.workers.len() as u32;
-        if task.crashes.is_suspected() {
+        if task.crashes.runs_alone() {
             task.not_before = Some(now + CRASH_PAUSE * 2_u32.pow(crashes - 1));
         }
         let given_up = task.crashes.is_given_up();
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -62,8 +62,8 @@
     /// Where it failed, or was slow.
     pub(super) avoid: Option<LifeNo>,
     pub(super) now: Time,
-    /// Workers crashed under it: it is to run alone.
-    pub(super) suspected: bool,
+    /// It may crash its worker.
+    pub(super) runs_alone: bool,
     /// How late its job is: what is hopeless takes places that are worse.
     pub(super) lateness: Lateness,
     pub(super) tails: &'a TailModel,
@@ -91,7 +91,7 @@
         let apart = spec.same_rack && self.rack.is_some_and(|rack| rack != life.entry.rack);
         let far = if far || apart { FAR } else { 0.0 };
         let failed = if self.avoid == Some(no) { FAILED_THERE } else { 0.0 };
-        let lost = if self.suspected { lost_beside(life, self.now) } else { 0.0 };
+        let lost = if self.runs_alone { lost_beside(life, self.now) } else { 0.0 };
         Some(FULLNESS * fullness + DISTURBANCE * disturbance + far + failed + lost)
     }
 
@@ -128,7 +128,7 @@
             return false;
         }
         let members_here = self.members.iter().filter(|&&member| member == no).count() as u32;
-        if self.suspected && members_here > 0 {
+        if self.runs_alone && members_here > 0 {
             return false;
         }
         !self.has_most_siblings(life, members_here)
--- a/crates/kitetrail-core/src/jobs/scheduler/kept_starts.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/kept_starts.rs
@@ -6,7 +6,7 @@
 //! crash, a task was started 37 times after the third in 120 s without this; with it four workers crash in all (virtual
 //! time). A start costs a row and waits for one batch, 15 ms; starts of other tasks are not kept.
 
-use std::{collections::BTreeMap, mem};
+use std::collections::BTreeMap;
 
 use super::{
     super::{
@@ -55,7 +55,7 @@
             let life = self.lives.get_mut(no);
             let run = life.and_then(|life| life.run_mut(order.task, order.run));
             let Some(run) = run.filter(|run| run.phase == Phase::Unkept) else { continue };
-            let _ = mem::replace(&mut run.phase, Phase::Ordered);
+            run.phase = Phase::Ordered;
             self.order(no, Order::Start(order));
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -106,7 +106,8 @@
     fn rank(&mut self, name: TaskName, spec: &StepSpec, pass: &Pass) -> Ranking {
         self.refresh_rooms();
         // What one task should avoid, its siblings need not.
-        let fit = self.fit(name, spec, &[]).map(|fit| Fit { avoid: None, suspected: false, ..fit });
+        let fit =
+            self.fit(name, spec, &[]).map(|fit| Fit { avoid: None, runs_alone: false, ..fit });
         let Some(fit) = fit else { return Ranking::new(iter::empty()) };
         let score = |no| Some((self.score_with(&fit, no, self.lives.get(no)?)?, no));
         Ranking::new(pass.with_room_for(spec).filter_map(score))
@@ -144,7 +145,7 @@
             rack: first.map(|life| life.entry.rack.as_str()),
             avoid: job.task(name).and_then(|task| task.avoid),
             now: self.now,
-            suspected: job.task(name).is_some_and(|task| task.crashes.is_suspected()),
+            runs_alone: job.task(name).is_some_and(|task| task.crashes.runs_alone()),
             lateness: Lateness::of(job, self.now),
             tails: &self.tails,
             short_work: &self.short_work,
@@ -221,7 +222,8 @@
         let Some(life) = self.lives.get_mut(no) else { return };
         let run = run.unwrap_or(task.last_run + 1);
         task.last_run = run;
-        let suspected = task.crashes.is_suspected();
+        let suspected = !task.crashes.workers.is_empty();
+        let alone = task.crashes.runs_alone();
         task.note_start(self.inherited_crashed);
         let keep_first = task.watched;
         task.crashes.begun = keep_first.then(|| BegunRun { run, worker: life.id().clone() });
@@ -240,7 +242,7 @@
         }
         let phase = if keep_first { Phase::Unkept } else { Phase::Ordered };
         let there = RunThere::new(run, spec, image, self.now);
-        life.insert_run(name, RunThere { phase, suspected, alone: suspected, ..there });
+        life.insert_run(name, RunThere { phase, suspected, alone, ..there });
         let order = StartOrder { task: name, run, payload, checkpoint, ticket: None };
         match keep_first {
             true => self.order_once_kept(no, order),
