At most 128 tasks' crashes are kept in a job's row

Cause: read in the diff: each task that is lost with its worker adds some 100 bytes to its job's row, and the store refuses more than 64 KiB for good, which costs the owner the fleet. Change: the heaviest are kept. After: under 64 KiB, and a task that crashes its workers among the 2,000 is still failed after three.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -17,6 +17,10 @@
 };
 use crate::Time;
 
+/// The most tasks of a job whose crashes are kept: 150 bytes each, so that the row stays under the 64 KiB that the store takes. Of
+/// 2,000 tasks that were lost at once it had 200 KB, and the store's refusal costs an owner the fleet.
+const MOST_KEPT_CRASHES: usize = 128;
+
 /// An accepted job.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -273,10 +277,11 @@
             let steps = occurrence.steps.iter().map(Step::progress).collect();
             (number, OccurrenceProgress { steps })
         };
-        let occurrences = match self.outcome {
+        let mut occurrences = match self.outcome {
             Outcome::Open => self.occurrences.iter().map(pack).collect(),
             _ => BTreeMap::new(),
         };
+        keep_heaviest_crashes(&mut occurrences);
         ProgressRecord {
             id: self.id,
             outcome: self.outcome,
@@ -303,3 +308,25 @@
         }
     }
 }
+
+/// Leaves out crashes of tasks beyond [`MOST_KEPT_CRASHES`], those that weigh least first.
+fn keep_heaviest_crashes(occurrences: &mut BTreeMap<u32, OccurrenceProgress>) {
+    let steps = occurrences.values().flat_map(|occurrence| &occurrence.steps);
+    let mut weights =
+        steps.flat_map(|step| &step.crashes).map(|(_, it)| it.weight).collect::<Vec<_>>();
+    if weights.len() <= MOST_KEPT_CRASHES {
+        return;
+    }
+    weights.sort_unstable_by(|a, b| b.cmp(a));
+    let least = weights[MOST_KEPT_CRASHES - 1];
+    let heavier = weights.iter().filter(|&&weight| weight > least).count();
+    // Of those that weigh the same some are left out.
+    let mut left = MOST_KEPT_CRASHES - heavier;
+    for step in occurrences.values_mut().flat_map(|occurrence| &mut occurrence.steps) {
+        step.crashes.retain(|_, crashes| {
+            let as_heavy = crashes.weight == least && left > 0;
+            left -= usize::from(as_heavy);
+            crashes.weight > least || as_heavy
+        });
+    }
+}
--- a/crates/kitetrail-core/tests/jobs_crashing.rs
+++ b/crates/kitetrail-core/tests/jobs_crashing.rs
@@ -24,9 +24,11 @@
 use fleet::{Mood, World, job, step, task};
 use kitetrail_core::{
     Resources, Time,
-    jobs::{JobState, StepSpec},
+    jobs::{JobId, JobState, StepSpec},
 };
 
+/// The store takes 64 KiB a row.
+const MOST_ROW_BYTES: usize = 64 * 1_024;
 /// After three crashes a task may be started so often: the users bear two more crashes.
 const STARTS_AFTER_THIRD_CRASH: usize = 2;
 
@@ -218,6 +220,31 @@
     assert_eq!(world.state(1), Some(JobState::Running));
 }
 
+#[test]
+fn what_is_kept_of_crashes_fits_a_row_of_the_store() {
+    // 2,000 tasks of one job are lost with their workers, and started anew by an owner that can't account for them.
+    let mut world = World::new(64);
+    let small = StepSpec { lasts: true, size: Resources::new(100, 50, 0), ..step(2_000) };
+    world.submit(1, job(vec![small]));
+    world.run_until("they run", |world| world.starts.len() == 2_000);
+    let ids = world.workers.keys().cloned().collect::<Vec<_>>();
+    ids.iter().for_each(|id| world.crash(id));
+    world.take_over(2, false);
+    let mut largest = 0;
+    for _ in 0..100 {
+        world.run_ms(100);
+        let kept = world.progress.get(&JobId(1));
+        largest = largest.max(kept.map_or(0, |kept| serde_json::to_vec(kept).unwrap().len()));
+    }
+    assert!(world.starts.len() >= 4_000, "they were started anew");
+    assert!(largest > 0 && largest < MOST_ROW_BYTES, "{largest} bytes");
+    // What weighs most is kept: the last task crashes its worker alone, once more.
+    let last = task(1, 0, 1_999);
+    world.make_crashing_after(last, Duration::ZERO);
+    world.run_until("it has crashed three workers", |world| world.crashes_of(last) == 3);
+    world.run_until("the job is failed", |world| world.state(1) == Some(JobState::Failed));
+}
+
 #[test]
 fn a_suspect_runs_where_it_takes_nothing_with_it() {
     let mut world = World::new(12);
