Sight: which start of a worker its entry, reports and answers tell, and ends that are passed over

What the log of the incident could not tell apart: an end that the owner takes for an old one left no trace, and neither did a worker that started again under its id. The field that tells a worker's start is read where the platform's names are read, once, into a type; a line tells of a worker whose start changed, with the last end that was heard before, and one of an end of a run that is believed to run whose number was heard before. No decision changes.

--- a/crates/kitetrail-core/src/jobs/names.rs
+++ b/crates/kitetrail-core/src/jobs/names.rs
@@ -13,6 +13,8 @@
 const SHOWN_OF_JOB_ID: usize = 40;
 /// The same for a task's name, whose numbers may be long.
 const SHOWN_OF_TASK_NAME: usize = 80;
+/// The same for the incarnation of a worker, a number of 20 digits at most.
+const SHOWN_OF_INCARNATION: usize = 40;
 /// The length of a job's id in hexadecimal digits, of a 64-bit number.
 const JOB_ID_DIGITS: usize = 16;
 
@@ -170,3 +172,27 @@
     /// The id of one life of a worker: it changes when the worker starts anew.
     LifeId
 }
+
+/// Which start of a worker under its id: the moment of it, in milliseconds since 1970.
+///
+/// It tells two incarnations of a worker apart, no more: the time of day may have been put back between them, so which of
+/// two is the later one only answers show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+impl Display for Incarnation {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = InvalidName;
+
+    fn from_str(s: &str) -> Result<Self, InvalidName> {
+        s.parse().map(Self).map_err(|_| InvalidName {
+            text: s.chars().take(SHOWN_OF_INCARNATION).collect(),
+            expected: "an incarnation: write milliseconds since 1970 as a whole number",
+        })
+    }
+}
--- a/crates/kitetrail-core/src/jobs/note.rs
+++ b/crates/kitetrail-core/src/jobs/note.rs
@@ -3,7 +3,7 @@
 use super::{
     crashes::CrashEvidence,
     event::JobState,
-    names::{JobId, LifeId, QueueName, TaskName},
+    names::{Incarnation, JobId, LifeId, QueueName, TaskName},
     order::OrderAnswer,
     report::HowEnded,
     spec::WorkKind,
@@ -59,6 +59,34 @@
         /// How.
         how: HowEnded,
     },
+    /// A worker told the end of a run that is believed to run there, under a number that was heard before.
+    EndPassedOver {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: LifeId,
+        /// The worker's number of the end.
+        number: u64,
+        /// The highest number that was heard.
+        seen: u64,
+    },
+    /// A worker is another incarnation than it was: it started again under its id.
+    WorkerRestarted {
+        /// The worker.
+        worker: LifeId,
+        /// The incarnation before, if it was told.
+        before: Option<Incarnation>,
+        /// The incarnation now.
+        now: Incarnation,
+        /// What tells of it.
+        source: &'static str,
+        /// The number of the last end that was heard of the one before.
+        ends_seen: u64,
+        /// How many runs were believed there.
+        runs: u32,
+    },
     /// A run was given up: where it was placed can't be running it any more.
     RunGivenUp {
         /// The task.
--- a/crates/kitetrail-core/src/jobs/order.rs
+++ b/crates/kitetrail-core/src/jobs/order.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::names::TaskName;
+use super::names::{Incarnation, TaskName};
 
 /// A task to start.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,6 +78,8 @@
     Done {
         /// The worker's clock, in milliseconds.
         clock_ms: u64,
+        /// Which start of the worker under its id has done it, if the answer tells.
+        incarnation: Option<Incarnation>,
     },
     /// It is not done.
     Refused(Refusal),
--- a/crates/kitetrail-core/src/jobs/report.rs
+++ b/crates/kitetrail-core/src/jobs/report.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::names::TaskName;
+use super::names::{Incarnation, TaskName};
 
 /// Asks a worker what it runs, and lets it go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +33,8 @@
 /// What a worker says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
+    /// Which start of the worker under its id tells it, if the platform tells.
+    pub incarnation: Option<Incarnation>,
     /// Its clock, in milliseconds.
     pub clock_ms: u64,
     /// What runs there.
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -27,7 +27,7 @@
         let now = self.now;
         let Some(life) = self.lives.get_mut(no) else { return };
         if end.number <= life.ends_seen {
-            return;
+            return self.note_passed_over(no, end);
         }
         life.ends_seen = end.number;
         let ended = life.remove_run(end.task, end.run);
@@ -54,6 +54,17 @@
         }
     }
 
+    /// Writes to the log that the end of a run which is believed to run was told under a number heard before. An end that
+    /// is repeated was taken out when it was heard first.
+    fn note_passed_over(&mut self, no: LifeNo, end: &RunEnd) {
+        let Some(life) = self.lives.get(no) else { return };
+        if life.runs().get(&end.task).is_some_and(|there| there.run == end.run) {
+            let RunEnd { task, run, number, .. } = *end;
+            let (worker, seen) = (life.id().clone(), life.ends_seen);
+            self.out.push(Action::Note(Note::EndPassedOver { task, run, worker, number, seen }));
+        }
+    }
+
     fn note_checkpoint(&mut self, end: &RunEnd) {
         let Some(task) = self.task_mut(end.task) else { return };
         task.last_run = task.last_run.max(end.run);
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -66,9 +66,13 @@
         let Some(life) = self.lives.get_mut(no) else { return };
         let first = !life.known;
         life.known = true;
+        let was = life.entry.incarnation;
         life.note_heard(report.clock_ms, now);
         life.note_running(report);
         self.unheard.remove(&no);
+        if report.incarnation.is_some() && report.incarnation != was {
+            self.note_restarted(no, was, report.incarnation, "report");
+        }
         if first {
             self.end_earlier_lives(no, sent_at);
             self.forget_begun(no, report);
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -81,6 +81,7 @@
     fn inherit_life(&mut self, record: LifeRecord, begun_before: Vec<TaskName>, lapses_at: Time) {
         let entry = WorkerEntry {
             id: record.id,
+            incarnation: None,
             machine: None,
             service: record.service,
             address: record.address,
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -112,7 +112,7 @@
         let now = self.now;
         let Some(life) = self.lives.get_mut(no) else { return };
         life.order_sent = false;
-        if let OrderAnswer::Done { clock_ms } = answer {
+        if let OrderAnswer::Done { clock_ms, .. } = answer {
             life.note_heard(clock_ms, now);
         } else {
             let (task, run) = order.run();
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -4,8 +4,10 @@
 
 use super::{
     super::{
-        event::Discovery,
+        event::{Action, Discovery},
         life::{Life, LifeEnd, LifeNo, Listing},
+        names::Incarnation,
+        note::Note,
         run::RunThere,
         worker_entry::WorkerEntry,
     },
@@ -132,6 +134,8 @@
     fn listed_known(&mut self, no: LifeNo, mut entry: WorkerEntry) {
         let Some(life) = self.lives.get_mut(no) else { return };
         entry.draining |= life.entry.draining;
+        let incarnation = entry.incarnation;
+        let was = life.entry.incarnation;
         let (was_listed, was_missing) = (life.listing == Listing::Listed, life.is_missing());
         let belief = match (entry.draining && !life.entry.draining, was_listed) {
             (true, _) => Some("draining"),
@@ -148,6 +152,9 @@
         life.entry = Arc::new(entry);
         life.room = None;
         self.note_zone(no);
+        if was != incarnation {
+            self.note_restarted(no, was, incarnation, "entry");
+        }
         if shrank {
             self.take_back_unfit(no);
         }
@@ -172,6 +179,21 @@
         self.hold_if_due(no);
     }
 
+    /// Writes to the log that a worker is another incarnation than it was.
+    pub(super) fn note_restarted(
+        &mut self,
+        no: LifeNo,
+        before: Option<Incarnation>,
+        now: Option<Incarnation>,
+        source: &'static str,
+    ) {
+        let Some((life, now)) = self.lives.get(no).zip(now) else { return };
+        let (worker, ends_seen) = (life.id().clone(), life.ends_seen);
+        let runs = life.runs().len() as u32;
+        let note = Note::WorkerRestarted { worker, before, now, source, ends_seen, runs };
+        self.out.push(Action::Note(note));
+    }
+
     pub(super) fn insert_life(&mut self, entry: WorkerEntry, lapses_at: Time) -> LifeNo {
         let id = entry.id.clone();
         let no = self.lives.push(Life::new(entry, self.first_token(), lapses_at, self.now));
--- a/crates/kitetrail-core/src/jobs/worker_entry.rs
+++ b/crates/kitetrail-core/src/jobs/worker_entry.rs
@@ -1,6 +1,6 @@
 //! What a worker says of itself in the list of workers.
 
-use super::names::LifeId;
+use super::names::{Incarnation, LifeId};
 use crate::Resources;
 
 /// What a worker says of itself in the list of workers.
@@ -8,6 +8,8 @@
 pub struct WorkerEntry {
     /// This life of it.
     pub id: LifeId,
+    /// Which of its starts under this id wrote it, if the platform tells.
+    pub incarnation: Option<Incarnation>,
     /// The machine it lives on, if it names one.
     pub machine: Option<String>,
     /// The service whose tasks it runs.
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -151,6 +151,7 @@
     pub fn new(no: u32) -> Self {
         let entry = WorkerEntry {
             id: format!("w{no}").as_str().into(),
+            incarnation: None,
             machine: Some(format!("m{no}")),
             service: "desk".to_owned(),
             address: format!("10.0.0.{no}:80"),
@@ -227,7 +228,7 @@
                 }
             }
         }
-        OrderAnswer::Done { clock_ms }
+        OrderAnswer::Done { clock_ms, incarnation: None }
     }
 
     /// Panics if what runs takes more than the worker has said to have of late.
@@ -330,7 +331,12 @@
                 false => running.cpu_millis * u32::from(running.percent) / 100,
             }),
         });
-        Report { clock_ms: now.as_ms(), running: running.collect(), ended: self.ended.clone() }
+        Report {
+            incarnation: None,
+            clock_ms: now.as_ms(),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
     }
 
     /// Lets the worker work for one step of the clock.
--- a/crates/kitetrail-core/tests/jobs_incarnations.rs
+++ b/crates/kitetrail-core/tests/jobs_incarnations.rs
@@ -102,7 +102,12 @@
         world.run_ms(500);
         // The answer of the earlier life is on its way as it crashes.
         let (life, hold, sent_at) = world.worker("w0").held.take().unwrap();
-        let report = Report { clock_ms: world.now.as_ms(), running: vec![], ended: vec![] };
+        let report = Report {
+            incarnation: None,
+            clock_ms: world.now.as_ms(),
+            running: vec![],
+            ended: vec![],
+        };
         world.run_ms(50);
         world.reborn("w0", "w0-again");
         world.list_all();
--- a/crates/kitetraild/src/fleet/notes.rs
+++ b/crates/kitetraild/src/fleet/notes.rs
@@ -24,6 +24,16 @@
             how:? = *how;
             "run: ended"
         ),
+        Note::EndPassedOver { task, run, worker, number, seen } => log::warn!(
+            job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
+            number = *number, seen = *seen;
+            "run: its end was passed over, its number was heard before"
+        ),
+        Note::WorkerRestarted { worker, before, now, source, ends_seen, runs } => log::warn!(
+            worker = worker.as_str(), before:? = *before, now = now.to_string(), source = *source,
+            ends_seen = *ends_seen, runs = *runs;
+            "worker: started again under its id"
+        ),
         Note::RunGivenUp { task, run, worker, why, ran_ms, beside } => log::warn!(
             job = task.job.to_string(), task = short(task), run = *run, worker = worker.as_str(),
             why = *why, ran_ms:? = *ran_ms, beside = *beside;
