Failing tests: tasks run again, and fail more often than allowed, on workers that started again under their ids

What users saw, on virtual time: three of four workers start again under the ids they had; tasks that end there are started again, and failed runs are not counted. The fleet of the tests now keeps what workers were told is kept, and panics where a task is started after an end that was taken note of, as done, or as often failed as its queue allows; its workers count their clocks from their start and grant leases of 6 s at most.

--- a/crates/kitetrail-core/tests/fleet/crashes.rs
+++ b/crates/kitetrail-core/tests/fleet/crashes.rs
@@ -106,8 +106,9 @@
         if !spec.is_some_and(|step| step.gang) {
             return;
         }
+        let now = self.now;
         for worker in self.workers.values_mut() {
-            worker.break_step(name);
+            worker.break_step(now, name);
         }
     }
 
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod listing;
 mod owners;
 mod processor;
+mod restarts;
 mod specs;
 mod worker;
 
@@ -25,6 +26,7 @@
 pub use crashes::Crashes;
 use owners::scheduler;
 pub use processor::Processor;
+use restarts::ToldKept;
 pub use specs::{job, queue, step, task};
 use worker::Work;
 pub use worker::{FakeWorker, Mood};
@@ -62,6 +64,12 @@
     over: BTreeSet<String>,
     /// Holds that reached such a machine.
     held_by_another: Vec<(LifeNo, Hold, Time)>,
+    /// Holds whose connection broke as their worker crashed.
+    broken_holds: Vec<(LifeNo, Hold, Time)>,
+    /// How often workers started again under their ids.
+    restarts: u64,
+    /// What workers were told is kept, by task.
+    told_kept: ToldKept,
     /// The store answers nothing.
     pub store_down: bool,
     /// How long it takes over a batch.
@@ -117,6 +125,9 @@
             crashes: Crashes::default(),
             over: BTreeSet::new(),
             held_by_another: Vec::new(),
+            broken_holds: Vec::new(),
+            restarts: 0,
+            told_kept: ToldKept::default(),
             store_down: false,
             store_takes: STORE,
             work_ms: None,
@@ -143,6 +154,9 @@
     /// Hands a job in.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> RequestNo {
         let request = self.request();
+        if self.state(id).is_none() {
+            self.told_kept.forget(JobId(id));
+        }
         self.specs.insert(JobId(id), spec.clone());
         self.handed_in.insert(request, JobId(id));
         let (job, queue) = (JobId(id), queue());
@@ -392,6 +406,10 @@
         for (life, hold, sent_at) in self.held_by_another.drain(..) {
             answers.push(Event::Held { life, hold, sent_at, answer: Err(HoldFailure::LifeOver) });
         }
+        for (life, hold, sent_at) in self.broken_holds.drain(..) {
+            let answer = Err(HoldFailure::Unanswered);
+            answers.push(Event::Held { life, hold, sent_at, answer });
+        }
         self.mark_gangs();
         for (id, worker) in &mut self.workers {
             worker.work(now);
@@ -412,6 +430,7 @@
             self.tell(answer);
         }
         self.check_once();
+        self.check_told_kept();
     }
 
     /// Members of a gang stand still until all of one run are there.
--- /dev/null
+++ b/crates/kitetrail-core/tests/fleet/restarts.rs
@@ -0,0 +1,105 @@
+//! Workers that start again under their ids, and what must not happen then.
+
+use std::collections::BTreeMap;
+
+use kitetrail_core::{
+    Time,
+    jobs::{HowEnded, Incarnation, JobId, TaskName, WorkerEntry},
+};
+
+use super::{DAY_UNIX_MS, FakeWorker, World, queue};
+
+/// How far apart the clocks of a worker's incarnations are, in milliseconds. Counted from anew, a clock shows any time.
+const CLOCKS_APART_MS: u64 = 7_654_321;
+
+/// What workers were told is kept, by task.
+#[derive(Debug, Default)]
+pub struct ToldKept {
+    /// When the last run of a task ended as done.
+    done: BTreeMap<TaskName, Time>,
+    /// When runs of a task ended as failed, in order.
+    failed: BTreeMap<TaskName, Vec<Time>>,
+    /// How many starts were looked at.
+    checked: usize,
+}
+
+impl ToldKept {
+    /// Forgets a job: what is handed in under its id from now on is another one.
+    pub(super) fn forget(&mut self, job: JobId) {
+        self.done.retain(|name, _| name.job != job);
+        self.failed.retain(|name, _| name.job != job);
+    }
+}
+
+impl World {
+    /// A worker crashes and starts again at once, under its id and at its address. Returns the entry of before.
+    pub fn restart(&mut self, id: &str) -> WorkerEntry {
+        let before = self.workers.remove(id).expect("the fleet has this worker");
+        self.broken_holds.extend(before.held);
+        self.restarts += 1;
+        let incarnation = Some(Incarnation(DAY_UNIX_MS + self.now.as_ms()));
+        let entry = WorkerEntry { incarnation, ..before.entry.clone() };
+        let mut worker = FakeWorker::with_entry(entry);
+        worker.clock_ahead_ms = self.restarts * CLOCKS_APART_MS;
+        self.workers.insert(id.to_owned(), worker);
+        before.entry
+    }
+
+    /// Makes all workers tell when they started.
+    pub fn tell_incarnations(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.entry.incarnation = Some(Incarnation(DAY_UNIX_MS));
+        }
+        self.list_all();
+    }
+
+    /// Panics if a task is started after an end which its worker was told is kept: one as done, or as many as failed as it
+    /// may have. Ends that were told later count as well.
+    pub(super) fn check_told_kept(&mut self) {
+        let told = self.workers.values_mut().flat_map(|worker| worker.told_kept.drain(..));
+        for (at, end) in told.collect::<Vec<_>>() {
+            match end.how {
+                HowEnded::Done => self.note_done(end.task, at),
+                HowEnded::Failed => self.note_failed(end.task, at),
+                HowEnded::Stopped | HowEnded::Lapsed | HowEnded::Broken | HowEnded::Alone => {}
+            }
+        }
+        for at in self.told_kept.checked..self.starts.len() {
+            let (started, name, ..) = &self.starts[at];
+            let is_over = self.told_kept.done.get(name).is_some_and(|done| done < started);
+            assert!(!is_over || self.may_repeat(*name), "{name} is started, its end is kept");
+            let failed = self
+                .told_kept
+                .failed
+                .get(name)
+                .map_or(0, |at| at.iter().filter(|at| *at < started).count());
+            let most = queue().max_attempts as usize;
+            assert!(
+                failed < most || self.may_repeat(*name),
+                "{name} is started after {failed} failures"
+            );
+        }
+        self.told_kept.checked = self.starts.len();
+    }
+
+    fn note_done(&mut self, name: TaskName, at: Time) {
+        let later = self.starts.iter().any(|(started, task, ..)| *task == name && *started > at);
+        assert!(!later || self.may_repeat(name), "{name} was started again, its end is kept");
+        self.told_kept.done.insert(name, at);
+    }
+
+    fn note_failed(&mut self, name: TaskName, at: Time) {
+        let failed = self.told_kept.failed.entry(name).or_default();
+        failed.push(at);
+        let most = queue().max_attempts as usize;
+        let Some(last) = failed.get(most - 1) else { return };
+        let later = self.starts.iter().any(|(started, task, ..)| *task == name && started > last);
+        assert!(!later || self.may_repeat(name), "{name} was started after {most} failures");
+    }
+
+    /// Whether a task may be started again after an end: it lasts, or copies of it are allowed.
+    fn may_repeat(&self, name: TaskName) -> bool {
+        let spec = self.specs.get(&name.job).and_then(|spec| spec.steps.get(name.step as usize));
+        spec.is_none_or(|step| step.lasts || step.copies_allowed)
+    }
+}
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    mem,
     time::Duration,
 };
 
@@ -27,6 +28,8 @@
 const SHRINKS_COUNT_AFTER: Duration = Duration::from_millis(4_100);
 /// A run that fails does so after this much work.
 const FAILS_AFTER_MS: u64 = 100;
+/// The longest lease that a worker grants, on its own clock.
+const LONGEST_LEASE_MS: u64 = 6_000;
 /// How much later a worker that is late carries an order out, unless it is told otherwise.
 const LATE: Duration = Duration::from_millis(1_000);
 
@@ -130,7 +133,12 @@
     pub running: BTreeMap<TaskName, Running>,
     pub ended: Vec<RunEnd>,
     pub token: u64,
+    /// How far its clock is ahead of the owner's, in milliseconds.
+    pub clock_ahead_ms: u64,
+    /// On its own clock.
     pub leased_until_ms: u64,
+    /// Ends that it was told are kept, by when they came, but for those after which its lease lapsed first.
+    pub told_kept: Vec<(Time, RunEnd)>,
     /// The hold that waits for an answer, and when it was sent.
     pub held: Option<(LifeNo, Hold, Time)>,
     /// How much later it carries orders out when it is late.
@@ -142,6 +150,8 @@
     pub done: Vec<TaskName>,
     pub lapsed: u32,
     next_end: u64,
+    /// When each end came that it was not told is kept.
+    ended_at: BTreeMap<u64, Time>,
     /// The number of the last end that was told.
     told_end: u64,
 }
@@ -175,7 +185,9 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             token: 0,
+            clock_ahead_ms: 0,
             leased_until_ms: 0,
+            told_kept: Vec::new(),
             held: None,
             late_by: LATE,
             late: VecDeque::new(),
@@ -183,6 +195,7 @@
             done: Vec::new(),
             lapsed: 0,
             next_end: 1,
+            ended_at: BTreeMap::new(),
             told_end: 0,
         }
     }
@@ -194,6 +207,17 @@
         self.ended.clear();
     }
 
+    /// What its clock shows.
+    fn clock_ms(&self, now: Time) -> u64 {
+        now.as_ms() + self.clock_ahead_ms
+    }
+
+    /// Leases what runs here until a moment on its own clock, as far as it grants.
+    fn lease(&mut self, now: Time, until_ms: u64) {
+        let granted_ms = until_ms.min(self.clock_ms(now) + LONGEST_LEASE_MS);
+        self.leased_until_ms = self.leased_until_ms.max(granted_ms);
+    }
+
     /// Carries an order out, or refuses it.
     pub fn take(
         &mut self,
@@ -207,19 +231,19 @@
             return OrderAnswer::Refused(Refusal::Fenced);
         }
         self.token = token;
-        let clock_ms = now.as_ms();
+        let clock_ms = self.clock_ms(now);
         match order {
             Order::Start(_) if lease_until_ms <= clock_ms => {
                 return OrderAnswer::Refused(Refusal::Late);
             }
             Order::Start(start) => {
-                self.leased_until_ms = self.leased_until_ms.max(lease_until_ms);
+                self.lease(now, lease_until_ms);
                 self.running.insert(start.task, Running::new(start.run, work));
                 self.check_room(now);
             }
             Order::Stop { task, run } => {
                 if self.running.get(task).is_some_and(|running| running.run == *run) {
-                    self.end(*task, HowEnded::Stopped);
+                    self.end(now, *task, HowEnded::Stopped);
                 }
             }
             Order::Pace { task, percent, .. } => {
@@ -301,15 +325,24 @@
         }
         self.token = hold.token;
         if let Some(until_ms) = hold.lease_until_ms {
-            self.leased_until_ms = self.leased_until_ms.max(until_ms);
+            self.lease(now, until_ms);
         }
-        self.ended.retain(|end| end.number > hold.ends_kept);
+        self.note_kept(hold.ends_kept);
         if self.ended.is_empty() && waited < Duration::from_millis(hold.wait_ms.into()) {
             return None;
         }
         Some(Ok(self.report(now, tail_ms(self))))
     }
 
+    /// Drops the ends up to a number, which are kept.
+    fn note_kept(&mut self, last: u64) {
+        let (kept, left) = mem::take(&mut self.ended).into_iter().partition(|it| it.number <= last);
+        self.ended = left;
+        let kept: Vec<RunEnd> = kept;
+        let at = |end: RunEnd| Some((self.ended_at.remove(&end.number)?, end));
+        self.told_kept.extend(kept.into_iter().filter_map(at));
+    }
+
     /// Whether an answer tells of ends, and of none that was not told before.
     pub fn tells_nothing_new(&mut self, answer: &Result<Report, HoldFailure>) -> bool {
         let Some(last) = answer.as_ref().ok().and_then(|report| report.ended.last()) else {
@@ -332,8 +365,8 @@
             }),
         });
         Report {
-            incarnation: None,
-            clock_ms: now.as_ms(),
+            incarnation: self.entry.incarnation,
+            clock_ms: self.clock_ms(now),
             running: running.collect(),
             ended: self.ended.clone(),
         }
@@ -341,9 +374,13 @@
 
     /// Lets the worker work for one step of the clock.
     pub fn work(&mut self, now: Time) {
-        if !self.running.is_empty() && self.leased_until_ms <= now.as_ms() {
+        let lapsed = self.leased_until_ms <= self.clock_ms(now);
+        if lapsed {
+            self.ended_at.clear();
+        }
+        if !self.running.is_empty() && lapsed {
             for task in self.running.keys().copied().collect::<Vec<_>>() {
-                self.end(task, HowEnded::Lapsed);
+                self.end(now, task, HowEnded::Lapsed);
             }
         }
         let mood = self.mood;
@@ -360,20 +397,20 @@
             _ => None,
         });
         for (task, how) in over.collect::<Vec<_>>() {
-            self.end(task, how);
+            self.end(now, task, how);
         }
     }
 
     /// Ends the runs of a gang that lost a member.
-    pub fn break_step(&mut self, lost: TaskName) {
+    pub fn break_step(&mut self, now: Time, lost: TaskName) {
         let of_gang = |task: &TaskName| TaskName { index: lost.index, ..*task } == lost;
         let members = self.running.keys().copied().filter(of_gang);
         for task in members.collect::<Vec<_>>() {
-            self.end(task, HowEnded::Broken);
+            self.end(now, task, HowEnded::Broken);
         }
     }
 
-    fn end(&mut self, task: TaskName, how: HowEnded) {
+    fn end(&mut self, now: Time, task: TaskName, how: HowEnded) {
         let Some(running) = self.running.remove(&task) else { return };
         match how {
             HowEnded::Done => self.done.push(task),
@@ -383,6 +420,7 @@
         let checkpoint = Some(format!("{task}@{}", running.done_ms));
         let number = self.next_end;
         self.next_end += 1;
+        self.ended_at.insert(number, now);
         self.ended.push(RunEnd { number, task, run: running.run, how, checkpoint });
     }
 }
