--- a/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
@@ -228,6 +228,10 @@
     /// Writes to the log that a worker has started again under its id.
     pub(super) fn note_restarted(&mut self, before: LifeNo, after: LifeNo) {
         let Some(life) = self.lives.get(before) else { return };
+        if !life.known && !self.unheard.contains(&before) {
+            // It came from an entry that was late.
+            return;
+        }
         let now = self.lives.get(after).and_then(|life| life.entry.incarnation);
         let (worker, ends_seen) = (life.id().clone(), life.ends_seen);
         let (before, runs) = (life.entry.incarnation, life.runs().len() as u32);
--- a/crates/kitetrail-core/tests/fleet/crashes.rs
+++ b/crates/kitetrail-core/tests/fleet/crashes.rs
@@ -1,4 +1,4 @@
-//! Workers that crash, by a task's doing or by themselves, and come back under another id.
+//! Workers that crash, by a task's doing or by themselves, and come back under another id or the same one.
 
 use std::{collections::BTreeMap, mem, time::Duration};
 
@@ -7,7 +7,7 @@
     jobs::{Discovery, Event, Note, TaskName},
 };
 
-use super::World;
+use super::{Mood, World};
 
 /// How long a worker that crashed takes to come back, unless it is told otherwise.
 const BACK_AFTER: Duration = Duration::from_millis(3_000);
@@ -21,6 +21,8 @@
     pub tasks: BTreeMap<TaskName, Duration>,
     /// How long a worker that crashed takes to come back.
     pub back_after: Duration,
+    /// A worker that crashed comes back under its id, not under another one.
+    pub same_id: bool,
     /// Crashes by a task's doing, in order: when, by which task, which worker.
     pub by_tasks: Vec<(Time, TaskName, String)>,
     /// How many runs of other tasks were lost in crashes.
@@ -37,6 +39,7 @@
         Self {
             tasks: BTreeMap::new(),
             back_after: BACK_AFTER,
+            same_id: false,
             by_tasks: Vec::new(),
             lost_beside: 0,
             down: Vec::new(),
@@ -88,12 +91,22 @@
         let now = self.now;
         for id in take_due(&mut self.crashes.down, now) {
             self.crashes.lives += 1;
-            let again = format!("{id}+{}", self.crashes.lives);
-            self.reborn(&id, &again);
+            let again = match self.crashes.same_id {
+                true => id.clone(),
+                false => format!("{id}+{}", self.crashes.lives),
+            };
+            match self.crashes.same_id {
+                true => drop(self.restart(&id)),
+                false => drop(self.reborn(&id, &again)),
+            }
             let entry = self.worker(&again).entry.clone();
             self.list(entry);
         }
         for id in take_due(&mut self.crashes.lapsing, now) {
+            let is_back = self.workers.get(&id).is_some_and(|worker| worker.mood != Mood::Down);
+            if is_back {
+                continue;
+            }
             let silent_for = Some(LAPSES_AFTER);
             let gone = Discovery::Gone { id: id.as_str().into(), silent_for };
             self.tell(Event::Discovered(vec![gone]));
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -11,6 +11,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    mem,
     time::{Duration, Instant},
 };
 
@@ -19,7 +20,7 @@
     jobs::{
         Action, EffectsRecord, Event, Hold, HoldFailure, HowEnded, Inheritance, JobId, JobRecord,
         JobSpec, JobState, LifeNo, LifeRecord, Note, Order, OrderAnswer, Outcome, ProgressRecord,
-        Record, RequestNo, Scheduler, SubmitAnswer, TaskName,
+        Record, RequestNo, Scheduler, SubmitAnswer, TaskName, WorkerEntry,
     },
 };
 
@@ -298,13 +299,19 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Order { life, entry, token, lease_until_ms, order } => {
-                let answer = self.order(entry.id.as_str(), token, lease_until_ms, &order);
+                let answer = match self.answers_at(&entry) {
+                    true => self.order(entry.id.as_str(), token, lease_until_ms, &order),
+                    false => OrderAnswer::Unanswered,
+                };
                 self.tell(Event::OrderAnswered { life, order, answer });
             }
             Action::Hold { life, entry, hold } => {
                 self.holds += 1;
                 *self.holds_by_worker.entry(entry.id.to_string()).or_default() += 1;
-                self.hold(life, entry.id.as_str(), hold);
+                match self.answers_at(&entry) {
+                    true => self.hold(life, entry.id.as_str(), hold),
+                    false => self.broken_holds.push((life, hold, self.now)),
+                }
             }
             Action::Commit { batch, records } => {
                 assert!(records.len() <= MOST_RECORDS, "{} records in a batch", records.len());
@@ -319,6 +326,12 @@
         }
     }
 
+    /// Whether a worker answers where an entry says: it may have started again elsewhere.
+    fn answers_at(&self, entry: &WorkerEntry) -> bool {
+        let worker = self.workers.get(entry.id.as_str());
+        worker.is_none_or(|worker| worker.entry.address == entry.address)
+    }
+
     /// Panics if a job is said to be accepted of which nothing is kept.
     fn check_kept(&self, answer: &Action) {
         if let Action::AnswerSubmit(request, SubmitAnswer::Accepted) = answer {
@@ -375,7 +388,7 @@
         }
         self.check_ends_kept(id, hold.ends_kept);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.held = Some((life, hold, now));
+            worker.held_before.extend(worker.held.replace((life, hold, now)));
         }
     }
 
@@ -420,11 +433,14 @@
                 let incarnation = worker.entry.incarnation;
                 answers.push(Event::LateEnds { life, incarnation, ended });
             }
-            let Some((life, hold, sent_at)) = worker.held else { continue };
-            if let Some(answer) = worker.answer_hold(now, hold, sent_at, tail_ms) {
-                worker.held = None;
-                self.stale_answers += u64::from(worker.tells_nothing_new(&answer));
-                answers.push(Event::Held { life, hold, sent_at, answer });
+            let held = mem::take(&mut worker.held_before).into_iter().chain(worker.held.take());
+            for (life, hold, sent_at) in held.collect::<Vec<_>>() {
+                if let Some(answer) = worker.answer_hold(now, (life, hold, sent_at), tail_ms) {
+                    self.stale_answers += u64::from(worker.tells_nothing_new(&answer));
+                    answers.push(Event::Held { life, hold, sent_at, answer });
+                } else {
+                    worker.held_before.extend(worker.held.replace((life, hold, sent_at)));
+                }
             }
         }
         for answer in answers {
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -27,6 +27,7 @@
         self.batches.clear();
         for worker in self.workers.values_mut() {
             worker.held = None;
+            worker.held_before.clear();
         }
         let inherit = |job: &JobRecord| (job.clone(), self.progress.get(&job.id).cloned());
         let ended = self.progress.values().filter(|it| !self.jobs.contains_key(&it.id)).cloned();
--- a/crates/kitetrail-core/tests/fleet/restarts.rs
+++ b/crates/kitetrail-core/tests/fleet/restarts.rs
@@ -34,13 +34,25 @@
 impl World {
     /// A worker crashes and starts again at once, under its id and at its address. Returns the entry of before.
     pub fn restart(&mut self, id: &str) -> WorkerEntry {
+        let incarnation = Incarnation(DAY_UNIX_MS + self.now.as_ms());
+        let address = self.worker(id).entry.address.clone();
+        self.restart_as(id, incarnation, address)
+    }
+
+    /// The same with the start that it tells, and the address at which it answers from now on.
+    pub fn restart_as(
+        &mut self,
+        id: &str,
+        incarnation: Incarnation,
+        address: String,
+    ) -> WorkerEntry {
         let before = self.workers.remove(id).expect("the fleet has this worker");
-        self.broken_holds.extend(before.held);
+        self.broken_holds.extend(before.held.into_iter().chain(before.held_before));
         self.restarts += 1;
-        let incarnation = Some(Incarnation(DAY_UNIX_MS + self.now.as_ms()));
-        let entry = WorkerEntry { incarnation, ..before.entry.clone() };
+        let entry = WorkerEntry { incarnation: Some(incarnation), address, ..before.entry.clone() };
         let mut worker = FakeWorker::with_entry(entry);
         worker.clock_ahead_ms = self.restarts * CLOCKS_APART_MS;
+        worker.answers_tell_start = before.answers_tell_start;
         self.workers.insert(id.to_owned(), worker);
         before.entry
     }
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -135,12 +135,16 @@
     pub token: u64,
     /// How far its clock is ahead of the owner's, in milliseconds.
     pub clock_ahead_ms: u64,
+    /// Its answers to orders tell when it started, as its reports do.
+    pub answers_tell_start: bool,
     /// On its own clock.
     pub leased_until_ms: u64,
     /// Ends that it was told are kept, by when they came, but for those after which its lease lapsed first.
     pub told_kept: Vec<(Time, RunEnd)>,
     /// The hold that waits for an answer, and when it was sent.
     pub held: Option<(LifeNo, Hold, Time)>,
+    /// Holds that came before it and wait still: an owner asks two lives of a worker at a time.
+    pub held_before: Vec<(LifeNo, Hold, Time)>,
     /// How much later it carries orders out when it is late.
     pub late_by: Duration,
     late: VecDeque<LateOrder>,
@@ -186,9 +190,11 @@
             ended: Vec::new(),
             token: 0,
             clock_ahead_ms: 0,
+            answers_tell_start: false,
             leased_until_ms: 0,
             told_kept: Vec::new(),
             held: None,
+            held_before: Vec::new(),
             late_by: LATE,
             late: VecDeque::new(),
             late_ends: None,
@@ -252,7 +258,8 @@
                 }
             }
         }
-        OrderAnswer::Done { clock_ms, incarnation: None }
+        let incarnation = self.entry.incarnation.filter(|_| self.answers_tell_start);
+        OrderAnswer::Done { clock_ms, incarnation }
     }
 
     /// Panics if what runs takes more than the worker has said to have of late.
@@ -301,8 +308,7 @@
     pub fn answer_hold(
         &mut self,
         now: Time,
-        hold: Hold,
-        sent_at: Time,
+        (life, hold, sent_at): (LifeNo, Hold, Time),
         tail_ms: fn(&FakeWorker) -> u32,
     ) -> Option<Result<Report, HoldFailure>> {
         if self.mood == Mood::Down {
@@ -315,8 +321,7 @@
                 return None;
             }
             if self.mood == Mood::Unread {
-                let life = self.held.map(|(life, ..)| life);
-                self.late_ends = life.map(|life| (now + LATE_ANSWER, life, self.ended.clone()));
+                self.late_ends = Some((now + LATE_ANSWER, life, self.ended.clone()));
             }
             return Some(Err(HoldFailure::Unanswered));
         }
--- a/crates/kitetrail-core/tests/jobs_restarted.rs
+++ b/crates/kitetrail-core/tests/jobs_restarted.rs
@@ -16,8 +16,16 @@
 
 mod fleet;
 
-use fleet::{Mood, World, job, step, task};
-use kitetrail_core::jobs::JobState;
+use std::{collections::BTreeSet, env, ops::Range, time::Duration};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use fleet::{DAY_UNIX_MS, Mood, World, job, step, task};
+use kitetrail_core::{
+    Resources,
+    jobs::{Event, Incarnation, JobState, StepSpec, WorkerEntry},
+};
 
 /// A fleet whose workers have told of some ends each.
 fn used_fleet(workers: u32) -> World {
@@ -63,3 +71,254 @@
     let starts = world.starts.iter().filter(|(_, name, ..)| *name == task(10, 0, 0));
     assert_eq!(starts.count(), 3, "as many attempts as its queue allows");
 }
+
+#[test]
+fn what_ran_before_a_restart_starts_anew_without_waiting_for_its_lease() {
+    for listed_after_ms in [0, 250] {
+        let mut world = used_fleet(4);
+        world.work_ms = Some(5_000);
+        world.submit(10, job(vec![step(4)]));
+        world.run_ms(1_000);
+        let on = world.worker_of(task(10, 0, 0));
+        let lost = world.worker(&on).running.len();
+        world.restart(&on);
+        let at = world.now;
+        world.run_ms(listed_after_ms);
+        world.list_all();
+        world.run_until("all run again", |world| world.starts.len() == 4 + lost);
+        assert!(world.now.since(at).as_millis() < 1_500, "they waited for a lease");
+        world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+        assert_eq!(world.starts.len(), 4 + lost, "what ran elsewhere went on");
+    }
+}
+
+#[test]
+fn a_restart_that_only_answers_tell_of_is_noticed() {
+    for answers_tell_start in [true, false] {
+        let mut world = used_fleet(4);
+        for worker in world.workers.values_mut() {
+            worker.answers_tell_start = answers_tell_start;
+        }
+        for id in ["w0", "w1", "w2", "w3"] {
+            world.restart(id);
+        }
+        world.submit(10, job(vec![step(12)]));
+        world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+        assert_eq!(world.starts.len(), 12, "{answers_tell_start}: {:?}", world.starts);
+    }
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_that_comes_late_changes_nothing() {
+    let mut world = used_fleet(2);
+    world.work_ms = Some(4_000);
+    let stale = world.restart("w0");
+    world.list_all();
+    world.run_ms(500);
+    world.submit(10, job(vec![StepSpec { size: Resources::new(4_000, 512, 0), ..step(2) }]));
+    world.run_until("both workers are taken", |world| world.starts.len() == 2);
+    for _ in 0..3 {
+        world.list(stale.clone());
+        world.run_ms(400);
+        world.list_all();
+        world.run_ms(400);
+    }
+    world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 2, "what ran went on");
+    assert!(!world.deposed, "the owner took the token of its own question for another owner's");
+}
+
+#[test]
+fn a_worker_whose_time_of_day_was_put_back_is_used_again() {
+    for elsewhere in [false, true] {
+        let mut world = used_fleet(1);
+        world.work_ms = Some(2_000);
+        world.submit(10, job(vec![step(2)]));
+        world.run_ms(500);
+        let address = if elsewhere { "10.9.9.9:80" } else { "10.0.0.0:80" };
+        world.restart_as("w0", Incarnation(DAY_UNIX_MS - 5_000), address.to_owned());
+        world.list_all();
+        world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+        assert_eq!(world.starts.len(), 4, "both tasks run twice, elsewhere: {elsewhere}");
+    }
+}
+
+#[test]
+fn what_ended_before_a_restart_has_ended_though_the_answer_comes_late() {
+    let mut world = used_fleet(2);
+    world.submit(10, job(vec![step(1)]));
+    world.run_until("it runs", |world| world.starts.len() == 1);
+    let on = world.worker_of(task(10, 0, 0));
+    world.worker(&on).mood = Mood::Unread;
+    world.run_until("it is done", |world| world.workers[&on].done.contains(&task(10, 0, 0)));
+    let (life, hold, sent_at) = world.worker(&on).held.unwrap();
+    let ended = world.worker(&on).ended.clone();
+    let before = world.worker(&on).entry.incarnation;
+    world.restart(&on);
+    world.list_all();
+    // The answer of the life before is read before the next one has answered.
+    world.tell(Event::LateEnds { life, incarnation: before, ended });
+    world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 1, "what was done is not started again");
+    let _ = (hold, sent_at);
+}
+
+#[test]
+fn a_hold_that_reaches_the_next_start_drops_no_end_that_nobody_heard() {
+    // Its worker is asked what it runs, and starts again before the question arrives.
+    let mut world = used_fleet(1);
+    for round in 0..20 {
+        let id = 10 + round;
+        world.submit(id, job(vec![step(2)]));
+        world.run_ms(310 + round * 7);
+        world.restart("w0");
+        world.run_ms(20 + round * 13);
+        world.list_all();
+        world.run_until("it completes", |world| world.state(id) == Some(JobState::Completed));
+    }
+}
+
+#[test]
+fn an_owner_that_takes_over_tells_a_restart_from_the_life_that_was_used() {
+    for listed_first in [true, false] {
+        let mut world = used_fleet(4);
+        world.work_ms = Some(5_000);
+        world.submit(10, job(vec![step(4)]));
+        world.run_ms(1_000);
+        let on = world.worker_of(task(10, 0, 0));
+        let lost = world.worker(&on).running.len();
+        if listed_first {
+            world.restart(&on);
+            world.list_all();
+            world.run_ms(30);
+            world.take_over(2, true);
+        } else {
+            world.restart(&on);
+            world.take_over(2, true);
+        }
+        let at = world.now;
+        world.run_until("all run again", |world| world.starts.len() == 4 + lost);
+        assert!(world.now.since(at).as_millis() < 1_500, "they waited for a lease");
+        world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+        let rows = world.lives.keys().cloned().collect::<BTreeSet<_>>();
+        world.run_ms(1_000);
+        assert_eq!(world.starts.len(), 4 + lost, "what ran elsewhere went on");
+        assert_eq!(
+            world.lives.len(),
+            4,
+            "a row for each life, none of those that are over: {rows:?}"
+        );
+    }
+}
+
+#[test]
+fn a_task_that_crashes_the_same_worker_again_is_given_up() {
+    for back_after_ms in [50, 300, 3_000] {
+        let mut world = World::new(2);
+        world.tell_incarnations();
+        world.crashes.same_id = true;
+        world.crashes.back_after = Duration::from_millis(back_after_ms);
+        world.make_crashing(task(1, 0, 0));
+        world.submit(1, job(vec![step(1)]));
+        world.run_ms(60_000);
+        let starts = world.starts_after_third_crash(task(1, 0, 0));
+        assert!(
+            starts <= 2,
+            "{starts} starts after the third crash, back after {back_after_ms} ms"
+        );
+        assert_eq!(world.state(1), Some(JobState::Failed), "back after {back_after_ms} ms");
+    }
+}
+
+#[test]
+fn workers_that_tell_no_start_are_used_as_before() {
+    let mut world = World::new(4);
+    world.submit(1, job(vec![step(12)]));
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 12);
+}
+
+/// Whichever seeds are asked for by hand, else some.
+fn seeds() -> Range<u64> {
+    let asked_for = env::var("KITETRAIL_SEEDS").ok();
+    let parse = |text: String| {
+        let (from, to) = text.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    };
+    asked_for.and_then(parse).unwrap_or(0..60)
+}
+
+/// One of the things that may happen to a worker, an owner or the list.
+fn trouble(world: &mut World, rng: &mut ChaCha8Rng, epoch: &mut u64, stale: &mut Vec<WorkerEntry>) {
+    let id = format!("w{}", rng.random_range(0..world.workers.len()));
+    match rng.random_range(0..10) {
+        0..5 => {
+            let elsewhere = rng.random_bool(0.3);
+            let started = DAY_UNIX_MS + world.now.as_ms() - rng.random_range(0..2) * 3_000;
+            let address = match elsewhere {
+                true => format!("10.1.{}.{}:80", rng.random_range(0..99), rng.random_range(0..99)),
+                false => world.worker(&id).entry.address.clone(),
+            };
+            stale.push(world.restart_as(&id, Incarnation(started), address));
+            world.run_ms(rng.random_range(0..400));
+            let entry = world.worker(&id).entry.clone();
+            world.list(entry);
+        }
+        5 if !stale.is_empty() => {
+            let at = rng.random_range(0..stale.len());
+            world.list(stale.swap_remove(at));
+            world.run_ms(rng.random_range(0..1_200));
+            world.list_all();
+        }
+        6 => {
+            *epoch += 1;
+            world.take_over(*epoch, rng.random_bool(0.5));
+        }
+        7 => {
+            world.store_down = true;
+            world.run_ms(rng.random_range(0..2_000));
+            world.store_down = false;
+        }
+        8 => {
+            let mood = [Mood::Unread, Mood::Late, Mood::Cut][rng.random_range(0..3)];
+            world.worker(&id).mood = mood;
+            world.run_ms(rng.random_range(0..2_000));
+            world.worker(&id).mood = Mood::Well;
+        }
+        _ => {}
+    }
+}
+
+#[test]
+fn whatever_starts_again_tasks_run_once_and_all_jobs_end() {
+    // The fleet panics if a task runs twice at a time, or is started after an end that was taken note of.
+    for seed in seeds() {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World::new(6);
+        world.tell_incarnations();
+        let tell_start = rng.random_bool(0.5);
+        for worker in world.workers.values_mut() {
+            worker.answers_tell_start = tell_start;
+        }
+        let (mut epoch, mut stale) = (1, Vec::new());
+        for id in 1..=20 {
+            world.work_ms = Some(rng.random_range(50..1_500));
+            world.submit(
+                id,
+                job(vec![
+                    step(rng.random_range(1..6)),
+                    StepSpec { depends_on: vec![0], ..step(2) },
+                ]),
+            );
+            world.run_ms(rng.random_range(0..700));
+            trouble(&mut world, &mut rng, &mut epoch, &mut stale);
+            world.run_ms(rng.random_range(0..700));
+        }
+        world.list_all();
+        world.run_ms(40_000);
+        let accepted = (1..=20).filter(|&id| world.state(id).is_some());
+        let open = accepted.filter(|&id| world.state(id) != Some(JobState::Completed));
+        assert_eq!(open.collect::<Vec<_>>(), [0; 0], "jobs that did not end, seed {seed}");
+        assert!(!world.deposed, "deposed, seed {seed}");
+    }
+}
