--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -61,8 +61,6 @@
     LaterAnswers,
     /// Its worker started again under its id.
     StartedAgain,
-    /// It never answered, and an entry of another life has taken the place of its own.
-    Unlisted,
     /// It is not listed and silent, and its leases are over: it crashed for good, left, or is cut off.
     Gone,
 }
@@ -73,7 +71,6 @@
             Self::AnotherAnswers => "over: it answers as another life",
             Self::LaterAnswers => "over: a later life answers on its machine",
             Self::StartedAgain => "over: it started again under its id",
-            Self::Unlisted => "over: it never answered, and another life stands in its place",
             Self::Gone => "gone: not listed, silent, its lease is over",
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
@@ -172,20 +172,6 @@
         self.send_next_order(no);
     }
 
-    /// The entry of a life stands in the list: others that never answered do not.
-    pub(super) fn end_unlisted_others(&mut self, no: LifeNo) {
-        let Some(life) = self.lives.get(no).filter(|life| life.contested) else { return };
-        let others = self.lives.of_worker(life.id()).iter().copied();
-        let never_heard = |&other: &LifeNo| {
-            other != no
-                && !self.unheard.contains(&other)
-                && self.lives.get(other).is_some_and(|life| !life.known)
-        };
-        for other in others.filter(never_heard).collect::<Vec<_>>() {
-            self.end_life(other, LifeEnd::Unlisted);
-        }
-    }
-
     /// Gives all lives under a worker's id a token above every one that was sent there: whichever lives refuses what was
     /// sent before.
     pub(super) fn raise_shared_token(&mut self, no: LifeNo) {
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -157,7 +157,6 @@
         life.room = None;
         self.lives.note_listed(no);
         self.note_zone(no);
-        self.end_unlisted_others(no);
         if shrank {
             self.take_back_unfit(no);
         }
--- a/crates/kitetrail-core/tests/jobs_restarted.rs
+++ b/crates/kitetrail-core/tests/jobs_restarted.rs
@@ -237,6 +237,59 @@
     }
 }
 
+#[test]
+fn what_an_order_of_before_leased_is_outwaited() {
+    // The order carries a time on the clock of before, which the next start takes for one far ahead and cuts to the longest
+    // lease that it grants. The fleet panics if a task runs twice.
+    let mut world = used_fleet(3);
+    world.work_ms = Some(20_000);
+    world.restart("w0");
+    world.submit(10, job(vec![StepSpec { size: Resources::new(4_000, 512, 0), ..step(2) }]));
+    let runs_there = |world: &World| !world.workers["w0"].running.is_empty();
+    world.run_until("it runs there", runs_there);
+    world.run_ms(60);
+    world.worker("w0").mood = Mood::Cut;
+    world.run_ms(5_500);
+    world.lapse("w0");
+    world.run_ms(10_000);
+}
+
+#[test]
+fn orders_of_before_that_reach_the_next_start_do_not_depose_the_owner() {
+    let mut world = used_fleet(2);
+    world.worker("w0").crash();
+    world.run_ms(3_300);
+    world.lapse("w0");
+    world.run_ms(6_000);
+    let token = world.workers["w0"].token;
+    world.restart("w0");
+    // A question to the life before, under one of the tokens that followed its silence, arrives first.
+    world.worker("w0").token = token + 3;
+    world.list_all();
+    world.run_ms(2_000);
+    assert!(!world.deposed, "the owner took its own token for another owner's");
+    world.submit(10, job(vec![step(8)]));
+    world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+    assert!(world.starts.iter().any(|(.., worker)| worker == "w0"), "the worker is used again");
+}
+
+#[test]
+fn nothing_is_given_to_a_worker_while_it_is_unclear_which_start_of_it_lives() {
+    let mut world = used_fleet(2);
+    world.work_ms = Some(10_000);
+    world.submit(10, job(vec![step(5)]));
+    world.run_ms(500);
+    let idler = ["w0", "w1"].into_iter().min_by_key(|id| world.workers[*id].running.len());
+    let entry = world.workers[idler.unwrap()].entry.clone();
+    // An entry that came late: nobody answers there.
+    let (incarnation, address) = (Some(Incarnation(7)), "10.9.9.9:80".to_owned());
+    world.list(WorkerEntry { incarnation, address, ..entry });
+    let starts = world.starts.len();
+    world.submit(11, job(vec![step(1)]));
+    world.run_ms(100);
+    assert_eq!(world.starts.len(), starts + 1, "it waits for the answer of a worker");
+}
+
 #[test]
 fn workers_that_tell_no_start_are_used_as_before() {
     let mut world = World::new(4);
@@ -321,6 +374,7 @@
         }
         let (mut epoch, mut stale) = (1, Vec::new());
         world.work_ms = Some(rng.random_range(50..1_500));
+        world.order_answers_take = Duration::from_millis(rng.random_range(0..3) * 150);
         for id in 1..=20 {
             world.submit(
                 id,
