--- a/crates/kitetrail-core/tests/jobs_restarted.rs
+++ b/crates/kitetrail-core/tests/jobs_restarted.rs
@@ -24,7 +24,9 @@
 use fleet::{DAY_UNIX_MS, Mood, World, job, step, task};
 use kitetrail_core::{
     Resources,
-    jobs::{Event, Incarnation, JobId, JobState, Note, StepSpec, WorkerEntry},
+    jobs::{
+        BegunRun, Event, Incarnation, JobId, JobState, LifeRecord, Note, StepSpec, WorkerEntry,
+    },
 };
 
 /// A fleet whose workers have told of some ends each.
@@ -218,6 +220,29 @@
     }
 }
 
+#[test]
+fn each_start_of_a_worker_has_a_row_of_its_own() {
+    let mut world = used_fleet(4);
+    let rows =
+        |world: &World| world.lives.values().map(|life| life.incarnation).collect::<Vec<_>>();
+    assert_eq!(rows(&world), [Some(Incarnation(DAY_UNIX_MS)); 4]);
+    world.restart("w0");
+    let now = world.worker("w0").entry.incarnation;
+    world.list_all();
+    world.run_ms(1_000);
+    assert_eq!(rows(&world).len(), 4, "the row of the start that is over is gone");
+    assert!(rows(&world).contains(&now), "the one that tasks are started on is there");
+}
+
+#[test]
+fn rows_of_before_starts_were_told_apart_are_read() {
+    let row = r#"{"id":"w0","address":"10.0.0.0:80","service":"desk"}"#;
+    let record = serde_json::from_str::<LifeRecord>(row).unwrap();
+    assert_eq!((record.key().to_string().as_str(), record.incarnation), ("w0", None));
+    let run = serde_json::from_str::<BegunRun>(r#"{"run":3,"worker":"w0"}"#).unwrap();
+    assert_eq!(run.life(), record.key());
+}
+
 #[test]
 fn a_task_that_crashes_the_same_worker_again_is_given_up() {
     for back_after_ms in [50, 300, 3_000] {
