--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -61,6 +61,7 @@
             Note::CrashedUnder { evidence, .. } => {
                 self.shared.metrics.note_task_crash(evidence.as_str());
             }
+            Note::WorkerRestarted { .. } => self.shared.metrics.note_worker_restart(),
             Note::CrashingTaskGivenUp { .. } => self.shared.metrics.note_crashing_job(),
             _ => {}
         }
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -23,6 +23,7 @@
     unusable_entries: Counter<u64>,
     task_crashes: Counter<u64>,
     crashing_jobs: Counter<u64>,
+    worker_restarts: Counter<u64>,
     suspensions: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
@@ -79,6 +80,10 @@
                 .u64_counter("kitetrail.crashing_jobs")
                 .with_description("Jobs that failed because a task crashes its workers")
                 .build(),
+            worker_restarts: meter
+                .u64_counter("kitetrail.worker.restarts")
+                .with_description("Workers that were found to have started again under their id")
+                .build(),
             suspensions: meter
                 .u64_counter("kitetrail.suspensions")
                 .with_description("Times that the box found its machine was suspended")
@@ -130,6 +135,11 @@
         self.crashing_jobs.add(1, &[]);
     }
 
+    /// Counts a worker that started again under its id.
+    pub fn note_worker_restart(&self) {
+        self.worker_restarts.add(1, &[]);
+    }
+
     /// Counts a suspension of the box's machine.
     pub fn note_suspension(&self) {
         self.suspensions.add(1, &[]);
