A task that is slow on two workers is long, and stays on the third

Cause: a run that will take twice as long as its siblings did is moved to another worker, from its beginning. A task that is long itself looks so on each worker, so it was moved for ever.

Change: a task is moved for being slow twice at most. Two slow workers in a row are still left; runs that stand still are moved as before. Why it holds: the number only rises.

--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -7,6 +7,7 @@
         life::{Life, LifeNo},
         names::TaskName,
         run::{Phase, RunThere},
+        steps::Task,
     },
     Scheduler,
 };
@@ -27,6 +28,8 @@
 const OVERDUE_FACTOR: f64 = 1.4;
 /// So many tasks of the step must be done, and half of them, before others are called slow.
 const LEAST_TIMED: u32 = 2;
+/// A task that was slow on so many workers is long, whoever runs it: to move it again would throw its work away for ever.
+const MOST_SLOW_MOVES: u32 = 2;
 /// Progress below this many percentage points tells too little of a run's speed.
 const LEAST_PROGRESS: u32 = 4;
 
@@ -115,6 +118,10 @@
         if spec.fills && trouble == Trouble::Slow {
             return;
         }
+        let is_long = |task: &mut Task| task.slow_moves >= MOST_SLOW_MOVES;
+        if trouble == Trouble::Slow && self.task_mut(task).is_some_and(is_long) {
+            return;
+        }
         let other = self.choose(task, &spec, &[]).filter(|&other| other != no);
         let run = self.lives.get(no).and_then(|life| life.runs().get(&task)).map(|run| run.run);
         let (Some(_), Some(run)) = (other, run) else { return };
@@ -123,6 +130,9 @@
             Trouble::StandsStill => "moved: it stands still",
             Trouble::Slow => "moved: it is slow",
         };
+        if let Some(task) = self.task_mut(task).filter(|_| trouble == Trouble::Slow) {
+            task.slow_moves += 1;
+        }
         self.move_run(no, task, run, why);
     }
 
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -31,6 +31,8 @@
     pub(super) not_before: Option<Time>,
     /// Where its last failed run was.
     pub(super) avoid: Option<LifeNo>,
+    /// How often it was moved for being slow.
+    pub(super) slow_moves: u32,
     /// The workers that crashed under it.
     pub(super) crashes: TaskCrashes,
     /// Its starts are kept before they are ordered.
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -381,3 +381,17 @@
     world.run_ms(3_000);
     assert!(world.starts.is_empty(), "{:?}", world.starts);
 }
+
+#[test]
+fn a_task_that_takes_much_longer_than_its_siblings_ends() {
+    // What callers saw: a job of which one task has ten times the work of the others never ends. That task looks slow on
+    // each worker, so it was moved from one to the next for ever, each time from its beginning.
+    let mut world = World::new(3);
+    world.work_ms = Some(300);
+    world.submit(1, job(vec![StepSpec { size: Resources::new(4_000, 512, 0), ..step(4) }]));
+    world.run_until("three run", |world| world.starts.len() == 3);
+    world.work_ms = Some(3_000);
+    world.run_until("it completes", |world| world.state(1) == Some(JobState::Completed));
+    let longest = world.starts.iter().filter(|(_, name, ..)| *name == task(1, 0, 3)).count();
+    assert!(longest <= 3, "it was started {longest} times");
+}
