--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -8,8 +8,7 @@
 const FELL_AT_ONCE: u32 = 20;
 /// What it weighs against a task whose worker fell later, or with others.
 const FELL: u32 = 15;
-/// What it weighs against a task whose start was not confirmed. Its worker may have fallen before: the
-/// four crashes that failed a blameless job in one traced session had three such starts.
+/// What it weighs against a task whose start was not confirmed. Its worker may have fallen before.
 const UNCONFIRMED: u32 = 12;
 /// A task of this weight is given up: after three crashes at once, four others, five that are not confirmed. The platform bears
 /// five, two after the third.
--- a/crates/kitetrail-core/src/jobs/scheduler/crashed.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crashed.rs
@@ -1,8 +1,7 @@
 //! What the crash of a worker says of the tasks that ran there, and which of them are given up.
 //!
 //! Answers a load in which some tasks crash each worker that starts them. A crash takes all runs of its worker with it, and
-//! nothing is reported, so such a task would be started for ever: 267 crashes in 140 s on 66 workers, each with 6 to 13 runs
-//! of other jobs (a platform's record of such a day). Who did it is told apart by what had just been started, by how long
+//! nothing is reported, so such a task would be started for ever. Who did it is told apart by what had just been started, by how long
 //! runs had run each time, and by running suspects alone.
 
 use std::{mem, time::Duration};
@@ -21,11 +20,11 @@
 };
 use crate::Time;
 
-/// A run that is not known to have run for longer may have crashed its worker by its start. Tasks that do were seen to do so
-/// after 10 ms; answers that tell of a sound start come 100 ms after it, later from an owner that lags.
+/// A run that is not known to have run for longer may have crashed its worker by its start: answers that tell of a sound start
+/// come 100 ms after it, later from an owner that lags.
 const JUST_STARTED: Duration = Duration::from_millis(500);
-/// A worker that falls silent within so long of a start may have been crashed by it. After starts that crash their worker it
-/// was 20 to 122 ms; a worker that crashes by itself every 30 s does so in this time after one start in a hundred.
+/// A worker that falls silent within so long of a start may have been crashed by it. A worker that crashes by itself every 30 s
+/// does so in this time after one start in a hundred.
 const AT_ONCE: Duration = Duration::from_millis(300);
 /// A suspect that is known to have run for so long lets others run beside it again.
 const ALONE_FOR: Duration = Duration::from_millis(1_000);
--- a/crates/kitetrail-core/src/jobs/scheduler/kept_starts.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/kept_starts.rs
@@ -2,9 +2,8 @@
 //!
 //! Answers owners that die between a start and the news that its worker crashed: the next one would count nothing. The starts
 //! of a task under which a worker crashed are kept before they are ordered; so are, once after a takeover that found workers
-//! crashed, those of the tasks of which nobody knows whether they ran there. With an owner that dies before it hears of each
-//! crash, a task was started 37 times after the third in 120 s without this; with it four workers crash in all (virtual
-//! time). A start costs a row and waits for one batch; starts of other tasks are not kept.
+//! crashed, those of the tasks of which nobody knows whether they ran there. A start costs a row and waits for one
+//! batch; starts of other tasks are not kept.
 
 use std::collections::BTreeMap;
 
--- a/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
@@ -52,8 +52,8 @@
     InTime,
     /// It is to last, and never ran. It takes its room for long, so work that can be in time goes first.
     LastsAnew,
-    /// It is worth little to its caller by now. What lasts goes before it: on a fleet that had lost two fifths of
-    /// its workers, 3,000 tasks of such jobs kept up to 180 that were to last waiting for 31 s (the log of one play).
+    /// It is worth little to its caller by now. What lasts goes before it: on a fleet that has lost many of its
+    /// workers, such jobs would keep what lasts waiting for as long as they are there.
     Late,
     /// The same, and less.
     Hopeless,
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -42,7 +42,7 @@
     /// Other jobs with something new.
     ///
     /// What waits longest goes first, here as above. In the order of their ids instead, jobs of high ids are
-    /// passed over for as long as the store is behind: of 200 jobs number 100 waits for more than 5 s.
+    /// passed over for as long as the store is behind.
     progress: UniqueQueue<JobId>,
     forgotten: BTreeSet<JobId>,
     new_lives: BTreeSet<LifeNo>,
@@ -243,8 +243,8 @@
 
     /// Whether a new job can't be kept in the time that boxes wait for its answer, by how long batches take of late.
     ///
-    /// Answers a store that is slow and an owner whose batches wait for its processor. With boxes four times slower batches
-    /// took 0.3 to 0.8 s; 1,475 of some 2,300 callers gave up without an answer (one play, its log), and jobs ran for nobody.
+    /// Answers a store that is slow and an owner whose batches wait for its processor: callers would give up without an answer,
+    /// and their jobs run for nobody.
     pub(super) fn keeps_too_late(&self, lag: Duration, now: Time) -> bool {
         let on_its_way = self.sent_ago(now);
         let takes = self.batch_takes(now);
--- a/crates/kitetrail-core/src/jobs/scheduler/unkept_ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unkept_ends.rs
@@ -17,9 +17,8 @@
 /// Ends of runs that are not kept, in the order in which they were told.
 ///
 /// A worker repeats an end in each report until it is told that it is kept, and a report with an end comes at once. So
-/// the ends of one second must not wait for the records of the next: told only once nothing at all waited,
-/// they rose to 33,451 in 33 s on 490 workers with boxes half as fast as usual, and reading them took the time that
-/// the records needed.
+/// the ends of one second must not wait for the records of the next: told only once nothing at all waited, they
+/// would pile up, and reading them take the time that the records need.
 #[derive(Debug, Default)]
 pub(super) struct UnkeptEnds {
     told: VecDeque<ToldEnd>,
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -18,7 +18,7 @@
 /// seconds at least.
 const STAYS_ABOVE_PERCENT: u32 = 70;
 /// How long after the end of a lease an owner that is late itself still waits for an answer that it may not have
-/// read. Such answers were read 0.6 and 1.0 s after it; what waits longer is worth more elsewhere.
+/// read. What waits longer is worth more elsewhere.
 const LATE_ANSWERS_WITHIN: Duration = Duration::from_millis(2_500);
 /// How often room is looked for elsewhere for what runs on a worker that is about to leave. It has two
 /// seconds at least, and each look scores every worker.
