A start that an answer tells of is given nothing before its own entry is read

Cause: the new life was made from the entry of the one before, and a life that leaves does not come back. Room and labels were those of before as well; a machine may come back as another kind.

Change: of that entry the address is believed, not that it leaves, and the life counts as not read in the list, so that nothing is placed there; what is on its way as the restart is noticed is left to it. Why it holds: the entry of each start is read as a whole, and only it makes a life take work.

a_worker_that_drained_and_started_again_is_used_again was red before. The test of restarts that only answers tell of said that work goes on without the list; it says now that nothing more is started until the list is read, and then each task once.

--- a/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
@@ -13,7 +13,7 @@
 use super::{
     super::{
         event::Action,
-        life::{LifeEnd, LifeNo},
+        life::{LifeEnd, LifeNo, Listing},
         names::{Incarnation, LifeId},
         note::Note,
         report::Report,
@@ -113,8 +113,15 @@
     /// Another start of a worker answered where a life was asked at a moment.
     pub(super) fn heard_another(&mut self, no: LifeNo, incarnation: Incarnation, sent_at: Time) {
         let Some(life) = self.lives.get(no) else { return };
-        let entry = WorkerEntry { incarnation: Some(incarnation), ..(*life.entry).clone() };
-        let (listing, precedes) = (life.listing, life.precedes(sent_at));
+        // Where it answers is all that is known of it. It may offer something else than before, and does not leave because the
+        // one before did: it gets nothing until its own entry is read.
+        let entry = WorkerEntry {
+            incarnation: Some(incarnation),
+            draining: false,
+            remaining_ms: None,
+            ..(*life.entry).clone()
+        };
+        let precedes = life.precedes(sent_at);
         match self.life_of_entry(&entry) {
             Some(other) if precedes && self.lives.get(other).is_some_and(|other| other.known) => {
                 self.note_restarted(no, other);
@@ -124,7 +131,7 @@
             None => {
                 let other = self.insert_life(entry, self.now);
                 if let Some(life) = self.lives.get_mut(other) {
-                    life.listing = listing;
+                    life.listing = Listing::Unread;
                 }
                 self.pending.add_life(other);
                 self.contest(other);
--- a/crates/kitetrail-core/tests/jobs_restarted.rs
+++ b/crates/kitetrail-core/tests/jobs_restarted.rs
@@ -105,6 +105,13 @@
             world.restart(id);
         }
         world.submit(10, job(vec![step(12)]));
+        world.run_ms(1_000);
+        // Nothing but what was on its way as the restart was noticed is started before the entries of these starts are read.
+        let before = world.starts.len();
+        assert!(before < 12, "{answers_tell_start}: {:?}", world.starts);
+        world.run_ms(1_000);
+        assert_eq!(world.starts.len(), before, "{answers_tell_start}: {:?}", world.starts);
+        world.list_all();
         world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
         assert_eq!(world.starts.len(), 12, "{answers_tell_start}: {:?}", world.starts);
         assert_eq!(world.crashes_noticed(), 0, "nothing ran as the workers started again");
@@ -315,6 +322,25 @@
     assert_eq!(world.starts.len(), starts + 1, "it waits for the answer of a worker");
 }
 
+#[test]
+fn a_worker_that_drained_and_started_again_is_used_again() {
+    // As when its software is replaced: it says that it leaves, ends, and starts again under its id.
+    for answer_first in [true, false] {
+        let mut world = used_fleet(1);
+        world.worker("w0").entry.draining = true;
+        world.list_all();
+        world.run_ms(2_000);
+        world.restart("w0");
+        world.worker("w0").entry.draining = false;
+        if answer_first {
+            world.run_ms(6_000);
+        }
+        world.list_all();
+        world.submit(10, job(vec![step(4)]));
+        world.run_until("it completes", |world| world.state(10) == Some(JobState::Completed));
+    }
+}
+
 #[test]
 fn workers_that_tell_no_start_are_used_as_before() {
     let mut world = World::new(4);
@@ -371,6 +397,17 @@
             world.run_ms(rng.random_range(0..2_000));
             world.worker(&id).mood = Mood::Well;
         }
+        9 => {
+            world.worker(&id).entry.draining = true;
+            let leaving = world.worker(&id).entry.clone();
+            world.list(leaving);
+            world.run_ms(rng.random_range(0..1_500));
+            stale.push(world.restart(&id));
+            world.worker(&id).entry.draining = false;
+            world.run_ms(rng.random_range(0..400));
+            let entry = world.worker(&id).entry.clone();
+            world.list(entry);
+        }
         _ => {}
     }
 }
