Answers that pass each other are no sign of another clock

Cause: the clock was compared as if an answer that is heard later was read later. An order that leaves while a hold is on its way may be carried out before the hold's answer is made, and be heard after it.

Change: what may have passed between two readings is bounded by the moments at which each was asked for and heard, also if that is less than nothing. Why it holds: each clock is read between its question and its answer, nothing else is assumed.

The new test (orders answered 30 to 400 ms late, holds between) was red before: 3 doubts at 30 ms.

--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -19,7 +19,7 @@
 use crate::Time;
 
 /// Clocks are told in whole milliseconds, and ours is read in them.
-const CLOCK_ROUNDING_MS: u64 = 2;
+const CLOCK_ROUNDING_MS: i64 = 2;
 
 /// The number of a worker's life in one scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -117,13 +117,16 @@
         self.clock_ms as i64 - self.heard_at.as_ms() as i64
     }
 
-    /// Whether a later reading may be of the same clock.
-    fn agrees_with(self, later: Self) -> bool {
-        let least = later.asked_at.since(self.heard_at) * (100 - CLOCK_SLOW_PERCENT) / 100;
-        let most = later.heard_at.since(self.asked_at) * (100 + CLOCK_SLOW_PERCENT) / 100;
-        let least_ms = self.clock_ms + least.as_millis() as u64;
-        let most_ms = self.clock_ms + most.as_millis() as u64;
-        (least_ms..=most_ms + 2 * CLOCK_ROUNDING_MS).contains(&(later.clock_ms + CLOCK_ROUNDING_MS))
+    /// Whether another reading, heard after this one, may be of the same clock.
+    ///
+    /// Answers pass each other: the other may have been read before this one, if it was asked for before this one was heard.
+    fn agrees_with(self, other: Self) -> bool {
+        let ms = |moment: Time| moment.as_ms() as i64;
+        let passed_ms = other.clock_ms as i64 - self.clock_ms as i64;
+        let least_ms = ms(other.asked_at) - ms(self.heard_at);
+        let most_ms = ms(other.heard_at) - ms(self.asked_at);
+        let slack_ms = most_ms * i64::from(CLOCK_SLOW_PERCENT) / 100 + CLOCK_ROUNDING_MS;
+        (least_ms - slack_ms..=most_ms + slack_ms).contains(&passed_ms)
     }
 }
 
--- a/crates/kitetrail-core/tests/jobs_restarted.rs
+++ b/crates/kitetrail-core/tests/jobs_restarted.rs
@@ -341,6 +341,25 @@
     }
 }
 
+#[test]
+fn answers_that_pass_each_other_are_no_sign_of_a_restart() {
+    // Orders are answered late, and holds that left before or after them are answered in between.
+    for answers_take_ms in [30, 70, 150, 400] {
+        let mut world = used_fleet(2);
+        world.order_answers_take = Duration::from_millis(answers_take_ms);
+        for id in 10..40 {
+            world.work_ms = Some(40 + id * 7);
+            world.submit(id, job(vec![step(3)]));
+            world.run_ms(110);
+        }
+        world.run_ms(5_000);
+        let is_doubt =
+            |note: &Note| matches!(note, Note::Worker { belief, .. } if belief.contains("clock"));
+        let doubts = world.notes.iter().filter(|(_, note)| is_doubt(note)).count();
+        assert_eq!(doubts, 0, "{answers_take_ms} ms");
+    }
+}
+
 #[test]
 fn workers_that_tell_no_start_are_used_as_before() {
     let mut world = World::new(4);
