An owner believes that a lease is over once the store has confirmed it since

Callers saw tasks run a second time, a thousand at a time, when an availability zone was cut off with the owner in it: it went on for 7 s without the store, and 4 s after the cut gave up what ran beyond it, by its own grants, while its successor there had renewed those leases and taken note of the ends.

Ruled out: a lost answer, a worker's restart (both runs are ordered by the box of the cut zone, its log says "its worker is silent and its lease is over").

Change: the end of a silent worker's lease counts once the store has kept a batch that left after it. Until that batch nobody else owned the fleet, so no successor could have renewed the lease. A batch is sent for it if none is due, also an empty one. While the store is away such runs wait; all else goes on.

The fleet of the tests on virtual time plays the owner before beside its successor.

--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -149,6 +149,8 @@
     pub(super) contested: bool,
     /// By now every run there has certainly lost its lease, unless it is renewed.
     pub(super) lapses_at: Time,
+    /// It is silent past that moment, and the store has not confirmed this owner since.
+    pub(super) lapse_unconfirmed: bool,
     /// The fencing token of the next order.
     pub(super) token: u64,
     runs: BTreeMap<TaskName, RunThere>,
@@ -203,6 +205,7 @@
             clock: None,
             contested: false,
             lapses_at,
+            lapse_unconfirmed: false,
             token,
             runs: BTreeMap::new(),
             room: None,
@@ -358,6 +361,7 @@
         self.silent_since = None;
         self.suspects.clear();
         self.silent_for_sure = false;
+        self.lapse_unconfirmed = false;
         self.clock = Some(ClockReading { clock_ms, asked_at, heard_at: now });
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -30,9 +30,11 @@
         if self.pending.is_empty() {
             // Ends that changed nothing need no record.
             self.note_kept_ends();
-            return;
         }
-        if self.pending.urgent || self.now.since(self.pending.last_sent_at) >= GATHER {
+        let gathered = self.now.since(self.pending.last_sent_at) >= GATHER;
+        if self.pending.confirmation_wanted
+            || !self.pending.is_empty() && (self.pending.urgent || gathered)
+        {
             self.send_batch();
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod commit;
+mod confirmation;
 pub(super) mod crashed;
 mod ends;
 mod evacuation;
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -55,6 +55,10 @@
     next_batch: u64,
     pub(super) sent: Option<Batch>,
     pub(super) last_sent_at: Time,
+    /// The store has confirmed that this owner owned the fleet at some moment since.
+    confirmed_since: Option<Time>,
+    /// A batch is wanted for its confirmation, even an empty one.
+    pub(super) confirmation_wanted: bool,
     /// How long the last batch took that is kept, and when that was known.
     last_took: Duration,
     last_kept_at: Time,
@@ -157,10 +161,22 @@
         let number = self.next_batch;
         self.next_batch += 1;
         self.last_sent_at = now;
+        self.confirmation_wanted = false;
         self.sent = Some(batch(number));
         number
     }
 
+    /// Whether the store has confirmed this owner by a batch that left after a moment.
+    pub(super) fn is_confirmed_since(&self, moment: Time) -> bool {
+        self.confirmed_since.is_some_and(|since| since >= moment)
+    }
+
+    /// Asks for a batch that leaves after a moment, unless one is on its way.
+    pub(super) fn want_confirmation_since(&mut self, moment: Time) {
+        let on_its_way = self.sent.is_some() && self.last_sent_at >= moment;
+        self.confirmation_wanted |= !on_its_way;
+    }
+
     pub(super) fn add_job(&mut self, id: JobId) {
         self.new_jobs.push(id, self.unkept_ends.last_seq());
         self.urgent = true;
@@ -226,6 +242,7 @@
     pub(super) fn take_sent(&mut self, number: u64, now: Time) -> Option<Batch> {
         let batch = self.sent.take_if(|batch| batch.number == number)?;
         self.last_took = now.since(self.last_sent_at);
+        self.confirmed_since = Some(self.last_sent_at);
         self.last_kept_at = now;
         Some(batch)
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -82,16 +82,15 @@
 
     /// What time alone changes in a life: leases that ran out, holds that are due.
     pub(super) fn check_life(&mut self, no: LifeNo) {
+        let is_over = self.silent_lease_is_over(no);
         let Some(life) = self.lives.get_mut(no) else { return };
-        let lapsed = life.lapses_at <= self.now;
         let outwaited = self.now.since(life.lapses_at) >= LATE_ANSWERS_WITHIN;
-        let forgotten = life.is_missing() && life.silent > 0;
-        match (lapsed, forgotten) {
-            (true, true) => {
+        match is_over {
+            true if life.is_missing() => {
                 return self.end_life(no, LifeEnd::Gone);
             }
             // What its runs came to may be told in answers that are here, unread: a late owner asks again.
-            (true, false) if life.silent > 0 && (life.silent_for_sure || outwaited) => {
+            true if life.silent_for_sure || outwaited => {
                 self.inherited_crashed |= self.unheard.remove(&no);
                 self.give_up_silent(no);
             }
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod listing;
 mod owners;
+mod predecessor;
 mod processor;
 mod restarts;
 mod specs;
@@ -26,11 +27,12 @@
 
 pub use crashes::Crashes;
 use owners::scheduler;
+pub use predecessor::{InFlight, Predecessor};
 pub use processor::Processor;
 use restarts::ToldKept;
 pub use specs::{job, queue, step, task};
-use worker::Work;
 pub use worker::{FakeWorker, Mood};
+use worker::{Work, hold_across_cut};
 
 /// The time of day when the virtual clock stands at zero, in milliseconds since 1970.
 pub const DAY_UNIX_MS: u64 = 1_780_000_000_000;
@@ -85,6 +87,10 @@
     /// The tail that a serving task on a worker reports, in milliseconds, by what fills there.
     pub tail_ms: fn(&FakeWorker) -> u32,
     pub deposed: bool,
+    /// Workers that the owner does not reach.
+    pub cut_from: BTreeSet<String>,
+    /// The owner before, while it does not know that it was succeeded.
+    pub predecessor: Option<Predecessor>,
     /// The processor time of the owner, if it has a bounded one.
     pub processor: Option<Processor>,
     /// How many events the scheduler took.
@@ -140,6 +146,8 @@
             lasting_ms: 600_000,
             tail_ms: |_| 10,
             deposed: false,
+            cut_from: BTreeSet::new(),
+            predecessor: None,
             processor: None,
             events: 0,
             holds: 0,
@@ -229,6 +237,7 @@
             self.step_workers();
             self.step_crashes();
             self.step_store();
+            self.step_predecessor();
             match self.processor.is_some() {
                 true => self.work_off(),
                 false => self.tell(Event::Tick),
@@ -304,10 +313,11 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Order { life, entry, token, lease_until_ms, order } => {
-                let answer = match self.answers_at(&entry) {
-                    true => self.order(entry.id.as_str(), token, lease_until_ms, &order),
-                    false => OrderAnswer::Unanswered,
-                };
+                let answer =
+                    match self.answers_at(&entry) && !self.cut_from.contains(entry.id.as_str()) {
+                        true => self.order(entry.id.as_str(), token, lease_until_ms, &order),
+                        false => OrderAnswer::Unanswered,
+                    };
                 let answered = Event::OrderAnswered { life, order, answer };
                 match self.order_answers_take.is_zero() {
                     true => self.tell(answered),
@@ -440,6 +450,7 @@
         }
         self.mark_gangs();
         for (id, worker) in &mut self.workers {
+            let is_cut = self.cut_from.contains(id);
             worker.work(now);
             for start in worker.take_late(now) {
                 self.starts.push((now, start.task, start.run, id.clone()));
@@ -450,7 +461,11 @@
             }
             let held = mem::take(&mut worker.held_before).into_iter().chain(worker.held.take());
             for (life, hold, sent_at) in held.collect::<Vec<_>>() {
-                if let Some(answer) = worker.answer_hold(now, (life, hold, sent_at), tail_ms) {
+                let answer = match is_cut {
+                    true => hold_across_cut(now, &hold, sent_at),
+                    false => worker.answer_hold(now, (life, hold, sent_at), tail_ms),
+                };
+                if let Some(answer) = answer {
                     self.stale_answers += u64::from(worker.tells_nothing_new(&answer));
                     answers.push(Event::Held { life, hold, sent_at, answer });
                 } else {
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -9,6 +9,9 @@
 
 use super::{DAY_UNIX_MS, World};
 
+/// How long an owner that lost the store may go on to renew leases.
+pub(super) const RENEW_WITHOUT_STORE: Duration = Duration::from_secs(12);
+
 impl World {
     /// Replaces the scheduler by one of a new owner, as after the death of the one before.
     pub fn take_over(&mut self, epoch: u64, predecessor_stopped: bool) {
@@ -23,7 +26,7 @@
         self.list_all();
     }
 
-    fn replace_scheduler(&mut self, epoch: u64, predecessor_stopped: bool) {
+    pub(super) fn replace_scheduler(&mut self, epoch: u64, predecessor_stopped: bool) {
         self.batches.clear();
         self.order_answers.clear();
         for worker in self.workers.values_mut() {
@@ -52,7 +55,7 @@
         }
     }
 
-    fn keep(&mut self, record: Record) {
+    pub(super) fn keep(&mut self, record: Record) {
         match record {
             Record::Job(job) => drop(self.jobs.insert(job.id, job)),
             Record::Progress(progress) => drop(self.progress.insert(progress.id, progress)),
@@ -71,7 +74,7 @@
     let settings = SchedulerSettings {
         longest_lease: Duration::from_secs(6),
         remember_ended: Duration::from_secs(120),
-        renew_without_store: Duration::from_secs(12),
+        renew_without_store: RENEW_WITHOUT_STORE,
         worker_heartbeat: Duration::from_millis(1_100),
     };
     Scheduler::new(settings, epoch, inheritance, now, DAY_UNIX_MS + now.as_ms())
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -316,8 +316,7 @@
         }
         let waited = now.since(sent_at);
         if matches!(self.mood, Mood::Cut | Mood::Delayed | Mood::Unread) {
-            let gives_up = Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK;
-            if waited < gives_up {
+            if !is_given_up(&hold, waited) {
                 return None;
             }
             if self.mood == Mood::Unread {
@@ -429,3 +428,16 @@
         self.ended.push(RunEnd { number, task, run: running.run, how, checkpoint });
     }
 }
+
+/// What comes of a hold that does not reach its worker: nothing, until its owner takes it for unanswered.
+pub(super) fn hold_across_cut(
+    now: Time,
+    hold: &Hold,
+    sent_at: Time,
+) -> Option<Result<Report, HoldFailure>> {
+    is_given_up(hold, now.since(sent_at)).then_some(Err(HoldFailure::Unanswered))
+}
+
+fn is_given_up(hold: &Hold, waited: Duration) -> bool {
+    waited >= Duration::from_millis(hold.wait_ms.into()) + HOLD_SLACK
+}
