An owner that the store does not confirm stops in 7 s, whatever else it hears, and so do those before it

What callers could see: a task run twice after a takeover. A new owner waits 7 s and a lease for workers that it can't reach, since the owner before goes on for 7 s without the store.

- the 7 s were counted from any answer of the store.
An owner whose reads are answered and whose writes are not went on without end.
Now they are counted from its last write that was kept, and looked at before each event, not by the clock alone: one that stood still could start tasks from answers that waited, before it looked at the time.
- an owner that stopped for certain ended the wait, although the one before it may have been lost in silence a moment ago (a zone cut off with the owner in it, its successor killed).
Now each write of an owner says whether all before it have stopped, and a stop shortens the wait only then.
Rows of earlier releases don't say so: the wait is kept.

The owner writes from its claim on, also while it reads what was kept, so that a long reading does not use the 7 s up.

--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -31,8 +31,8 @@
     pub lives: Vec<LifeRecord>,
     /// What was learned of how images disturb each other.
     pub effects: EffectsRecord,
-    /// The owner before certainly renews no leases any more.
-    pub predecessor_stopped: bool,
+    /// No owner before renews leases any more, for certain.
+    pub earlier_owners_stopped: bool,
 }
 
 impl Scheduler {
@@ -53,7 +53,7 @@
         for ProgressRecord { id, outcome, ended_unix_ms, .. } in ended {
             self.insert_ended(id, outcome, ended_unix_ms);
         }
-        self.may_be_renewed_for = match inheritance.predecessor_stopped {
+        self.may_be_renewed_for = match inheritance.earlier_owners_stopped {
             true => Duration::ZERO,
             false => self.settings.renew_without_store,
         };
--- a/crates/kitetrail-core/src/succession.rs
+++ b/crates/kitetrail-core/src/succession.rs
@@ -25,6 +25,28 @@
 /// less than the time in which the loss of a box is noticed otherwise.
 const HEARD_WITHIN: Duration = Duration::from_millis(1_200);
 
+/// Whether owners before the present one may still renew leases.
+///
+/// One that was lost in silence may go on without the store for a bounded time. One that stopped for certain does not, but
+/// the one before it may: so a successor may count on a stop alone if its predecessor had outlasted all before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EarlierOwners {
+    over_at: Time,
+}
+
+impl EarlierOwners {
+    /// Those before an owner that took over at a moment. `all_stopped`: none of them renews leases any more, for certain.
+    pub fn new(all_stopped: bool, renew_without_store: Duration, taken_over_at: Time) -> Self {
+        let wait = if all_stopped { Duration::ZERO } else { renew_without_store };
+        Self { over_at: taken_over_at + wait }
+    }
+
+    /// Whether none of them renews leases any more.
+    pub fn have_stopped(self, now: Time) -> bool {
+        now >= self.over_at
+    }
+}
+
 /// How many workers a box can own, by its processor time and its link.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -14,19 +14,19 @@
 
 impl World {
     /// Replaces the scheduler by one of a new owner, as after the death of the one before.
-    pub fn take_over(&mut self, epoch: u64, predecessor_stopped: bool) {
-        self.replace_scheduler(epoch, predecessor_stopped);
+    pub fn take_over(&mut self, epoch: u64, earlier_owners_stopped: bool) {
+        self.replace_scheduler(epoch, earlier_owners_stopped);
         self.list_all();
     }
 
     /// The same, with something that the new scheduler is told before it knows any worker.
-    pub fn take_over_with(&mut self, epoch: u64, predecessor_stopped: bool, first: Event) {
-        self.replace_scheduler(epoch, predecessor_stopped);
+    pub fn take_over_with(&mut self, epoch: u64, earlier_owners_stopped: bool, first: Event) {
+        self.replace_scheduler(epoch, earlier_owners_stopped);
         self.tell(first);
         self.list_all();
     }
 
-    pub(super) fn replace_scheduler(&mut self, epoch: u64, predecessor_stopped: bool) {
+    pub(super) fn replace_scheduler(&mut self, epoch: u64, earlier_owners_stopped: bool) {
         self.batches.clear();
         self.order_answers.clear();
         for worker in self.workers.values_mut() {
@@ -40,7 +40,7 @@
             ended: ended.collect(),
             lives: self.lives.values().cloned().collect(),
             effects: self.effects.clone(),
-            predecessor_stopped,
+            earlier_owners_stopped,
         };
         self.scheduler = scheduler(epoch, inheritance, self.now);
     }
--- a/crates/kitetrail-core/tests/jobs_two_owners.rs
+++ b/crates/kitetrail-core/tests/jobs_two_owners.rs
@@ -3,10 +3,12 @@
 
 mod fleet;
 
-use std::time::Duration;
+use std::{env, ops::Range, time::Duration};
 
-use fleet::{InFlight, World, job, step, task};
-use kitetrail_core::jobs::{JobState, StepSpec};
+use fleet::{InFlight, Mood, World, job, step, task};
+use kitetrail_core::jobs::{JobId, JobState, StepSpec};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 /// A fleet of six workers, of which the owner reaches the first three alone from now on and its successor the others.
 ///
@@ -94,3 +96,117 @@
     world.run_ms(200);
     assert_eq!(world.starts.len(), 3 + lost_runs, "the store has confirmed the owner since");
 }
+
+/// Whichever seeds are asked for by hand, else some.
+fn seeds() -> Range<u64> {
+    let asked_for = env::var("KITETRAIL_SEEDS").ok();
+    let parse = |text: String| {
+        let (from, to) = text.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    };
+    asked_for.and_then(parse).unwrap_or(0..60)
+}
+
+/// Each worker is cut off from neither owner, from one of them, or from both.
+fn cut_at_random(world: &World, rng: &mut ChaCha8Rng) -> (Vec<String>, Vec<String>) {
+    let (mut from_first, mut from_second) = (Vec::new(), Vec::new());
+    let one_way = rng.random_bool(0.3);
+    for id in world.workers.keys() {
+        let near_first = rng.random_bool(0.5);
+        if !near_first {
+            from_first.push(id.clone());
+        }
+        if near_first != (one_way && rng.random_bool(0.5)) {
+            from_second.push(id.clone());
+        }
+    }
+    (from_first, from_second)
+}
+
+/// The owner loses the store and some workers, is succeeded, and does not know for some time.
+fn succeed_unknown(world: &mut World, rng: &mut ChaCha8Rng, epoch: &mut u64) {
+    let (from_first, from_second) = cut_at_random(world, rng);
+    world.cut_from = from_first.iter().cloned().collect();
+    world.store_down = true;
+    world.run_ms(rng.random_range(600..2_500));
+    world.store_down = false;
+    world.cut_from = from_second.into_iter().collect();
+    *epoch += 1;
+    let in_flight = match rng.random_bool(0.5) {
+        true => InFlight::Lost,
+        false => InFlight::Kept(Duration::from_millis(rng.random_range(0..6_000))),
+    };
+    let from_first = from_first.iter().map(String::as_str).collect::<Vec<_>>();
+    world.take_over_beside(*epoch, in_flight, &from_first);
+    if rng.random_bool(0.4) {
+        let suspended = Duration::from_millis(rng.random_range(0..9_000));
+        let until = world.now + suspended;
+        world.predecessor.as_mut().unwrap().suspended_until = Some(until);
+    }
+}
+
+/// One of the things that may happen while there are two owners.
+fn trouble(world: &mut World, rng: &mut ChaCha8Rng) {
+    let id = format!("w{}", rng.random_range(0..world.workers.len()));
+    match rng.random_range(0..6) {
+        0 => {
+            world.restart(&id);
+            world.run_ms(rng.random_range(0..400));
+            let entry = world.worker(&id).entry.clone();
+            world.list(entry);
+        }
+        1 => {
+            let mood = [Mood::Unread, Mood::Late, Mood::Cut][rng.random_range(0..3)];
+            world.worker(&id).mood = mood;
+            world.run_ms(rng.random_range(0..2_000));
+            world.worker(&id).mood = Mood::Well;
+        }
+        2 => {
+            // The way to some workers is there again before the store tells of the successor.
+            if let Some(predecessor) = &mut world.predecessor {
+                predecessor.cut_from.remove(&id);
+            }
+        }
+        3 => drop(world.cut_from.remove(&id)),
+        _ => {}
+    }
+}
+
+#[test]
+fn whatever_two_owners_believe_tasks_run_once_and_all_jobs_end() {
+    // The fleet panics if a task runs twice at a time, or is started after an end that was taken note of.
+    for seed in seeds() {
+        println!("seed {seed}");
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World::new(6);
+        world.tell_incarnations();
+        world.work_ms = Some(rng.random_range(50..5_000));
+        world.order_answers_take = Duration::from_millis(rng.random_range(0..3) * 150);
+        let mut epoch = 1;
+        let mut next_job = 1;
+        for _ in 0..3 {
+            for _ in 0..5 {
+                let steps =
+                    vec![step(rng.random_range(1..6)), StepSpec { depends_on: vec![0], ..step(2) }];
+                world.submit(next_job, job(steps));
+                next_job += 1;
+                world.run_ms(rng.random_range(0..700));
+            }
+            succeed_unknown(&mut world, &mut rng, &mut epoch);
+            for _ in 0..rng.random_range(1..6) {
+                world.submit(next_job, job(vec![step(rng.random_range(1..4))]));
+                next_job += 1;
+                world.run_ms(rng.random_range(0..1_500));
+                trouble(&mut world, &mut rng);
+            }
+            heal(&mut world);
+            world.run_ms(rng.random_range(0..2_000));
+        }
+        world.list_all();
+        world.run_ms(60_000);
+        let accepted = (1..next_job).filter(|&id| world.jobs.contains_key(&JobId(id)));
+        let open = accepted.filter(|&id| world.state(id) != Some(JobState::Completed));
+        assert_eq!(open.collect::<Vec<_>>(), [0; 0], "jobs that did not end, seed {seed}");
+        assert!(!world.deposed, "deposed, seed {seed}");
+    }
+}
--- a/crates/kitetrail-core/tests/succession.rs
+++ b/crates/kitetrail-core/tests/succession.rs
@@ -4,7 +4,7 @@
 
 use kitetrail_core::{
     Time,
-    succession::{BoxStrength, Candidate, Candidates},
+    succession::{BoxStrength, Candidate, Candidates, EarlierOwners},
 };
 
 const STRONG: BoxStrength = BoxStrength(1_000);
@@ -57,3 +57,13 @@
     assert!(WEAK.claim_wait(STRONG) > Duration::ZERO);
     assert_eq!(WEAK.claim_wait(BoxStrength::default()), Duration::ZERO, "nothing known of others");
 }
+
+#[test]
+fn a_stop_proves_nothing_of_owners_that_were_lost_before_it() {
+    let (without_store, taken_over_at) = (Duration::from_millis(7_000), Time::from_ms(20_000));
+    let lost = EarlierOwners::new(false, without_store, taken_over_at);
+    assert!(!lost.have_stopped(taken_over_at + Duration::from_millis(6_999)));
+    assert!(lost.have_stopped(taken_over_at + without_store));
+    let stopped = EarlierOwners::new(true, without_store, taken_over_at);
+    assert!(stopped.have_stopped(taken_over_at));
+}
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use kitetrail_core::jobs::Record;
+use kitetrail_core::{jobs::Record, succession::EarlierOwners};
 use kitetrail_platform::{
     PlatformError,
     fleet::{RowStore, RowTransaction, TransactionAnswer},
@@ -83,6 +83,7 @@
 pub(super) struct Committer<P: Platform> {
     shared: Rc<Shared<P>>,
     epoch: u64,
+    earlier_owners: EarlierOwners,
     /// The version of the head row as this owner wrote it last.
     head_version: u64,
     /// The number of the last write.
@@ -96,10 +97,11 @@
     pub(super) fn new(
         shared: Rc<Shared<P>>,
         epoch: u64,
+        earlier_owners: EarlierOwners,
         head_version: u64,
         owner: mpsc::Sender<OwnerMessage>,
     ) -> Self {
-        Self { shared, epoch, head_version, write: 0, owner, usual: Duration::ZERO }
+        Self { shared, epoch, earlier_owners, head_version, write: 0, owner, usual: Duration::ZERO }
     }
 
     /// Writes until no more batches come or another owner has written.
@@ -128,7 +130,8 @@
     /// Writes records.
     async fn write(&mut self, records: &[Record]) -> Result<(), NotWritten> {
         self.write += 1;
-        let head = HeadRow { epoch: self.epoch, write: self.write };
+        let earlier_owners_stopped = self.earlier_owners.have_stopped(self.shared.clock.now());
+        let head = HeadRow { epoch: self.epoch, write: self.write, earlier_owners_stopped };
         let transaction = match self.transaction(head, records) {
             Ok(transaction) => transaction,
             Err(error) => {
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -68,6 +68,8 @@
 pub(super) enum Ended {
     /// Another owner took over.
     Deposed,
+    /// The box stops, and could not read what the owner before has left.
+    NotRead,
     /// It gave the fleet up in order.
     Released,
     /// It does not reach the store and left the fleet to a box that does.
@@ -234,10 +236,7 @@
         self.publish_if_due();
         self.doubt.ask_if_due(&self.shared, &self.sender);
         self.make_way();
-        match self.store_lost_too_long() {
-            true => ControlFlow::Break(Ended::Deposed),
-            false => ControlFlow::Continue(()),
-        }
+        ControlFlow::Continue(())
     }
 
     /// Gives the fleet up if a box that can carry much more asks how this one stands.
@@ -265,22 +264,34 @@
         }
     }
 
-    fn store_lost_too_long(&self) -> bool {
-        let silent_ms = self.shared.store_silent_ms();
-        let too_long = u128::from(silent_ms) > WITHOUT_STORE.as_millis();
-        if too_long {
-            log::warn!(silent_ms = silent_ms; "owner: gives up, the store has not answered");
-        }
-        too_long
-    }
-
     /// Feeds the scheduler and does what it asks for. `false`: deposed.
+    ///
+    /// An owner that the store has not confirmed for too long decides nothing more, whatever it is told: after it stood still
+    /// answers may wait that are read before time is looked at.
     fn handle(&mut self, event: Event) -> bool {
-        let actions = self.scheduler.handle(event, self.shared.clock.now(), unix_ms());
-        self.deposed |= !actions.into_iter().all(|action| self.act(action));
+        let now = self.shared.clock.now();
+        if self.is_unconfirmed_too_long(now) {
+            self.deposed = true;
+        }
+        if !self.deposed {
+            let actions = self.scheduler.handle(event, now, unix_ms());
+            self.deposed |= !actions.into_iter().all(|action| self.act(action));
+        }
         !self.deposed
     }
 
+    fn is_unconfirmed_too_long(&self, now: Time) -> bool {
+        let confirmed_ago = self.shared.owned_at.get().map(|at| now.since(at));
+        let too_long = confirmed_ago.is_none_or(|ago| ago > WITHOUT_STORE);
+        if too_long && !self.deposed {
+            log::warn!(
+                confirmed_ago_ms:? = confirmed_ago.map(|ago| ago.as_millis());
+                "owner: gives up, the store has not confirmed it"
+            );
+        }
+        too_long
+    }
+
     /// Puts in force what operators ask for, where it changed.
     ///
     /// Compared each time, and not waited for beside messages: a notice that comes together with a message
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Platform, peers,
-    rows::{self, OwnerRow},
+    rows::{self, HeadRow, OwnerRow},
     shared::{OwnerView, Shared},
     takeover::{self, Claim},
 };
@@ -81,8 +81,8 @@
         return Ok(None);
     }
     let Some((owner, version)) = rows::read_owner(shared).await? else {
-        let head_version = rows::read_head_version(shared).await?.unwrap_or(0);
-        return Ok(claim(shared, None, head_version, true));
+        let head = rows::read_head(shared).await?;
+        return Ok(claim(shared, None, head.map_or(0, |(_, version)| version), true));
     };
     let address = Some(owner.address).filter(|_| !owner.released);
     shared.offer_owner(OwnerView { epoch: owner.epoch, address }, "store");
@@ -94,7 +94,7 @@
         Verdict::Silent => LOST_AFTER + late_patience(shared),
     };
     log::info!(epoch = owner.epoch, verdict:? = verdict; "owner: suspected");
-    let LastWrite::Unmoved(head_version) = last_write(shared, &owner, patience).await? else {
+    let LastWrite::Unmoved(head) = last_write(shared, &owner, patience).await? else {
         return Ok(None);
     };
     if leaves_to_others(shared, &owner, version).await? {
@@ -102,7 +102,9 @@
     }
     // What refuses connections may be the way to the owner, not its end.
     let stopped = verdict == Verdict::Stopped;
-    Ok(claim(shared, Some((owner, version)), head_version, stopped))
+    let all_stopped = stopped && head.is_some_and(|(head, _)| head.earlier_owners_stopped);
+    let head_version = head.map_or(0, |(_, version)| version);
+    Ok(claim(shared, Some((owner, version)), head_version, all_stopped))
 }
 
 /// How much longer an owner that said that it is late is left without a sign of life.
@@ -204,9 +206,9 @@
 enum LastWrite {
     /// The owner has written.
     Moved,
-    /// It stayed the one with this version. Only an owner that writes nothing more after it may be
+    /// It stayed this one, with its version, if there is any. Only an owner that writes nothing more after it may be
     /// replaced, so a takeover depends on this version, however long it waits for other boxes.
-    Unmoved(u64),
+    Unmoved(Option<(HeadRow, u64)>),
 }
 
 /// Looks for some time whether the owner writes, unless it asks this box to follow it.
@@ -215,15 +217,15 @@
     owner: &OwnerRow,
     patience: Duration,
 ) -> Result<LastWrite, PlatformError> {
-    let first = rows::read_head_version(shared).await?;
+    let first = rows::read_head(shared).await?;
     let started = Instant::now();
     while started.elapsed() < patience && shared.asked_to_follow.get() != owner.epoch {
         time::sleep(READ_EVERY).await;
-        if rows::read_head_version(shared).await? != first {
+        if rows::read_head(shared).await? != first {
             return Ok(LastWrite::Moved);
         }
     }
-    Ok(LastWrite::Unmoved(first.unwrap_or(0)))
+    Ok(LastWrite::Unmoved(first))
 }
 
 /// What a takeover needs to know; `None` if this box is stopping.
@@ -231,8 +233,8 @@
     shared: &Shared<P>,
     owner: Option<(OwnerRow, u64)>,
     head_version: u64,
-    predecessor_stopped: bool,
+    earlier_owners_stopped: bool,
 ) -> Option<Claim> {
-    let claim = Claim { owner, head_version, predecessor_stopped };
+    let claim = Claim { owner, head_version, earlier_owners_stopped };
     (!shared.draining.get()).then_some(claim)
 }
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -52,6 +52,9 @@
 pub(super) struct HeadRow {
     pub(super) epoch: u64,
     pub(super) write: u64,
+    /// No owner before this one renews leases any more.
+    #[serde(default)]
+    pub(super) earlier_owners_stopped: bool,
 }
 
 pub(super) fn owner_row() -> RowName {
@@ -137,12 +140,11 @@
     read(shared, &owner_row()).await
 }
 
-/// The version of the row of the owner's last write; `None` if nothing was ever written.
-pub(super) async fn read_head_version<P: Platform>(
+/// The owner's last write, with the version of its row; `None` if nothing was ever written.
+pub(super) async fn read_head<P: Platform>(
     shared: &Rc<Shared<P>>,
-) -> Result<Option<u64>, PlatformError> {
-    let head = read::<_, HeadRow>(shared, &head_row()).await?;
-    Ok(head.map(|(_, version)| version))
+) -> Result<Option<(HeadRow, u64)>, PlatformError> {
+    read(shared, &head_row()).await
 }
 
 /// A value as a row holds it.
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -8,7 +8,7 @@
 
 use kitetrail_core::{
     jobs::{EffectsRecord, Inheritance, Outcome, ProgressRecord, Scheduler, SchedulerSettings},
-    succession::BoxStrength,
+    succession::{BoxStrength, EarlierOwners},
 };
 use kitetrail_platform::{
     PlatformError,
@@ -18,7 +18,7 @@
 
 use super::{
     Platform,
-    committer::{Committer, HEARTBEAT},
+    committer::{Batch, Committer, HEARTBEAT},
     evacuation,
     owner::{Ended, Owner, OwnerMessage, WITHOUT_STORE},
     ownership::RETRY,
@@ -43,14 +43,14 @@
 pub(super) struct Claim {
     pub(super) owner: Option<(OwnerRow, u64)>,
     pub(super) head_version: u64,
-    /// The owner before certainly renews no leases any more.
-    pub(super) predecessor_stopped: bool,
+    /// No owner before certainly renews leases any more.
+    pub(super) earlier_owners_stopped: bool,
 }
 
 /// Takes the fleet over, if nobody else is quicker, and owns it until it is lost or given up.
 pub(super) async fn own<P: Platform>(shared: &Rc<Shared<P>>, claim: Claim) {
     let started = Instant::now();
-    let predecessor_stopped = claim.predecessor_stopped;
+    let earlier_owners_stopped = claim.earlier_owners_stopped;
     let (row, version) = match take(shared, claim).await {
         Ok(Some(taken)) => taken,
         Ok(None) => return,
@@ -59,16 +59,7 @@
             return time::sleep(RETRY).await;
         }
     };
-    let Some(inheritance) = load_until_read(shared, predecessor_stopped).await else { return };
-    if !evacuation::until_known(shared).await {
-        return;
-    }
-    log::info!(
-        epoch = row.epoch, jobs = inheritance.jobs.len(), ended = inheritance.ended.len(), lives = inheritance.lives.len(),
-        predecessor_stopped = predecessor_stopped, after_ms = started.elapsed().as_millis() as u64;
-        "owner: owns the fleet"
-    );
-    let ended = serve(shared, &row, version, inheritance).await;
+    let ended = serve(shared, &row, version, earlier_owners_stopped, started).await;
     *shared.local_owner.borrow_mut() = None;
     log::info!(epoch = row.epoch, ended:? = ended; "owner: owns the fleet no more");
 }
@@ -76,10 +67,10 @@
 /// Reads what the owner before has left, however often that fails; `None` if this box is stopping.
 async fn load_until_read<P: Platform>(
     shared: &Rc<Shared<P>>,
-    predecessor_stopped: bool,
+    earlier_owners_stopped: bool,
 ) -> Option<Inheritance> {
     loop {
-        match load(shared, predecessor_stopped).await {
+        match load(shared, earlier_owners_stopped).await {
             Ok(inheritance) => return Some(inheritance),
             Err(error) if shared.draining.get() => {
                 log::warn!("owner: stops before it could read the jobs: {error}");
@@ -94,22 +85,33 @@
 }
 
 /// Runs the owner and its helpers until the fleet is lost or given up.
+///
+/// It writes from the start, also while it reads what was kept: the store's answers tell it that it owns the fleet still.
 async fn serve<P: Platform>(
     shared: &Rc<Shared<P>>,
     row: &OwnerRow,
     head_version: u64,
-    inheritance: Inheritance,
+    earlier_owners_stopped: bool,
+    started: Instant,
 ) -> Ended {
-    let scheduler = scheduler(shared, row.epoch, inheritance);
     let (sender, inbox) = mpsc::channel(INBOX);
     let (batches, to_write) = mpsc::channel(BATCHES);
-    let committer = Committer::new(Rc::clone(shared), row.epoch, head_version, sender.clone());
+    let earlier_owners =
+        EarlierOwners::new(earlier_owners_stopped, WITHOUT_STORE, shared.clock.now());
+    let committer =
+        Committer::new(Rc::clone(shared), row.epoch, earlier_owners, head_version, sender.clone());
     let mut committer = task::spawn_local(committer.run(to_write));
-    let watcher = task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
-    *shared.local_owner.borrow_mut() = Some(sender.clone());
-    shared.offer_owner(OwnerView { epoch: row.epoch, address: Some(row.address) }, "self");
-    let ended = Owner::new(Rc::clone(shared), scheduler, (sender, inbox), batches).run().await;
-    watcher.abort();
+    let ended = match inherit(shared, earlier_owners_stopped).await {
+        Some(inheritance) => {
+            log::info!(
+                epoch = row.epoch, jobs = inheritance.jobs.len(), ended = inheritance.ended.len(), lives = inheritance.lives.len(),
+                earlier_owners_stopped = earlier_owners_stopped, after_ms = started.elapsed().as_millis() as u64;
+                "owner: owns the fleet"
+            );
+            decide(shared, row, inheritance, (sender, inbox), batches).await
+        }
+        None => Ended::NotRead,
+    };
     match ended {
         Ended::Released => {
             // The batches' channel is closed: the writer ends after what it has in hand.
@@ -125,7 +127,7 @@
             committer.abort();
             ask_to_follow(shared, successor, row.epoch).await;
         }
-        Ended::Deposed => committer.abort(),
+        Ended::Deposed | Ended::NotRead => committer.abort(),
     }
     shared.writes_since.set(None);
     shared.owned_at.set(None);
@@ -134,6 +136,32 @@
     ended
 }
 
+/// What the owner before has left, once all that an owner has to know is known; `None` if this box is stopping.
+async fn inherit<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    earlier_owners_stopped: bool,
+) -> Option<Inheritance> {
+    let inheritance = load_until_read(shared, earlier_owners_stopped).await?;
+    evacuation::until_known(shared).await.then_some(inheritance)
+}
+
+/// Decides for the fleet until it is lost or given up.
+async fn decide<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    row: &OwnerRow,
+    inheritance: Inheritance,
+    (sender, inbox): (mpsc::Sender<OwnerMessage>, mpsc::Receiver<OwnerMessage>),
+    batches: mpsc::Sender<Batch>,
+) -> Ended {
+    let scheduler = scheduler(shared, row.epoch, inheritance);
+    let watcher = task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
+    *shared.local_owner.borrow_mut() = Some(sender.clone());
+    shared.offer_owner(OwnerView { epoch: row.epoch, address: Some(row.address) }, "self");
+    let ended = Owner::new(Rc::clone(shared), scheduler, (sender, inbox), batches).run().await;
+    watcher.abort();
+    ended
+}
+
 /// The best box to follow this one.
 fn successor<P: Platform>(shared: &Shared<P>) -> Option<SocketAddr> {
     shared.candidates.borrow().successors(shared.clock.now()).into_iter().next()
@@ -180,7 +208,8 @@
     let row = own_row(shared, epoch + 1, strongest);
     shared.claim_epoch(row.epoch);
     shared.asked_to_follow.set(0);
-    let head = HeadRow { epoch: row.epoch, write: 0 };
+    let earlier_owners_stopped = claim.earlier_owners_stopped;
+    let head = HeadRow { epoch: row.epoch, write: 0, earlier_owners_stopped };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row(), version), (rows::head_row(), claim.head_version)],
         puts: vec![
@@ -200,6 +229,7 @@
         TransactionAnswer::Conflict { rows } => {
             // An earlier try, whose answer was lost, may have done it.
             let ours = rows.iter().find(|it| rows::decode(it).ok().as_ref() == Some(&row));
+            shared.owned_at.set(ours.map(|_| began_at));
             Ok(ours.map(|it| (row.clone(), it.version)))
         }
     }
@@ -250,14 +280,14 @@
 /// Reads what the owner before has left.
 async fn load<P: Platform>(
     shared: &Rc<Shared<P>>,
-    predecessor_stopped: bool,
+    earlier_owners_stopped: bool,
 ) -> Result<Inheritance, PlatformError> {
     // One after the other: all share the box's link.
     let lives = scan::part(shared, rows::LIVES).await?;
     let progress = scan::part(shared, rows::PROGRESS).await?;
     let jobs = scan::part(shared, rows::JOBS).await?;
     let mut progress = rows::decode_all::<ProgressRecord>(&progress);
-    let mut inheritance = Inheritance { predecessor_stopped, ..Inheritance::default() };
+    let mut inheritance = Inheritance { earlier_owners_stopped, ..Inheritance::default() };
     inheritance.effects = load_effects(shared).await?;
     inheritance.lives = rows::decode_all(&lives).into_values().collect();
     for (key, job) in rows::decode_all(&jobs) {
