--- a/crates/kitetrail-core/tests/jobs_two_owners.rs
+++ b/crates/kitetrail-core/tests/jobs_two_owners.rs
@@ -61,6 +61,23 @@
     assert_eq!(world.starts.len(), 12, "each task was started once");
 }
 
+#[test]
+fn an_owner_that_follows_a_short_lived_one_waits_for_the_one_before_that() {
+    // The fleet panics if a task runs twice at a time.
+    let mut world = World::new(6);
+    world.work_ms = Some(20_000);
+    world.submit(1, job(vec![step(6)]));
+    world.run_until("all tasks run", |world| world.starts.len() == 6);
+    cut_in_two(&mut world, InFlight::Lost);
+    world.run_ms(1_000);
+    // The successor stops for certain. That says nothing of the owner before it, which goes on behind the cut.
+    world.take_over(3, false);
+    world.run_ms(9_000);
+    heal(&mut world);
+    world.run_ms(2_000);
+    assert_eq!(world.starts.len(), 6, "each task was started once");
+}
+
 #[test]
 fn a_write_that_left_before_a_lease_was_over_proves_nothing() {
     let mut world = World::new(6);
