A new owner outwaits the one before at workers that are not listed too; a killed owner that is back ends the wait

Ruled out: the belief of the first owner (its runs are first ones), the wait for listed workers (11.2 s, counted anew).

Change: all workers' lives of before are outwaited alike, listed or not. How long is told by the owners: each write says how long those before it may still renew leases (seven seconds less what has passed), and an owner that stopped for certain adds nothing. So that owners which were killed cost no more than before, their boxes are asked on: one that answers as another process has ended, which ends the wait.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -47,6 +47,11 @@
     Evacuated(BTreeSet<String>),
     /// The list of workers changed.
     Discovered(Vec<Discovery>),
+    /// No owner before this one renewed leases after a moment, which was not known as this one took over.
+    EarlierOwnersStopped {
+        /// The moment.
+        at: Time,
+    },
     /// The store did not answer, or turned us away, until this moment.
     StoreTrouble {
         /// When it answered again; the present while it does not.
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -31,8 +31,8 @@
     pub lives: Vec<LifeRecord>,
     /// What was learned of how images disturb each other.
     pub effects: EffectsRecord,
-    /// No owner before renews leases any more, for certain.
-    pub earlier_owners_stopped: bool,
+    /// How long owners before may go on to renew leases.
+    pub leases_renewed_for: Duration,
 }
 
 impl Scheduler {
@@ -53,14 +53,12 @@
         for ProgressRecord { id, outcome, ended_unix_ms, .. } in ended {
             self.insert_ended(id, outcome, ended_unix_ms);
         }
-        self.may_be_renewed_for = match inheritance.earlier_owners_stopped {
-            true => Duration::ZERO,
-            false => self.settings.renew_without_store,
-        };
+        // Also of workers that are not listed: their entries lapse while they are cut off together with an owner.
+        let leased_until = self.now + inheritance.leases_renewed_for + self.lapse_after();
         let mut begun = self.begun_by_worker();
         for record in inheritance.lives {
             let begun_here = begun.remove(&record.key()).unwrap_or_default();
-            self.inherit_life(record, begun_here, self.now + self.lapse_after());
+            self.inherit_life(record, begun_here, leased_until);
         }
         // Their workers' lives are over, and nobody kept how these runs ended.
         for (worker, tasks) in begun {
@@ -68,6 +66,16 @@
         }
     }
 
+    /// Takes note that no owner before renewed leases after a moment.
+    pub(super) fn note_earlier_owners_stopped(&mut self, at: Time) {
+        let over_at = at + self.lapse_after();
+        for &no in &self.unheard {
+            if let Some(life) = self.lives.get_mut(no).filter(|life| !life.contested) {
+                life.lapses_at = life.lapses_at.min(over_at);
+            }
+        }
+    }
+
     /// The tasks that the owner before was about to start as ones that may crash their worker.
     fn begun_by_worker(&self) -> BTreeMap<LifeKey, Vec<TaskName>> {
         let mut by_worker = BTreeMap::<_, Vec<_>>::new();
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -86,8 +86,6 @@
     pub remember_ended: Duration,
     /// How often workers renew their entries in the list.
     pub worker_heartbeat: Duration,
-    /// How long an owner that lost the store may go on to renew leases.
-    pub renew_without_store: Duration,
 }
 
 /// Decides for one fleet.
@@ -111,8 +109,6 @@
     of_unused_services: BTreeMap<LifeId, WorkerEntry>,
     /// Lives that the owner before used and that have not been heard or outwaited yet.
     unheard: BTreeSet<LifeNo>,
-    /// How long the owner before may go on to renew the leases of workers that are listed.
-    may_be_renewed_for: Duration,
     /// Some of those were found crashed: tasks of which nobody knows whether they ran there may have caused it.
     inherited_crashed: bool,
     /// Workers whose lives are over of late.
@@ -157,7 +153,6 @@
             lives: Lives::default(),
             of_unused_services: BTreeMap::new(),
             unheard: BTreeSet::new(),
-            may_be_renewed_for: Duration::ZERO,
             inherited_crashed: false,
             fallen: Vec::new(),
             store_trouble_until: None,
@@ -186,6 +181,7 @@
             Event::Queues(queues) => self.set_queues(queues),
             Event::Evacuated(zones) => self.set_evacuated(zones),
             Event::Discovered(changes) => self.discover(changes),
+            Event::EarlierOwnersStopped { at } => self.note_earlier_owners_stopped(at),
             Event::StoreTrouble { until } => self.note_store_trouble(until),
             Event::OrderAnswered { life, order, answer } => {
                 self.order_answered(life, order, answer)
--- a/crates/kitetrail-core/src/jobs/scheduler/unusable.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unusable.rs
@@ -26,15 +26,10 @@
     }
 
     fn note_life_unusable(&mut self, no: LifeNo) {
-        let (renewed_for, is_unheard) = (self.may_be_renewed_for, self.unheard.contains(&no));
         let Some(life) = self.lives.get_mut(no) else { return };
         if life.listing == Listing::Unusable {
             return;
         }
-        if life.is_missing() && is_unheard {
-            // Somebody writes there, so it may live and the owner before may reach it still.
-            life.lapses_at = life.lapses_at + renewed_for;
-        }
         life.listing = Listing::Unusable;
         self.note_belief(no, "not used, its entry can't be its own");
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -139,17 +139,12 @@
         let Some(life) = self.lives.get_mut(no) else { return };
         entry.draining |= life.entry.draining;
         entry.incarnation = life.entry.incarnation;
-        let (was_listed, was_missing) = (life.listing == Listing::Listed, life.is_missing());
+        let was_listed = life.listing == Listing::Listed;
         let belief = match (entry.draining && !life.entry.draining, was_listed) {
             (true, _) => Some("draining"),
             (false, false) => Some("listed again"),
             (false, true) => None,
         };
-        if was_missing && self.unheard.contains(&no) {
-            // It lives, so the owner before may reach it still. One that is not listed is to be
-            // taken for gone once its lease is over.
-            life.lapses_at = life.lapses_at + self.may_be_renewed_for;
-        }
         let shrank = !life.entry.capacity.fits_in(&entry.capacity);
         life.listing = Listing::Listed;
         life.entry = Arc::new(entry);
--- a/crates/kitetrail-core/src/succession.rs
+++ b/crates/kitetrail-core/src/succession.rs
@@ -24,25 +24,45 @@
 /// less than the time in which the loss of a box is noticed otherwise.
 const HEARD_WITHIN: Duration = Duration::from_millis(1_200);
 
-/// Whether owners before the present one may still renew leases.
+/// Until when owners before the present one may renew leases.
 ///
 /// One that was lost in silence may go on without the store for a bounded time. One that stopped for certain does not, but
-/// the one before it may: so a successor may count on a stop alone if its predecessor had outlasted all before it.
+/// those before it may: each owner says in its writes how long they may, for the one that follows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EarlierOwners {
-    over_at: Time,
+    /// Until when all but the last of them may.
+    but_last_until: Time,
+    /// Until when the last of them may.
+    last_until: Time,
 }
 
 impl EarlierOwners {
-    /// Those before an owner that took over at a moment. `all_stopped`: none of them renews leases any more, for certain.
-    pub fn new(all_stopped: bool, renew_without_store: Duration, taken_over_at: Time) -> Self {
-        let wait = if all_stopped { Duration::ZERO } else { renew_without_store };
-        Self { over_at: taken_over_at + wait }
+    /// Those before an owner that takes over at a moment. The last of them had written how long those before it may renew leases,
+    /// and does so itself without the store for a bounded time, unless it stopped for certain.
+    pub fn new(
+        may_renew_for: Duration,
+        last_stopped: bool,
+        renew_without_store: Duration,
+        now: Time,
+    ) -> Self {
+        let last_for = if last_stopped { Duration::ZERO } else { renew_without_store };
+        Self { but_last_until: now + may_renew_for, last_until: now + last_for }
     }
 
-    /// Whether none of them renews leases any more.
-    pub fn have_stopped(self, now: Time) -> bool {
-        now >= self.over_at
+    /// How long any of them may go on.
+    pub fn may_renew_for(self, now: Time) -> Duration {
+        self.but_last_until.max(self.last_until).since(now)
+    }
+
+    /// Whether the last of them may.
+    pub fn last_may_renew(self, now: Time) -> bool {
+        now < self.last_until
+    }
+
+    /// Takes note that the last of them has stopped by now. Returns after which moment none of them renews leases.
+    pub fn note_last_stopped(&mut self, now: Time) -> Time {
+        self.last_until = self.last_until.min(now);
+        self.but_last_until.max(self.last_until)
     }
 }
 
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -2,6 +2,7 @@
 //! before is the last write there.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -83,7 +84,7 @@
 pub(super) struct Committer<P: Platform> {
     shared: Rc<Shared<P>>,
     epoch: u64,
-    earlier_owners: EarlierOwners,
+    earlier_owners: Rc<Cell<EarlierOwners>>,
     /// The version of the head row as this owner wrote it last.
     head_version: u64,
     /// The number of the last write.
@@ -97,7 +98,7 @@
     pub(super) fn new(
         shared: Rc<Shared<P>>,
         epoch: u64,
-        earlier_owners: EarlierOwners,
+        earlier_owners: Rc<Cell<EarlierOwners>>,
         head_version: u64,
         owner: mpsc::Sender<OwnerMessage>,
     ) -> Self {
@@ -130,8 +131,11 @@
     /// Writes records.
     async fn write(&mut self, records: &[Record]) -> Result<(), NotWritten> {
         self.write += 1;
-        let earlier_owners_stopped = self.earlier_owners.have_stopped(self.shared.clock.now());
-        let head = HeadRow { epoch: self.epoch, write: self.write, earlier_owners_stopped };
+        let head = HeadRow {
+            epoch: self.epoch,
+            write: self.write,
+            earlier_renew_for_ms: Some(self.earlier_renew_for_ms()),
+        };
         let transaction = match self.transaction(head, records) {
             Ok(transaction) => transaction,
             Err(error) => {
@@ -160,6 +164,12 @@
         }
     }
 
+    /// How long owners before this one may go on to renew leases, in milliseconds, rounded up.
+    fn earlier_renew_for_ms(&self) -> u64 {
+        let may_renew_for = self.earlier_owners.get().may_renew_for(self.shared.clock.now());
+        may_renew_for.as_micros().div_ceil(1_000) as u64
+    }
+
     /// Whether a write is done, by what the store answered.
     fn note_answer(&mut self, answer: &TransactionAnswer, head: HeadRow) -> bool {
         let version = match answer {
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod owner;
 mod ownership;
 mod peers;
+mod predecessor;
 mod responses;
 mod rows;
 mod run;
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -12,14 +12,16 @@
 use tonic::{Code, Status};
 
 use super::{
-    Platform, peers,
+    Platform,
+    owner::WITHOUT_STORE,
+    peers,
     rows::{self, HeadRow, OwnerRow},
     shared::{OwnerView, Shared},
-    takeover::{self, Claim},
+    takeover::{self, Claim, Predecessor},
 };
 
 /// How often the owner is asked how it stands: see `docs/design/platform.md`, "Ownership".
-const PING_EVERY: Duration = Duration::from_millis(400);
+pub(super) const PING_EVERY: Duration = Duration::from_millis(400);
 /// An owner that does not answer, and has written nothing for so long, is taken for lost: more
 /// than two of its heartbeats.
 const LOST_AFTER: Duration = Duration::from_millis(800);
@@ -81,8 +83,8 @@
         return Ok(None);
     }
     let Some((owner, version)) = rows::read_owner(shared).await? else {
-        let head = rows::read_head(shared).await?;
-        return Ok(claim(shared, None, head.map_or(0, |(_, version)| version), true));
+        let head_version = rows::read_head(shared).await?.map_or(0, |(_, version)| version);
+        return Ok(claim(shared, None, head_version, Duration::ZERO));
     };
     let address = Some(owner.address).filter(|_| !owner.released);
     shared.offer_owner(OwnerView { epoch: owner.epoch, address }, "store");
@@ -100,11 +102,12 @@
     if leaves_to_others(shared, &owner, version).await? {
         return Ok(None);
     }
-    // What refuses connections may be the way to the owner, not its end.
-    let stopped = verdict == Verdict::Stopped;
-    let all_stopped = stopped && head.is_some_and(|(head, _)| head.earlier_owners_stopped);
+    let earlier_renew_for_ms = head.and_then(|(head, _)| head.earlier_renew_for_ms);
+    let earlier_renew_for = earlier_renew_for_ms.map_or(WITHOUT_STORE, Duration::from_millis);
     let head_version = head.map_or(0, |(_, version)| version);
-    Ok(claim(shared, Some((owner, version)), head_version, all_stopped))
+    // What refuses connections may be the way to the owner, not its end.
+    let last = Predecessor { row: owner, version, stopped: verdict == Verdict::Stopped };
+    Ok(claim(shared, Some(last), head_version, earlier_renew_for))
 }
 
 /// How much longer an owner that said that it is late is left without a sign of life.
@@ -144,6 +147,11 @@
     answer.owns_epoch == view.epoch && answer.store_silent_ms < STORE_SILENT_MS
 }
 
+/// Whether an owner certainly renews no leases any more, by what its box answers.
+pub(super) async fn has_stopped<P: Platform>(shared: &Rc<Shared<P>>, owner: &OwnerRow) -> bool {
+    judge(shared, owner).await == Verdict::Stopped
+}
+
 /// Asks the owner that the store names how it stands.
 async fn judge<P: Platform>(shared: &Rc<Shared<P>>, owner: &OwnerRow) -> Verdict {
     // This box, which does not own the fleet now, or an earlier life of it. Incarnations alone
@@ -231,10 +239,10 @@
 /// What a takeover needs to know; `None` if this box is stopping.
 fn claim<P: Platform>(
     shared: &Shared<P>,
-    owner: Option<(OwnerRow, u64)>,
+    predecessor: Option<Predecessor>,
     head_version: u64,
-    earlier_owners_stopped: bool,
+    earlier_renew_for: Duration,
 ) -> Option<Claim> {
-    let claim = Claim { owner, head_version, earlier_owners_stopped };
+    let claim = Claim { predecessor, head_version, earlier_renew_for };
     (!shared.draining.get()).then_some(claim)
 }
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -52,9 +52,9 @@
 pub(super) struct HeadRow {
     pub(super) epoch: u64,
     pub(super) write: u64,
-    /// No owner before this one renews leases any more.
+    /// How long owners before this one may go on to renew leases, as of this write. Absent in rows of earlier releases.
     #[serde(default)]
-    pub(super) earlier_owners_stopped: bool,
+    pub(super) earlier_renew_for_ms: Option<u64>,
 }
 
 pub(super) fn owner_row() -> RowName {
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -1,12 +1,14 @@
 //! Takes the fleet over, owns it, and gives it up in order.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use kitetrail_core::{
+    Time,
     jobs::{EffectsRecord, Inheritance, Outcome, ProgressRecord, Scheduler, SchedulerSettings},
     succession::{BoxStrength, EarlierOwners},
 };
@@ -22,6 +24,7 @@
     evacuation,
     owner::{Ended, Owner, OwnerMessage, WITHOUT_STORE},
     ownership::RETRY,
+    predecessor,
     rows::{self, HeadRow, OwnerRow},
     scan,
     shared::{OwnerView, Shared},
@@ -39,19 +42,34 @@
 /// How long the box that follows may take to say so. Longer than it takes itself.
 const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// The owner that a takeover replaces.
+pub(super) struct Predecessor {
+    pub(super) row: OwnerRow,
+    pub(super) version: u64,
+    /// It certainly renews no leases any more.
+    pub(super) stopped: bool,
+}
+
 /// What a takeover replaces: rows with their versions.
 pub(super) struct Claim {
-    pub(super) owner: Option<(OwnerRow, u64)>,
+    pub(super) predecessor: Option<Predecessor>,
     pub(super) head_version: u64,
-    /// No owner before certainly renews leases any more.
-    pub(super) earlier_owners_stopped: bool,
+    /// How long owners before the predecessor may go on to renew leases.
+    pub(super) earlier_renew_for: Duration,
+}
+
+impl Claim {
+    /// The owners before, as of a moment after the claim was kept.
+    fn earlier_owners(&self, now: Time) -> EarlierOwners {
+        let stopped = self.predecessor.as_ref().is_none_or(|it| it.stopped);
+        EarlierOwners::new(self.earlier_renew_for, stopped, WITHOUT_STORE, now)
+    }
 }
 
 /// Takes the fleet over, if nobody else is quicker, and owns it until it is lost or given up.
 pub(super) async fn own<P: Platform>(shared: &Rc<Shared<P>>, claim: Claim) {
     let started = Instant::now();
-    let earlier_owners_stopped = claim.earlier_owners_stopped;
-    let (row, version) = match take(shared, claim).await {
+    let (row, version) = match take(shared, &claim).await {
         Ok(Some(taken)) => taken,
         Ok(None) => return,
         Err(error) => {
@@ -59,18 +77,15 @@
             return time::sleep(RETRY).await;
         }
     };
-    let ended = serve(shared, &row, version, earlier_owners_stopped, started).await;
+    let ended = serve(shared, &row, version, claim, started).await;
     *shared.local_owner.borrow_mut() = None;
     log::info!(epoch = row.epoch, ended:? = ended; "owner: owns the fleet no more");
 }
 
 /// Reads what the owner before has left, however often that fails; `None` if this box is stopping.
-async fn load_until_read<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    earlier_owners_stopped: bool,
-) -> Option<Inheritance> {
+async fn load_until_read<P: Platform>(shared: &Rc<Shared<P>>) -> Option<Inheritance> {
     loop {
-        match load(shared, earlier_owners_stopped).await {
+        match load(shared).await {
             Ok(inheritance) => return Some(inheritance),
             Err(error) if shared.draining.get() => {
                 log::warn!("owner: stops before it could read the jobs: {error}");
@@ -91,24 +106,34 @@
     shared: &Rc<Shared<P>>,
     row: &OwnerRow,
     head_version: u64,
-    earlier_owners_stopped: bool,
+    claim: Claim,
     started: Instant,
 ) -> Ended {
     let (sender, inbox) = mpsc::channel(INBOX);
     let (batches, to_write) = mpsc::channel(BATCHES);
-    let earlier_owners =
-        EarlierOwners::new(earlier_owners_stopped, WITHOUT_STORE, shared.clock.now());
-    let committer =
-        Committer::new(Rc::clone(shared), row.epoch, earlier_owners, head_version, sender.clone());
+    let earlier_owners = Rc::new(Cell::new(claim.earlier_owners(shared.clock.now())));
+    let committer = Committer::new(
+        Rc::clone(shared),
+        row.epoch,
+        Rc::clone(&earlier_owners),
+        head_version,
+        sender.clone(),
+    );
     let mut committer = task::spawn_local(committer.run(to_write));
-    let ended = match inherit(shared, earlier_owners_stopped).await {
-        Some(inheritance) => {
+    let ended = match inherit(shared).await {
+        Some(mut inheritance) => {
+            inheritance.leases_renewed_for = earlier_owners.get().may_renew_for(shared.clock.now());
             log::info!(
                 epoch = row.epoch, jobs = inheritance.jobs.len(), ended = inheritance.ended.len(), lives = inheritance.lives.len(),
-                earlier_owners_stopped = earlier_owners_stopped, after_ms = started.elapsed().as_millis() as u64;
+                earlier_renew_for_ms = inheritance.leases_renewed_for.as_millis() as u64, after_ms = started.elapsed().as_millis() as u64;
                 "owner: owns the fleet"
             );
-            decide(shared, row, inheritance, (sender, inbox), batches).await
+            let watch =
+                predecessor::watch(Rc::clone(shared), claim, earlier_owners, sender.clone());
+            let watch = task::spawn_local(watch);
+            let ended = decide(shared, row, inheritance, (sender, inbox), batches).await;
+            watch.abort();
+            ended
         }
         None => Ended::NotRead,
     };
@@ -137,11 +162,8 @@
 }
 
 /// What the owner before has left, once all that an owner has to know is known; `None` if this box is stopping.
-async fn inherit<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    earlier_owners_stopped: bool,
-) -> Option<Inheritance> {
-    let inheritance = load_until_read(shared, earlier_owners_stopped).await?;
+async fn inherit<P: Platform>(shared: &Rc<Shared<P>>) -> Option<Inheritance> {
+    let inheritance = load_until_read(shared).await?;
     evacuation::until_known(shared).await.then_some(inheritance)
 }
 
@@ -190,7 +212,6 @@
     let settings = SchedulerSettings {
         longest_lease: shared.settings.longest_lease,
         remember_ended: shared.settings.remember_ended,
-        renew_without_store: WITHOUT_STORE,
         worker_heartbeat: shared.settings.worker_heartbeat,
     };
     let now = shared.clock.now();
@@ -200,16 +221,17 @@
 /// Writes that this box owns the fleet. `None`: somebody else was quicker.
 async fn take<P: Platform>(
     shared: &Rc<Shared<P>>,
-    claim: Claim,
+    claim: &Claim,
 ) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
-    let owner = claim.owner.as_ref();
-    let (epoch, version) = owner.map_or((0, 0), |(row, version)| (row.epoch, *version));
-    let strongest = owner.map(|(row, _)| row.strongest).unwrap_or_default();
+    let owner = claim.predecessor.as_ref();
+    let (epoch, version) = owner.map_or((0, 0), |it| (it.row.epoch, it.version));
+    let strongest = owner.map(|it| it.row.strongest).unwrap_or_default();
     let row = own_row(shared, epoch + 1, strongest);
     shared.claim_epoch(row.epoch);
     shared.asked_to_follow.set(0);
-    let earlier_owners_stopped = claim.earlier_owners_stopped;
-    let head = HeadRow { epoch: row.epoch, write: 0, earlier_owners_stopped };
+    let earlier = claim.earlier_owners(Time::ZERO).may_renew_for(Time::ZERO);
+    let earlier_renew_for_ms = Some(earlier.as_millis() as u64);
+    let head = HeadRow { epoch: row.epoch, write: 0, earlier_renew_for_ms };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row(), version), (rows::head_row(), claim.head_version)],
         puts: vec![
@@ -278,18 +300,17 @@
 }
 
 /// Reads what the owner before has left.
-async fn load<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    earlier_owners_stopped: bool,
-) -> Result<Inheritance, PlatformError> {
+async fn load<P: Platform>(shared: &Rc<Shared<P>>) -> Result<Inheritance, PlatformError> {
     // One after the other: all share the box's link.
     let lives = scan::part(shared, rows::LIVES).await?;
     let progress = scan::part(shared, rows::PROGRESS).await?;
     let jobs = scan::part(shared, rows::JOBS).await?;
     let mut progress = rows::decode_all::<ProgressRecord>(&progress);
-    let mut inheritance = Inheritance { earlier_owners_stopped, ..Inheritance::default() };
-    inheritance.effects = load_effects(shared).await?;
-    inheritance.lives = rows::decode_all(&lives).into_values().collect();
+    let mut inheritance = Inheritance {
+        effects: load_effects(shared).await?,
+        lives: rows::decode_all(&lives).into_values().collect(),
+        ..Inheritance::default()
+    };
     for (key, job) in rows::decode_all(&jobs) {
         inheritance.jobs.push((job, progress.remove(&key)));
     }
