--- a/crates/kitetrail-core/tests/jobs_sharing.rs
+++ b/crates/kitetrail-core/tests/jobs_sharing.rs
@@ -197,3 +197,53 @@
     // Of ten, one was in time where short work spreads.
     assert!(in_time >= 9, "{in_time} of {} in time; waits in ms: {waits_ms:?}", large.len());
 }
+
+/// The tails of two services on one worker, which both mind whatever fills beside them.
+fn touchy_tail_ms(worker: &FakeWorker) -> u32 {
+    let fills = worker.running.iter().any(|(name, run)| name.job.0 >= 100 && run.percent > 0);
+    if fills { 60 } else { 26 }
+}
+
+#[test]
+fn what_fills_uses_its_slack_to_spare_services() {
+    let mut world = World::new(2);
+    world.work_ms = Some(1_000);
+    world.tail_ms = touchy_tail_ms;
+    let whole = StepSpec { size: Resources::new(2_000, 512, 0), ..step(2) };
+    let services = StepSpec {
+        lasts: true,
+        tail_target_ms: Some(50),
+        image: Some("s".to_owned()),
+        ..whole.clone()
+    };
+    world.submit(1, job(vec![services]));
+    world.run_ms(3_000);
+    let (mut over_ms, mut late) = (0, 0);
+    for round in 0..10 {
+        // The worker beside the services is busy for a second. The caller of what fills wants it within 3.5 s.
+        world.submit(10 + round, job(vec![whole.clone()]));
+        world.run_ms(100);
+        let (id, handed_in) = (100 + round, world.now);
+        let filling = StepSpec {
+            fills: true,
+            image: Some(format!("f{round}")),
+            size: Resources::new(1_500, 512, 0),
+            estimate_ms: 1_500,
+            ..step(1)
+        };
+        world.submit(id, job(vec![filling]));
+        for _ in 0..400 {
+            world.run_ms(10);
+            let is_over = |worker: &FakeWorker| touchy_tail_ms(worker) > 50 && serves(worker);
+            over_ms += 10 * world.workers.values().filter(|worker| is_over(worker)).count();
+        }
+        let took = world.completed_after(id, handed_in);
+        late += u32::from(took.is_none_or(|took| took.as_millis() > 3_500));
+    }
+    assert_eq!(late, 0, "of 10 callers");
+    assert_eq!(over_ms, 0, "milliseconds in which services were above their target");
+}
+
+fn serves(worker: &FakeWorker) -> bool {
+    worker.running.values().any(|run| run.serves)
+}
