--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -141,16 +141,6 @@
         untimed || now + Duration::from_millis(self.chain_left_ms()) <= self.due_at
     }
 
-    /// The share of its slack that is left, 0 to 1: how much later than now it may begin what is left of it, of how much later
-    /// than its acceptance it might have begun.
-    pub(super) fn slack_left(&self, now: Time) -> f64 {
-        let chain_left = Duration::from_millis(self.chain_left_ms());
-        let slack = self.due_at.since(now + chain_left).as_secs_f64();
-        let chain = Duration::from_millis(self.spec.longest_chain_ms());
-        let whole = self.due_at.since(self.accepted_at + chain).as_secs_f64();
-        if whole > 0.0 { (slack / whole).min(1.0) } else { 0.0 }
-    }
-
     /// Whether some of its tasks run until the job is cancelled.
     pub(super) fn lasts(&self) -> bool {
         self.spec.steps.iter().any(|step| step.lasts)
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -9,7 +9,7 @@
         run::RunThere,
         spec::StepSpec,
     },
-    harm_limit::HarmLimit,
+    lateness::Lateness,
     pace::SWING,
     room::{Room, added, capacity_millis, full_loads},
     short_work::ShortWork,
@@ -64,8 +64,8 @@
     pub(super) now: Time,
     /// It may crash its worker.
     pub(super) runs_alone: bool,
-    /// How much harm it may add, if it fills.
-    pub(super) harm_limit: HarmLimit,
+    /// How late its job is: what is hopeless takes places that are worse.
+    pub(super) lateness: Lateness,
     pub(super) tails: &'a TailModel,
     pub(super) short_work: &'a ShortWork,
 }
@@ -110,8 +110,8 @@
                 }
                 let harm = headroom.added_harm(self.tails, self.image, load);
                 let slowed = 1.0 - pace(SWING);
-                let allowed = self.harm_limit.allows(harm);
-                allowed.then_some(slowed + harm + SCARCITY * headroom.tolerance)
+                let bearable = harm <= self.lateness.most_harm();
+                bearable.then_some(slowed + harm + SCARCITY * headroom.tolerance)
             }
             (_, true) => {
                 let stress = added(self.tails, &full_loads(life), self.image).min(1.0);
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -9,7 +9,6 @@
 pub(super) mod filter;
 mod fit;
 mod gauges;
-mod harm_limit;
 mod headroom;
 mod hear;
 mod holds;
--- a/crates/kitetrail-core/src/jobs/scheduler/pass.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pass.rs
@@ -6,7 +6,6 @@
         spec::StepSpec,
     },
     Scheduler,
-    harm_limit::HarmLimit,
     lateness::Lateness,
     room::Left,
 };
@@ -26,7 +25,7 @@
 pub(super) struct Pass {
     candidates: Vec<Candidate>,
     /// What was found to have no room, so that it is not looked for again.
-    full: Vec<(StepSpec, HarmLimit)>,
+    full: Vec<(StepSpec, Lateness)>,
     /// How many more tasks may be started.
     pub(super) starts_left: u32,
     /// How many short tasks found no room, at most: of a step that found some, all are counted.
@@ -42,10 +41,10 @@
     }
 
     /// Whether a step asks for no less than one that found no room, and is like it in all else.
-    pub(super) fn has_no_room_for(&self, spec: &StepSpec, harm_limit: HarmLimit) -> bool {
-        self.full.iter().any(|(full, limit)| {
+    pub(super) fn has_no_room_for(&self, spec: &StepSpec, lateness: Lateness) -> bool {
+        self.full.iter().any(|(full, late)| {
             full.fills == spec.fills
-                && (!spec.fills || *limit >= harm_limit)
+                && late.most_harm() >= lateness.most_harm()
                 && full.image == spec.image
                 && full.size.fits_in(&spec.size)
                 && (full.max_per_worker.is_none() && full.label.is_none())
@@ -53,13 +52,13 @@
     }
 
     /// Takes note that a step found no room for some of its tasks.
-    pub(super) fn note_full(&mut self, spec: StepSpec, lateness: Lateness, harm_limit: HarmLimit) {
+    pub(super) fn note_full(&mut self, spec: StepSpec, lateness: Lateness) {
         // Room is kept for short work that can be in time, not for what is late: however much of it waits.
         if !spec.fills && !spec.lasts && lateness == Lateness::InTime {
             self.short_waiting += spec.count;
         }
         if spec.label.is_none() && spec.max_per_worker.is_none() {
-            self.full.push((spec, harm_limit));
+            self.full.push((spec, lateness));
         }
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -17,7 +17,6 @@
     },
     Scheduler,
     fit::Fit,
-    harm_limit::HarmLimit,
     lateness::{Lateness, Turn},
     pass::Pass,
     ranking::Ranking,
@@ -56,21 +55,20 @@
         let (now, has_unheard) = (self.now, !self.unheard.is_empty());
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.kept) else { return };
         let lateness = Lateness::of(job, now);
-        let harm_limit = HarmLimit::of(job, now);
         if (job.inherited && has_unheard) || pass.starts_left == 0 {
             return;
         }
         for step in job.due_steps(now) {
             self.note_if_zone_needed(step);
             let spec = self.jobs.get(&id).and_then(|job| job.step_spec(step.step));
-            let Some(spec) = spec.filter(|spec| !pass.has_no_room_for(spec, harm_limit)).cloned()
+            let Some(spec) = spec.filter(|spec| !pass.has_no_room_for(spec, lateness)).cloned()
             else {
                 continue;
             };
             match spec.gang {
                 true => self.place_gang(step, &spec, pass),
                 false if self.place_step(step, &spec, pass) => {}
-                false => pass.note_full(spec, lateness, harm_limit),
+                false => pass.note_full(spec, lateness),
             }
         }
     }
@@ -148,7 +146,7 @@
             avoid: job.task(name).and_then(|task| task.avoid),
             now: self.now,
             runs_alone: job.task(name).is_some_and(|task| task.crashes.runs_alone()),
-            harm_limit: HarmLimit::of(job, self.now),
+            lateness: Lateness::of(job, self.now),
             tails: &self.tails,
             short_work: &self.short_work,
         })
