An owner keeps on which silent workers it gives no leases, so that the next one need not outwait it there

Change: an owner that has not heard a worker for 1 s gives it no leases until it has kept that it does again, and keeps that. The next owner waits there for the leases given before alone. Only an owner that heard the worker may say so, since its token there ends all earlier ones' leases.

--- a/crates/kitetrail-core/src/jobs/life.rs
+++ b/crates/kitetrail-core/src/jobs/life.rs
@@ -76,6 +76,18 @@
     }
 }
 
+/// Whether the owner may give leases on a worker.
+///
+/// Of a worker that it does not hear any more it keeps that it gives none, so that the next owner need not outwait it there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Leasing {
+    Allowed,
+    /// Not any more, and that is kept or about to be.
+    Ended,
+    /// Not yet: that it does again is not kept yet.
+    Resumed,
+}
+
 /// The pace of the runs of an image that fills on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Pace {
@@ -149,6 +161,9 @@
     pub(super) contested: bool,
     /// By now every run there has certainly lost its lease, unless it is renewed.
     pub(super) lapses_at: Time,
+    pub(super) leasing: Leasing,
+    /// Its row that is on its way to the store says that it gets no lease.
+    pub(super) sent_not_leased: bool,
     /// It is silent past that moment, and the store has not confirmed this owner since.
     pub(super) lapse_unconfirmed: bool,
     /// The fencing token of the next order.
@@ -205,6 +220,8 @@
             clock: None,
             contested: false,
             lapses_at,
+            leasing: Leasing::Allowed,
+            sent_not_leased: false,
             lapse_unconfirmed: false,
             token,
             runs: BTreeMap::new(),
@@ -258,6 +275,7 @@
             && !self.entry.draining
             && !self.zone_evacuated
             && self.silent == 0
+            && self.leasing == Leasing::Allowed
             && !self.contested
             && !set_aside
     }
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -80,6 +80,9 @@
     pub address: String,
     /// The service whose tasks it runs.
     pub service: String,
+    /// It was silent, and gets no lease before this is written anew.
+    #[serde(default)]
+    pub not_leased: bool,
 }
 
 impl LifeRecord {
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -50,10 +50,8 @@
                 self.note_end_kept(id);
             }
         }
-        for life in batch.lives {
-            if let Some(life) = self.lives.get_mut(life) {
-                life.recorded = true;
-            }
+        for no in batch.lives {
+            self.note_life_kept(no);
         }
         self.order_kept(batch.starts);
         self.note_kept_ends();
@@ -97,6 +95,7 @@
         let kept_bytes = |id: JobId| self.jobs.get(&id).map_or(0, |job| job.spec.kept_bytes());
         let has_ended = |id: JobId| self.jobs.get(&id).is_some_and(|job| !job.is_open());
         let taken = self.pending.take_batch(kept_bytes, has_ended);
+        self.note_lives_sent(&taken.lives);
         let mut records = self.records(&taken);
         if self.now.since(self.pending.effects_at) >= KEEP_EFFECTS_EVERY {
             self.pending.effects_at = self.now;
@@ -119,7 +118,8 @@
         let used = |life: &LifeNo| {
             let life = self.lives.get(*life)?;
             let WorkerEntry { id, incarnation, address, service, .. } = (*life.entry).clone();
-            Some(Record::LifeUsed(LifeRecord { id, incarnation, address, service }))
+            let not_leased = life.sent_not_leased;
+            Some(Record::LifeUsed(LifeRecord { id, incarnation, address, service, not_leased }))
         };
         // Of one that ended meanwhile the progress alone is kept.
         let new_jobs = taken.new_jobs.iter().filter_map(job).filter(|job| job.is_open());
--- a/crates/kitetrail-core/src/jobs/scheduler/hear.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hear.rs
@@ -82,6 +82,8 @@
         let first = !life.known;
         life.known = true;
         life.note_heard(report.clock_ms, sent_at, now);
+        self.resume_leasing(no);
+        let Some(life) = self.lives.get_mut(no) else { return };
         life.ends_told = life.ends_told.max(hold.ends_kept);
         let contested = life.contested;
         life.note_running(report);
--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         event::Action,
-        life::{Life, LifeNo},
+        life::{Leasing, Life, LifeNo},
         report::Hold,
     },
     Scheduler,
@@ -49,7 +49,8 @@
         }
         let wait_ms = wait_ms(life);
         // A silent worker's lease is left to run out: a renewal that is not answered may count.
-        let renews = life.clock_ms(now).filter(|_| life.silent == 0);
+        let may_lease = life.silent == 0 && life.leasing == Leasing::Allowed;
+        let renews = life.clock_ms(now).filter(|_| may_lease);
         let lease_until_ms = renews.map(|clock_ms| clock_ms + lease.as_millis() as u64);
         if lease_until_ms.is_some() {
             life.note_leased(lapse_after, now);
--- a/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
@@ -107,6 +107,7 @@
             Some(_) | None => {}
         }
         life.note_heard(clock_ms, sent_at, now);
+        self.resume_leasing(no);
         DoneBy::ThisLife
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         job::Job,
-        life::Listing,
+        life::{Leasing, Listing},
         names::{LifeKey, TaskName},
         record::{EffectsRecord, JobRecord, LifeRecord, Outcome, ProgressRecord},
         worker_entry::WorkerEntry,
@@ -53,12 +53,16 @@
         for ProgressRecord { id, outcome, ended_unix_ms, .. } in ended {
             self.insert_ended(id, outcome, ended_unix_ms);
         }
-        // Also of workers that are not listed: their entries lapse while they are cut off together with an owner.
-        let leased_until = self.now + inheritance.leases_renewed_for + self.lapse_after();
+        let given_until = self.now + self.lapse_after();
         let mut begun = self.begun_by_worker();
         for record in inheritance.lives {
             let begun_here = begun.remove(&record.key()).unwrap_or_default();
-            self.inherit_life(record, begun_here, leased_until);
+            // Also of workers that are not listed: their entries lapse while they are cut off together with an owner.
+            let renewed_for = match record.not_leased {
+                true => Duration::ZERO,
+                false => inheritance.leases_renewed_for,
+            };
+            self.inherit_life(record, begun_here, given_until + renewed_for);
         }
         // Their workers' lives are over, and nobody kept how these runs ended.
         for (worker, tasks) in begun {
@@ -87,6 +91,7 @@
 
     /// A life that an earlier owner used; where it answers is all we know.
     fn inherit_life(&mut self, record: LifeRecord, begun_before: Vec<TaskName>, lapses_at: Time) {
+        let leasing = if record.not_leased { Leasing::Ended } else { Leasing::Allowed };
         let entry = WorkerEntry {
             id: record.id,
             incarnation: record.incarnation,
@@ -104,6 +109,7 @@
         if let Some(life) = self.lives.get_mut(no) {
             life.listing = Listing::Unread;
             life.recorded = true;
+            life.leasing = leasing;
             life.begun_before = begun_before;
         }
         self.unheard.insert(no);
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -16,6 +16,7 @@
 mod inherit;
 mod kept_starts;
 mod lateness;
+mod leasing;
 mod orders;
 mod overload;
 mod pace;
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         event::Action,
-        life::{LifeEnd, LifeNo, Listing, SentOrder},
+        life::{Leasing, LifeEnd, LifeNo, Listing, SentOrder},
         names::TaskName,
         note::Note,
         order::{Order, OrderAnswer, Refusal},
@@ -86,6 +86,9 @@
         }
         let Some(clock_ms) = life.clock_ms(now) else { return };
         let starts = matches!(life.orders.front(), Some(Order::Start(_)));
+        if starts && life.leasing != Leasing::Allowed {
+            return;
+        }
         let Some(order) = life.orders.pop_front() else { return };
         if let Order::Start(start) = &order
             && (life.entry.draining || life.zone_evacuated || life.listing == Listing::Unusable)
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -215,8 +215,13 @@
         self.urgent = true;
     }
 
-    pub(super) fn end_life(&mut self, life: LifeNo, key: LifeKey) {
-        if !self.new_lives.remove(&life) {
+    /// A life's row is to be written anew, soon.
+    pub(super) fn rewrite_life(&mut self, life: LifeNo) {
+        self.new_lives.insert(life);
+    }
+
+    pub(super) fn end_life(&mut self, life: LifeNo, key: LifeKey, is_kept: bool) {
+        if !self.new_lives.remove(&life) || is_kept {
             self.lives_over.insert(key);
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -75,13 +75,14 @@
         self.inherited_crashed |= self.unheard.remove(&no);
         self.note_fallen(&life);
         self.note_crash(&life.entry.key(), suspects);
-        self.pending.end_life(no, life.entry.key());
+        self.pending.end_life(no, life.entry.key(), life.recorded);
         self.settle_contest(life.id());
         self.replan = true;
     }
 
     /// What time alone changes in a life: leases that ran out, holds that are due.
     pub(super) fn check_life(&mut self, no: LifeNo) {
+        self.end_leasing_if_silent(no);
         let is_over = self.silent_lease_is_over(no);
         let Some(life) = self.lives.get_mut(no) else { return };
         let outwaited = self.now.since(life.lapses_at) >= LATE_ANSWERS_WITHIN;
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -225,6 +225,44 @@
     world.run_until("its task runs elsewhere", |world| world.starts.len() == 4);
 }
 
+#[test]
+fn a_worker_that_fell_silent_before_its_owner_holds_nothing_up_for_long() {
+    let mut world = World::new(3);
+    world.work_ms = Some(20_000);
+    world.submit(1, job(vec![step(3)]));
+    world.run_ms(500);
+    let lost = world.worker_of(task(1, 0, 1));
+    world.worker(&lost).crash();
+    // The owner notices, and is lost in silence itself before the worker's lease is over.
+    world.run_ms(3_000);
+    assert_eq!(world.starts.len(), 3);
+    world.worker(&lost).gone = true;
+    world.take_over(2, false);
+    world.run_ms(4_500);
+    assert_eq!(world.starts.len(), 4, "the owner before gave no lease there any more, as it kept");
+}
+
+#[test]
+fn a_worker_that_is_heard_again_keeps_what_it_runs() {
+    let mut world = World::new(2);
+    world.work_ms = Some(60_000);
+    world.submit(1, job(vec![step(2)]));
+    world.run_ms(500);
+    let silent = world.worker_of(task(1, 0, 0));
+    for _ in 0..5 {
+        world.worker(&silent).mood = Mood::Cut;
+        world.run_ms(2_700);
+        world.worker(&silent).mood = Mood::Well;
+        world.run_ms(1_500);
+    }
+    assert_eq!(world.starts.len(), 2, "its lease was renewed in time each time");
+    assert!(world.workers.values().all(|worker| worker.lapsed == 0));
+    // It is given work again.
+    world.submit(2, job(vec![step(6)]));
+    world.run_until("all tasks run", |world| world.starts.len() == 8);
+    assert_eq!(world.workers[&silent].running.len(), 4);
+}
+
 #[test]
 fn an_owner_lost_in_silence_may_renew_the_leases_of_workers_that_live() {
     let mut world = World::new(3);
--- a/crates/kitetrail-core/tests/jobs_two_owners.rs
+++ b/crates/kitetrail-core/tests/jobs_two_owners.rs
@@ -69,10 +69,10 @@
     world.submit(1, job(vec![step(6)]));
     world.run_until("all tasks run", |world| world.starts.len() == 6);
     cut_in_two(&mut world, InFlight::Lost);
-    world.run_ms(1_000);
+    world.run_ms(2_500);
     // The successor stops for certain. That says nothing of the owner before it, which goes on behind the cut.
     world.take_over(3, false);
-    world.run_ms(9_000);
+    world.run_ms(7_500);
     heal(&mut world);
     world.run_ms(2_000);
     assert_eq!(world.starts.len(), 6, "each task was started once");
