Only a worker that is silent for 2 s loses its leases, and one that is heard again gets them at once

And a worker that was heard again was held without a lease for up to 0.9 s while its row was kept.

Change: 2 s; a worker without leases answers at once, and is held with a lease as soon as its row is kept.

--- a/crates/kitetrail-core/src/jobs/scheduler/holds.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/holds.rs
@@ -91,7 +91,8 @@
 
 /// How long a worker may wait for an end before it answers, in milliseconds.
 fn wait_ms(life: &Life) -> u32 {
-    let at_once = life.silent > 0 || life.contested || !life.known || life.runs().is_empty();
+    let is_leased = life.silent == 0 && life.leasing == Leasing::Allowed;
+    let at_once = !is_leased || life.contested || !life.known || life.runs().is_empty();
     let shared = life.serves() && life.fills();
     match (at_once, shared) {
         (true, _) => 0,
--- a/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
@@ -13,9 +13,9 @@
     Scheduler,
 };
 
-/// A worker that is silent for so long is taken to be lost. Shorter silences are common where calls are lost, and a worker that is heard
-/// again waits for a row to be kept.
-const LEASES_END_AFTER: Duration = Duration::from_millis(1_000);
+/// A worker that is silent for so long is taken to be lost. Shorter silences are common where connections are lost, and a worker that is heard
+/// again waits for a row to be kept; but well below the lease, 4 s.
+const LEASES_END_AFTER: Duration = Duration::from_millis(2_000);
 
 impl Scheduler {
     /// Gives no more leases on a worker that is silent for long, and has that kept.
@@ -54,6 +54,8 @@
         life.recorded = true;
         if !life.sent_not_leased && life.leasing == Leasing::Resumed {
             life.leasing = Leasing::Allowed;
+            self.hold_soon(no, Duration::ZERO);
+            self.hold_if_due(no);
             self.send_next_order(no);
             self.replan = true;
         }
