--- a/crates/kitetrail-core/src/jobs/scheduler/room.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/room.rs
@@ -10,7 +10,7 @@
 use crate::{Accelerators, CpuMillis, MemoryMb, Resources};
 
 /// The share of a worker's processor time that may be taken, with what fills at full speed, in
-/// percent. More than all, since what fills seldom runs at full speed everywhere at once.
+/// percent.
 const MOST_TAKEN_PERCENT: u32 = 110;
 /// Effects below this are not worth slowing anything for: they are within the noise of gauges.
 pub(in crate::jobs) const SLIGHT_EFFECT: f64 = 0.5;
