What is kept of workers does not wait for a burst of jobs

Watchers of workers that crashed 4.8 s before the owner was lost stood still for 20 s.

Cause, from the test: rows of workers' lives get what new jobs leave of a batch, which is nothing while more jobs come than the store takes. So it was not kept on which silent workers no leases are given, and the next owner outwaited them all; new workers were not used either. On virtual time 0 of 30 rows were kept in 7 s of such a burst, 30 with the change.

Change: lives go first, 20 entries of 90 a batch at most; 1.2 s of silence in place of 2.

Why it holds: the rest of a batch leaves ten entries to new jobs at least while lives wait.

--- a/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
@@ -13,9 +13,9 @@
     Scheduler,
 };
 
-/// A worker that is silent for so long is taken to be lost. Shorter silences are common where connections are lost, and a worker that is heard
-/// again waits for a row to be kept; but well below the lease, 4 s.
-const LEASES_END_AFTER: Duration = Duration::from_millis(2_000);
+/// A worker that is silent for so long is taken to be lost. Shorter silences are common where calls are lost; a longer wait leaves
+/// more of them to be outwaited if the owner is lost as well.
+const LEASES_END_AFTER: Duration = Duration::from_millis(1_200);
 
 impl Scheduler {
     /// Gives no more leases on a worker that is silent for long, and has that kept.
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -23,6 +23,9 @@
 /// Of a full batch new jobs, jobs that ended and other jobs are left so many entries each, so that none waits for
 /// the others for good: callers wait for the first two, and workers repeat ends until the last are kept.
 const LEAST_ENTRIES: usize = MAX_ENTRIES / 3;
+/// Of a full batch so many entries go to workers' lives at most, before all else: what they say holds up starts now, or all inherited
+/// jobs after the loss of this owner. The rest still leaves some to new jobs.
+const MOST_LIVES: usize = 20;
 /// The most bytes of new jobs in a batch. The store takes 1 MB a transaction, in which each byte
 /// becomes 1.4; half of the rest is left to other records.
 const MAX_JOB_BYTES_OF_BATCH: usize = 350_000;
@@ -99,8 +102,8 @@
         let for_ended = (self.ended.len() * ENTRIES_OF_ENDED_JOB).min(LEAST_ENTRIES);
         let for_progress = self.progress.len().min(LEAST_ENTRIES);
         let mut room = MAX_ENTRIES;
+        let lives = take_some(&mut self.new_lives, &mut room, MAX_ENTRIES - MOST_LIVES);
         let new_jobs = self.take_new_jobs(&mut room, for_ended + for_progress, kept_bytes);
-        let lives = take_some(&mut self.new_lives, &mut room, for_ended + for_progress);
         // What is known of a new job goes with it: its caller is told that it is kept.
         let with_new = new_jobs.iter().copied().filter(|&id| self.remove_progress(id));
         let mut progress = with_new.collect::<Vec<_>>();
--- a/crates/kitetrail-core/tests/jobs_kept.rs
+++ b/crates/kitetrail-core/tests/jobs_kept.rs
@@ -153,3 +153,24 @@
     world.run_ms(100);
     assert!(world.answered(again).is_some() && world.jobs.contains_key(&JobId(1)), "kept anew");
 }
+
+#[test]
+fn what_is_kept_of_silent_workers_does_not_wait_for_a_burst_of_jobs() {
+    let mut world = World::new(40);
+    world.store_takes = Duration::from_millis(100);
+    world.run_ms(1_000);
+    let silent = (0..30).map(|no| format!("w{no}")).collect::<Vec<_>>();
+    for id in &silent {
+        world.worker(id).crash();
+    }
+    // More jobs than the store takes. The owner notices the silence at the next question, after 5 s on idle workers.
+    for id in 0..3_500 {
+        world.submit(100 + id, job(vec![step(1)]));
+        if id % 5 == 0 {
+            world.run_ms(10);
+        }
+    }
+    let not_leased =
+        |id: &&String| world.lives.get(id.as_str()).is_some_and(|life| life.not_leased);
+    assert_eq!(silent.iter().filter(not_leased).count(), 30);
+}
