A write of a worker's row replaces the removal that waits for it

Cause: removals waited by key in a queue of their own and went into a batch after the writes, so that the row of the next instance under the key was removed. Ruled out: pages that were not read; a cut is not needed, an expired entry is enough.

Mend: one change for each row, a write replaces the removal; batches are written in turn, so a removal in flight comes first. Every test on the virtual fleet checks at each step that workers in use have rows.

--- a/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
@@ -165,11 +165,12 @@
             }
             Some(other) => self.send_poll_now(other),
             None => {
+                let key = entry.key();
                 let other = self.insert_instance(entry, self.now);
                 if let Some(instance) = self.instances.get_mut(other) {
                     instance.listing = Listing::Unread;
                 }
-                self.pending.add_instance(other);
+                self.pending.add_instance(other, &key);
                 self.mark_contested(other);
             }
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
@@ -38,7 +38,7 @@
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if instance.leasing == Leasing::Ended {
             instance.leasing = Leasing::Resumed;
-            self.pending.add_instance(instance_no);
+            self.pending.add_instance(instance_no, &instance.entry.key());
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod headroom;
 mod incarnations;
 mod inherit;
+mod instance_rows;
 mod lateness;
 mod leasing;
 mod orders;
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -9,6 +9,7 @@
         record::Outcome,
     },
     deferred_starts::DeferredStart,
+    instance_rows::InstanceRows,
     unique_queue::UniqueQueue,
     unpersisted_ends::{ReportedEnd, UnpersistedEnds},
 };
@@ -52,8 +53,7 @@
     /// with high ids would be passed over for as long as the store lags behind.
     progress: UniqueQueue<JobId>,
     jobs_to_delete: BTreeSet<JobId>,
-    new_workers: BTreeSet<InstanceNo>,
-    ended_workers: BTreeSet<InstanceKey>,
+    instance_rows: InstanceRows,
     /// Whether a record is to be persisted without delay.
     pub(super) urgent: bool,
     unpersisted_ends: UnpersistedEnds,
@@ -108,8 +108,8 @@
         let reserved_for_ended = (self.ended.len() * ENDED_JOB_ENTRIES).min(RESERVED_ENTRIES);
         let reserved_for_progress = self.progress.len().min(RESERVED_ENTRIES);
         let mut room = MAX_BATCH_ENTRIES;
-        let instances =
-            take_first(&mut self.new_workers, &mut room, MAX_BATCH_ENTRIES - MAX_WORKER_ENTRIES);
+        let instances = self.instance_rows.take_writes(MAX_WORKER_ENTRIES);
+        room -= instances.len();
         let new_jobs = self.take_new_jobs(
             &mut room,
             reserved_for_ended + reserved_for_progress,
@@ -120,8 +120,9 @@
         let mut progress = progress_of_new_jobs.collect::<Vec<_>>();
         progress.extend(self.take_ended(&mut room, reserved_for_progress));
         progress.extend(self.take_progress(&mut room, has_ended));
-        let ended_instances = take_first(&mut self.ended_workers, &mut room, 0);
-        let jobs_to_delete = take_first(&mut self.jobs_to_delete, &mut room, 0);
+        let ended_instances = self.instance_rows.take_removals(room);
+        room -= ended_instances.len();
+        let jobs_to_delete = iter::from_fn(|| self.jobs_to_delete.pop_first()).take(room).collect();
         BatchRecords {
             new_jobs,
             instances,
@@ -232,14 +233,14 @@
         }
     }
 
-    pub(super) fn add_instance(&mut self, instance_no: InstanceNo) {
-        self.new_workers.insert(instance_no);
+    pub(super) fn add_instance(&mut self, instance_no: InstanceNo, key: &InstanceKey) {
+        self.instance_rows.add(instance_no, key);
         self.urgent = true;
     }
 
     /// Requests that the row of a worker is soon written again.
     pub(super) fn rewrite_instance(&mut self, instance_no: InstanceNo) {
-        self.new_workers.insert(instance_no);
+        self.instance_rows.rewrite(instance_no);
     }
 
     pub(super) fn remove_instance(
@@ -248,9 +249,7 @@
         key: InstanceKey,
         is_persisted: bool,
     ) {
-        if !self.new_workers.remove(&instance_no) || is_persisted {
-            self.ended_workers.insert(key);
-        }
+        self.instance_rows.remove(instance_no, key, is_persisted);
     }
 
     /// Records an end that a worker reported, before the records that it changes.
@@ -328,8 +327,7 @@
             + self.ended.len()
             + self.progress.len()
             + self.jobs_to_delete.len()
-            + self.new_workers.len()
-            + self.ended_workers.len()
+            + self.instance_rows.len()
     }
 
     /// Returns the number of ends whose changes are not all persisted yet.
@@ -342,15 +340,6 @@
             && self.ended.is_empty()
             && self.progress.is_empty()
             && self.jobs_to_delete.is_empty()
-            && self.new_workers.is_empty()
-            && self.ended_workers.is_empty()
+            && self.instance_rows.is_empty()
     }
 }
-
-/// Takes the first elements as far as there is room for an entry each beside the reserved entries.
-fn take_first<T: Ord + Clone>(from: &mut BTreeSet<T>, room: &mut usize, reserved: usize) -> Vec<T> {
-    let count = room.saturating_sub(reserved);
-    let taken = iter::from_fn(|| from.pop_first()).take(count).collect::<Vec<_>>();
-    *room -= taken.len();
-    taken
-}
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -182,11 +182,12 @@
         // No other owner has leased on a worker that is new to the list, or the worker's record
         // would say so.
         let crashed_recently = self.has_lost_worker_at(&entry.address);
+        let key = entry.key();
         let instance_no = self.insert_instance(entry, self.now);
         if let Some(instance) = self.instances.get_mut(instance_no) {
             instance.crashed_recently = crashed_recently;
         }
-        self.pending.add_instance(instance_no);
+        self.pending.add_instance(instance_no, &key);
         self.log_worker_state(instance_no, "listed");
         self.mark_contested(instance_no);
         self.send_poll_if_due(instance_no);
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -507,6 +507,7 @@
         }
         self.check_single_runs();
         self.check_acknowledged_ends();
+        self.check_used_workers_are_stored();
     }
 
     /// Makes the members of a gang wait until all of the same run are present.
@@ -526,6 +527,20 @@
         }
     }
 
+    /// Panics if a worker that runs a task, or is still to carry out an order, has no row in the store: a new owner would
+    /// not ask it.
+    fn check_used_workers_are_stored(&self) {
+        let is_used =
+            |worker: &&FakeWorker| !worker.running.is_empty() || worker.has_deferred_orders();
+        for worker in self.workers.values().filter(is_used) {
+            let WorkerEntry { id, address, .. } = &worker.entry;
+            // A new instance that got an order for the one before it is reached by the row of that one.
+            let is_stored =
+                self.instances.values().any(|row| row.id == *id && row.address == *address);
+            assert!(is_stored, "{id} is in use and has no row at {}", self.now);
+        }
+    }
+
     /// Panics if a task runs on two workers, unless its step allows copies.
     fn check_single_runs(&self) {
         let copied = |name: &TaskName| {
--- a/crates/kitetrail-core/tests/jobs_unlisted.rs
+++ b/crates/kitetrail-core/tests/jobs_unlisted.rs
@@ -4,8 +4,10 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use fleet::{Behaviour, FakeWorker, SimulatedFleet, job, step, task};
-use kitetrail_core::jobs::{Event, JobId, JobState, StepSpec, WorkerListChange};
+use kitetrail_core::jobs::{Event, JobId, JobState, LogEntry, StepSpec, WorkerListChange};
 
 /// The minimum time that a worker keeps running after its entry is gone, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
@@ -220,3 +222,40 @@
     fleet.advance_ms(1_500);
     assert_eq!(fleet.starts.len(), 2, "the worker left");
 }
+
+/// Returns whether the scheduler has ended an instance of a worker.
+fn has_ended(fleet: &SimulatedFleet, id: &str) -> bool {
+    fleet.log_entries.iter().any(|(_, entry)| {
+        matches!(entry, LogEntry::Worker { worker, state, .. }
+            if worker.as_str() == id && state.starts_with("gone"))
+    })
+}
+
+#[test]
+fn a_worker_listed_again_right_after_its_instance_ended_keeps_its_row() {
+    // The fleet panics if a worker in use has no row.
+    for relisted_after_ms in (0..400).step_by(20) {
+        let (mut fleet, id) = fleet_running(3, long_running_step(2));
+        fleet.task_duration_ms = Some(100);
+        fleet.store_latency = Duration::from_millis(150);
+        fleet.worker(&id).behaviour = Behaviour::Partitioned;
+        fleet.report_expired(&id);
+        for job_id in 2.. {
+            if has_ended(&fleet, &id) {
+                break;
+            }
+            // A batch is always in flight, so that the removal of the row has to wait.
+            fleet.submit(job_id, job(vec![step(1)]));
+            fleet.advance_ms(20);
+        }
+        fleet.advance_ms(relisted_after_ms);
+        fleet.worker(&id).behaviour = Behaviour::Healthy;
+        fleet.report_relisted(&id);
+        fleet.submit(1_000, job(vec![StepSpec { max_per_worker: Some(1), ..step(3) }]));
+        fleet.advance_until("all workers are used", |fleet| {
+            fleet.starts.iter().filter(|(_, task, ..)| task.job == JobId(1_000)).count() == 3
+        });
+        fleet.take_over(2, true);
+        fleet.advance_ms(10_000);
+    }
+}
