Polls of a large fleet wait at the worker in place of pausing at the owner

Cause: the rate of polls was held down by a pause that grows with all instances, idle ones too; of a cycle of 3.0 s nobody listened for 2.5 s. Ruled out: the owner's time (lag 0 to 5 ms in its log, 0.40 of a core at the most), its link.

Now a worker of a large fleet waits longer before it answers, up to the 2 s that the platform allows; it answers at the first end, so a waiting poll costs nothing. The pause stays at 120 ms for any size, and the cycle follows from the workers that run something. The budget is as before, 2,000 polls a second beside one for each start and each end; beyond 4,240 busy workers it follows from the wait: 2,830 a second at 6,000, 5,660 at 12,000.

--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -113,6 +113,8 @@
     ended_by_time: BTreeSet<(u64, JobId)>,
     queues: BTreeMap<QueueName, QueueTerms>,
     instances: Instances,
+    /// The number of instances that run something, as of the last tick.
+    busy_workers: usize,
     /// Entries whose service no queue uses. Their workers are not contacted.
     unused_service_entries: BTreeMap<WorkerName, WorkerEntry>,
     /// Worker instances used by an earlier owner that have neither answered nor outlasted their
@@ -161,6 +163,7 @@
             ended_by_time: BTreeSet::new(),
             queues: BTreeMap::new(),
             instances: Instances::default(),
+            busy_workers: 0,
             unused_service_entries: BTreeMap::new(),
             unconfirmed_instances: BTreeSet::new(),
             inherited_worker_crashed: false,
@@ -317,8 +320,15 @@
         self.refuse_unsent_jobs();
         self.start_due_occurrences();
         self.remove_expired_jobs();
-        let due = self.instances.iter().filter(|(_, instance)| instance.needs_check(self.now));
-        for instance_no in due.map(|(instance_no, _)| instance_no).collect::<Vec<_>>() {
+        let (mut due, mut busy_workers) = (Vec::new(), 0);
+        for (instance_no, instance) in self.instances.iter() {
+            busy_workers += usize::from(!instance.runs().is_empty());
+            if instance.needs_check(self.now) {
+                due.push(instance_no);
+            }
+        }
+        self.busy_workers = busy_workers;
+        for instance_no in due {
             self.check_instance(instance_no);
         }
         self.evacuate_zones_if_due();
--- a/crates/kitetrail-core/src/jobs/scheduler/polls.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/polls.rs
@@ -11,12 +11,14 @@
     Scheduler,
 };
 
-/// The longest time that a worker may wait for an end before it answers a poll, in milliseconds. It
-/// bounds how late slow tasks are noticed; the platform accepts up to 2,000 ms.
-const POLL_WAIT_MS: u32 = 900;
+/// The time that a worker of a small fleet may wait for an end before it answers a poll. It bounds
+/// how late slow tasks are noticed.
+const POLL_WAIT: Duration = Duration::from_millis(900);
 /// The same for workers that run serving and best-effort tasks side by side, where tail
 /// latencies change within seconds.
-const POLL_WAIT_SHARED_MS: u32 = 500;
+const POLL_WAIT_SHARED: Duration = Duration::from_millis(500);
+/// The longest time that a worker may wait, as accepted by the platform.
+const MAX_POLL_WAIT: Duration = Duration::from_millis(2_000);
 /// The pause before the next poll, so that ends that occur close together share one answer.
 const POLL_PAUSE: Duration = Duration::from_millis(120);
 /// The same for a worker that runs nothing, of which only the health matters.
@@ -26,13 +28,10 @@
 const POLL_PAUSE_UNACKNOWLEDGED: Duration = Duration::from_millis(600);
 /// The increment of the pause for each failed poll in a row.
 const POLL_RETRY_STEP: Duration = Duration::from_millis(150);
-/// The number of polls a second that an owner aims at for workers that run something and answer in
-/// the usual time. Each poll takes about 60 µs, so the limit leaves the owner of a large fleet time
-/// for other work. Retries and polls after a start come on top.
+/// The number of polls a second that an owner aims at for workers that run something while no run
+/// ends. Each poll takes about 60 µs, so the limit leaves the owner of a large fleet time for other
+/// work. One poll for each start, one for each end, and retries come on top.
 const TARGET_POLLS_PER_S: f64 = 2_000.0;
-/// The duration of a poll and the pause after it without rate limiting: the shortest wait and
-/// [`POLL_PAUSE`].
-const USUAL_POLL_CYCLE: Duration = Duration::from_millis(620);
 /// The longest pause between retries.
 const MAX_POLL_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -40,6 +39,7 @@
     /// Sends a poll to a worker if one is due.
     pub(super) fn send_poll_if_due(&mut self, instance_no: InstanceNo) {
         let (now, lease, lease_expiry_delay) = (self.now, self.lease, self.lease_expiry_delay());
+        let fleet_cycle = Duration::from_secs_f64(self.busy_workers as f64 / TARGET_POLLS_PER_S);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if instance.poll_in_flight || instance.next_poll_at.is_none_or(|due_at| due_at > now) {
             return;
@@ -50,7 +50,7 @@
             // not get the acknowledgement, which it would apply to its own ends.
             return;
         }
-        let wait_ms = wait_ms(instance);
+        let wait_ms = poll_wait(instance, fleet_cycle).as_millis() as u32;
         // The lease of a silent worker is left to expire, because even an unanswered renewal may
         // take effect.
         let may_lease = instance.unanswered_polls == 0 && instance.leasing == Leasing::Allowed;
@@ -74,8 +74,6 @@
     /// polls, because best-effort tasks there are halted based on these reports.
     pub(super) fn schedule_poll(&mut self, instance_no: InstanceNo) {
         let now = self.now;
-        let fleet_cycle = Duration::from_secs_f64(self.instances.len() as f64 / TARGET_POLLS_PER_S);
-        let extra_pause = fleet_cycle.saturating_sub(USUAL_POLL_CYCLE);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         let pause = match instance.unanswered_polls {
             0 if instance.contested => POLL_PAUSE,
@@ -86,7 +84,7 @@
             }
             0 if instance.runs().is_empty() => POLL_PAUSE_UNACKNOWLEDGED,
             0 if instance.exceeds_tail_target() => POLL_PAUSE,
-            0 => POLL_PAUSE + extra_pause + self.overload.poll_pause(),
+            0 => POLL_PAUSE + self.overload.poll_pause(),
             failed_polls => (POLL_RETRY_STEP * failed_polls).min(MAX_POLL_RETRY),
         };
         instance.next_poll_at = Some(now + pause);
@@ -102,15 +100,21 @@
     }
 }
 
-/// Returns how long a worker may wait for an end before it answers, in milliseconds.
-fn wait_ms(instance: &WorkerInstance) -> u32 {
+/// Returns how long a worker may wait for an end before it answers, given the time in which all
+/// workers that run something are to be polled once.
+///
+/// In a large fleet polls wait longer instead of being sent less often, since a waiting poll costs
+/// nothing and a worker reports ends only while it is polled.
+fn poll_wait(instance: &WorkerInstance, fleet_cycle: Duration) -> Duration {
     let is_leased = instance.unanswered_polls == 0 && instance.leasing == Leasing::Allowed;
     let immediate =
         !is_leased || instance.contested || !instance.has_reported || instance.runs().is_empty();
+    let in_large_fleet = fleet_cycle.saturating_sub(POLL_PAUSE).min(MAX_POLL_WAIT);
     let shared = instance.has_serving() && instance.has_best_effort();
     match (immediate, shared) {
-        (true, _) => 0,
-        (false, true) => POLL_WAIT_SHARED_MS,
-        (false, false) => POLL_WAIT_MS,
+        (true, _) => Duration::ZERO,
+        (false, true) if instance.exceeds_tail_target() => POLL_WAIT_SHARED,
+        (false, true) => POLL_WAIT_SHARED.max(in_large_fleet),
+        (false, false) => POLL_WAIT.max(in_large_fleet),
     }
 }
--- /dev/null
+++ b/crates/kitetrail-core/tests/jobs_large_fleet.rs
@@ -0,0 +1,85 @@
+//! Promises that must not depend on the number of workers.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{SimulatedFleet, job, step, task};
+use kitetrail_core::{
+    Time,
+    jobs::{JobId, JobState, StepSpec},
+};
+
+/// The numbers of workers of a small fleet and of a large one.
+const FLEETS: [u32; 2] = [60, 12_000];
+/// The time within which an end must be known on which a step waits.
+const MAX_END_DELAY: Duration = Duration::from_millis(300);
+/// The time of a poll that waits as long as the platform allows, and the pause after it.
+const LONGEST_POLL_CYCLE: Duration = Duration::from_millis(2_120);
+
+/// Creates a fleet with one long-running task on each worker.
+fn busy_fleet(workers: u32) -> SimulatedFleet {
+    let mut fleet = SimulatedFleet::new(workers);
+    let long_running =
+        StepSpec { long_running: true, max_per_worker: Some(1), ..step(workers / 20) };
+    for id in 1..=20 {
+        fleet.submit(1_000 + id, job(vec![long_running.clone()]));
+    }
+    fleet
+        .advance_until("all workers run something", |fleet| fleet.starts.len() == workers as usize);
+    // All workers have been polled since.
+    fleet.advance_ms(3_000);
+    fleet
+}
+
+/// Returns when a task was started.
+fn started_at(fleet: &SimulatedFleet, job: u64, step: u32) -> Time {
+    let started = fleet.starts.iter().find(|(_, name, ..)| *name == task(job, step, 0));
+    started.unwrap().0
+}
+
+#[test]
+fn dependent_steps_start_soon_after_an_end_in_a_fleet_of_any_size() {
+    const TASK_MS: u64 = 1_500;
+    const STEPS: u32 = 3;
+    for workers in FLEETS {
+        let mut fleet = busy_fleet(workers);
+        fleet.task_duration_ms = Some(TASK_MS);
+        let chained = |number| {
+            let depends_on = if number == 0 { Vec::new() } else { vec![number - 1] };
+            StepSpec { depends_on, ..step(1) }
+        };
+        for id in 1..=10 {
+            fleet.submit(id, job((0..STEPS).map(chained).collect()));
+            fleet.advance_ms(130);
+        }
+        fleet.advance_until("all chains complete", |fleet| {
+            (1..=10).all(|id| fleet.state(id) == Some(JobState::Completed))
+        });
+        for id in 1..=10 {
+            for step in 1..STEPS {
+                let gap = started_at(&fleet, id, step).since(started_at(&fleet, id, step - 1));
+                let delay = gap - Duration::from_millis(TASK_MS);
+                assert!(
+                    delay <= MAX_END_DELAY,
+                    "{workers} workers: step {step} of {} starts {delay:?} after the end",
+                    JobId(id)
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn polls_of_workers_on_which_nothing_ends_wait_as_long_as_they_may_in_a_large_fleet() {
+    const MEASURED_MS: u64 = 4_240;
+    let workers = FLEETS[1];
+    let mut fleet = busy_fleet(workers);
+    let before = fleet.polls;
+    fleet.advance_ms(MEASURED_MS);
+    let cycles = MEASURED_MS / LONGEST_POLL_CYCLE.as_millis() as u64;
+    // One more per worker, since the measurement may begin and end within a cycle.
+    assert!(fleet.polls - before <= u64::from(workers) * (cycles + 1));
+    assert!(fleet.workers.values().all(|worker| worker.expired_runs == 0));
+}
