Earlier instances at a place are found by its address and machine

Instances are indexed by their address and their machine.

scripts/owner-cost plays the load of the whole fleet at 6,002 and 12,000 workers as well, and a takeover at each size.

--- a/crates/kitetrail-core/examples/owner_cost.rs
+++ b/crates/kitetrail-core/examples/owner_cost.rs
@@ -17,20 +17,52 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// The fleet sizes, in workers: a small one, a medium one, the largest known one, and twice that.
-const WORKERS: [u32; 4] = [66, 490, 890, 1_780];
-/// The rate of check jobs, for each worker and second.
-const CHECKS_PER_WORKER_S: f64 = 13.0 / 890.0;
-/// The rate of build jobs, for each worker and second.
-const BUILDS_PER_WORKER_S: f64 = 14.9 / 890.0;
-/// The number of watchers that run continuously, for each worker.
-const WATCHERS_PER_WORKER: f64 = 173.0 / 890.0;
+/// The load of a fleet, for each of its workers.
+struct Profile {
+    name: &'static str,
+    /// The numbers of workers: those of known fleets, and twice that of the largest.
+    workers: &'static [u32],
+    /// The jobs per second, and the largest number of tasks in a step.
+    checks_per_s: f64,
+    check_tasks: u32,
+    builds_per_s: f64,
+    build_tasks: u32,
+    /// The jobs that run continuously.
+    watchers: f64,
+    /// The number of tasks of such a job.
+    watcher_tasks: u32,
+}
+
+/// The load of a fleet of some hundred workers, which fills it.
+const FULL: Profile = Profile {
+    name: "full",
+    workers: &[66, 490, 890, 1_780],
+    checks_per_s: 13.0 / 890.0,
+    check_tasks: 27,
+    builds_per_s: 14.9 / 890.0,
+    build_tasks: 70,
+    watchers: 173.0 / 890.0,
+    watcher_tasks: 34,
+};
+/// The load of the largest known fleet, which leaves room.
+const ROOMY: Profile = Profile {
+    name: "roomy",
+    workers: &[890, 6_002, 12_000],
+    checks_per_s: 11.5 / 6_002.0,
+    check_tasks: 40,
+    builds_per_s: 13.7 / 6_002.0,
+    build_tasks: 80,
+    watchers: 185.0 / 6_002.0,
+    watcher_tasks: 48,
+};
 /// The factor by which the rate of builds increases to cause a backlog.
 const BACKLOG_BUILD_FACTOR: f64 = 2.6;
 /// The simulated time before the measurement, during which the fleet fills up, in milliseconds.
 const WARM_UP_MS: u64 = 6_000;
 /// The simulated time of the measurement, in milliseconds.
 const MEASURED_MS: u64 = 6_000;
+/// The simulated time after a takeover that is measured, in milliseconds.
+const TAKEOVER_MS: u64 = 1_000;
 /// The interval at which new jobs are submitted, in milliseconds.
 const SUBMIT_INTERVAL_MS: u64 = 50;
 /// The number of images of builds.
@@ -39,14 +71,25 @@
 const WATCHER_IMAGE_COUNT: u32 = 16;
 
 fn main() {
-    for (name, build_factor) in [("calm", 1.0), ("backlog", BACKLOG_BUILD_FACTOR)] {
-        println!("{name}:");
-        for workers in WORKERS {
-            let mut load = Load::new(workers, build_factor);
+    for profile in [FULL, ROOMY] {
+        for (name, build_factor) in [("calm", 1.0), ("backlog", BACKLOG_BUILD_FACTOR)] {
+            println!("{}, {name}:", profile.name);
+            for &workers in profile.workers {
+                let mut load = Load::new(&profile, workers, build_factor);
+                load.run(WARM_UP_MS);
+                let before = Counters::of(&load.fleet);
+                load.run(MEASURED_MS);
+                report(workers, &before, &Counters::of(&load.fleet));
+            }
+        }
+        println!("{}, takeover:", profile.name);
+        for &workers in profile.workers {
+            let mut load = Load::new(&profile, workers, 1.0);
             load.run(WARM_UP_MS);
             let before = Counters::of(&load.fleet);
-            load.run(MEASURED_MS);
-            report(workers, &before, &Counters::of(&load.fleet));
+            load.fleet.take_over(2, true);
+            load.fleet.advance_ms(TAKEOVER_MS);
+            report_takeover(workers, &before, &Counters::of(&load.fleet));
         }
     }
 }
@@ -93,8 +136,20 @@
     );
 }
 
+fn report_takeover(workers: u32, before: &Counters, after: &Counters) {
+    let spent_us = (after.handling_time - before.handling_time).as_secs_f64() * 1e6;
+    let allocations = (after.allocations - before.allocations) as f64;
+    println!(
+        "workers {workers} us_per_worker {:.1} allocations_per_worker {:.1} polls_per_worker {:.2}",
+        spent_us / f64::from(workers),
+        allocations / f64::from(workers),
+        (after.polls - before.polls) as f64 / f64::from(workers),
+    );
+}
+
 /// A simulated fleet and the generator of its jobs.
-struct Load {
+struct Load<'a> {
+    profile: &'a Profile,
     fleet: SimulatedFleet,
     rng: ChaCha8Rng,
     workers: f64,
@@ -104,8 +159,8 @@
     due_builds: f64,
 }
 
-impl Load {
-    fn new(workers: u32, build_factor: f64) -> Self {
+impl<'a> Load<'a> {
+    fn new(profile: &'a Profile, workers: u32, build_factor: f64) -> Self {
         let mut fleet = SimulatedFleet::with_workers((0..workers).map(worker));
         fleet.tail_ms = |worker| {
             let best_effort = worker.running.values().filter(|run| !run.is_serving);
@@ -114,6 +169,7 @@
             12 + 20 * used / worker.entry.capacity.cpu_millis.0
         };
         let mut load = Self {
+            profile,
             fleet,
             rng: ChaCha8Rng::seed_from_u64(1),
             workers: f64::from(workers),
@@ -122,7 +178,7 @@
             due_checks: 0.0,
             due_builds: 0.0,
         };
-        for _ in 0..(load.workers * WATCHERS_PER_WORKER) as u32 {
+        for _ in 0..(load.workers * profile.watchers) as u32 {
             let spec = load.watcher();
             load.submit_job(vec![spec]);
             load.fleet.advance_ms(10);
@@ -133,8 +189,9 @@
     fn run(&mut self, ms: u64) {
         for _ in 0..ms / SUBMIT_INTERVAL_MS {
             let seconds = SUBMIT_INTERVAL_MS as f64 / 1_000.0;
-            self.due_checks += CHECKS_PER_WORKER_S * self.workers * seconds;
-            self.due_builds += BUILDS_PER_WORKER_S * self.workers * seconds * self.build_factor;
+            self.due_checks += self.profile.checks_per_s * self.workers * seconds;
+            self.due_builds +=
+                self.profile.builds_per_s * self.workers * seconds * self.build_factor;
             while self.due_checks >= 1.0 {
                 self.due_checks -= 1.0;
                 let first = self.check();
@@ -158,7 +215,7 @@
     fn check(&mut self) -> StepSpec {
         let cpu_millis = self.rng.random_range(3_000..7_500);
         StepSpec {
-            count: self.rng.random_range(3..27),
+            count: self.rng.random_range(3..self.profile.check_tasks),
             size: Resources::new(cpu_millis, 8_000, 0),
             estimate_ms: self.rng.random_range(400..1_200),
             ..StepSpec::default()
@@ -168,7 +225,7 @@
     fn build(&mut self) -> StepSpec {
         let cpu_millis = self.rng.random_range(1_200..2_400);
         StepSpec {
-            count: self.rng.random_range(10..70),
+            count: self.rng.random_range(10..self.profile.build_tasks),
             size: Resources::new(cpu_millis, 3_200, 0),
             estimate_ms: self.rng.random_range(1_400..4_000),
             keeps_progress: true,
@@ -181,7 +238,7 @@
     fn watcher(&mut self) -> StepSpec {
         let cpu_millis = self.rng.random_range(2_400..4_000);
         StepSpec {
-            count: self.rng.random_range(15..34),
+            count: self.rng.random_range(15..self.profile.watcher_tasks),
             size: Resources::new(cpu_millis, 6_400, 0),
             estimate_ms: 400,
             long_running: true,
--- a/crates/kitetrail-core/src/jobs/instances.rs
+++ b/crates/kitetrail-core/src/jobs/instances.rs
@@ -1,12 +1,31 @@
 //! The worker instances of a fleet, by their number.
 
-use std::collections::HashMap;
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use super::{
     instance::{InstanceNo, WorkerInstance},
     names::WorkerName,
+    worker_entry::WorkerEntry,
 };
 
+/// A place at which a single instance is alive at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Place {
+    Address(String),
+    Machine(String),
+}
+
+impl Place {
+    /// Returns the places of an entry.
+    fn all_of(entry: &WorkerEntry) -> impl Iterator<Item = Self> {
+        let machine = entry.machine.clone().map(Self::Machine);
+        [Self::Address(entry.address.clone())].into_iter().chain(machine)
+    }
+}
+
 /// The worker instances of a fleet, by their number.
 ///
 /// Every report and order looks up its instance, and each pass over the jobs iterates over all of
@@ -18,6 +37,7 @@
     count: usize,
     /// The instances under each worker's id, the listed one last.
     by_worker: HashMap<WorkerName, Vec<InstanceNo>>,
+    by_place: HashMap<Place, Vec<InstanceNo>>,
 }
 
 impl Instances {
@@ -59,6 +79,17 @@
         self.by_worker.get(id).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the instances of which only one is alive if the instance of the entry is, without that
+    /// one itself.
+    pub(super) fn conflicting_with(&self, entry: &WorkerEntry) -> BTreeSet<InstanceNo> {
+        let at_place = Place::all_of(entry).filter_map(|place| self.by_place.get(&place)).flatten();
+        let candidates = self.of_worker(&entry.id).iter().chain(at_place).copied();
+        let conflicts = |&number: &InstanceNo| {
+            self.get(number).is_some_and(|instance| instance.conflicts_with(entry))
+        };
+        candidates.filter(conflicts).collect()
+    }
+
     /// Records that an instance is the listed one of its worker.
     pub(super) fn record_listed(&mut self, number: InstanceNo) {
         let Some(instance) = self.slots.get(number.0 as usize).and_then(Option::as_ref) else {
@@ -74,6 +105,7 @@
     pub(super) fn push(&mut self, instance: WorkerInstance) -> InstanceNo {
         let number = InstanceNo(self.slots.len() as u32);
         self.by_worker.entry(instance.id().clone()).or_default().push(number);
+        self.add_places(number, &instance.entry);
         self.slots.push(Some(Box::new(instance)));
         self.count += 1;
         number
@@ -82,6 +114,7 @@
     pub(super) fn remove(&mut self, number: InstanceNo) -> Option<WorkerInstance> {
         let instance = self.slots.get_mut(number.0 as usize)?.take()?;
         self.count -= 1;
+        self.remove_places(number, &instance.entry);
         if let Some(of_worker) = self.by_worker.get_mut(instance.id()) {
             of_worker.retain(|&other| other != number);
             if of_worker.is_empty() {
@@ -90,4 +123,34 @@
         }
         Some(*instance)
     }
+
+    /// Replaces the entry of an instance.
+    pub(super) fn replace_entry(&mut self, number: InstanceNo, entry: WorkerEntry) {
+        let Some(instance) = self.get(number) else { return };
+        let previous = Arc::clone(&instance.entry);
+        if previous.address != entry.address || previous.machine != entry.machine {
+            self.remove_places(number, &previous);
+            self.add_places(number, &entry);
+        }
+        if let Some(instance) = self.get_mut(number) {
+            instance.entry = Arc::new(entry);
+            instance.free_capacity = None;
+        }
+    }
+
+    fn add_places(&mut self, number: InstanceNo, entry: &WorkerEntry) {
+        for place in Place::all_of(entry) {
+            self.by_place.entry(place).or_default().push(number);
+        }
+    }
+
+    fn remove_places(&mut self, number: InstanceNo, entry: &WorkerEntry) {
+        for place in Place::all_of(entry) {
+            let Some(numbers) = self.by_place.get_mut(&place) else { continue };
+            numbers.retain(|&other| other != number);
+            if numbers.is_empty() {
+                self.by_place.remove(&place);
+            }
+        }
+    }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -53,12 +53,12 @@
     ) {
         let Some(instance) = self.instances.get(instance_no) else { return };
         let entry = Arc::clone(&instance.entry);
-        let earlier = self
-            .instances
-            .iter()
-            .filter(|(_, other)| other.conflicts_with(&entry) && other.precedes(sent_at))
-            .map(|(instance_no, other)| (instance_no, other.id() == &entry.id));
-        for (earlier, same_id) in earlier.collect::<Vec<_>>() {
+        for earlier in self.instances.conflicting_with(&entry) {
+            let Some(other) = self.instances.get(earlier).filter(|other| other.precedes(sent_at))
+            else {
+                continue;
+            };
+            let same_id = other.id() == &entry.id;
             if same_id {
                 self.transfer_runs(earlier, instance_no, report);
                 self.log_worker_restart(earlier, instance_no);
@@ -161,8 +161,7 @@
         };
         let shrank = !instance.entry.capacity.fits_in(&entry.capacity);
         instance.listing = Listing::Listed;
-        instance.entry = Arc::new(entry);
-        instance.free_capacity = None;
+        self.instances.replace_entry(instance_no, entry);
         self.instances.record_listed(instance_no);
         self.update_zone_status(instance_no);
         if shrank {
