--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -124,6 +124,8 @@
         sender.clone(),
     );
     let mut committer = task::spawn_local(committer.run(to_write));
+    // The list of workers is read at the same time as the stored state. The scheduler gets it from the inbox.
+    let watcher = task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
     let ended = match load_inheritance(shared).await {
         Some(mut inheritance) => {
             inheritance.earlier_renewal = earlier_owners.get().may_renew_for(shared.clock.now());
@@ -141,6 +143,7 @@
         }
         None => OwnershipEnd::NotRead,
     };
+    watcher.abort();
     match ended {
         OwnershipEnd::Released => {
             // The batch channel is closed, so the writer ends after its current batch.
@@ -181,12 +184,9 @@
     batches: mpsc::Sender<Batch>,
 ) -> OwnershipEnd {
     let scheduler = new_scheduler(shared, row.epoch, inheritance);
-    let watcher = task::spawn_local(workers_watch::run(Rc::clone(shared), sender.clone()));
     *shared.owner_inbox.borrow_mut() = Some(sender.clone());
     shared.adopt_owner(OwnerView { epoch: row.epoch, address: Some(row.address) }, "self");
-    let ended = Owner::new(Rc::clone(shared), scheduler, (sender, inbox), batches).run().await;
-    watcher.abort();
-    ended
+    Owner::new(Rc::clone(shared), scheduler, (sender, inbox), batches).run().await
 }
 
 /// Returns the best box to own the fleet after this one.
