The length of leases follows from the size of the fleet

The length is now the sum of the longest time between two polls, the time of a replacement and the time that a takeover takes for all workers: 4 s as before up to 2,500 workers, 6 s at 6,002, 7.5 s at 12,000. It is stored before it is granted, so that a successor waits long enough for workers that it can't reach. Late answers to polls are read for as long as workers grant leases.

--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -31,8 +31,8 @@
 pub use names::{Incarnation, InstanceKey, InvalidName, JobId, QueueName, TaskName, WorkerName};
 pub use order::{Order, OrderAnswer, OrderRefusal, StartOrder};
 pub use record::{
-    EffectsRecord, InstanceRecord, JobRecord, OccurrenceProgress, Outcome, ProgressRecord, Record,
-    ServingEffects, StepProgress,
+    EffectsRecord, InstanceRecord, JobRecord, LeaseRecord, OccurrenceProgress, Outcome,
+    ProgressRecord, Record, ServingEffects, StepProgress,
 };
 pub use report::{Poll, PollFailure, Report, RunEnd, RunResult, RunningTask};
 pub use scheduler::{InheritedState, Scheduler, SchedulerSettings};
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -45,6 +45,17 @@
     RemoveInstance(InstanceKey),
     /// Writes the learned interference between images.
     Effects(EffectsRecord),
+    /// Writes a bound of the length of leases, before longer ones are granted.
+    LongestLease(LeaseRecord),
+}
+
+/// The bound of the length of the leases that owners have granted.
+///
+/// A new owner waits this long for leases on workers that it can't reach.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The longest lease, in milliseconds.
+    pub max_ms: u64,
 }
 
 /// The learned interference between images, stored so that a new owner does not have to learn it
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -9,7 +9,7 @@
         instance::InstanceNo,
         job::Job,
         names::JobId,
-        record::{InstanceRecord, Outcome, Record},
+        record::{InstanceRecord, LeaseRecord, Outcome, Record},
         worker_entry::WorkerEntry,
     },
     Scheduler,
@@ -51,6 +51,9 @@
                 self.finish_persisted_job(id);
             }
         }
+        if let Some(lease) = batch.longest_lease {
+            self.record_longest_lease_persisted(lease);
+        }
         for instance_no in batch.instances {
             self.mark_instance_persisted(instance_no);
         }
@@ -102,14 +105,15 @@
             self.pending.effects_persisted_at = self.now;
             records.push(Record::Effects(self.tails.export()));
         }
+        let complete = taken.complete;
         let job = |id: &JobId| self.jobs.get(id);
         let outcomes = taken.progress.iter().filter_map(job);
         let outcomes = outcomes.map(|job| (job.id, job.outcome)).collect();
         let starts = self.deferred_starts.take(&taken.progress);
-        let (new_jobs, instances) = (taken.new_jobs, taken.instances);
-        let batch = |number| Batch { number, new_jobs, outcomes, instances, starts };
+        let BatchRecords { new_jobs, instances, longest_lease, .. } = taken;
+        let batch = |number| Batch { number, new_jobs, outcomes, instances, longest_lease, starts };
         let batch = self.pending.record_sent(batch, self.now);
-        self.pending.urgent = !taken.complete;
+        self.pending.urgent = !complete;
         self.actions.push(Action::Commit { batch, records });
     }
 
@@ -140,6 +144,8 @@
         records.extend(dropped.map(Record::RemoveJob));
         records.extend(taken.ended_instances.iter().cloned().map(Record::RemoveInstance));
         records.extend(taken.jobs_to_delete.iter().copied().map(Record::RemoveProgress));
+        let longest_lease = taken.longest_lease.map(|lease| lease.as_millis() as u64);
+        records.extend(longest_lease.map(|max_ms| Record::LongestLease(LeaseRecord { max_ms })));
         records
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -33,6 +33,8 @@
     pub interference: EffectsRecord,
     /// How long earlier owners may continue to renew leases.
     pub earlier_renewal: Duration,
+    /// The longest lease that earlier owners granted, unless none was longer than the shortest one.
+    pub longest_lease: Option<Duration>,
 }
 
 impl Scheduler {
@@ -58,7 +60,8 @@
         for ProgressRecord { id, outcome, ended_unix_ms, .. } in ended {
             self.record_ended_job(id, outcome, ended_unix_ms);
         }
-        let own_expiry = self.now + self.lease_expiry_delay();
+        self.longest_lease = inheritance.longest_lease.unwrap_or_default().max(self.longest_lease);
+        let own_expiry = self.now + self.longest_lease_expiry_delay();
         let mut recorded_starts = self.recorded_starts_by_worker();
         for record in inheritance.instances {
             let starts_here = recorded_starts.remove(&record.key()).unwrap_or_default();
@@ -81,7 +84,7 @@
 
     /// Handles the news that no earlier owner has renewed leases since a given time.
     pub(super) fn handle_earlier_owners_stopped(&mut self, stopped_at: Time) {
-        let expires_at = stopped_at + self.lease_expiry_delay();
+        let expires_at = stopped_at + self.longest_lease_expiry_delay();
         for &instance_no in &self.unconfirmed_instances {
             if let Some(instance) =
                 self.instances.get_mut(instance_no).filter(|instance| !instance.contested)
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod inherit;
 mod instance_rows;
 mod lateness;
+mod lease_length;
 mod leasing;
 mod orders;
 mod overload;
@@ -52,8 +53,8 @@
 pub use self::inherit::InheritedState;
 use self::{
     backlog::StartedTasks, crash_attribution::LostWorker, deferred_starts::DeferredStarts,
-    evacuation::ZoneEvacuation, first_polls::FirstPolls, overload::Overload, pending::PendingRecords,
-    short_tasks::ShortTasks, tails::TailModel,
+    evacuation::ZoneEvacuation, first_polls::FirstPolls, lease_length::MIN_LEASE,
+    overload::Overload, pending::PendingRecords, short_tasks::ShortTasks, tails::TailModel,
 };
 use super::{
     event::{Action, Event, JobState},
@@ -69,11 +70,6 @@
 };
 use crate::Time;
 
-/// The longest lease that this owner grants.
-///
-/// Long enough to replace a killed owner (about 2.5 s) and hear from every worker before leases
-/// expire. Short, because the tasks of a silent worker wait until its lease has expired.
-const LEASE_DURATION: Duration = Duration::from_millis(4_000);
 /// The most by which a worker's clock may run slower than ours, in percent, as guaranteed by the
 /// platform.
 pub(super) const MAX_CLOCK_SLOWDOWN_PERCENT: u32 = 2;
@@ -101,7 +97,10 @@
 #[derive(Debug)]
 pub struct Scheduler {
     settings: SchedulerSettings,
+    /// The length of the leases that this owner grants.
     lease: Duration,
+    /// The stored upper bound of the leases that this owner and earlier ones granted.
+    longest_lease: Duration,
     epoch: u64,
     now: Time,
     unix_ms: u64,
@@ -157,7 +156,8 @@
     ) -> Self {
         let mut scheduler = Self {
             settings,
-            lease: settings.max_lease.min(LEASE_DURATION),
+            lease: settings.max_lease.min(MIN_LEASE),
+            longest_lease: settings.max_lease.min(MIN_LEASE),
             epoch,
             now,
             unix_ms,
@@ -314,17 +314,22 @@
 
     /// Returns the delay after the last renewal until a lease has certainly expired.
     fn lease_expiry_delay(&self) -> Duration {
-        self.lease + self.lease * MAX_CLOCK_SLOWDOWN_PERCENT / 100 + LEASE_EXPIRY_MARGIN
+        expiry_delay(self.lease)
+    }
+
+    /// Returns the same delay for the longest lease that an owner granted.
+    fn longest_lease_expiry_delay(&self) -> Duration {
+        expiry_delay(self.longest_lease)
     }
 
     /// Returns the same delay for the longest lease that workers grant.
     fn max_lease_expiry_delay(&self) -> Duration {
-        let longest = self.settings.max_lease;
-        longest + longest * MAX_CLOCK_SLOWDOWN_PERCENT / 100 + LEASE_EXPIRY_MARGIN
+        expiry_delay(self.settings.max_lease)
     }
 
     fn tick(&mut self) {
         self.first_polls.begin_tick(self.tick_lag);
+        self.update_lease();
         self.refuse_unsent_jobs();
         self.start_due_occurrences();
         self.remove_expired_jobs();
@@ -345,3 +350,8 @@
         self.placement_needed = true;
     }
 }
+
+/// Returns the delay after which a lease of this length has certainly expired.
+fn expiry_delay(lease: Duration) -> Duration {
+    lease + lease * MAX_CLOCK_SLOWDOWN_PERCENT / 100 + LEASE_EXPIRY_MARGIN
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -54,6 +54,8 @@
     progress: UniqueQueue<JobId>,
     jobs_to_delete: BTreeSet<JobId>,
     instance_rows: InstanceRows,
+    /// The bound of the length of leases that is to be stored before longer ones are granted.
+    longest_lease: Option<Duration>,
     /// Whether a record is to be persisted without delay.
     pub(super) urgent: bool,
     unpersisted_ends: UnpersistedEnds,
@@ -79,6 +81,8 @@
     pub(super) new_jobs: Vec<JobId>,
     pub(super) outcomes: Vec<(JobId, Outcome)>,
     pub(super) instances: Vec<InstanceNo>,
+    /// The bound of the length of leases that is stored with the batch.
+    pub(super) longest_lease: Option<Duration>,
     /// Starts to order once the batch is persisted.
     pub(super) starts: Vec<DeferredStart>,
 }
@@ -91,6 +95,7 @@
     pub(super) progress: Vec<JobId>,
     pub(super) ended_instances: Vec<InstanceKey>,
     pub(super) jobs_to_delete: Vec<JobId>,
+    pub(super) longest_lease: Option<Duration>,
     /// Whether no other records wait to be persisted.
     pub(super) complete: bool,
 }
@@ -123,12 +128,14 @@
         let ended_instances = self.instance_rows.take_removals(room);
         room -= ended_instances.len();
         let jobs_to_delete = iter::from_fn(|| self.jobs_to_delete.pop_first()).take(room).collect();
+        let longest_lease = self.longest_lease.take();
         BatchRecords {
             new_jobs,
             instances,
             progress,
             ended_instances,
             jobs_to_delete,
+            longest_lease,
             complete: self.is_empty(),
         }
     }
@@ -252,6 +259,15 @@
         self.instance_rows.remove(instance_no, key, is_persisted);
     }
 
+    /// Requests that a bound of the length of leases is stored, unless it is being stored.
+    pub(super) fn store_longest_lease(&mut self, lease: Duration) {
+        let in_flight = self.in_flight.as_ref().and_then(|batch| batch.longest_lease);
+        if in_flight.is_none_or(|in_flight| in_flight < lease) {
+            self.longest_lease = Some(lease);
+            self.urgent = true;
+        }
+    }
+
     /// Records an end that a worker reported, before the records that it changes.
     pub(super) fn record_end(&mut self, instance_no: InstanceNo, number: u64) {
         self.unpersisted_ends.push(instance_no, number);
@@ -341,5 +357,6 @@
             && self.progress.is_empty()
             && self.jobs_to_delete.is_empty()
             && self.instance_rows.is_empty()
+            && self.longest_lease.is_none()
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/polls.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/polls.rs
@@ -39,7 +39,7 @@
     /// Sends a poll to a worker if one is due.
     pub(super) fn send_poll_if_due(&mut self, instance_no: InstanceNo) {
         let (now, lease, lease_expiry_delay) = (self.now, self.lease, self.lease_expiry_delay());
-        let fleet_cycle = Duration::from_secs_f64(self.busy_workers as f64 / TARGET_POLLS_PER_S);
+        let fleet_cycle = fleet_cycle(self.busy_workers);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if instance.poll_in_flight || instance.next_poll_at.is_none_or(|due_at| due_at > now) {
             return;
@@ -116,6 +116,21 @@
     }
 }
 
+/// Returns the longest time between two polls of a worker that runs something, in a fleet of this
+/// size whose owner does not lag.
+pub(super) fn longest_cycle(workers: usize) -> Duration {
+    POLL_WAIT.max(wait_in_large_fleet(fleet_cycle(workers))) + POLL_PAUSE
+}
+
+/// Returns the time in which all workers that run something are to be polled once.
+fn fleet_cycle(busy_workers: usize) -> Duration {
+    Duration::from_secs_f64(busy_workers as f64 / TARGET_POLLS_PER_S)
+}
+
+fn wait_in_large_fleet(fleet_cycle: Duration) -> Duration {
+    fleet_cycle.saturating_sub(POLL_PAUSE).min(MAX_POLL_WAIT)
+}
+
 /// Returns how long a worker may wait for an end before it answers, given the time in which all
 /// workers that run something are to be polled once.
 ///
@@ -125,7 +140,7 @@
     let is_leased = instance.unanswered_polls == 0 && instance.leasing == Leasing::Allowed;
     let immediate =
         !is_leased || instance.contested || !instance.has_reported || instance.runs().is_empty();
-    let in_large_fleet = fleet_cycle.saturating_sub(POLL_PAUSE).min(MAX_POLL_WAIT);
+    let in_large_fleet = wait_in_large_fleet(fleet_cycle);
     let shared = instance.has_serving() && instance.has_best_effort();
     match (immediate, shared) {
         (true, _) => Duration::ZERO,
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -20,8 +20,9 @@
     Time,
     jobs::{
         Action, EffectsRecord, Event, InheritedState, InstanceNo, InstanceRecord, JobId, JobRecord,
-        JobRequestId, JobSpec, JobState, LogEntry, Order, OrderAnswer, Outcome, Poll, PollFailure,
-        ProgressRecord, Record, RunResult, Scheduler, SubmitAnswer, TaskName, WorkerEntry,
+        JobRequestId, JobSpec, JobState, LeaseRecord, LogEntry, Order, OrderAnswer, Outcome, Poll,
+        PollFailure, ProgressRecord, Record, RunResult, Scheduler, SubmitAnswer, TaskName,
+        WorkerEntry,
     },
 };
 
@@ -56,11 +57,12 @@
     pub starts: Vec<(Time, TaskName, u32, String)>,
     /// The start orders that the scheduler sent, in order: the time, the task and the worker.
     pub start_orders: Vec<(Time, TaskName, String)>,
-    /// The contents of the store: this field and the next three.
+    /// The contents of the store: this field and the next four.
     pub jobs: BTreeMap<JobId, JobRecord>,
     pub progress: BTreeMap<JobId, ProgressRecord>,
     pub instances: BTreeMap<String, InstanceRecord>,
     pub effects: EffectsRecord,
+    pub longest_lease: Option<LeaseRecord>,
     /// The tasks that crash their workers, and a record of the crashes.
     pub crashes: Crashes,
     /// Instances that crashed and were replaced: on their machines a new instance answers.
@@ -132,6 +134,7 @@
             progress: BTreeMap::new(),
             instances: BTreeMap::new(),
             effects: EffectsRecord::default(),
+            longest_lease: None,
             crashes: Crashes::default(),
             replaced_instances: BTreeSet::new(),
             polls_to_replaced_instances: Vec::new(),
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -62,6 +62,7 @@
             instances: self.instances.values().cloned().collect(),
             interference: self.effects.clone(),
             earlier_renewal,
+            longest_lease: self.longest_lease.map(|lease| Duration::from_millis(lease.max_ms)),
         };
         self.scheduler = scheduler(epoch, inheritance, self.now);
     }
@@ -90,6 +91,7 @@
             }
             Record::RemoveInstance(instance) => drop(self.instances.remove(&instance.to_string())),
             Record::Effects(effects) => self.effects = effects,
+            Record::LongestLease(lease) => self.longest_lease = Some(lease),
             Record::RemoveProgress(id) => drop(self.progress.remove(&id)),
         }
     }
--- a/crates/kitetrail-core/tests/jobs_large_fleet.rs
+++ b/crates/kitetrail-core/tests/jobs_large_fleet.rs
@@ -20,6 +20,10 @@
 /// The time of a poll that waits as long as the platform allows, and the pause after it.
 const LONGEST_POLL_CYCLE: Duration = Duration::from_millis(2_120);
 
+/// The time in which a killed owner is detected and replaced, and its rows are read.
+const SILENT_LOSS_MS: u64 = 2_000;
+/// The same for an owner that hands the fleet over.
+const HANDOVER_MS: u64 = 500;
 /// The processor time of an answer of a worker, with that of the call, on one core.
 const CALL_COST: Duration = Duration::from_micros(110);
 
@@ -93,6 +97,37 @@
     assert!(fleet.workers.values().all(|worker| worker.expired_runs == 0));
 }
 
+/// Returns the ends of the leases of all workers, on their clocks.
+fn leased_until_ms(fleet: &SimulatedFleet) -> Vec<u64> {
+    fleet.workers.values().map(|worker| worker.leased_until_ms).collect()
+}
+
+/// Replaces the owner of a fleet after some time without one. Returns how many runs have lost their leases 3 s later.
+///
+/// The owner is lost at the end of a cycle in which all leases were renewed, some of them long before.
+fn expired_after_loss(workers: u32, without_owner_ms: u64) -> u32 {
+    let mut fleet = busy_fleet(workers);
+    let renewed_ms = leased_until_ms(&fleet);
+    fleet.advance_until("all leases are renewed", |fleet| {
+        leased_until_ms(fleet).iter().zip(&renewed_ms).all(|(now, before)| now > before)
+    });
+    fleet.advance_without_owner(without_owner_ms);
+    fleet.take_over(2, false);
+    fleet.processor = Some(Processor::new(CALL_COST, fleet.now));
+    fleet.advance_ms(3_000);
+    fleet.workers.values().map(|worker| worker.expired_runs).sum()
+}
+
+#[test]
+fn no_lease_of_a_live_worker_expires_when_the_owner_changes_in_a_fleet_of_any_size() {
+    for workers in FLEETS {
+        for without_owner_ms in [SILENT_LOSS_MS, HANDOVER_MS] {
+            let expired = expired_after_loss(workers, without_owner_ms);
+            assert_eq!(expired, 0, "{workers} workers, {without_owner_ms} ms without an owner");
+        }
+    }
+}
+
 #[test]
 fn callers_are_answered_while_a_new_owner_polls_all_workers() {
     let mut fleet = busy_fleet(FLEETS[1]);
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -14,9 +14,9 @@
     Owner, OwnerMessage,
 };
 
-/// How long a late answer to a poll is still accepted: the runs it reports as ended must not run again.
-/// Longer than a lease, 4 s.
-const LATE_REPORT_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// How long after the longest lease a late answer to a poll is still accepted: the runs it reports as ended
+/// must not run again.
+const LATE_REPORT_MARGIN: Duration = Duration::from_millis(500);
 
 impl<P: Platform> Owner<P> {
     /// Executes an action of the scheduler. Returns `false` if this owner is deposed.
@@ -90,11 +90,12 @@
         let (workers, sender) = (self.shared.services.workers.clone(), self.sender.clone());
         let sent_at = self.shared.clock.now();
         let answer_slack = self.shared.settings.limits.poll_margin;
+        let late_report_timeout = self.shared.settings.max_lease + LATE_REPORT_MARGIN;
         task::spawn_local(async move {
             let answer_timeout = Duration::from_millis(poll.wait_ms.into()) + answer_slack;
             let limits = CallLimits {
                 suspect_after: answer_timeout,
-                timeout: answer_timeout + LATE_REPORT_TIMEOUT,
+                timeout: answer_timeout + late_report_timeout,
             };
             let mut call = pin!(workers.poll(&entry, &poll, limits));
             let answer = within(answer_timeout, call.as_mut()).await;
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -71,6 +71,11 @@
     row_name(EFFECTS_TABLE, "effects")
 }
 
+/// The bound of the length of leases, beside the head row.
+pub(super) fn lease_row_name() -> RowName {
+    row_name(HEAD_TABLE, "lease")
+}
+
 pub(super) fn job_row_name(job: &str) -> RowName {
     row_name(JOBS_TABLE, job)
 }
@@ -101,6 +106,7 @@
             record,
         ),
         Record::Effects(_) => put_record(transaction, effects_row_name(), record),
+        Record::LongestLease(_) => put_record(transaction, lease_row_name(), record),
         Record::RemoveInstance(instance) => {
             transaction.removes.push(row_name(INCARNATIONS_TABLE, &instance.to_string()));
             Ok(())
@@ -174,6 +180,7 @@
         Record::Progress(progress) => serde_json::to_vec(progress)?,
         Record::PutInstance(instance) => serde_json::to_vec(instance)?,
         Record::Effects(effects) => serde_json::to_vec(effects)?,
+        Record::LongestLease(lease) => serde_json::to_vec(lease)?,
         Record::RemoveJob(_) | Record::RemoveInstance(_) | Record::RemoveProgress(_) => {
             return Ok(());
         }
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -9,7 +9,10 @@
 
 use kitetrail_core::{
     Time,
-    jobs::{EffectsRecord, InheritedState, Outcome, ProgressRecord, Scheduler, SchedulerSettings},
+    jobs::{
+        EffectsRecord, InheritedState, LeaseRecord, Outcome, ProgressRecord, Scheduler,
+        SchedulerSettings,
+    },
     succession::{BoxStrength, EarlierOwners},
 };
 use kitetrail_platform::{
@@ -321,6 +324,7 @@
     let mut progress = rows::decode_all::<ProgressRecord>(&progress);
     let mut inheritance = InheritedState {
         interference: load_effects(shared).await?,
+        longest_lease: load_longest_lease(shared).await?,
         instances: rows::decode_all(&instances).into_values().collect(),
         ..InheritedState::default()
     };
@@ -354,6 +358,21 @@
     }
 }
 
+/// Reads the longest lease that earlier owners granted. If the row can't be decoded, that is the longest one that
+/// workers grant.
+async fn load_longest_lease<P: Platform>(
+    shared: &Rc<Shared<P>>,
+) -> Result<Option<Duration>, PlatformError> {
+    match rows::read_decoded::<_, LeaseRecord>(shared, &rows::lease_row_name()).await {
+        Ok(lease) => Ok(lease.map(|(lease, _)| Duration::from_millis(lease.max_ms))),
+        Err(error @ PlatformError::Malformed { .. }) => {
+            log::error!("owner: the longest lease of earlier owners can't be decoded: {error}");
+            Ok(Some(shared.settings.max_lease))
+        }
+        Err(error) => Err(error),
+    }
+}
+
 /// Releases the fleet in an orderly way, if this box owns it.
 pub(super) async fn release_if_owner<P: Platform>(shared: &Rc<Shared<P>>) {
     let owner = shared.owner_inbox.borrow().clone();
