--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod instance;
 mod instances;
 mod job;
+mod load_parts;
 mod log_entry;
 mod names;
 mod order;
@@ -27,6 +28,7 @@
     Action, CancelAnswer, Event, JobRequestId, JobState, SubmitAnswer, WorkerListChange,
 };
 pub use instance::InstanceNo;
+pub use load_parts::{LoadPart, LoadParts, UnknownLoadPart};
 pub use log_entry::LogEntry;
 pub use names::{Incarnation, InstanceKey, InvalidName, JobId, QueueName, TaskName, WorkerName};
 pub use order::{Order, OrderAnswer, OrderRefusal, StartOrder};
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -61,6 +61,7 @@
     instance::InstanceNo,
     instances::Instances,
     job::Job,
+    load_parts::LoadParts,
     log_entry::LogEntry,
     names::{JobId, QueueName, TaskName, WorkerName},
     record::Outcome,
@@ -83,7 +84,7 @@
 const TOKEN_COUNTER_BITS: u32 = 20;
 
 /// The settings that the scheduler gets from its environment.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct SchedulerSettings {
     /// The longest lease that workers grant.
     pub max_lease: Duration,
@@ -91,6 +92,8 @@
     pub ended_job_retention: Duration,
     /// The interval at which workers renew their entries in the worker list.
     pub worker_heartbeat: Duration,
+    /// The parts of scheduling under load that are in use.
+    pub parts: LoadParts,
 }
 
 /// Makes the scheduling decisions for one fleet.
@@ -155,9 +158,9 @@
         unix_ms: u64,
     ) -> Self {
         let mut scheduler = Self {
-            settings,
             lease: settings.max_lease.min(MIN_LEASE),
             longest_lease: settings.max_lease.min(MIN_LEASE),
+            settings,
             epoch,
             now,
             unix_ms,
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -20,9 +20,9 @@
     Time,
     jobs::{
         Action, EffectsRecord, Event, InheritedState, InstanceNo, InstanceRecord, JobId, JobRecord,
-        JobRequestId, JobSpec, JobState, LeaseRecord, LogEntry, Order, OrderAnswer, Outcome, Poll,
-        PollFailure, ProgressRecord, Record, RunResult, Scheduler, SubmitAnswer, TaskName,
-        WorkerEntry,
+        JobRequestId, JobSpec, JobState, LeaseRecord, LoadParts, LogEntry, Order, OrderAnswer,
+        Outcome, Poll, PollFailure, ProgressRecord, Record, RunResult, Scheduler, SubmitAnswer,
+        TaskName, WorkerEntry,
     },
 };
 
@@ -50,6 +50,8 @@
 pub struct SimulatedFleet {
     pub now: Time,
     pub scheduler: Scheduler,
+    /// The parts of scheduling under load that each owner uses.
+    pub parts: LoadParts,
     pub workers: BTreeMap<String, FakeWorker>,
     pub log_entries: Vec<(Time, LogEntry)>,
     pub answers: Vec<(Time, Action)>,
@@ -121,10 +123,16 @@
 
     /// Creates a fleet of the given workers, and a scheduler that knows them.
     pub fn with_workers(workers: impl IntoIterator<Item = FakeWorker>) -> Self {
+        Self::with_parts(workers, LoadParts::default())
+    }
+
+    /// Creates a fleet of the given workers, and a scheduler that uses the given parts of scheduling under load.
+    pub fn with_parts(workers: impl IntoIterator<Item = FakeWorker>, parts: LoadParts) -> Self {
         let by_id = |worker: FakeWorker| (worker.entry.id.to_string(), worker);
         let mut fleet = Self {
             now: Time::from_ms(1_000),
-            scheduler: scheduler(1, InheritedState::default(), Time::from_ms(1_000)),
+            scheduler: scheduler(1, InheritedState::default(), Time::from_ms(1_000), &parts),
+            parts,
             workers: workers.into_iter().map(by_id).collect(),
             log_entries: Vec::new(),
             answers: Vec::new(),
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -4,7 +4,7 @@
 
 use kitetrail_core::{
     Time,
-    jobs::{Event, InheritedState, JobRecord, Record, Scheduler, SchedulerSettings},
+    jobs::{Event, InheritedState, JobRecord, LoadParts, Record, Scheduler, SchedulerSettings},
 };
 
 use super::{CLOCK_ZERO_UNIX_MS, STEP, SimulatedFleet};
@@ -64,7 +64,7 @@
             earlier_renewal,
             longest_lease: self.longest_lease.map(|lease| Duration::from_millis(lease.max_ms)),
         };
-        self.scheduler = scheduler(epoch, inheritance, self.now);
+        self.scheduler = scheduler(epoch, inheritance, self.now, &self.parts);
     }
 
     /// Commits the batches that are due.
@@ -98,11 +98,17 @@
 }
 
 /// Creates the scheduler of an owner.
-pub(super) fn scheduler(epoch: u64, inheritance: InheritedState, now: Time) -> Scheduler {
+pub(super) fn scheduler(
+    epoch: u64,
+    inheritance: InheritedState,
+    now: Time,
+    parts: &LoadParts,
+) -> Scheduler {
     let settings = SchedulerSettings {
         max_lease: Duration::from_secs(6),
         ended_job_retention: Duration::from_secs(120),
         worker_heartbeat: Duration::from_millis(1_100),
+        parts: parts.clone(),
     };
     Scheduler::new(settings, epoch, inheritance, now, CLOCK_ZERO_UNIX_MS + now.as_ms())
 }
--- a/crates/kitetrail-core/tests/fleet/predecessor.rs
+++ b/crates/kitetrail-core/tests/fleet/predecessor.rs
@@ -86,7 +86,7 @@
                     .map(|(instance, poll, sent_at)| (instance, entry.clone(), poll, sent_at)),
             );
         }
-        let successor = super::owners::scheduler(epoch, Default::default(), self.now);
+        let successor = super::owners::scheduler(epoch, Default::default(), self.now, &self.parts);
         let scheduler = mem::replace(&mut self.scheduler, successor);
         self.predecessor = Some(Predecessor {
             scheduler,
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -75,7 +75,8 @@
     operators::start(&settings, Arc::clone(&ready), metrics.clone());
     let shared = Shared::new(settings, services, Clock::start(), new_incarnation(), metrics);
     log::info!(
-        name = shared.settings.box_name.as_str(), incarnation = shared.incarnation;
+        name = shared.settings.box_name.as_str(), incarnation = shared.incarnation,
+        load_parts = shared.settings.parts.to_string();
         "daemon: started, accepting requests on {callers}"
     );
     spawn_components(&shared, listener, ready);
--- a/crates/kitetraild/src/fleet/settings.rs
+++ b/crates/kitetraild/src/fleet/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use kitetrail_core::succession::BoxStrength;
+use kitetrail_core::{jobs::LoadParts, succession::BoxStrength};
 
 use super::ConnectionLimits;
 
@@ -40,4 +40,6 @@
     pub limits: ConnectionLimits,
     /// The time within which a box must stop after it was asked to.
     pub stop_timeout: Duration,
+    /// The parts of scheduling under load that are in use.
+    pub parts: LoadParts,
 }
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -224,6 +224,7 @@
         max_lease: shared.settings.max_lease,
         ended_job_retention: shared.settings.ended_job_retention,
         worker_heartbeat: shared.settings.worker_heartbeat,
+        parts: shared.settings.parts.clone(),
     };
     let now = shared.clock.now();
     Scheduler::new(settings, epoch, inheritance, now, unix_ms())
