Operators take single workers out of use: the decisions

Change: operators' rows (worker/ID or worker/MACHINE, cordoned or drained). A cordoned worker gets no starts, and starts that have not left are cancelled; from a drained one long tasks move as from an evacuated zone. The rows are part of what an owner inherits, so that a new owner starts nothing there before it reads them. A row of a machine holds for each worker that starts there.

Without rows, or with rows of other workers, starts are equal (rows_that_hold_no_worker_change_no_decision).

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -8,6 +8,7 @@
     instance::InstanceNo,
     log_entry::LogEntry,
     names::{Incarnation, JobId, WorkerName},
+    operator_rows::OperatorRows,
     order::{Order, OrderAnswer},
     record::Record,
     report::{Poll, PollFailure, Report, RunEnd},
@@ -45,6 +46,8 @@
     QueuesChanged(Vec<QueueTerms>),
     /// The set of availability zones under evacuation changed. Contains all of them.
     EvacuatedZonesChanged(BTreeSet<String>),
+    /// The operators' rows changed. Contains all of them.
+    OperatorRowsChanged(OperatorRows),
     /// The list of workers changed.
     WorkerListChanged(Vec<WorkerListChange>),
     /// It became known that no earlier owner renewed leases after a moment. This was unknown at the
--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -10,6 +10,7 @@
 
 use super::{
     names::{TaskName, WorkerName},
+    operator_rows::WorkerHold,
     order::Order,
     report::Report,
     run::{Phase, PlacedRun},
@@ -187,6 +188,8 @@
     pub(super) next_poll_at: Option<Time>,
     /// Whether its availability zone is being evacuated.
     pub(super) zone_evacuated: bool,
+    /// How operators took it out of use, if they did.
+    pub(super) hold: Option<WorkerHold>,
     /// The time of the last search for other room for the tasks that would be lost when the worker
     /// leaves.
     pub(super) last_evacuation_attempt_at: Option<Time>,
@@ -242,6 +245,7 @@
             poll_in_flight: false,
             next_poll_at: Some(now),
             zone_evacuated: false,
+            hold: None,
             last_evacuation_attempt_at: None,
             unanswered_polls: 0,
             unanswered_since: None,
@@ -286,13 +290,23 @@
             && self.is_persisted
             && self.listing == Listing::Listed
             && !self.entry.draining
-            && !self.zone_evacuated
+            && !self.is_closed_to_starts()
             && self.unanswered_polls == 0
             && self.leasing == Leasing::Allowed
             && !self.contested
             && !quarantined
     }
 
+    /// Returns whether operators allow no starts here.
+    pub(super) fn is_closed_to_starts(&self) -> bool {
+        self.zone_evacuated || self.hold.is_some()
+    }
+
+    /// Returns whether long tasks are to move to other workers.
+    pub(super) fn must_be_emptied(&self) -> bool {
+        self.zone_evacuated || self.hold == Some(WorkerHold::Drained)
+    }
+
     /// Returns whether the instance is missing from the list, or the list has not been read yet.
     pub(super) fn is_missing(&self) -> bool {
         match self.listing {
--- a/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
@@ -90,7 +90,7 @@
         // lasted a while are not implicated.
         let implicates_all = end != InstanceEnd::Gone
             && !matches!(instance.listing, Listing::Removed { .. })
-            && !instance.zone_evacuated
+            && !instance.is_closed_to_starts()
             && !with_others;
         suspects
             .retain(|suspect| implicates_all || suspect.evidence != CrashEvidence::AfterLongRun);
--- a/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/evacuation.rs
@@ -79,7 +79,7 @@
     }
 
     /// Cancels orders to start that have not been sent.
-    fn cancel_unsent_starts(&mut self, instance_no: InstanceNo) {
+    pub(super) fn cancel_unsent_starts(&mut self, instance_no: InstanceNo) {
         let Some(instance) = self.instances.get(instance_no) else { return };
         let start = |order: &Order| match order {
             Order::Start(start) => Some((start.task, start.run)),
@@ -109,14 +109,21 @@
     /// Moves one run out of an evacuated zone if a move is due and there is capacity elsewhere.
     pub(super) fn evacuate_zones_if_due(&mut self) {
         let due = self.now.since(self.evacuation.last_move_at) >= MOVE_INTERVAL;
-        if self.evacuation.zones.is_empty() || !due || self.short_tasks.has_waiting_tasks() {
+        let is_idle = self.evacuation.zones.is_empty() && !self.operator_rows.drains_workers();
+        if is_idle || !due || self.short_tasks.has_waiting_tasks() {
             return;
         }
         self.evacuation.last_move_at = self.now;
         for instance_no in self.workers_to_evacuate().into_iter().take(MAX_WORKERS_PER_SEARCH) {
             self.evacuation.last_searched = Some(instance_no);
             if let Some((task, run)) = self.find_run_to_move(instance_no) {
-                return self.move_run(instance_no, task, run, "moved: its zone is being evacuated");
+                let is_drained =
+                    self.instances.get(instance_no).is_some_and(|it| !it.zone_evacuated);
+                let why = match is_drained {
+                    true => "moved: its worker is drained by operators",
+                    false => "moved: its zone is being evacuated",
+                };
+                return self.move_run(instance_no, task, run, why);
             }
         }
     }
@@ -125,7 +132,7 @@
     fn workers_to_evacuate(&self) -> Vec<InstanceNo> {
         let last = self.evacuation.last_searched;
         let leaves =
-            |instance: &WorkerInstance| instance.zone_evacuated && !instance.runs().is_empty();
+            |instance: &WorkerInstance| instance.must_be_emptied() && !instance.runs().is_empty();
         let instances = self
             .instances
             .iter()
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -7,6 +7,7 @@
         instance::{Leasing, Listing},
         job::Job,
         names::{InstanceKey, TaskName},
+        operator_rows::OperatorRows,
         record::{EffectsRecord, InstanceRecord, JobRecord, Outcome, ProgressRecord},
         worker_entry::WorkerEntry,
     },
@@ -35,6 +36,8 @@
     pub earlier_renewal: Duration,
     /// The longest lease that earlier owners granted, unless none was longer than the shortest one.
     pub longest_lease: Option<Duration>,
+    /// The operators' rows in force.
+    pub operator_rows: OperatorRows,
 }
 
 impl Scheduler {
@@ -42,6 +45,7 @@
         let run_floor = u32::try_from(self.epoch.saturating_sub(1))
             .unwrap_or(u32::MAX / RUN_NUMBERS_PER_EPOCH)
             .saturating_mul(RUN_NUMBERS_PER_EPOCH);
+        self.operator_rows = inheritance.operator_rows;
         self.tails.import(&inheritance.interference);
         for (record, progress) in inheritance.jobs {
             if let Some(ended) =
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod lateness;
 mod lease_length;
 mod leasing;
+mod operator_holds;
 mod orders;
 mod overload;
 mod pace;
@@ -64,6 +65,7 @@
     load_parts::LoadParts,
     log_entry::LogEntry,
     names::{JobId, QueueName, TaskName, WorkerName},
+    operator_rows::OperatorRows,
     record::Outcome,
     spec::{QueueTerms, StepSpec},
     steps::Task,
@@ -135,6 +137,7 @@
     tails: TailModel,
     short_tasks: ShortTasks,
     evacuation: ZoneEvacuation,
+    operator_rows: OperatorRows,
     overload: Overload,
     first_polls: FirstPolls,
     /// How late the last tick was.
@@ -181,6 +184,7 @@
             tails: TailModel::default(),
             short_tasks: ShortTasks::default(),
             evacuation: ZoneEvacuation::default(),
+            operator_rows: OperatorRows::default(),
             overload: Overload::default(),
             first_polls: FirstPolls::default(),
             tick_lag: Duration::ZERO,
@@ -202,6 +206,7 @@
             Event::Cancel { request, job } => self.cancel(request, job),
             Event::QueuesChanged(queues) => self.update_queues(queues),
             Event::EvacuatedZonesChanged(zones) => self.set_evacuated_zones(zones),
+            Event::OperatorRowsChanged(rows) => self.set_operator_rows(rows),
             Event::WorkerListChanged(changes) => self.handle_discovery(changes),
             Event::EarlierOwnersStopped { at } => self.handle_earlier_owners_stopped(at),
             Event::StoreUnavailable { until } => self.record_store_outage(until),
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -101,11 +101,11 @@
         let Some(order) = instance.orders.pop_front() else { return };
         if let Order::Start(start) = &order
             && (instance.entry.draining
-                || instance.zone_evacuated
+                || instance.is_closed_to_starts()
                 || instance.listing == Listing::Unusable)
         {
-            // The run was placed before the worker began to drain, before its zone was evacuated,
-            // or before its entry was overwritten by another party.
+            // The run was placed before the worker began to drain, before operators closed it to
+            // starts, or before its entry was overwritten by another party.
             self.drop_run(instance_no, start.task, start.run);
             return self.send_next_order(instance_no);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -164,6 +164,7 @@
         self.instances.replace_entry(instance_no, entry);
         self.instances.record_listed(instance_no);
         self.update_zone_status(instance_no);
+        self.update_hold(instance_no);
         if shrank {
             self.cancel_excess_starts(instance_no);
         }
@@ -202,6 +203,7 @@
         let instance_no =
             self.instances.push(WorkerInstance::new(entry, token, leases_expire_by, self.now));
         self.update_zone_status(instance_no);
+        self.update_hold(instance_no);
         instance_no
     }
 }
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -20,9 +20,9 @@
     Time,
     jobs::{
         Action, EffectsRecord, Event, InheritedState, InstanceNo, InstanceRecord, JobId, JobRecord,
-        JobRequestId, JobSpec, JobState, LeaseRecord, LoadParts, LogEntry, Order, OrderAnswer,
-        Outcome, Poll, PollFailure, ProgressRecord, Record, RunResult, Scheduler, SubmitAnswer,
-        TaskName, WorkerEntry,
+        JobRequestId, JobSpec, JobState, LeaseRecord, LoadParts, LogEntry, OperatorRows, Order,
+        OrderAnswer, Outcome, Poll, PollFailure, ProgressRecord, Record, RunResult, Scheduler,
+        SubmitAnswer, TaskName, WorkerEntry,
     },
 };
 
@@ -65,6 +65,8 @@
     pub instances: BTreeMap<String, InstanceRecord>,
     pub effects: EffectsRecord,
     pub longest_lease: Option<LeaseRecord>,
+    /// The operators' rows.
+    pub operator_rows: OperatorRows,
     /// The tasks that crash their workers, and a record of the crashes.
     pub crashes: Crashes,
     /// Instances that crashed and were replaced: on their machines a new instance answers.
@@ -143,6 +145,7 @@
             instances: BTreeMap::new(),
             effects: EffectsRecord::default(),
             longest_lease: None,
+            operator_rows: OperatorRows::default(),
             crashes: Crashes::default(),
             replaced_instances: BTreeSet::new(),
             polls_to_replaced_instances: Vec::new(),
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -63,6 +63,7 @@
             interference: self.effects.clone(),
             earlier_renewal,
             longest_lease: self.longest_lease.map(|lease| Duration::from_millis(lease.max_ms)),
+            operator_rows: self.operator_rows.clone(),
         };
         self.scheduler = scheduler(epoch, inheritance, self.now, &self.parts);
     }
