Operators take workers out of use through any box: rows in the store, HTTP and commands

What operators saw: no way to act on a single worker. Change: the table kt-operators holds a row for each worker or machine; any box writes it (POST, DELETE and GET of /v1/operator-rows on the metrics port, kitetrail worker cordon|drain|release|list), the owner reads it at its takeover before it starts anything and watches it. Served only where the part operator-rows is in use.

Pages of rows now tell the version of the store, from which the table is watched.

Ruled out: a field in the users' configuration, copies at each box, a call to the owner alone (design/hard-load.md).

--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -32,7 +32,7 @@
 pub use load_parts::{LoadPart, LoadParts, UnknownLoadPart};
 pub use log_entry::LogEntry;
 pub use names::{Incarnation, InstanceKey, InvalidName, JobId, QueueName, TaskName, WorkerName};
-pub use operator_rows::{InvalidOperatorRow, OperatorRows, WorkerHold, WorkerRow, worker_row_key};
+pub use operator_rows::{InvalidOperatorRow, OperatorRows, WorkerHold, WorkerRow};
 pub use order::{Order, OrderAnswer, OrderRefusal, StartOrder};
 pub use record::{
     EffectsRecord, InstanceRecord, JobRecord, LeaseRecord, OccurrenceProgress, Outcome,
--- a/crates/kitetrail-core/src/jobs/operator_rows.rs
+++ b/crates/kitetrail-core/src/jobs/operator_rows.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::{names::WorkerName, worker_entry::WorkerEntry};
+use super::worker_entry::WorkerEntry;
 
 /// The maximum length of a key, in bytes. The store accepts 200, with the table's part.
 const MAX_KEY_BYTES: usize = 160;
@@ -107,11 +107,6 @@
     }
 }
 
-/// Returns the key of the row of a worker.
-pub fn worker_row_key(worker: &WorkerName) -> String {
-    format!("{WORKER_PREFIX}{}", worker.as_str())
-}
-
 fn is_valid_name(name: &str) -> bool {
     let is_valid_char = |c: char| c.is_ascii_graphic() && !matches!(c, '/' | '?' | '&' | '#' | '%');
     !name.is_empty()
--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -73,6 +73,8 @@
     pub rows: Vec<StoredRow>,
     /// The key at which the next page starts, or `None` for the last page.
     pub next: Option<String>,
+    /// The latest version of the store when the page was read.
+    pub version: u64,
 }
 
 /// The changes of a table since a version.
--- a/crates/kitetrail/src/args.rs
+++ b/crates/kitetrail/src/args.rs
@@ -58,6 +58,9 @@
     /// Workers and entry boxes.
     #[command(subcommand)]
     Box(BoxCommand),
+    /// Workers of the users' platform: take one out of use, or back into use.
+    #[command(subcommand)]
+    Worker(WorkerCommand),
     /// Show the status of the daemon.
     Status,
     /// List who made which change.
@@ -190,6 +193,26 @@
     pub change: ChangeArgs,
 }
 
+/// Workers of the users' platform: take one out of use, or back into use.
+#[derive(Debug, Subcommand)]
+pub enum WorkerCommand {
+    /// Start nothing more on a worker. What runs there goes on to its end.
+    Cordon(WorkerArgs),
+    /// Start nothing more on a worker, and move its long tasks to others.
+    Drain(WorkerArgs),
+    /// Use a worker again.
+    Release(WorkerArgs),
+    /// List all workers that are cordoned or drained.
+    List,
+}
+
+/// The name of a worker.
+#[derive(Debug, ClapArgs)]
+pub struct WorkerArgs {
+    /// The id of the worker, or the name of its machine for all workers that start there.
+    pub worker: String,
+}
+
 /// The policy: a program that ranks tasks and limits how they share workers.
 #[derive(Debug, Subcommand)]
 pub enum PolicyCommand {
--- a/crates/kitetrail/src/commands.rs
+++ b/crates/kitetrail/src/commands.rs
@@ -11,6 +11,7 @@
 use kitetrail_core::{
     Resources, SpecName,
     config::Configuration,
+    jobs::{WorkerHold, WorkerRow},
     task::{Spec, SpecKind},
 };
 use serde_json::{Value, json};
@@ -18,7 +19,7 @@
 use crate::{
     args::{
         Args, BoxCommand, ChangeArgs, Command, ConfigCommand, JobCommand, Output, PolicyCommand,
-        ServiceCommand, StopArgs, TaskArgs, WatcherCommand,
+        ServiceCommand, StopArgs, TaskArgs, WatcherCommand, WorkerArgs, WorkerCommand,
     },
     client::Client,
     error::CliError,
@@ -76,6 +77,8 @@
 ];
 const AUDIT_COLUMNS: [Column; 4] =
     [("AT_UNIX_MS", "at_unix_ms"), ("WHO", "who"), ("CHANGE", "change"), ("ACTION", "action")];
+const OPERATOR_ROW_COLUMNS: [Column; 3] =
+    [("ROW", "key"), ("HOLD", "row.hold"), ("VERSION", "version")];
 const POLICY_TEST_COLUMNS: [Column; 8] = [
     ("CLASS", "class"),
     ("KIND", "kind"),
@@ -98,6 +101,7 @@
         Command::Policy(command) => run_policy(&client, output, command).await,
         Command::Config(command) => run_config(&client, output, command).await,
         Command::Box(BoxCommand::List) => list_boxes(&client, output).await,
+        Command::Worker(command) => run_worker(&client, output, command).await,
         Command::Audit => Ok(format_table(output, &client.get("/v1/audit").await?, &AUDIT_COLUMNS)),
         Command::Status => show_status(&client, output).await,
         Command::Explain { job, logs } => explain::explain(&job, &logs),
@@ -150,6 +154,36 @@
     }
 }
 
+async fn run_worker(
+    client: &Client,
+    output: Output,
+    command: WorkerCommand,
+) -> Result<String, CliError> {
+    let (worker, hold) = match command {
+        WorkerCommand::Cordon(WorkerArgs { worker }) => (worker, WorkerHold::Cordoned),
+        WorkerCommand::Drain(WorkerArgs { worker }) => (worker, WorkerHold::Drained),
+        WorkerCommand::Release(WorkerArgs { worker }) => {
+            client.delete(&operator_row_path(&worker)).await?;
+            return Ok(format!("{worker} is used again\n"));
+        }
+        WorkerCommand::List => {
+            let rows = client.get("/v1/operator-rows").await?;
+            return Ok(format_table(output, &rows, &OPERATOR_ROW_COLUMNS));
+        }
+    };
+    let row = serde_json::to_value(WorkerRow { hold });
+    let row = row.map_err(|error| CliError::Failed(error.to_string()))?;
+    client.post(&operator_row_path(&worker), &row).await?;
+    Ok(match hold {
+        WorkerHold::Cordoned => format!("{worker} is cordoned\n"),
+        WorkerHold::Drained => format!("{worker} is being drained\n"),
+    })
+}
+
+fn operator_row_path(worker: &str) -> String {
+    format!("/v1/operator-rows/worker/{worker}")
+}
+
 async fn run_policy(
     client: &Client,
     output: Output,
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod front;
 mod log_entries;
+mod operator_rows;
 mod operators;
 mod owner;
 mod ownership;
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -31,6 +31,9 @@
 /// The table of the learned interference between images.
 pub(super) const EFFECTS_TABLE: &str = "kt-effects";
 
+/// The table of the operators' rows.
+pub(super) const OPERATORS_TABLE: &str = "kt-operators";
+
 /// The owner of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct OwnerRow {
@@ -76,6 +79,10 @@
     row_name(HEAD_TABLE, "lease")
 }
 
+pub(super) fn operator_row_name(key: &str) -> RowName {
+    row_name(OPERATORS_TABLE, key)
+}
+
 pub(super) fn job_row_name(job: &str) -> RowName {
     row_name(JOBS_TABLE, job)
 }
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use kitetrail_core::jobs::LoadPart;
 use tokio::{
     net::TcpListener,
     runtime,
@@ -19,7 +20,7 @@
 };
 
 use super::{
-    FleetSettings, Platform, Services, config_watch, front,
+    FleetSettings, Platform, Services, config_watch, front, operator_rows,
     operators::{self, ReadyFlag},
     ownership, peers,
     shared::Shared,
@@ -72,8 +73,11 @@
     let listener = listener
         .map_err(|cause| io_error(&format!("can't listen for callers on {callers}"), cause))?;
     let ready = Arc::new(AtomicBool::new(false));
-    operators::start(&settings, Arc::clone(&ready), metrics.clone());
-    let shared = Shared::new(settings, services, Clock::start(), new_incarnation(), metrics);
+    let shared =
+        Shared::new(settings, services, Clock::start(), new_incarnation(), metrics.clone());
+    let serves_rows = shared.settings.parts.has(LoadPart::OperatorRows);
+    let requests = serves_rows.then(|| operator_rows::serve(&shared));
+    operators::start(&shared.settings, Arc::clone(&ready), metrics, requests);
     log::info!(
         name = shared.settings.box_name.as_str(), incarnation = shared.incarnation,
         load_parts = shared.settings.parts.to_string();
--- a/crates/kitetraild/src/fleet/scan.rs
+++ b/crates/kitetraild/src/fleet/scan.rs
@@ -61,7 +61,7 @@
         let page = shared.services.store.page(table, rows::PARTITION, &from, page_size.rows).await;
         shared.record_store_result(&page);
         match page {
-            Ok(RowPage { rows: page_rows, next }) => {
+            Ok(RowPage { rows: page_rows, next, .. }) => {
                 rows.extend(page_rows);
                 failures = 0;
                 page_size.record_page(started.elapsed());
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -24,7 +24,7 @@
 use super::{
     Platform,
     committer::{Batch, Committer, HEARTBEAT},
-    evacuation,
+    evacuation, operator_rows,
     owner::{MAX_UNCONFIRMED, Owner, OwnerMessage, OwnershipEnd},
     ownership::STORE_RETRY_DELAY,
     predecessor,
@@ -140,8 +140,11 @@
             let watch =
                 predecessor::watch(Rc::clone(shared), claim, earlier_owners, sender.clone());
             let watch = task::spawn_local(watch);
+            let rows_watch = operator_rows::watch(Rc::clone(shared), sender.clone());
+            let rows_watch = task::spawn_local(rows_watch);
             let ended = run_scheduler(shared, row, inheritance, (sender, inbox), batches).await;
             watch.abort();
+            rows_watch.abort();
             ended
         }
         None => OwnershipEnd::NotRead,
@@ -326,6 +329,7 @@
     let mut inheritance = InheritedState {
         interference: load_effects(shared).await?,
         longest_lease: load_longest_lease(shared).await?,
+        operator_rows: operator_rows::load(shared).await?,
         instances: rows::decode_all(&instances).into_values().collect(),
         ..InheritedState::default()
     };
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -27,6 +27,7 @@
     suspensions: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
+    operator_rows: Gauge<u64>,
 }
 
 impl Metrics {
@@ -98,6 +99,10 @@
                 .u64_gauge("kitetrail.evacuated.runs_left")
                 .with_description("Runs that are left in these zones, as the owner knows")
                 .build(),
+            operator_rows: meter
+                .u64_gauge("kitetrail.operator_rows")
+                .with_description("Operators' rows in force, as the owner knows")
+                .build(),
             registry,
             provider,
         })
@@ -184,6 +189,11 @@
         self.evacuated_runs_left.record(runs, &[]);
     }
 
+    /// Records the number of operators' rows in force.
+    pub fn record_operator_rows(&self, rows: u64) {
+        self.operator_rows.record(rows, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut page = Vec::new();
