Submissions wait for a slow store as long as their callers can

Callers got 30 to 105 refusals in two seconds while the store took 0.4 s an answer: boxes waited 0.9 s an attempt and 1.3 s in all, the owner refused what it could not keep in 0.7 s, and Retry-After went beyond some callers' time.

A submission carries its caller's time to the owner, which waits for the store as long as the job can be persisted in that time, and refuses at once otherwise. While the store is silent, callers that can return are refused with a time to return that leaves them time for another submission; others wait, since it is their last chance. Jobs with the least time go first, and new jobs get more of a batch while the store is slow.

A call's last retry delay ran past its deadline, so that callers got no answer at all; found by the test with a silent store.

Off without LoadPart::HandIn: submissions carry no time, and are decided as before.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -11,6 +11,7 @@
     order::{Order, OrderAnswer},
     record::Record,
     report::{Poll, PollFailure, Report, RunEnd},
+    retry_delay::RetryDelay,
     spec::{JobSpec, QueueTerms},
     worker_entry::WorkerEntry,
 };
@@ -33,6 +34,8 @@
         queue: QueueTerms,
         /// The job's specification.
         spec: Box<JobSpec>,
+        /// The latest time at which the answer is of use to the caller, if known.
+        answer_by: Option<Time>,
     },
     /// A caller cancels a job.
     Cancel {
@@ -120,8 +123,12 @@
 pub enum SubmitAnswer {
     /// The job is stored.
     Accepted,
-    /// The job is not stored and never will be: the store does not answer.
-    Refused,
+    /// The job is not stored and this submission never will store it.
+    Refused {
+        /// The time after which the caller is asked to return, if it was derived from the caller's
+        /// remaining time.
+        retry_after: Option<RetryDelay>,
+    },
 }
 
 /// The answer to a caller who cancels a job.
--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -48,6 +48,8 @@
     /// The time by which the job should have ended, for the order within the queue.
     pub(super) due_at: Time,
     pub(super) submit_waiters: Vec<JobRequestId>,
+    /// The latest time at which the answer to a submission is of use, if known.
+    pub(super) answer_by: Option<Time>,
     pub(super) cancel_waiters: Vec<JobRequestId>,
     /// Whether an earlier owner may have started some of its tasks.
     pub(super) inherited: bool,
@@ -78,6 +80,7 @@
             occurrences: BTreeMap::new(),
             due_at: now,
             submit_waiters: Vec::new(),
+            answer_by: None,
             cancel_waiters: Vec::new(),
             inherited: false,
         };
--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -3,6 +3,7 @@
 use super::{
     crashes::CrashEvidence,
     event::JobState,
+    hand_in::HandInDecision,
     names::{Incarnation, JobId, QueueName, TaskName, WorkerName},
     order::OrderAnswer,
     report::RunResult,
@@ -211,4 +212,17 @@
         /// The highest tail latency on the worker relative to its target, in percent.
         tail_of_target_percent: u32,
     },
+    /// It was decided whether a job that is not persisted waits for the store.
+    HandIn {
+        /// The job.
+        job: JobId,
+        /// The time that the caller has left, in milliseconds.
+        time_left_ms: u64,
+        /// The expected time until the answer if the store answers, in milliseconds.
+        expected_ms: u64,
+        /// The decision.
+        decision: HandInDecision,
+        /// Whether the job had been waiting before.
+        waited: bool,
+    },
 }
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 
 mod crashes;
 mod event;
+mod hand_in;
 mod instance;
 mod instances;
 mod job;
@@ -17,6 +18,7 @@
 mod order;
 mod record;
 mod report;
+mod retry_delay;
 mod run;
 mod scheduler;
 mod spec;
@@ -27,6 +29,7 @@
 pub use event::{
     Action, CancelAnswer, Event, JobRequestId, JobState, SubmitAnswer, WorkerListChange,
 };
+pub use hand_in::{HandInDecision, HandInForecast};
 pub use instance::InstanceNo;
 pub use load_parts::{LoadPart, LoadParts, UnknownLoadPart};
 pub use log_entry::LogEntry;
@@ -37,6 +40,7 @@
     ProgressRecord, Record, ServingEffects, StepProgress,
 };
 pub use report::{Poll, PollFailure, Report, RunEnd, RunResult, RunningTask};
+pub use retry_delay::RetryDelay;
 pub use scheduler::{InheritedState, Scheduler, SchedulerSettings};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
 pub use worker_entry::WorkerEntry;
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -98,7 +98,8 @@
     fn send_batch(&mut self) {
         let stored_bytes = |id: JobId| self.jobs.get(&id).map_or(0, |job| job.spec.stored_bytes());
         let has_ended = |id: JobId| self.jobs.get(&id).is_some_and(|job| !job.is_open());
-        let taken = self.pending.take_batch(stored_bytes, has_ended);
+        let answer_by = |id: JobId| self.jobs.get(&id).and_then(|job| job.answer_by);
+        let taken = self.pending.take_batch(self.now, stored_bytes, answer_by, has_ended);
         self.mark_instances_sent(&taken.instances);
         let mut records = self.records(&taken);
         if self.now.since(self.pending.effects_persisted_at) >= EFFECTS_PERSIST_INTERVAL {
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod fit;
 pub(super) mod free_capacity;
 mod gauges;
+mod hand_in;
 mod headroom;
 mod incarnations;
 mod inherit;
@@ -61,7 +62,7 @@
     instance::InstanceNo,
     instances::Instances,
     job::Job,
-    load_parts::LoadParts,
+    load_parts::{LoadPart, LoadParts},
     log_entry::LogEntry,
     names::{JobId, QueueName, TaskName, WorkerName},
     record::Outcome,
@@ -189,6 +190,7 @@
             last_placement_at: Time::ZERO,
             actions: Vec::new(),
         };
+        scheduler.pending.prefers_new_jobs = scheduler.settings.parts.has(LoadPart::HandIn);
         scheduler.inherit(inheritance);
         scheduler
     }
@@ -198,7 +200,9 @@
         self.now = self.now.max(now);
         self.unix_ms = unix_ms;
         match event {
-            Event::Submit { request, job, queue, spec } => self.submit(request, job, queue, *spec),
+            Event::Submit { request, job, queue, spec, answer_by } => {
+                self.submit(request, job, queue, *spec, answer_by);
+            }
             Event::Cancel { request, job } => self.cancel(request, job),
             Event::QueuesChanged(queues) => self.update_queues(queues),
             Event::EvacuatedZonesChanged(zones) => self.set_evacuated_zones(zones),
@@ -334,6 +338,7 @@
         self.first_polls.begin_tick(self.tick_lag);
         self.update_lease();
         self.refuse_unsent_jobs();
+        self.review_waiting_jobs();
         self.start_due_occurrences();
         self.remove_expired_jobs();
         let (mut due, mut busy_workers) = (Vec::new(), 0);
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -26,6 +26,11 @@
 /// none of them waits for the others without end: callers wait for the first two, and workers
 /// repeat ends until the last are persisted.
 const RESERVED_ENTRIES: usize = MAX_BATCH_ENTRIES / 3;
+/// The entries reserved for the progress of jobs while callers wait for a slow store: workers retain
+/// ends that are not persisted, and callers have no time left.
+const RESERVED_PROGRESS_WHILE_SLOW: usize = RESERVED_ENTRIES / 3;
+/// The time for a batch from which the store counts as slow: several times as long as usual.
+const SLOW_BATCH_TIME: Duration = Duration::from_millis(100);
 /// The most entries for workers in a full batch, which go before all others: without these records
 /// starts are delayed now, or all inherited jobs after the loss of this owner. The limit leaves
 /// some entries to new jobs.
@@ -56,6 +61,8 @@
     instance_rows: InstanceRows,
     /// The bound of the length of leases that is to be stored before longer ones are granted.
     longest_lease: Option<Duration>,
+    /// Whether new jobs get more entries than progress while the store is slow.
+    pub(super) prefers_new_jobs: bool,
     /// Whether a record is to be persisted without delay.
     pub(super) urgent: bool,
     unpersisted_ends: UnpersistedEnds,
@@ -71,6 +78,8 @@
     pub(super) confirmation_wanted: bool,
     /// How long the last persisted batch took, and when its answer arrived.
     last_batch_time: Duration,
+    /// How long the batch before it took.
+    previous_batch_time: Duration,
     last_persisted_at: Time,
 }
 
@@ -103,15 +112,16 @@
 impl PendingRecords {
     /// Takes as many records as fit into a batch, the most urgent first.
     ///
-    /// `encoded_bytes` returns the size of a new job in the batch, and `has_ended` whether a job is
-    /// no longer open.
+    /// `encoded_bytes` returns the size of a new job in the batch, `answer_by` the latest time for the
+    /// answer to its callers, and `has_ended` whether a job is no longer open.
     pub(super) fn take_batch(
         &mut self,
+        now: Time,
         encoded_bytes: impl Fn(JobId) -> usize,
+        answer_by: impl Fn(JobId) -> Option<Time>,
         has_ended: impl Fn(JobId) -> bool,
     ) -> BatchRecords {
-        let reserved_for_ended = (self.ended.len() * ENDED_JOB_ENTRIES).min(RESERVED_ENTRIES);
-        let reserved_for_progress = self.progress.len().min(RESERVED_ENTRIES);
+        let (reserved_for_ended, reserved_for_progress) = self.reserved_entries(now);
         let mut room = MAX_BATCH_ENTRIES;
         let instances = self.instance_rows.take_writes(MAX_WORKER_ENTRIES);
         room -= instances.len();
@@ -119,6 +129,7 @@
             &mut room,
             reserved_for_ended + reserved_for_progress,
             encoded_bytes,
+            answer_by,
         );
         // The progress of a new job goes with it, since its caller is told that it is persisted.
         let progress_of_new_jobs = new_jobs.iter().copied().filter(|&id| self.remove_progress(id));
@@ -140,15 +151,31 @@
         }
     }
 
+    /// Returns the entries of the next batch that are reserved for ended jobs and for progress.
+    fn reserved_entries(&self, now: Time) -> (usize, usize) {
+        let is_slow = self.usual_batch_time(now) >= SLOW_BATCH_TIME;
+        let most_progress = match self.prefers_new_jobs && is_slow {
+            true => RESERVED_PROGRESS_WHILE_SLOW,
+            false => RESERVED_ENTRIES,
+        };
+        let for_ended = (self.ended.len() * ENDED_JOB_ENTRIES).min(RESERVED_ENTRIES);
+        (for_ended, self.progress.len().min(most_progress))
+    }
+
     fn take_new_jobs(
         &mut self,
         room: &mut usize,
         reserved: usize,
         encoded_bytes: impl Fn(JobId) -> usize,
+        answer_by: impl Fn(JobId) -> Option<Time>,
     ) -> Vec<JobId> {
+        // The sort is stable: jobs without a time keep the order of their submission.
+        let mut waiting = self.new_jobs.iter().collect::<Vec<_>>();
+        waiting.sort_by_key(|&id| answer_by(id));
+        let mut waiting = waiting.into_iter();
         let (mut taken, mut bytes) = (Vec::new(), 0);
         while *room >= reserved + NEW_JOB_ENTRIES && bytes < MAX_NEW_JOB_BYTES {
-            let Some(first) = self.new_jobs.pop() else { break };
+            let Some(first) = waiting.find(|id| self.new_jobs.remove(id)) else { break };
             bytes += encoded_bytes(first);
             taken.push(first);
             *room -= NEW_JOB_ENTRIES;
@@ -291,6 +318,7 @@
     /// Takes out the batch in flight, which is persisted, if it has the given number.
     pub(super) fn take_sent(&mut self, number: u64, now: Time) -> Option<Batch> {
         let batch = self.in_flight.take_if(|batch| batch.number == number)?;
+        self.previous_batch_time = self.last_batch_time;
         self.last_batch_time = now.since(self.last_sent_at);
         self.confirmed_since = Some(self.last_sent_at);
         self.last_persisted_at = now;
@@ -302,12 +330,36 @@
     /// The time of the last batch counts only for as long again: an idle fleet sends no other batch
     /// that could show that the store has recovered, and would refuse all jobs from then on.
     fn expected_batch_time(&self, now: Time) -> Duration {
-        let next_at = if self.in_flight.is_some() { self.last_sent_at } else { now };
-        let is_current = next_at.since(self.last_persisted_at) < self.last_batch_time;
-        let batch_time = if is_current { self.last_batch_time } else { Duration::ZERO };
+        let batch_time =
+            if self.is_batch_time_current(now) { self.last_batch_time } else { Duration::ZERO };
         batch_time.max(self.sent_ago(now).unwrap_or_default())
     }
 
+    fn is_batch_time_current(&self, now: Time) -> bool {
+        let next_at = if self.in_flight.is_some() { self.last_sent_at } else { now };
+        next_at.since(self.last_persisted_at) < self.last_batch_time
+    }
+
+    /// Returns the usual time for a batch, zero if it is not known: the shorter of the last two, as
+    /// one that the store left unanswered for seconds says nothing about the next.
+    pub(super) fn usual_batch_time(&self, now: Time) -> Duration {
+        match self.is_batch_time_current(now) {
+            true => self.last_batch_time.min(self.previous_batch_time),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Returns the number of new jobs in a batch.
+    pub(super) fn new_jobs_per_batch(&self, now: Time) -> usize {
+        let (for_ended, for_progress) = self.reserved_entries(now);
+        (MAX_BATCH_ENTRIES - for_ended - for_progress) / NEW_JOB_ENTRIES
+    }
+
+    /// Returns the number of full batches that the waiting new jobs take, at the fewest per batch.
+    fn full_batches_of_new_jobs(&self) -> u32 {
+        (self.new_jobs.len() / (RESERVED_ENTRIES / NEW_JOB_ENTRIES)) as u32
+    }
+
     /// Returns whether a new job can't be persisted in the time that boxes wait for its answer, by
     /// the recent time for a batch.
     ///
@@ -318,8 +370,8 @@
         let batch_time = self.expected_batch_time(now);
         let wait_for_in_flight =
             in_flight.map_or(Duration::ZERO, |sent_ago| batch_time.saturating_sub(sent_ago));
-        let full_batches = self.new_jobs.len() / (RESERVED_ENTRIES / NEW_JOB_ENTRIES);
-        lag + wait_for_in_flight + batch_time * (1 + full_batches as u32) >= MAX_PERSIST_TIME
+        let batches = 1 + self.full_batches_of_new_jobs();
+        lag + wait_for_in_flight + batch_time * batches >= MAX_PERSIST_TIME
     }
 
     /// Returns whether the store has not answered a batch for too long.
@@ -327,13 +379,24 @@
         self.sent_ago(now).is_some_and(|sent_ago| sent_ago >= STORE_STUCK_AFTER)
     }
 
-    /// Takes back the new jobs that were not sent, which are certainly not persisted.
-    pub(super) fn take_unsent(&mut self) -> Vec<JobId> {
-        let unsent = iter::from_fn(|| self.new_jobs.pop()).collect::<Vec<_>>();
-        for &id in &unsent {
+    /// Returns whether new jobs were not sent yet.
+    pub(super) fn has_unsent(&self) -> bool {
+        !self.new_jobs.is_empty()
+    }
+
+    /// Returns the new jobs that were not sent yet.
+    pub(super) fn unsent(&self) -> impl Iterator<Item = JobId> {
+        self.new_jobs.iter()
+    }
+
+    /// Takes back new jobs that were not sent, which are certainly not persisted.
+    pub(super) fn take_unsent(&mut self, is_taken: impl Fn(JobId) -> bool) -> Vec<JobId> {
+        let mut taken = self.new_jobs.iter().filter(|&id| is_taken(id)).collect::<Vec<_>>();
+        taken.retain(|id| self.new_jobs.remove(id));
+        for &id in &taken {
             self.remove_progress(id);
         }
-        unsent
+        taken
     }
 
     /// Returns an upper bound of the number of waiting records: one that is in two queues counts
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -5,13 +5,16 @@
     super::{
         event::{Action, CancelAnswer, JobRequestId, JobState, SubmitAnswer},
         job::Job,
+        load_parts::LoadPart,
         log_entry::LogEntry,
         names::JobId,
         record::Outcome,
+        retry_delay::RetryDelay,
         spec::{JobSpec, QueueTerms},
     },
     Scheduler,
 };
+use crate::Time;
 
 impl Scheduler {
     /// Accepts a new job, or answers that it is already known or that it can't be accepted.
@@ -21,36 +24,41 @@
         id: JobId,
         queue: QueueTerms,
         spec: JobSpec,
+        answer_by: Option<Time>,
     ) {
+        let answer_by = answer_by.filter(|_| self.settings.parts.has(LoadPart::HandIn));
         let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
         let ended = self.ended_jobs.contains_key(&id);
-        let accepts_jobs = self.accepts_jobs();
-        let known = self.jobs.get_mut(&id);
-        let is_known = ended || known.is_some();
+        let is_known = ended || self.jobs.contains_key(&id);
         let entry =
             LogEntry::Submitted { job: id, queue: queue.name.clone(), tasks, known: is_known };
         self.actions.push(Action::Log(entry));
-        match known {
+        match self.jobs.get_mut(&id) {
             _ if ended => self.actions.push(Action::AnswerSubmit(request, SubmitAnswer::Accepted)),
             Some(job) if job.is_persisted => {
                 self.actions.push(Action::AnswerSubmit(request, SubmitAnswer::Accepted));
             }
-            Some(job) => job.submit_waiters.push(request),
-            None if !accepts_jobs => {
-                self.actions.push(Action::AnswerSubmit(request, SubmitAnswer::Refused));
-            }
-            None => {
-                let mut job = Job::new(id, queue, spec, self.now, self.unix_ms);
+            Some(job) => {
                 job.submit_waiters.push(request);
-                self.insert_job(job);
-                self.pending.add_job(id);
-                self.pending.cancel_deletion(id);
+                job.answer_by = job.answer_by.max(answer_by);
             }
+            None => match self.admit(id, answer_by) {
+                Ok(()) => {
+                    let mut job = Job::new(id, queue, spec, self.now, self.unix_ms);
+                    job.submit_waiters.push(request);
+                    job.answer_by = answer_by;
+                    self.insert_job(job);
+                    self.pending.add_job(id);
+                    self.pending.cancel_deletion(id);
+                }
+                Err(refused) => self.actions.push(Action::AnswerSubmit(request, refused)),
+            },
         }
     }
 
-    /// Returns whether a new job can be accepted, so that its caller is answered in time.
-    fn accepts_jobs(&self) -> bool {
+    /// Returns whether a new job can be accepted, so that a box that waits for the usual time is
+    /// answered in time.
+    pub(super) fn accepts_jobs(&self) -> bool {
         let lag = self.overload.lag();
         self.overload.accepts_jobs() && !self.pending.would_persist_too_late(lag, self.now)
     }
@@ -110,21 +118,30 @@
         }
     }
 
-    /// Refuses jobs that were not sent to the store yet if the store does not answer.
+    /// Refuses jobs that were not sent to the store yet if the store does not answer, except those
+    /// whose callers' time is known.
     pub(super) fn refuse_unsent_jobs(&mut self) {
         if !self.pending.is_store_stuck(self.now) {
             return;
         }
-        for id in self.pending.take_unsent() {
-            let Some(job) = self.jobs.remove(&id) else { continue };
-            self.open_jobs.remove(&(job.queue.priority, job.due_at, id));
-            let refuse = |request| Action::AnswerSubmit(request, SubmitAnswer::Refused);
-            self.actions.extend(job.submit_waiters.into_iter().map(refuse));
-            let cancelled = |request| Action::AnswerCancel(request, CancelAnswer::Unknown(id));
-            self.actions.extend(job.cancel_waiters.into_iter().map(cancelled));
+        let jobs = &self.jobs;
+        let has_no_limit = |id| jobs.get(&id).is_none_or(|job| job.answer_by.is_none());
+        for id in self.pending.take_unsent(has_no_limit) {
+            self.refuse_unsent_job(id, None);
         }
     }
 
+    /// Refuses a job that was taken back before it was sent to the store.
+    pub(super) fn refuse_unsent_job(&mut self, id: JobId, retry_after: Option<RetryDelay>) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        self.open_jobs.remove(&(job.queue.priority, job.due_at, id));
+        let refused = SubmitAnswer::Refused { retry_after };
+        let refuse = |request| Action::AnswerSubmit(request, refused);
+        self.actions.extend(job.submit_waiters.into_iter().map(refuse));
+        let cancelled = |request| Action::AnswerCancel(request, CancelAnswer::Unknown(id));
+        self.actions.extend(job.cancel_waiters.into_iter().map(cancelled));
+    }
+
     /// Starts the scheduled occurrences that are due.
     pub(super) fn start_due_occurrences(&mut self) {
         let unix_ms = self.unix_ms;
--- a/crates/kitetrail-core/src/jobs/scheduler/unique_queue.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unique_queue.rs
@@ -43,6 +43,12 @@
         None
     }
 
+    /// Returns the waiting items in the order of their addition.
+    pub(super) fn iter(&self) -> impl Iterator<Item = T> {
+        let is_present = |(item, seq): &&(T, u64)| self.present.get(item) == Some(seq);
+        self.order.iter().filter(is_present).map(|(item, _)| *item)
+    }
+
     /// Adds an item at the end, unless it is waiting already.
     pub(super) fn push(&mut self, item: T, seq: u64) {
         if let Entry::Vacant(vacant) = self.present.entry(item) {
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -178,6 +178,16 @@
 
     /// Submits a job.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> JobRequestId {
+        self.submit_within(id, spec, None)
+    }
+
+    /// Submits a job for a caller that has this much time left, if it says so.
+    pub fn submit_within(
+        &mut self,
+        id: u64,
+        spec: JobSpec,
+        time_left: Option<Duration>,
+    ) -> JobRequestId {
         let request = self.request();
         if self.state(id).is_none() {
             self.acknowledged_ends.remove_job(JobId(id));
@@ -185,7 +195,9 @@
         self.specs.insert(JobId(id), spec.clone());
         self.submitted_jobs.insert(request, JobId(id));
         let (job, queue) = (JobId(id), queue());
-        self.send_event(Event::Submit { request, job, queue, spec: Box::new(spec) });
+        let spec = Box::new(spec);
+        let answer_by = time_left.map(|time_left| self.now + time_left);
+        self.send_event(Event::Submit { request, job, queue, spec, answer_by });
         request
     }
 
@@ -229,7 +241,7 @@
     pub fn is_refused(&self, request: JobRequestId) -> Option<bool> {
         self.answers.iter().find_map(|(_, action)| match action {
             Action::AnswerSubmit(no, answer) if *no == request => {
-                Some(*answer == SubmitAnswer::Refused)
+                Some(matches!(answer, SubmitAnswer::Refused { .. }))
             }
             _ => None,
         })
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -5,33 +5,45 @@
     time::{Duration, Instant},
 };
 
-use kitetrail_core::jobs::{JobId, JobSpec, JobState, Outcome, ProgressRecord, QueueTerms};
+use kitetrail_core::jobs::{
+    JobId, JobSpec, JobState, Outcome, ProgressRecord, QueueTerms, RetryDelay,
+};
 use kitetrail_platform::fleet::{RowName, RowStore, StoredRow};
 use tokio::{
     sync::{mpsc, oneshot},
     time,
 };
 
-use super::{Platform, owner::OwnerMessage, rows, shared::Shared};
+use super::{Platform, call_times::CallTimes, owner::OwnerMessage, rows, shared::Shared};
 
 /// The delay before the owner is called again, unless another owner becomes known earlier.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
-/// The timeout of one attempt. The owner answers within about 20 ms if the store does.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(900);
 /// The time after which a job's state is read from the store if the owner has not answered.
 const STATE_FALLBACK_AFTER: Duration = Duration::from_millis(300);
 
 /// A caller's request to the owner.
 #[derive(Debug, Clone)]
 pub(super) enum Call {
-    /// Submits a job.
-    Submit { job: JobId, queue: QueueTerms, spec: Rc<JobSpec> },
+    /// Submits a job. The owner may use the caller's time until `answer_by`, if it is given.
+    Submit { job: JobId, queue: QueueTerms, spec: Rc<JobSpec>, answer_by: Option<Instant> },
     /// Cancels a job.
     Cancel { job: JobId },
     /// Queries a job's state.
     State { job: JobId },
 }
 
+impl Call {
+    /// Returns the time that the owner may use to answer, if the call limits it.
+    pub(super) fn time_left(&self) -> Option<Duration> {
+        match self {
+            Self::Submit { answer_by, .. } => {
+                answer_by.map(|by| by.saturating_duration_since(Instant::now()))
+            }
+            Self::Cancel { .. } | Self::State { .. } => None,
+        }
+    }
+}
+
 /// The owner's answer to a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Answer {
@@ -43,8 +55,9 @@
     UnknownJob,
     /// The job's state.
     State(JobState),
-    /// The owner can't accept the job. The call had no effect and will have none.
-    Refused,
+    /// The owner can't accept the job. The call had no effect and will have none. Its caller is asked
+    /// to return after a time, if the owner gives one.
+    Refused(Option<RetryDelay>),
     /// No owner of the fleet was found. The call had no effect.
     NotRun,
     /// The call may have taken effect.
@@ -53,21 +66,24 @@
     NotOwner,
 }
 
-/// Forwards a call to the owner until it is answered or the deadline passes.
+/// Forwards a call to the owner until it is answered or its time is over.
 pub(super) async fn call_owner<P: Platform>(
     shared: &Rc<Shared<P>>,
     call: Call,
-    deadline: Instant,
+    times: CallTimes,
 ) -> Answer {
     let started = Instant::now();
     let mut in_doubt = false;
     loop {
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        if remaining.is_zero() {
+        let now = Instant::now();
+        let times = shared.stop_limit().map_or(times, |end| times.ending_by(end));
+        if times.time_left(now).is_zero() || !in_doubt && times.gives_up_search(now) {
             return if in_doubt { Answer::InDoubt } else { Answer::NotRun };
         }
-        let attempt =
-            attempt_until_owner_changes(shared, &call, remaining.min(ATTEMPT_TIMEOUT)).await;
+        let attempt = tokio::select! {
+            answer = attempt_until_owner_changes(shared, &call, times.attempt_timeout(now)) => answer,
+            () = shared.stop_limit_reached() => Answer::InDoubt,
+        };
         match attempt {
             Answer::NotOwner | Answer::NotRun => {}
             Answer::InDoubt => in_doubt = true,
@@ -75,7 +91,7 @@
                 return confirm_unknown(shared, job).await;
             }
             // An earlier attempt may still take effect.
-            Answer::Refused if in_doubt => return Answer::InDoubt,
+            Answer::Refused(_) if in_doubt => return Answer::InDoubt,
             answer => return answer,
         }
         if let Call::State { job } = &call
@@ -85,7 +101,8 @@
             return answer;
         }
         let owner_change = shared.owner_changed.notified();
-        let _ = time::timeout(RETRY_DELAY.min(remaining), owner_change).await;
+        let delay = times.time_left(Instant::now()).min(RETRY_DELAY);
+        let _ = time::timeout(delay, owner_change).await;
     }
 }
 
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kitetrail_core::{
     fleet_config::{CallerLimits, FleetConfig, QueueRoute},
-    jobs::{JobId, JobSpec, JobState},
+    jobs::{JobId, JobSpec, JobState, LoadPart},
 };
 use kitetrail_platform::fleet::JobCodec;
 use tokio::{
@@ -26,21 +26,17 @@
 
 use super::{
     Platform,
+    call_times::{CallTimes, MAX_WAIT},
     calls::{self, Answer, Call},
     responses::{
         Body, closing, empty_response, error_response, json_response, refused_job_response,
+        retry_response,
     },
     shared::Shared,
 };
 
-/// The longest wait of a call while no owner answers. Long enough for a regular handover (about
-/// 100 ms) and most takeovers, short enough that the caller still has time to call another box.
-const MAX_WAIT: Duration = Duration::from_millis(1_300);
 /// The part of the caller's timeout that is reserved for sending the response.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(60);
-/// The time before the end of a stopping box that is reserved for sending the last responses: about ten
-/// times what a response takes on a box that is slowed eight times.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(300);
 /// The delay after a connection could not be accepted. The usual cause is a lack of file handles, some
 /// of which become free as calls end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -151,36 +147,36 @@
             error_response(StatusCode::BAD_REQUEST, "a job's id has 16 hexadecimal digits"),
         );
     };
-    let deadline = limit_deadline(shared, started + call_timeout(shared, route, &request));
+    let caller_wait = caller_wait(shared, route, &request);
+    let times = CallTimes::fixed(started, caller_wait.unwrap_or(MAX_WAIT - RESPONSE_RESERVE));
     match *request.method() {
-        Method::POST => ("submit", submit(shared, route, job, request, limits, deadline).await),
-        Method::GET => ("state", state(shared, job, deadline).await),
-        Method::DELETE => ("cancel", cancel(shared, job, deadline).await),
+        Method::POST => {
+            let waits_as_caller = shared.settings.parts.has(LoadPart::HandIn);
+            let caller_wait = caller_wait.filter(|_| waits_as_caller);
+            let times = caller_wait.map_or(times, |wait| CallTimes::of_caller(started, wait));
+            let answer_by = caller_wait.map(|_| times.deadline());
+            let submission = Submission { job, times, answer_by };
+            ("submit", submit(shared, route, submission, request, limits).await)
+        }
+        Method::GET => ("state", state(shared, job, times).await),
+        Method::DELETE => ("cancel", cancel(shared, job, times).await),
         _ => ("bad", error_response(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE")),
     }
 }
 
-/// Limits the deadline of a call to the end of a stopping box, so that its caller still gets a response.
-fn limit_deadline<P: Platform>(shared: &Shared<P>, latest: Instant) -> Instant {
-    let before_end = |stop_deadline: Instant| {
-        stop_deadline.checked_sub(SHUTDOWN_RESERVE).unwrap_or(stop_deadline)
-    };
-    shared.stop_deadline.get().map(before_end).map_or(latest, |end| end.min(latest))
-}
-
-/// Returns the timeout of a call, from the request's header and the route.
-fn call_timeout<P: Platform>(
+/// Returns how long the caller waits for the owner's answer, from the request's header and the route,
+/// if either gives a limit.
+fn caller_wait<P: Platform>(
     shared: &Shared<P>,
     route: &QueueRoute,
     request: &Request<Incoming>,
-) -> Duration {
+) -> Option<Duration> {
     let header = request.headers().get(shared.services.codec.time_left_header());
     let remaining_ms =
         header.and_then(|text| text.to_str().ok()).and_then(|text| text.parse::<u64>().ok());
     let route_ms = Some(route.timeout_ms).filter(|&timeout_ms| timeout_ms > 0);
     let limits = [remaining_ms, route_ms].into_iter().flatten().map(Duration::from_millis);
-    let limit = limits.min().unwrap_or(MAX_WAIT);
-    limit.saturating_sub(RESPONSE_RESERVE).min(MAX_WAIT)
+    limits.min().map(|limit| limit.saturating_sub(RESPONSE_RESERVE))
 }
 
 /// Answers with the number of waiting jobs of a queue.
@@ -196,15 +192,23 @@
     }
 }
 
+/// A caller's submission.
+struct Submission {
+    job: JobId,
+    times: CallTimes,
+    /// The latest time of the owner's answer, if the owner may use the caller's time.
+    answer_by: Option<Instant>,
+}
+
 /// Submits a job.
 async fn submit<P: Platform>(
     shared: &Rc<Shared<P>>,
     route: &QueueRoute,
-    job: JobId,
+    submission: Submission,
     request: Request<Incoming>,
     limits: CallerLimits,
-    deadline: Instant,
 ) -> Response<Body> {
+    let Submission { job, times, answer_by } = submission;
     let body = match read_body(request, limits).await {
         Ok(body) => body,
         Err(response) => return response,
@@ -216,9 +220,17 @@
             return error_response(StatusCode::BAD_REQUEST, &error);
         }
     };
-    let call = Call::Submit { job, queue: route.queue.clone(), spec };
-    match calls::call_owner(shared, call, deadline).await {
+    let call = Call::Submit { job, queue: route.queue.clone(), spec, answer_by };
+    match calls::call_owner(shared, call, times).await {
         Answer::Accepted => empty_response(StatusCode::OK),
+        Answer::NotRun if answer_by.is_some() => {
+            let delay = times.retry_after(Instant::now(), job);
+            log::warn!(
+                job = job.to_string(), retry_after_s = delay.as_secs();
+                "front: no owner received a job"
+            );
+            retry_response(delay, "it was not done: ask again later")
+        }
         answer => failed_call_response("submit", job, answer),
     }
 }
@@ -232,9 +244,9 @@
 async fn state<P: Platform>(
     shared: &Rc<Shared<P>>,
     job: JobId,
-    deadline: Instant,
+    times: CallTimes,
 ) -> Response<Body> {
-    match calls::call_owner(shared, Call::State { job }, deadline).await {
+    match calls::call_owner(shared, Call::State { job }, times).await {
         Answer::State(state) => {
             json_response(StatusCode::OK, shared.services.codec.write_state(state))
         }
@@ -247,9 +259,9 @@
 async fn cancel<P: Platform>(
     shared: &Rc<Shared<P>>,
     job: JobId,
-    deadline: Instant,
+    times: CallTimes,
 ) -> Response<Body> {
-    match calls::call_owner(shared, Call::Cancel { job }, deadline).await {
+    match calls::call_owner(shared, Call::Cancel { job }, times).await {
         Answer::Cancelled => {
             json_response(StatusCode::OK, shared.services.codec.write_state(JobState::Cancelled))
         }
@@ -266,7 +278,9 @@
             StatusCode::GATEWAY_TIMEOUT,
             "it may have been done: ask again with the same id",
         ),
-        Answer::Refused => refused_job_response(job, "it was not taken: hand it in again later"),
+        Answer::Refused(retry_after) => {
+            refused_job_response(job, retry_after, "it was not taken: hand it in again later")
+        }
         _ => error_response(StatusCode::SERVICE_UNAVAILABLE, "it was not done: ask again later"),
     }
 }
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -1,6 +1,6 @@
 //! Writes the scheduler's decisions to the log.
 
-use kitetrail_core::jobs::{LogEntry, TaskName, WorkerName};
+use kitetrail_core::jobs::{LogEntry, RetryDelay, TaskName, WorkerName};
 
 /// Writes a decision to the log.
 pub(super) fn log_entry(entry: &LogEntry) {
@@ -92,6 +92,12 @@
             records = *records, ends = *ends, batch_sent_ago_ms:? = *batch_sent_ago_ms;
             "owner: records not persisted yet"
         ),
+        LogEntry::HandIn { job, time_left_ms, expected_ms, decision, waited } => log::info!(
+            job = job.to_string(), time_left_ms = *time_left_ms, expected_ms = *expected_ms,
+            decision = decision.as_str(), waited = *waited,
+            retry_after_s:? = decision.retry_after().map(RetryDelay::as_secs);
+            "job: hand-in decided"
+        ),
         LogEntry::Paced { worker, percent, tail_of_target_percent } => log::info!(
             worker = worker.as_str(), percent = *percent,
             tail_of_target_percent = *tail_of_target_percent;
--- a/crates/kitetraild/src/fleet/mod.rs
+++ b/crates/kitetraild/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! All persisted state is in the platform's store. Boxes persist nothing of their own.
 
+mod call_times;
 mod calls;
 mod committer;
 mod config_watch;
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -37,8 +37,8 @@
             Action::AnswerSubmit(request, SubmitAnswer::Accepted) => {
                 self.reply(request, Answer::Accepted);
             }
-            Action::AnswerSubmit(request, SubmitAnswer::Refused) => {
-                self.reply(request, Answer::Refused);
+            Action::AnswerSubmit(request, SubmitAnswer::Refused { retry_after }) => {
+                self.reply(request, Answer::Refused(retry_after));
             }
             Action::AnswerCancel(request, CancelAnswer::Done) => {
                 self.reply(request, Answer::Cancelled);
@@ -63,6 +63,9 @@
             }
             LogEntry::WorkerRestarted { .. } => self.shared.metrics.record_worker_restart(),
             LogEntry::CrashingTaskFailed { .. } => self.shared.metrics.record_crashing_job(),
+            LogEntry::HandIn { decision, expected_ms, .. } => {
+                self.shared.metrics.record_hand_in(decision.as_str(), *expected_ms);
+            }
             _ => {}
         }
         log_entries::log_entry(decision);
--- a/crates/kitetraild/src/fleet/owner/callers.rs
+++ b/crates/kitetraild/src/fleet/owner/callers.rs
@@ -1,8 +1,9 @@
 //! Handles callers' requests to the owner.
 
-use std::rc::Rc;
-
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use kitetrail_core::jobs::{Event, JobId, JobRequestId};
 use tokio::sync::oneshot;
@@ -26,10 +27,12 @@
         let request = JobRequestId(self.next_request);
         self.next_request += 1;
         match call {
-            Call::Submit { job, queue, spec } => {
+            Call::Submit { job, queue, spec, answer_by } => {
                 self.waiting_callers.insert(request, reply);
                 let spec = Box::new(Rc::unwrap_or_clone(spec));
-                self.handle(Event::Submit { request, job, queue, spec });
+                let time_left = |by: Instant| by.saturating_duration_since(Instant::now());
+                let answer_by = answer_by.map(|by| self.shared.clock.now() + time_left(by));
+                self.handle(Event::Submit { request, job, queue, spec, answer_by });
             }
             Call::Cancel { job } => {
                 self.waiting_callers.insert(request, reply);
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -57,7 +57,7 @@
             Ok(answer) => {
                 channel.record_response();
                 let view = OwnerView::from_report(answer.epoch, &answer.owner_address);
-                (decode_answer(answer.outcome()), view)
+                (decode_answer(&answer), view)
             }
             Err(status) => {
                 log::debug!(peer = peer.to_string(); "peer: a call failed: {status}");
--- a/crates/kitetraild/src/fleet/peers/codec.rs
+++ b/crates/kitetraild/src/fleet/peers/codec.rs
@@ -1,18 +1,22 @@
 //! Encodes and decodes calls, answers and configurations that boxes exchange.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use kitetrail_core::{
     fleet_config::FleetConfig,
-    jobs::{JobId, JobState},
+    jobs::{JobId, JobState, RetryDelay},
 };
 use kitetrail_proto::jobs::{
-    CallRequest, Cancel, Config, State, Submit, call_answer::Outcome, call_request,
+    CallAnswer, CallRequest, Cancel, Config, State, Submit, call_answer::Outcome, call_request,
 };
 use serde::Serialize;
 
 use super::super::{
     Platform,
+    call_times::MAX_SUBMISSION_WAIT,
     calls::{Answer, Call},
     shared::Shared,
 };
@@ -45,10 +49,11 @@
 /// Encodes a call. Returns `None` if this fails.
 pub(super) fn encode_call(call: &Call) -> Option<CallRequest> {
     let call = match call {
-        Call::Submit { job, queue, spec } => call_request::Call::Submit(Submit {
+        Call::Submit { job, queue, spec, answer_by } => call_request::Call::Submit(Submit {
             job: job.to_string(),
             queue_json: encode(queue)?,
             spec_json: encode(&**spec)?,
+            time_left_ms: answer_by.map(time_left_ms),
         }),
         Call::Cancel { job } => call_request::Call::Cancel(Cancel { job: job.to_string() }),
         Call::State { job } => call_request::Call::State(State { job: job.to_string() }),
@@ -77,7 +82,14 @@
     let job = decode_job(&submit.job)?;
     let queue = serde_json::from_slice(&submit.queue_json).map_err(|error| error.to_string())?;
     let spec = serde_json::from_slice(&submit.spec_json).map_err(|error| error.to_string())?;
-    Ok(Call::Submit { job, queue, spec: Rc::new(spec) })
+    let answer_by = submit.time_left_ms.map(|time_left_ms| {
+        Instant::now() + Duration::from_millis(time_left_ms).min(MAX_SUBMISSION_WAIT)
+    });
+    Ok(Call::Submit { job, queue, spec: Rc::new(spec), answer_by })
+}
+
+fn time_left_ms(answer_by: Instant) -> u64 {
+    answer_by.saturating_duration_since(Instant::now()).as_millis() as u64
 }
 
 fn decode_job(text: &str) -> Result<JobId, String> {
@@ -95,15 +107,23 @@
         Answer::State(JobState::Completed) => Outcome::Completed,
         Answer::State(JobState::Failed) => Outcome::Failed,
         Answer::State(JobState::Cancelled) => Outcome::JobCancelled,
-        Answer::Refused => Outcome::Refused,
+        Answer::Refused(_) => Outcome::Refused,
         Answer::NotOwner | Answer::NotRun => Outcome::NotOwner,
         Answer::InDoubt => Outcome::InDoubt,
     }
 }
 
+/// Returns the seconds after which the caller of a refused job is to return, zero if none are given.
+pub(super) fn encode_retry_after(answer: Answer) -> u32 {
+    match answer {
+        Answer::Refused(Some(delay)) => delay.as_secs() as u32,
+        _ => 0,
+    }
+}
+
 /// Decodes an answer.
-pub(super) fn decode_answer(outcome: Outcome) -> Answer {
-    match outcome {
+pub(super) fn decode_answer(answer: &CallAnswer) -> Answer {
+    match answer.outcome() {
         Outcome::Accepted => Answer::Accepted,
         Outcome::Cancelled => Answer::Cancelled,
         Outcome::UnknownJob => Answer::UnknownJob,
@@ -112,8 +132,14 @@
         Outcome::Completed => Answer::State(JobState::Completed),
         Outcome::Failed => Answer::State(JobState::Failed),
         Outcome::JobCancelled => Answer::State(JobState::Cancelled),
-        Outcome::Refused => Answer::Refused,
+        Outcome::Refused => Answer::Refused(match answer.retry_after_s {
+            0 => None,
+            retry_after_s => Some(RetryDelay::from_secs(retry_after_s.into())),
+        }),
         Outcome::NotOwner => Answer::NotOwner,
         Outcome::InDoubt | Outcome::Unspecified => Answer::InDoubt,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -28,7 +28,7 @@
         shared::Shared,
     },
     CALL_TIMEOUT,
-    codec::{apply_config, decode_call, encode_answer, encode_config},
+    codec::{apply_config, decode_call, encode_answer, encode_config, encode_retry_after},
     status::PublishedStatus,
 };
 
@@ -104,14 +104,18 @@
 ) {
     let owner = shared.owner_inbox.borrow().clone();
     let answer = match (owner, decode_call(request)) {
-        (Some(owner), Some(call)) => calls::call_local_owner(owner, call, CALL_TIMEOUT).await,
+        (Some(owner), Some(call)) => {
+            let timeout = call.time_left().unwrap_or(CALL_TIMEOUT);
+            calls::call_local_owner(owner, call, timeout).await
+        }
         (None, _) => Answer::NotOwner,
         (_, None) => Answer::NotRun,
     };
     let outcome = encode_answer(answer).into();
+    let retry_after_s = encode_retry_after(answer);
     let view = shared.owner();
     let owner_address = view.address_text();
-    let _ = reply.send(CallAnswer { outcome, epoch: view.epoch, owner_address });
+    let _ = reply.send(CallAnswer { outcome, epoch: view.epoch, owner_address, retry_after_s });
 }
 
 /// Checks whether this box reaches the store, with the smallest read of the store.
--- a/crates/kitetraild/src/fleet/responses.rs
+++ b/crates/kitetraild/src/fleet/responses.rs
@@ -6,7 +6,7 @@
     Response, StatusCode,
     header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
-use kitetrail_core::jobs::JobId;
+use kitetrail_core::jobs::{JobId, RetryDelay};
 
 /// The `Retry-After` of requests that were not run, in seconds.
 const RETRY_AFTER_S: &str = "1";
@@ -34,11 +34,21 @@
     response
 }
 
-/// Returns the response to a refused job. Its `Retry-After` is derived from the job's id.
-pub(super) fn refused_job_response(job: JobId, reason: &str) -> Response<Body> {
+/// Returns the response to a refused job. Without a delay from the owner, its `Retry-After` is derived from
+/// the job's id.
+pub(super) fn refused_job_response(
+    job: JobId,
+    retry_after: Option<RetryDelay>,
+    reason: &str,
+) -> Response<Body> {
+    let by_id = RetryDelay::from_secs(1 + job.0 % RETRY_SPREAD_S);
+    retry_response(retry_after.unwrap_or(by_id), reason)
+}
+
+/// Returns the response to a request that was not run, whose caller is asked to return after a delay.
+pub(super) fn retry_response(delay: RetryDelay, reason: &str) -> Response<Body> {
     let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, reason);
-    let retry_after_s = HeaderValue::from(1 + job.0 % RETRY_SPREAD_S);
-    response.headers_mut().insert(RETRY_AFTER, retry_after_s);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(delay.as_secs()));
     response
 }
 
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -150,8 +150,7 @@
     let started = Instant::now();
     log::info!(in_progress = shared.requests_in_progress.get(); "daemon: stopping");
     let time_limit = shared.settings.stop_timeout;
-    shared.stop_deadline.set(Some(started + time_limit));
-    shared.draining.set(true);
+    shared.record_stop_requested(started + time_limit);
     takeover::release_if_owner(shared).await;
     loop {
         time::sleep(STOP_POLL_INTERVAL).await;
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -13,7 +13,10 @@
 };
 use kitetrail_platform::PlatformError;
 use kitetrail_proto::jobs::PingAnswer;
-use tokio::sync::{Notify, mpsc};
+use tokio::{
+    sync::{Notify, mpsc},
+    time,
+};
 
 use super::{
     FleetSettings, Platform, Services,
@@ -34,6 +37,10 @@
 /// and one late answer fit into this time.
 const MAX_LAG_AGE: Duration = Duration::from_millis(1_500);
 
+/// The time before the end of a stopping box that is reserved for sending the last responses: about ten
+/// times what a response takes on a box that is slowed eight times.
+const SHUTDOWN_RESERVE: Duration = Duration::from_millis(300);
+
 /// The owner of the fleet, as far as this box knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct OwnerView {
@@ -102,7 +109,8 @@
     /// Whether the box was asked to stop.
     pub(super) draining: Cell<bool>,
     /// The latest time at which the box ends, once it was asked to stop.
-    pub(super) stop_deadline: Cell<Option<Instant>>,
+    stop_deadline: Cell<Option<Instant>>,
+    stop_requested: Notify,
     /// The number of callers' requests that are not answered yet.
     pub(super) requests_in_progress: Cell<usize>,
 }
@@ -143,6 +151,7 @@
             store_recovered_at: Cell::new(None),
             draining: Cell::new(false),
             stop_deadline: Cell::new(None),
+            stop_requested: Notify::new(),
             requests_in_progress: Cell::new(0),
         })
     }
@@ -328,6 +337,31 @@
         self.clock.now().since(self.store_answered_at.get()).as_millis() as u64
     }
 
+    /// Records that the box was asked to stop, and the latest time at which it ends.
+    pub(super) fn record_stop_requested(&self, deadline: Instant) {
+        self.stop_deadline.set(Some(deadline));
+        self.draining.set(true);
+        self.stop_requested.notify_waiters();
+    }
+
+    /// Returns the latest time at which calls are answered, once the box was asked to stop, so that callers
+    /// still get a response.
+    pub(super) fn stop_limit(&self) -> Option<Instant> {
+        let deadline = self.stop_deadline.get()?;
+        Some(deadline.checked_sub(SHUTDOWN_RESERVE).unwrap_or(deadline))
+    }
+
+    /// Waits until the box was asked to stop and this time has passed.
+    pub(super) async fn stop_limit_reached(&self) {
+        let stop_requested = self.stop_requested.notified();
+        if self.stop_limit().is_none() {
+            stop_requested.await;
+        }
+        if let Some(limit) = self.stop_limit() {
+            time::sleep_until(limit.into()).await;
+        }
+    }
+
     /// Returns whether the platform may route new connections to this box.
     pub(super) fn is_ready(&self) -> bool {
         !self.draining.get() && self.config.borrow().is_some()
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -25,6 +25,8 @@
     crashing_jobs: Counter<u64>,
     worker_restarts: Counter<u64>,
     suspensions: Counter<u64>,
+    hand_ins: Counter<u64>,
+    hand_in_expected_ms: Histogram<f64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
 }
@@ -88,6 +90,14 @@
                 .u64_counter("kitetrail.suspensions")
                 .with_description("Times that the box found its machine was suspended")
                 .build(),
+            hand_ins: meter
+                .u64_counter("kitetrail.hand_ins")
+                .with_description("Decisions whether a new job waits for the store")
+                .build(),
+            hand_in_expected_ms: meter
+                .f64_histogram("kitetrail.hand_in.expected_ms")
+                .with_description("Expected time until a new job is persisted, by decision")
+                .build(),
             evacuated_zones: meter
                 .u64_gauge("kitetrail.evacuated.zones")
                 .with_description(
@@ -140,6 +150,13 @@
         self.worker_restarts.add(1, &[]);
     }
 
+    /// Counts a decision whether a new job waits for the store.
+    pub fn record_hand_in(&self, decision: &'static str, expected_ms: u64) {
+        let labels = [KeyValue::new("decision", decision)];
+        self.hand_ins.add(1, &labels);
+        self.hand_in_expected_ms.record(expected_ms as f64, &labels);
+    }
+
     /// Counts a suspension of the machine that runs this box.
     pub fn record_suspension(&self) {
         self.suspensions.add(1, &[]);
