--- a/crates/kitetrail-core/src/jobs/hand_in.rs
+++ b/crates/kitetrail-core/src/jobs/hand_in.rs
@@ -93,8 +93,8 @@
 
     /// Decides again about a job that waits for its batch.
     ///
-    /// While the store answers, the job keeps its place as long as it can be persisted in time at
-    /// all: an estimate that varies from batch to batch must not refuse what was accepted.
+    /// While the store answers, the job keeps its place if it can be persisted in time at all: an
+    /// estimate that varies from batch to batch must not refuse what was accepted.
     pub fn review(&self, time_left: Duration, job: JobId) -> HandInDecision {
         match self.is_store_silent() {
             _ if time_left < self.shortest_time() => self.refuse(time_left, job),
--- a/crates/kitetrail-core/tests/jobs_hand_in.rs
+++ b/crates/kitetrail-core/tests/jobs_hand_in.rs
@@ -42,7 +42,7 @@
     })
 }
 
-/// A caller that submits its job again when it is told to, as long as it has time.
+/// A caller that submits its job again when it is asked to, while it has time.
 struct Caller {
     id: u64,
     deadline: Time,
@@ -142,7 +142,7 @@
     let (fleet, callers) = run_with_silent_store();
     for (arrived_ms, caller) in callers.iter().filter(|(_, caller)| !caller.accepted) {
         let in_batch_sent = fleet.state(caller.id).is_some();
-        // A job that was sent is in doubt until the store answers; all others are refused in time.
+        // A job that was sent has an unknown outcome until the store answers; all others are refused in time.
         assert!(
             in_batch_sent || caller.request.is_none(),
             "arrived at {arrived_ms} ms: neither sent nor answered"
@@ -214,7 +214,7 @@
     }
 }
 
-/// A lost owner leaves its waiting callers without an answer: none is told that its job is refused,
+/// A lost owner leaves its waiting callers without an answer: no job is reported as refused,
 /// and the new owner accepts the job under the same id once.
 #[test]
 fn job_that_waited_for_a_lost_owner_is_accepted_by_the_next_one() {
--- a/crates/kitetraild/src/fleet/call_times.rs
+++ b/crates/kitetraild/src/fleet/call_times.rs
@@ -24,7 +24,7 @@
     deadline: Instant,
     /// The timeout of one attempt.
     attempt_timeout: Duration,
-    /// The time from which a call that no owner received is given up if its caller can return.
+    /// The time from which a call that no owner received ends if its caller can return.
     search_until: Instant,
 }
 
