An owner with a slow store releases the fleet after the batch in flight

For up to 4.5 s of a slow store callers got 503 from all boxes: an owner that was asked to stop refuses calls and waits until no batch is in flight, but each batch that was kept sent the next one. While tasks end there is always one. Ruled out: the search for the owner, which went on as long as callers had time.

With the hand-in part, the records that are not in flight are left to the next owner, as after the loss of an owner: nobody was told that they are persisted.

--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use kitetrail_core::jobs::{
-    Action, CancelAnswer, Event, InstanceNo, LogEntry, Order, Poll, PollFailure, Report,
+    Action, CancelAnswer, Event, InstanceNo, LoadPart, LogEntry, Order, Poll, PollFailure, Report,
     SubmitAnswer, WorkerEntry,
 };
 use kitetrail_platform::{CallLimits, fleet::WorkerControl, within};
@@ -26,6 +26,10 @@
                 self.send_order(instance, entry, token, lease_until_ms, order);
             }
             Action::Poll { instance, entry, poll } => self.send_poll(instance, entry, poll),
+            // The next owner accepts jobs sooner. Nothing of the batch was confirmed to anybody.
+            Action::Commit { batch, .. } if self.releasing && self.skips_batches_at_release() => {
+                log::info!(batch = batch; "owner: a batch is left to the next owner");
+            }
             Action::Commit { batch, records } => {
                 self.commit_in_flight = true;
                 // At most one batch is in flight, and the channel has room for one.
@@ -55,6 +59,12 @@
         true
     }
 
+    /// Returns whether the fleet is released without the records that are not in flight yet. While the
+    /// store is slow there are always such records, and no owner accepts jobs until the release.
+    fn skips_batches_at_release(&self) -> bool {
+        self.shared.settings.parts.has(LoadPart::HandIn)
+    }
+
     /// Logs a decision and updates the metrics.
     fn record_log_entry(&self, decision: &LogEntry) {
         match decision {
