While the store is silent, callers that can't return may be refused at once

With hand-in callers that have no time to return wait as their last chance: 26 to 55 of 90 to 149 were served in silences of 4.2 s, the rest was held for a second and refused. Decisions without it are as before; test of the decision in tests/hand_in.rs.

--- a/crates/kitetrail-core/src/jobs/hand_in.rs
+++ b/crates/kitetrail-core/src/jobs/hand_in.rs
@@ -62,6 +62,8 @@
     pub in_flight_for: Option<Duration>,
     /// The number of full batches before the one with the job.
     pub batches_before: u32,
+    /// Whether callers that can't return are refused at once, too, while the store is silent.
+    pub refuses_while_silent: bool,
 }
 
 impl HandInForecast {
@@ -99,7 +101,9 @@
         match self.is_store_silent() {
             _ if time_left < self.shortest_time() => self.refuse(time_left, job),
             false => HandInDecision::Wait,
-            true if self.can_return(time_left) => self.refuse(time_left, job),
+            true if self.refuses_while_silent || self.can_return(time_left) => {
+                self.refuse(time_left, job)
+            }
             true => HandInDecision::WaitLast,
         }
     }
--- a/crates/kitetrail-core/src/jobs/load_parts.rs
+++ b/crates/kitetrail-core/src/jobs/load_parts.rs
@@ -13,6 +13,9 @@
 pub enum LoadPart {
     /// Submissions wait for a slow store as long as their callers can.
     HandIn,
+    /// With [`Self::HandIn`]: callers that can't return are refused at once while the store is
+    /// silent.
+    QuickRefusal,
     /// An owner that lags hands the fleet over to a box that does not.
     OwnerRelief,
     /// Workers that are slower or fail more often than their peers get less work.
@@ -33,8 +36,9 @@
 
 impl LoadPart {
     /// All parts.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::HandIn,
+        Self::QuickRefusal,
         Self::OwnerRelief,
         Self::WorkerHealth,
         Self::RunLengths,
@@ -49,6 +53,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::HandIn => "hand-in",
+            Self::QuickRefusal => "quick-refusal",
             Self::OwnerRelief => "owner-relief",
             Self::WorkerHealth => "worker-health",
             Self::RunLengths => "run-lengths",
--- a/crates/kitetrail-core/src/jobs/scheduler/hand_in.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hand_in.rs
@@ -6,6 +6,7 @@
     super::{
         event::{Action, SubmitAnswer},
         hand_in::{HandInDecision, HandInForecast},
+        load_parts::LoadPart,
         log_entry::LogEntry,
         names::JobId,
     },
@@ -72,6 +73,7 @@
             batch_time: self.pending.usual_batch_time(self.now),
             in_flight_for: self.pending.sent_ago(self.now),
             batches_before: batches_before as u32,
+            refuses_while_silent: self.settings.parts.has(LoadPart::QuickRefusal),
         }
     }
 
--- a/crates/kitetrail-core/tests/hand_in.rs
+++ b/crates/kitetrail-core/tests/hand_in.rs
@@ -67,6 +67,17 @@
     assert!(refuses(forecast.decide(ms(80), JOB)), "too late even if the store answers now");
 }
 
+#[test]
+fn silent_store_keeps_no_caller_with_quick_refusal() {
+    let forecast = HandInForecast { refuses_while_silent: true, ..forecast(5, Some(1_500)) };
+    for time_left_ms in [2_500, 1_300, 1_100, 900, 300, 80] {
+        assert!(refuses(forecast.decide(ms(time_left_ms), JOB)), "{time_left_ms} ms");
+        assert!(refuses(forecast.review(ms(time_left_ms), JOB)), "{time_left_ms} ms");
+    }
+    let slow = HandInForecast { refuses_while_silent: true, ..self::forecast(400, Some(400)) };
+    assert_eq!(slow.decide(ms(2_500), JOB), HandInDecision::Wait, "a slow store is not silent");
+}
+
 #[test]
 fn slow_store_is_not_silent() {
     for (batch_ms, in_flight_ms, is_silent) in
