Room can be divided among queues by weighted max-min fairness

While three queues wanted three times what a fleet has, an order by priority and lateness was all there was: nobody divided the room, so a queue of a lower priority with a backlog before it got none.

`divide` takes the room that each queue's tasks take and would take, in three resources (reserved processor time, processor time beside it, memory), and returns the part of the fleet that each may take in its dominant one: floors first, then shares that grow together by weight until a resource is used up. Ceilings and paused queues bound a share. Nothing calls it yet.

--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 //! A worker may start again under its id or under another one. Each start is an instance of the
 //! worker of its own: an instance that is over runs nothing any more.
 
+mod claimant_terms;
 mod crashes;
 mod event;
 mod instance;
@@ -17,12 +18,15 @@
 mod order;
 mod record;
 mod report;
+mod room;
 mod run;
 mod scheduler;
+mod shares;
 mod spec;
 mod steps;
 mod worker_entry;
 
+pub use claimant_terms::ClaimantTerms;
 pub use crashes::{CrashEvidence, PersistedStart, RunTimeBounds, TaskCrashes};
 pub use event::{
     Action, CancelAnswer, Event, JobRequestId, JobState, SubmitAnswer, WorkerListChange,
@@ -37,6 +41,8 @@
     ProgressRecord, Record, ServingEffects, StepProgress,
 };
 pub use report::{Poll, PollFailure, Report, RunEnd, RunResult, RunningTask};
+pub use room::Room;
 pub use scheduler::{InheritedState, Scheduler, SchedulerSettings};
+pub use shares::{Allowance, Claim, ShareBound, divide};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
 pub use worker_entry::WorkerEntry;
