While room is short, jobs are placed by the shares of their queues

With the part `shares`. Callers at three times the load for ten seconds: a queue that an urgent one had flooded started nothing; jobs that were begun waited behind others that could not be in time either; and larger short tasks found no gap although there was room in all.

While a task found no room in the last pass, the room is divided anew in each pass. Queues that are below their allowance go first, one that has gone without for a second goes before all, and what a queue takes beyond its allowance comes last. Within a queue the order of priority and lateness stays, and among jobs of one rank those that are further along go first. New jobs wait for the pass. What lasts has no share, since its room does not return: its order is as before. Short tasks are packed as well where fewer large gaps are left than short tasks run.

Operators' terms come by an event; a paused queue accepts jobs and starts nothing.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -1,13 +1,18 @@
 //! The scheduler's input ([`Event`]) and output ([`Action`]).
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
+    claimant_terms::ClaimantTerms,
     instance::InstanceNo,
     log_entry::LogEntry,
-    names::{Incarnation, JobId, WorkerName},
+    names::{Incarnation, JobId, QueueName, WorkerName},
     order::{Order, OrderAnswer},
     record::Record,
     report::{Poll, PollFailure, Report, RunEnd},
@@ -95,6 +100,9 @@
     OwnerLagged(Duration),
     /// The periodic timer fired.
     Tick,
+    /// The operators' terms for the division of scarce room changed. Contains all queues for which
+    /// there are any; the others have the terms of their priority.
+    ClaimantTermsChanged(BTreeMap<QueueName, ClaimantTerms>),
 }
 
 /// A change in the list of workers.
--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -6,6 +6,8 @@
     names::{Incarnation, JobId, QueueName, TaskName, WorkerName},
     order::OrderAnswer,
     report::RunResult,
+    room::Room,
+    shares::ShareBound,
     spec::WorkKind,
 };
 use crate::Resources;
@@ -211,4 +213,25 @@
         /// The highest tail latency on the worker relative to its target, in percent.
         tail_of_target_percent: u32,
     },
+    /// What one queue takes and may take while room is short.
+    RoomDivided {
+        /// The queue.
+        queue: QueueName,
+        /// Its weight.
+        weight: f64,
+        /// The room that its running tasks take.
+        running: Room,
+        /// The room that its waiting tasks would take.
+        waiting: Room,
+        /// The part of the fleet that it wants in its dominant resource, in percent.
+        demand_percent: u32,
+        /// The part that it takes, in percent.
+        taken_percent: u32,
+        /// The part that it may take, in percent.
+        allowance_percent: u32,
+        /// What keeps this part from being larger.
+        bound: ShareBound,
+        /// Whether it has gone without for so long that it goes ahead of the others.
+        overdue: bool,
+    },
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -59,7 +59,9 @@
         }
         self.send_persisted_starts(batch.starts);
         self.acknowledge_persisted_ends();
-        if !batch.new_jobs.is_empty() && self.overload.starts_per_pass() > 0 {
+        // While room is divided, new jobs wait for the next pass, which places all in order.
+        let may_place = self.overload.starts_per_pass() > 0 && !self.is_divided();
+        if !batch.new_jobs.is_empty() && may_place {
             let mut pass = self.begin_pass();
             batch.new_jobs.into_iter().for_each(|id| self.place_job(id, &mut pass));
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -12,7 +12,6 @@
     free_capacity::{FreeCapacity, added_stress, capacity_millis, full_speed_loads},
     lateness::Lateness,
     pace::OWN_STRESS_RISE,
-    short_tasks::ShortTasks,
     tails::{ImageNo, TailModel},
 };
 use crate::Time;
@@ -71,7 +70,8 @@
     /// How late the job is: hopelessly late jobs accept worse workers.
     pub(super) lateness: Lateness,
     pub(super) tails: &'a TailModel,
-    pub(super) short_tasks: &'a ShortTasks,
+    /// Whether short tasks are packed rather than spread.
+    pub(super) packs_short_tasks: bool,
 }
 
 impl Fit<'_> {
@@ -96,7 +96,7 @@
             // short tasks of which few fit on a worker. Other short tasks are spread, so that every
             // worker keeps some capacity for best-effort tasks.
             (false, true) => free_capacity.free_share,
-            (false, false) if self.short_tasks.is_packed() => free_capacity.free_share,
+            (false, false) if self.packs_short_tasks => free_capacity.free_share,
             (false, false) => 1.0 - free_capacity.free_share,
         };
         let is_far =
--- a/crates/kitetrail-core/src/jobs/scheduler/free_capacity.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/free_capacity.rs
@@ -3,7 +3,7 @@
 use std::cell::OnceCell;
 
 use super::{
-    super::{instance::WorkerInstance, run::PlacedRun, spec::StepSpec},
+    super::{instance::WorkerInstance, room::Room, run::PlacedRun, spec::StepSpec},
     headroom::Headroom,
     tails::{ImageNo, Load, TailModel},
 };
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Returns the room that is left.
+    pub(super) fn room(&self) -> Room {
+        Room {
+            cpu_millis: self.free.cpu_millis.0.into(),
+            best_effort_millis: self.best_effort_millis_left.into(),
+            memory_mb: self.free.memory_mb.0.into(),
+        }
+    }
+
     /// The same, after `others` tasks of the same size have been placed.
     pub(super) fn fits_beside(&self, spec: &StepSpec, others: u32) -> bool {
         let mut left = *self;
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! runs, leases and counters here.
 
 mod backlog;
+mod claimants;
 mod commit;
 mod confirmation;
 pub(super) mod crash_attribution;
@@ -14,6 +15,7 @@
 mod first_polls;
 mod fit;
 pub(super) mod free_capacity;
+mod gaps;
 mod gauges;
 mod headroom;
 mod incarnations;
@@ -52,9 +54,10 @@
 
 pub use self::inherit::InheritedState;
 use self::{
-    backlog::StartedTasks, crash_attribution::LostWorker, deferred_starts::DeferredStarts,
-    evacuation::ZoneEvacuation, first_polls::FirstPolls, lease_length::MIN_LEASE,
-    overload::Overload, pending::PendingRecords, short_tasks::ShortTasks, tails::TailModel,
+    backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
+    deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
+    gaps::Gaps, lease_length::MIN_LEASE, overload::Overload, pending::PendingRecords,
+    short_tasks::ShortTasks, tails::TailModel,
 };
 use super::{
     event::{Action, Event, JobState},
@@ -134,6 +137,8 @@
     deferred_starts: DeferredStarts,
     tails: TailModel,
     short_tasks: ShortTasks,
+    gaps: Gaps,
+    claimants: Claimants,
     evacuation: ZoneEvacuation,
     overload: Overload,
     first_polls: FirstPolls,
@@ -180,6 +185,8 @@
             deferred_starts: DeferredStarts::default(),
             tails: TailModel::default(),
             short_tasks: ShortTasks::default(),
+            gaps: Gaps::default(),
+            claimants: Claimants::default(),
             evacuation: ZoneEvacuation::default(),
             overload: Overload::default(),
             first_polls: FirstPolls::default(),
@@ -217,6 +224,7 @@
             Event::Committed(batch) => self.handle_committed(batch),
             Event::OwnerLagged(lag) => self.record_lag(lag),
             Event::Tick => self.tick(),
+            Event::ClaimantTermsChanged(terms) => self.set_claimant_terms(terms),
         }
         self.place_jobs_if_due();
         self.commit_if_due();
--- a/crates/kitetrail-core/src/jobs/scheduler/pass.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pass.rs
@@ -1,9 +1,12 @@
 //! One placement pass over the waiting jobs: the candidate workers, and the steps that found no
 //! room.
 
+use std::ops::Add;
+
 use super::{
     super::{
         instance::{InstanceNo, WorkerInstance},
+        room::Room,
         spec::StepSpec,
     },
     Scheduler,
@@ -32,6 +35,8 @@
     /// An upper bound of the short tasks that found no room: of a step that found some, all tasks
     /// are counted.
     pub(super) short_waiting: u32,
+    /// Whether some task found no room.
+    pub(super) found_no_room: bool,
 }
 
 impl PlacementPass {
@@ -42,6 +47,18 @@
         with_room.map(|candidate| candidate.instance_no)
     }
 
+    /// Returns the room that was free when the pass began.
+    pub(super) fn free_room(&self) -> Room {
+        let free = self.candidates.iter().map(|candidate| candidate.left.room());
+        free.fold(Room::default(), Room::add)
+    }
+
+    /// Returns the free processor time of each worker when the pass began, in thousandths of a
+    /// core.
+    pub(super) fn free_millis(&self) -> impl Iterator<Item = u32> {
+        self.candidates.iter().map(|candidate| candidate.left.free.cpu_millis.0)
+    }
+
     /// Returns whether a step needs at least as much as one that found no room, and is otherwise
     /// equivalent.
     pub(super) fn has_no_room_for(&self, spec: &StepSpec, lateness: Lateness) -> bool {
@@ -56,6 +73,7 @@
 
     /// Records that a step found no room for some of its tasks.
     pub(super) fn record_no_room(&mut self, spec: StepSpec, lateness: Lateness) {
+        self.found_no_room = true;
         // Room is kept only for short tasks whose jobs can complete in time, however many late ones
         // wait.
         if !spec.best_effort && !spec.long_running && lateness == Lateness::InTime {
@@ -82,6 +100,7 @@
             steps_without_room: Vec::new(),
             starts_left: self.overload.starts_per_pass(),
             short_waiting: 0,
+            found_no_room: false,
         }
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -28,14 +28,17 @@
     /// Places all waiting tasks, in the order of their queues, as far as there is room.
     pub(super) fn place_all(&mut self) {
         let mut pass = self.begin_pass();
-        for id in self.waiting_jobs() {
+        self.update_gaps(&pass);
+        let waiting = self.waiting_jobs(&pass);
+        for &id in &waiting {
             self.place_job(id, &mut pass);
         }
+        self.claimants.record_pass(pass.found_no_room);
         self.update_short_task_need(pass.short_waiting);
     }
 
     /// Returns the jobs that may have waiting tasks, in the order in which they are placed.
-    fn waiting_jobs(&self) -> Vec<JobId> {
+    fn waiting_jobs(&mut self, pass: &PlacementPass) -> Vec<JobId> {
         let is_overlooked = |job: &&Job| !job.may_have_waiting_tasks && job.has_due_unplaced();
         debug_assert!(
             self.jobs.values().find(is_overlooked).is_none(),
@@ -46,6 +49,9 @@
             Some((priority, PlacementRank::of(job, self.now), due_at, id))
         };
         let mut waiting = self.open_jobs.iter().filter_map(key).collect::<Vec<_>>();
+        if self.is_divided() {
+            return self.order_by_shares(waiting, pass);
+        }
         waiting.sort_unstable();
         waiting.into_iter().map(|(.., id)| id).collect()
     }
@@ -53,9 +59,11 @@
     /// Places the waiting tasks of one job.
     pub(super) fn place_job(&mut self, id: JobId, pass: &mut PlacementPass) {
         let (now, awaits_workers) = (self.now, !self.unconfirmed_instances.is_empty());
+        let is_paused = self.jobs.get(&id).is_some_and(|job| self.is_paused(job));
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_persisted) else { return };
         let lateness = Lateness::of(job, now);
-        if (job.inherited && awaits_workers) || pass.starts_left == 0 {
+        let must_wait = job.inherited && awaits_workers;
+        if must_wait || pass.starts_left == 0 || is_paused {
             return;
         }
         for step in job.due_steps(now) {
@@ -164,7 +172,7 @@
             runs_alone: job.task(name).is_some_and(|task| task.crashes.runs_alone()),
             lateness: Lateness::of(job, self.now),
             tails: &self.tails,
-            short_tasks: &self.short_tasks,
+            packs_short_tasks: self.packs_short_tasks(),
         })
     }
 
@@ -281,6 +289,7 @@
         }));
         if !spec.best_effort && !spec.long_running {
             self.short_tasks.record_size(spec.size.cpu_millis.0);
+            self.gaps.record_size(spec.size.cpu_millis.0);
         }
         let phase = if persist_first { Phase::Unpersisted } else { Phase::Ordered };
         let new_run = PlacedRun::new(run, spec, image, self.now);
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -21,8 +21,8 @@
     jobs::{
         Action, EffectsRecord, Event, InheritedState, InstanceNo, InstanceRecord, JobId, JobRecord,
         JobRequestId, JobSpec, JobState, LeaseRecord, LoadParts, LogEntry, Order, OrderAnswer,
-        Outcome, Poll, PollFailure, ProgressRecord, Record, RunResult, Scheduler, SubmitAnswer,
-        TaskName, WorkerEntry,
+        Outcome, Poll, PollFailure, ProgressRecord, QueueTerms, Record, RunResult, Scheduler,
+        SubmitAnswer, TaskName, WorkerEntry,
     },
 };
 
@@ -178,13 +178,18 @@
 
     /// Submits a job.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> JobRequestId {
+        self.submit_to(queue(), id, spec)
+    }
+
+    /// Submits a job to a queue.
+    pub fn submit_to(&mut self, queue: QueueTerms, id: u64, spec: JobSpec) -> JobRequestId {
         let request = self.request();
         if self.state(id).is_none() {
             self.acknowledged_ends.remove_job(JobId(id));
         }
         self.specs.insert(JobId(id), spec.clone());
         self.submitted_jobs.insert(request, JobId(id));
-        let (job, queue) = (JobId(id), queue());
+        let job = JobId(id);
         self.send_event(Event::Submit { request, job, queue, spec: Box::new(spec) });
         request
     }
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -97,6 +97,23 @@
             tail_of_target_percent = *tail_of_target_percent;
             "worker: best-effort tasks throttled"
         ),
+        LogEntry::RoomDivided {
+            queue,
+            weight,
+            running,
+            waiting,
+            demand_percent,
+            taken_percent,
+            allowance_percent,
+            bound,
+            overdue,
+        } => log::info!(
+            queue = queue.as_str(), weight = *weight, running = running.to_string(),
+            waiting = waiting.to_string(), demand_percent = *demand_percent,
+            taken_percent = *taken_percent, allowance_percent = *allowance_percent,
+            bound = bound.as_str(), overdue = *overdue;
+            "owner: room divided"
+        ),
     }
 }
 
