Less urgent tasks are stopped where a more urgent one finds no room

With the part `preemption`. A best-effort task holds its memory for seconds, and a task that keeps its progress its processors, while an urgent task waits for them.

`choose_stops` takes the waiting task, the workers and what each of their tasks would lose, and returns the cheapest set of stops on one worker: none that could be left out, none of a task that is as urgent, lasts, or ends within a second, and none that costs more than half of what the waiting task is worth in work. At most eight tasks are stopped in a second, and none again within ten seconds; a new owner leaves alone for as long the tasks that it inherits. The room is kept for the job that it was freed for, for 1.5 s at most.

Best-effort tasks reserve no processor time: nothing is stopped where only that is missing.

--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -234,4 +234,17 @@
         /// Whether it has gone without for so long that it goes ahead of the others.
         overdue: bool,
     },
+    /// A run is stopped so that a more urgent job finds room.
+    Preempted {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: WorkerName,
+        /// The job that found no room.
+        for_job: JobId,
+        /// The work that is thrown away and what the restart costs, in core-milliseconds.
+        lost_core_ms: u64,
+    },
 }
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod log_entry;
 mod names;
 mod order;
+mod preemption;
 mod record;
 mod report;
 mod room;
@@ -36,6 +37,7 @@
 pub use log_entry::LogEntry;
 pub use names::{Incarnation, InstanceKey, InvalidName, JobId, QueueName, TaskName, WorkerName};
 pub use order::{Order, OrderAnswer, OrderRefusal, StartOrder};
+pub use preemption::{CrowdedWorker, Need, Preemption, STOP_TIME, StoppableRun, choose_stops};
 pub use record::{
     EffectsRecord, InstanceRecord, JobRecord, LeaseRecord, OccurrenceProgress, Outcome,
     ProgressRecord, Record, ServingEffects, StepProgress,
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -32,6 +32,7 @@
 mod place;
 mod poll_answers;
 mod polls;
+mod preempting;
 mod quarantine;
 mod ranking;
 mod requests;
@@ -57,7 +58,7 @@
     backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
     deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
     gaps::Gaps, lease_length::MIN_LEASE, overload::Overload, pending::PendingRecords,
-    short_tasks::ShortTasks, tails::TailModel,
+    preempting::Preemptions, short_tasks::ShortTasks, tails::TailModel,
 };
 use super::{
     event::{Action, Event, JobState},
@@ -139,6 +140,7 @@
     short_tasks: ShortTasks,
     gaps: Gaps,
     claimants: Claimants,
+    preemptions: Preemptions,
     evacuation: ZoneEvacuation,
     overload: Overload,
     first_polls: FirstPolls,
@@ -187,6 +189,7 @@
             short_tasks: ShortTasks::default(),
             gaps: Gaps::default(),
             claimants: Claimants::default(),
+            preemptions: Preemptions::default(),
             evacuation: ZoneEvacuation::default(),
             overload: Overload::default(),
             first_polls: FirstPolls::default(),
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -33,6 +33,9 @@
         for &id in &waiting {
             self.place_job(id, &mut pass);
         }
+        if pass.found_no_room {
+            self.preempt_if_due(&waiting);
+        }
         self.claimants.record_pass(pass.found_no_room);
         self.update_short_task_need(pass.short_waiting);
     }
@@ -197,7 +200,10 @@
             .free_capacity
             .as_ref()
             .filter(|free_capacity| free_capacity.free.fits(fit.spec))?;
-        let is_eligible = instance.accepts_work(self.now) && instance.entry.service == fit.service;
+        let is_held = !fit.spec.long_running
+            && self.preemptions.is_held_from(instance_no, fit.name.job, self.now);
+        let is_eligible =
+            instance.accepts_work(self.now) && instance.entry.service == fit.service && !is_held;
         if is_eligible { fit.score(instance_no, instance, free_capacity) } else { None }
     }
 
@@ -266,6 +272,7 @@
         let Some(&image) = job.images.get(name.step as usize) else { return };
         let Some(task) = job.task_mut(name) else { return };
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
+        self.preemptions.record_start(instance_no, name.job);
         let run = run.unwrap_or(task.last_run + 1);
         task.last_run = run;
         let suspected = !task.crashes.workers.is_empty();
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -114,6 +114,11 @@
             bound = bound.as_str(), overdue = *overdue;
             "owner: room divided"
         ),
+        LogEntry::Preempted { task, run, worker, for_job, lost_core_ms } => log::info!(
+            job = task.job.to_string(), task = task_path(task), run = *run, worker = worker.as_str(),
+            for_job = for_job.to_string(), lost_core_ms = *lost_core_ms;
+            "run: stopped for a more urgent job"
+        ),
     }
 }
 
