Interrupted long-running tasks go first, and operators see the division and the stops as metrics

Its users wait for it, and it needs a larger gap than what becomes free by itself. It goes before all again, as it does without the part.

--- a/crates/kitetrail-core/src/jobs/scheduler/claimants.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/claimants.rs
@@ -33,6 +33,9 @@
 /// The order in which queues are served while room is short, first variant first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Claimed {
+    /// The job is long-running and ran before: its users wait for it. It needs larger gaps than
+    /// short tasks, which would otherwise take what becomes free.
+    Interrupted,
     /// The queue has gone without its allowance for [`MAX_DEFICIT`].
     Overdue,
     /// The queue takes less than its allowance.
@@ -142,11 +145,15 @@
         };
         let mut ordered = waiting.into_iter().filter_map(with_progress).collect::<Vec<_>>();
         ordered.sort_unstable();
-        let claimed = |(.., id): (u32, PlacementRank, Reverse<u32>, Time, JobId)| {
+        let claimed = |(_, rank, .., id): (u32, PlacementRank, Reverse<u32>, Time, JobId)| {
             let job = self.jobs.get(&id)?;
-            // What lasts returns no room, so it has no share: its order is that of its priority.
+            // Long-running tasks return no room, so they have no share.
             let claimant = claimants.get_mut(&job.queue.name).filter(|_| !job.is_long_running());
-            let Some(claimant) = claimant else { return Some((Claimed::Owed, id)) };
+            let Some(claimant) = claimant else {
+                let is_interrupted = rank == PlacementRank::InTime;
+                let claimed = if is_interrupted { Claimed::Interrupted } else { Claimed::Owed };
+                return Some((claimed, id));
+            };
             let before = claimant.taken;
             claimant.taken += waiting_room(job).dominant_share(&total);
             let claimed = match before < claimant.allowance.share {
--- a/crates/kitetrail-core/tests/jobs_shares.rs
+++ b/crates/kitetrail-core/tests/jobs_shares.rs
@@ -3,12 +3,15 @@
 
 mod fleet;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use fleet::{FakeWorker, SimulatedFleet, job, queue, step, task};
+use fleet::{Behaviour, FakeWorker, SimulatedFleet, job, queue, step, task};
 use kitetrail_core::{
     Resources, Time,
-    jobs::{ClaimantTerms, Event, JobState, LoadPart, LoadParts, LogEntry, QueueTerms, StepSpec},
+    jobs::{
+        ClaimantTerms, Event, JobState, LoadPart, LoadParts, LogEntry, QueueTerms, StepSpec,
+        TaskName,
+    },
 };
 
 /// The number of workers, of four cores each.
@@ -90,8 +93,7 @@
     fleet.take_over(2, true);
     let took_over_at = fleet.now;
     fleet.advance_ms(FLOOR_WITHIN_MS + 1_000);
-    let of_audits = |(at, task, ..): &&(Time, _, u32, String)| {
-        let task: &kitetrail_core::jobs::TaskName = task;
+    let of_audits = |(at, task, ..): &&(Time, TaskName, u32, String)| {
         *at > took_over_at && task.job.0 >= AUDIT_IDS
     };
     assert!(fleet.starts.iter().filter(of_audits).count() > 0, "nothing of the queue has started");
@@ -267,3 +269,28 @@
     assert!(logged("checks") && logged("audits"));
     assert_eq!(fleet.state(1), Some(JobState::Completed), "{:?}", task(1, 0, 0));
 }
+
+#[test]
+fn an_interrupted_long_running_task_gets_the_first_gap_that_fits() {
+    let mut fleet = fleet_with(shares());
+    let size = Resources::new(3_000, 512, 0);
+    fleet.submit(1, job(vec![StepSpec { long_running: true, size, ..step(1) }]));
+    fleet.advance_ms(1_000);
+    let worker = fleet.worker_of(task(1, 0, 0));
+    // More small tasks than fit, which need their share as well.
+    for id in 100..500 {
+        fleet.submit(id, job(vec![StepSpec { size: Resources::new(1_300, 256, 0), ..step(4) }]));
+    }
+    fleet.advance_ms(3_000);
+    fleet.worker(&worker).behaviour = Behaviour::Crashed;
+    let crashed_at = fleet.now;
+    fleet.advance_until("the long-running task runs elsewhere", |fleet| {
+        let is_restart = |(at, name, ..): &&(Time, TaskName, u32, String)| {
+            *at > crashed_at && *name == task(1, 0, 0)
+        };
+        fleet.starts.iter().any(|start| is_restart(&start))
+    });
+    // The lease of the crashed worker runs out first.
+    let waited = fleet.now.since(crashed_at);
+    assert!(waited < Duration::from_millis(9_000), "it waited {waited:?}");
+}
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -63,6 +63,19 @@
             }
             LogEntry::WorkerRestarted { .. } => self.shared.metrics.record_worker_restart(),
             LogEntry::CrashingTaskFailed { .. } => self.shared.metrics.record_crashing_job(),
+            LogEntry::Preempted { .. } => self.shared.metrics.record_preempted_run(),
+            LogEntry::RoomDivided {
+                queue,
+                demand_percent,
+                taken_percent,
+                allowance_percent,
+                ..
+            } => self.shared.metrics.record_queue_room(
+                queue.as_str(),
+                *demand_percent,
+                *taken_percent,
+                *allowance_percent,
+            ),
             _ => {}
         }
         log_entries::log_entry(decision);
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -27,6 +27,8 @@
     suspensions: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
+    preempted_runs: Counter<u64>,
+    queue_room_percent: Gauge<u64>,
 }
 
 impl Metrics {
@@ -100,6 +102,16 @@
                 .build(),
             registry,
             provider,
+            preempted_runs: meter
+                .u64_counter("kitetrail.preempted_runs")
+                .with_description("Runs stopped so that a more urgent job finds room")
+                .build(),
+            queue_room_percent: meter
+                .u64_gauge("kitetrail.queue.room_percent")
+                .with_description(
+                    "Part of the fleet that a queue wants, takes and may take while room is short",
+                )
+                .build(),
         })
     }
 
@@ -184,6 +196,19 @@
         self.evacuated_runs_left.record(runs, &[]);
     }
 
+    /// Counts a run that is stopped for a more urgent job.
+    pub fn record_preempted_run(&self) {
+        self.preempted_runs.add(1, &[]);
+    }
+
+    /// Records the part of the fleet that a queue wants, takes and may take, in percent.
+    pub fn record_queue_room(&self, queue: &str, wanted: u32, taken: u32, allowed: u32) {
+        for (part, percent) in [("wanted", wanted), ("taken", taken), ("allowed", allowed)] {
+            let labels = [KeyValue::new("queue", queue.to_owned()), KeyValue::new("part", part)];
+            self.queue_room_percent.record(percent.into(), &labels);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut page = Vec::new();
