--- a/crates/kitetrail-core/src/jobs/scheduler/claimants.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/claimants.rs
@@ -23,6 +23,9 @@
 /// The time for which a queue may go without its allowance before its jobs go ahead of all others.
 /// It is shorter than the time that callers have for the shortest jobs.
 const MAX_DEFICIT: Duration = Duration::from_millis(1_000);
+/// The time after which an interrupted long-running task goes ahead of all others, while it takes
+/// its turn before. The platform counts it as lost after 3 s beside room for it.
+const MAX_INTERRUPTION: Duration = Duration::from_millis(1_500);
 /// The interval between two reports of the division. Operators read from them who lends and who
 /// waits.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -33,8 +36,8 @@
 /// The order in which queues are served while room is short, first variant first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Claimed {
-    /// The job is long-running and ran before: its users wait for it. It needs larger gaps than
-    /// short tasks, which would otherwise take what becomes free.
+    /// A task of a long-running job ran before and has waited for [`MAX_INTERRUPTION`]. It needs
+    /// larger gaps than short tasks, which would otherwise take what becomes free.
     Interrupted,
     /// The queue has gone without its allowance for [`MAX_DEFICIT`].
     Overdue,
@@ -150,7 +153,7 @@
             // Long-running tasks return no room, so they have no share.
             let claimant = claimants.get_mut(&job.queue.name).filter(|_| !job.is_long_running());
             let Some(claimant) = claimant else {
-                let is_interrupted = rank == PlacementRank::InTime;
+                let is_interrupted = rank == PlacementRank::InTime && has_waited(job, self.now);
                 let claimed = if is_interrupted { Claimed::Interrupted } else { Claimed::Owed };
                 return Some((claimed, id));
             };
@@ -244,12 +247,8 @@
     room
 }
 
-/// Returns how much of a job's work is done, in quarters. Long-running jobs go before all others of
-/// their rank: those that are begun have users who wait.
+/// Returns how much of a job's work is done, in quarters: none of a long-running job.
 fn quarters_done(job: &Job) -> u32 {
-    if job.is_long_running() {
-        return 4;
-    }
     let steps = job.occurrences.values().flat_map(|each| job.spec.steps.iter().zip(&each.steps));
     let (mut done, mut total) = (0, 0);
     for (spec, step) in steps {
@@ -259,3 +258,13 @@
     }
     (done * 4).checked_div(total).unwrap_or(0) as u32
 }
+
+/// Returns whether a task of a long-running job has waited for [`MAX_INTERRUPTION`] since it
+/// failed. A task that was interrupted otherwise counts as such at once, since nothing tells when.
+fn has_waited(job: &Job, now: Time) -> bool {
+    let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+    let mut waiting = steps.flat_map(|step| &step.tasks).filter(|task| task.waits(now));
+    waiting.any(|task| {
+        task.not_before.is_none_or(|failed_at| now.since(failed_at) >= MAX_INTERRUPTION)
+    })
+}
