--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -7,6 +7,8 @@
     names::{Incarnation, JobId, QueueName, TaskName, WorkerName},
     order::OrderAnswer,
     report::RunResult,
+    room::Room,
+    shares::ShareBound,
     spec::WorkKind,
 };
 use crate::Resources;
@@ -225,4 +227,38 @@
         /// Whether the job had been waiting before.
         waited: bool,
     },
+    /// What one queue takes and may take while room is short.
+    RoomDivided {
+        /// The queue.
+        queue: QueueName,
+        /// Its weight.
+        weight: f64,
+        /// The room that its running tasks take.
+        running: Room,
+        /// The room that its waiting tasks would take.
+        waiting: Room,
+        /// The part of the fleet that it wants in its dominant resource, in percent.
+        demand_percent: u32,
+        /// The part that it takes, in percent.
+        taken_percent: u32,
+        /// The part that it may take, in percent.
+        allowance_percent: u32,
+        /// What keeps this part from being larger.
+        bound: ShareBound,
+        /// Whether it has gone without for so long that it goes ahead of the others.
+        overdue: bool,
+    },
+    /// A run is stopped so that a more urgent job finds room.
+    Preempted {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: WorkerName,
+        /// The job that found no room.
+        for_job: JobId,
+        /// The work that is thrown away and what the restart costs, in core-milliseconds.
+        lost_core_ms: u64,
+    },
 }
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 //! A worker may start again under its id or under another one. Each start is an instance of the
 //! worker of its own: an instance that is over runs nothing any more.
 
+mod claimant_terms;
 mod crashes;
 mod event;
 mod hand_in;
@@ -17,15 +18,19 @@
 mod names;
 mod operator_rows;
 mod order;
+mod preemption;
 mod record;
 mod report;
 mod retry_delay;
+mod room;
 mod run;
 mod scheduler;
+mod shares;
 mod spec;
 mod steps;
 mod worker_entry;
 
+pub use claimant_terms::ClaimantTerms;
 pub use crashes::{CrashEvidence, PersistedStart, RunTimeBounds, TaskCrashes};
 pub use event::{
     Action, CancelAnswer, Event, JobRequestId, JobState, SubmitAnswer, WorkerListChange,
@@ -37,12 +42,15 @@
 pub use names::{Incarnation, InstanceKey, InvalidName, JobId, QueueName, TaskName, WorkerName};
 pub use operator_rows::{InvalidOperatorRow, OperatorRows, WorkerHold, WorkerRow};
 pub use order::{Order, OrderAnswer, OrderRefusal, StartOrder};
+pub use preemption::{CrowdedWorker, Need, Preemption, STOP_TIME, StoppableRun, choose_stops};
 pub use record::{
     EffectsRecord, InstanceRecord, JobRecord, LeaseRecord, OccurrenceProgress, Outcome,
     ProgressRecord, Record, ServingEffects, StepProgress,
 };
 pub use report::{Poll, PollFailure, Report, RunEnd, RunResult, RunningTask};
 pub use retry_delay::RetryDelay;
+pub use room::Room;
 pub use scheduler::{InheritedState, Scheduler, SchedulerSettings};
+pub use shares::{Allowance, Claim, ShareBound, divide};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
 pub use worker_entry::WorkerEntry;
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -21,8 +21,8 @@
     jobs::{
         Action, EffectsRecord, Event, InheritedState, InstanceNo, InstanceRecord, JobId, JobRecord,
         JobRequestId, JobSpec, JobState, LeaseRecord, LoadParts, LogEntry, OperatorRows, Order,
-        OrderAnswer, Outcome, Poll, PollFailure, ProgressRecord, Record, RunResult, Scheduler,
-        SubmitAnswer, TaskName, WorkerEntry,
+        OrderAnswer, Outcome, Poll, PollFailure, ProgressRecord, QueueTerms, Record, RunResult,
+        Scheduler, SubmitAnswer, TaskName, WorkerEntry,
     },
 };
 
@@ -181,7 +181,7 @@
 
     /// Submits a job.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> JobRequestId {
-        self.submit_within(id, spec, None)
+        self.submit_with(queue(), id, spec, None)
     }
 
     /// Submits a job for a caller that has this much time left, if it says so.
@@ -190,6 +190,21 @@
         id: u64,
         spec: JobSpec,
         time_left: Option<Duration>,
+    ) -> JobRequestId {
+        self.submit_with(queue(), id, spec, time_left)
+    }
+
+    /// Submits a job to a queue.
+    pub fn submit_to(&mut self, queue: QueueTerms, id: u64, spec: JobSpec) -> JobRequestId {
+        self.submit_with(queue, id, spec, None)
+    }
+
+    fn submit_with(
+        &mut self,
+        queue: QueueTerms,
+        id: u64,
+        spec: JobSpec,
+        time_left: Option<Duration>,
     ) -> JobRequestId {
         let request = self.request();
         if self.state(id).is_none() {
@@ -197,8 +212,7 @@
         }
         self.specs.insert(JobId(id), spec.clone());
         self.submitted_jobs.insert(request, JobId(id));
-        let (job, queue) = (JobId(id), queue());
-        let spec = Box::new(spec);
+        let (job, spec) = (JobId(id), Box::new(spec));
         let answer_by = time_left.map(|time_left| self.now + time_left);
         self.send_event(Event::Submit { request, job, queue, spec, answer_by });
         request
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -103,6 +103,28 @@
             tail_of_target_percent = *tail_of_target_percent;
             "worker: best-effort tasks throttled"
         ),
+        LogEntry::RoomDivided {
+            queue,
+            weight,
+            running,
+            waiting,
+            demand_percent,
+            taken_percent,
+            allowance_percent,
+            bound,
+            overdue,
+        } => log::info!(
+            queue = queue.as_str(), weight = *weight, running = running.to_string(),
+            waiting = waiting.to_string(), demand_percent = *demand_percent,
+            taken_percent = *taken_percent, allowance_percent = *allowance_percent,
+            bound = bound.as_str(), overdue = *overdue;
+            "owner: room divided"
+        ),
+        LogEntry::Preempted { task, run, worker, for_job, lost_core_ms } => log::info!(
+            job = task.job.to_string(), task = task_path(task), run = *run, worker = worker.as_str(),
+            for_job = for_job.to_string(), lost_core_ms = *lost_core_ms;
+            "run: stopped for a more urgent job"
+        ),
     }
 }
 
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -76,6 +76,19 @@
             LogEntry::HandIn { decision, expected_ms, .. } => {
                 self.shared.metrics.record_hand_in(decision.as_str(), *expected_ms);
             }
+            LogEntry::Preempted { .. } => self.shared.metrics.record_preempted_run(),
+            LogEntry::RoomDivided {
+                queue,
+                demand_percent,
+                taken_percent,
+                allowance_percent,
+                ..
+            } => self.shared.metrics.record_queue_room(
+                queue.as_str(),
+                *demand_percent,
+                *taken_percent,
+                *allowance_percent,
+            ),
             _ => {}
         }
         log_entries::log_entry(decision);
