Slow workers are told apart by the progress of their runs and get less work

Callers of short jobs saw 103 of 348 jobs late while an eighth of the workers ran eight times slower: placement took each worker for equally fast, and runs were only compared with completed siblings of their step.

With the parts `worker-health` and `run-lengths`, the lengths of runs are learned by queue, step and image, estimates weighed by how well they predicted so far. The progress between two reports, by the worker's own clock, is compared with other runs of the step and with what was learned. A worker with several slow runs and no normal one is put on probation: jobs that can be in time go elsewhere, single tasks probe it. A slowdown that most runs share, too many suspects, or a late owner suspend new suspicions. Both parts are off by default; without them no decision changes.

--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -15,7 +15,7 @@
     run::{Phase, PlacedRun},
     scheduler::{
         MAX_CLOCK_SLOWDOWN_PERCENT, crash_attribution::CrashSuspect, free_capacity::FreeCapacity,
-        tails::ImageNo,
+        tails::ImageNo, worker_health::WorkerHealth,
     },
     worker_entry::WorkerEntry,
 };
@@ -215,6 +215,8 @@
     pub(super) quarantined_until: Option<Time>,
     /// The number of times in a row that it was quarantined because its runs failed.
     pub(super) quarantine_count: u32,
+    /// Whether it is slower, or fails more often, than its peers.
+    pub(super) health: WorkerHealth,
     pub(super) just_ended: Vec<JustEnded>,
     pub(super) paces: BTreeMap<ImageNo, Pace>,
 }
@@ -255,6 +257,7 @@
             failures: 0,
             quarantined_until: None,
             quarantine_count: 0,
+            health: WorkerHealth::default(),
             just_ended: Vec::new(),
             paces: BTreeMap::new(),
         }
--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -211,4 +211,25 @@
         /// The highest tail latency on the worker relative to its target, in percent.
         tail_of_target_percent: u32,
     },
+    /// A worker was found to be slower or to fail more often than its peers, or to work like them
+    /// again.
+    WorkerHealth {
+        /// The worker.
+        worker: WorkerName,
+        /// The new state: `sound`, `suspected` or `probation`.
+        state: &'static str,
+        /// The least time that one of its runs takes, in percent of that of others of its kind; 0
+        /// if it has none that can be compared.
+        slowdown_percent: u64,
+        /// The numbers of slow, normal and failed runs that this is based on.
+        slow_runs: u32,
+        /// See `slow_runs`.
+        sound_runs: u32,
+        /// See `slow_runs`.
+        failed_runs: u32,
+        /// The time that the worker was in its previous state, in milliseconds.
+        after_ms: u64,
+        /// The number of workers that are not sound now.
+        suspects: u32,
+    },
 }
--- a/crates/kitetrail-core/src/jobs/run.rs
+++ b/crates/kitetrail-core/src/jobs/run.rs
@@ -1,7 +1,7 @@
 //! A run on a worker, as far as the scheduler knows.
 
 use super::{
-    scheduler::{filter::Estimate, tails::ImageNo},
+    scheduler::{filter::Estimate, run_pace::RunPace, tails::ImageNo},
     spec::StepSpec,
 };
 use crate::{Resources, Time};
@@ -71,6 +71,8 @@
     /// The share of work done in the last report, in percent.
     pub(super) percent: u32,
     pub(super) progress: Progress,
+    /// Its progress compared with others of its kind.
+    pub(super) pace: RunPace,
     /// The gauge in the last report: the tail latency in milliseconds if the run is
     /// serving, else the processor time in use, in thousandths of a core.
     pub(super) gauge: Option<u32>,
@@ -102,6 +104,7 @@
             image,
             percent: 0,
             progress: Progress::new(now),
+            pace: RunPace::default(),
             gauge: None,
             paced_percent: FULL_PACE_PERCENT,
             own_stress: Estimate::own_prior(),
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -33,6 +33,10 @@
         let ended = instance.remove_run(end.task, end.run);
         let done = ended.as_ref().filter(|_| end.how == RunResult::Done);
         let run_duration_ms = done.and_then(|run| run_duration_ms(run, now));
+        if let Some(run) = &ended {
+            self.learn_from_end(instance_no, end.task, run, end.how, run_duration_ms);
+        }
+        let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if let Some(run) = ended.filter(|run| run.is_best_effort) {
             let cpu_millis = run.gauge.unwrap_or(run.size.cpu_millis.0);
             instance.just_ended.push(JustEnded { image: run.image, cpu_millis, at: now });
@@ -140,7 +144,9 @@
     fn record_failed_run(&mut self, instance_no: InstanceNo, end: &RunEnd) {
         let now = self.now;
         let name = end.task;
-        self.record_run_failure(instance_no);
+        if self.blames_worker_for_failure(instance_no, name) {
+            self.record_run_failure(instance_no);
+        }
         let Some(job) = self.jobs.get_mut(&name.job).filter(|job| job.is_open()) else { return };
         let Some(spec) = job.step_spec(name.step) else { return };
         let (gang, long_running, max_attempts) =
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -14,6 +14,7 @@
     pace::OWN_STRESS_RISE,
     short_tasks::ShortTasks,
     tails::{ImageNo, TailModel},
+    worker_health::Suitability,
 };
 use crate::Time;
 
@@ -72,6 +73,8 @@
     pub(super) lateness: Lateness,
     pub(super) tails: &'a TailModel,
     pub(super) short_tasks: &'a ShortTasks,
+    /// What the task means for a worker on probation.
+    pub(super) suitability: Suitability,
 }
 
 impl Fit<'_> {
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/fleet_health.rs
@@ -0,0 +1,152 @@
+//! Tells slow workers from slowdowns that all workers share.
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::{
+    super::{instance::InstanceNo, names::JobId},
+    run_pace::{RunVerdict, verdict_of},
+};
+use crate::Time;
+
+/// The largest share of the workers that may be suspected at a time. Beyond it, the loss of room
+/// costs callers more than slow runs, and the cause is hardly the workers.
+const MAX_SUSPECT_SHARE: f64 = 0.3;
+/// The share of slow runs in the fleet from which the workers are not the cause.
+const MAX_SLOW_SHARE: f64 = 0.4;
+/// The time over which verdicts are forgotten, so that a shared slowdown is noticed before any
+/// worker is suspected.
+const MEMORY: Duration = Duration::from_millis(400);
+/// The highest slowdown that is averaged, so that runs which stand still do not hide how fast others
+/// are.
+const MAX_SLOWDOWN: f64 = 10.0;
+/// The mean slowdown of all runs from which the workers are not the cause. It is 1.5 while a fifth of
+/// them stand still.
+const MAX_MEAN_SLOWDOWN: f64 = 1.8;
+/// The owner's lag from which reports say little: starts and ends are read late.
+const MAX_LAG: Duration = Duration::from_millis(250);
+/// The number of failed runs whose jobs are remembered, and for how long.
+const MAX_FAILURES: usize = 64;
+const FAILURE_AGE: Duration = Duration::from_millis(5_000);
+
+/// A failed run.
+#[derive(Debug)]
+struct Failure {
+    job: JobId,
+    instance_no: InstanceNo,
+    at: Time,
+}
+
+/// What the runs of all workers did recently; older verdicts decay.
+#[derive(Debug, Default)]
+struct RecentRuns {
+    slow: f64,
+    judged: f64,
+    /// The sum of the logarithms of their slowdowns.
+    slowdown_ln: f64,
+    updated_at: Option<Time>,
+}
+
+impl RecentRuns {
+    /// Returns whether so many runs are slow that their workers are not the cause.
+    fn is_slowdown_shared(&self) -> bool {
+        self.slow > MAX_SLOW_SHARE * self.judged || self.mean_slowdown() > MAX_MEAN_SLOWDOWN
+    }
+
+    /// Returns the geometric mean of the slowdowns.
+    fn mean_slowdown(&self) -> f64 {
+        (self.slowdown_ln / self.judged.max(1.0)).exp()
+    }
+
+    fn record(&mut self, is_slow: bool, slowdown: f64, now: Time) {
+        let age = self.updated_at.map_or(Duration::ZERO, |at| now.since(at));
+        let kept = (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        self.slow = self.slow * kept + f64::from(u8::from(is_slow));
+        self.judged = self.judged * kept + 1.0;
+        self.slowdown_ln = self.slowdown_ln * kept + slowdown.clamp(1.0, MAX_SLOWDOWN).ln();
+        self.updated_at = Some(now);
+    }
+}
+
+/// The state of all workers together: a fault of jobs or of the owner must not be taken for one of
+/// the workers.
+#[derive(Debug, Default)]
+pub(in crate::jobs) struct FleetHealth {
+    /// The runs judged by their progress.
+    by_progress: RecentRuns,
+    /// The serving runs judged by their tail latencies.
+    by_tail: RecentRuns,
+    workers: usize,
+    /// The number of workers that are not sound.
+    suspects: usize,
+    lag: Duration,
+    failures: VecDeque<Failure>,
+}
+
+impl FleetHealth {
+    /// Returns the number of workers that are not sound.
+    pub(in crate::jobs) fn suspects(&self) -> usize {
+        self.suspects
+    }
+
+    /// Returns whether a worker is to blame for its slow runs. `is_new` is whether it would be one
+    /// more suspect.
+    pub(in crate::jobs) fn blames_worker(&self, is_new: bool) -> bool {
+        let suspects = self.suspects + usize::from(is_new);
+        let max_suspects = (MAX_SUSPECT_SHARE * self.workers as f64).floor().max(1.0);
+        let is_shared = self.by_progress.is_slowdown_shared() || self.by_tail.is_slowdown_shared();
+        suspects as f64 <= max_suspects && !is_shared && self.lag < MAX_LAG
+    }
+
+    /// Sets the number of workers, how many of them are not sound, and the owner's lag.
+    pub(in crate::jobs) fn set_totals(&mut self, workers: usize, suspects: usize, lag: Duration) {
+        (self.workers, self.suspects, self.lag) = (workers, suspects, lag);
+    }
+
+    /// Records that a worker became suspected, or sound again.
+    pub(in crate::jobs) fn record_change(&mut self, was_sound: bool, is_sound: bool) {
+        match (was_sound, is_sound) {
+            (true, false) => self.suspects += 1,
+            (false, true) => self.suspects = self.suspects.saturating_sub(1),
+            _ => {}
+        }
+    }
+
+    /// Records how much slower a run of any worker advances than others of its kind.
+    pub(in crate::jobs) fn record_slowdown(&mut self, slowdown: f64, now: Time) {
+        let is_slow = verdict_of(slowdown) == Some(RunVerdict::Slow);
+        self.by_progress.record(is_slow, slowdown, now);
+    }
+
+    /// Records a verdict on a serving run of any worker.
+    pub(in crate::jobs) fn record_tail(&mut self, verdict: RunVerdict, now: Time) {
+        self.by_tail.record(verdict == RunVerdict::Slow, 1.0, now);
+    }
+
+    /// Records a failed run. Returns whether it counts against its worker: each job counts once, since
+    /// it may be the cause itself.
+    pub(in crate::jobs) fn record_failure(
+        &mut self,
+        job: JobId,
+        instance_no: InstanceNo,
+        now: Time,
+    ) -> bool {
+        let is_old = |failure: &Failure| now.since(failure.at) > FAILURE_AGE;
+        while self.failures.len() >= MAX_FAILURES || self.failures.front().is_some_and(is_old) {
+            self.failures.pop_front();
+        }
+        let failed_before = self.failures.iter().any(|failure| failure.job == job);
+        self.failures.push_back(Failure { job, instance_no, at: now });
+        !failed_before
+    }
+
+    /// Returns whether only one run of a job failed recently.
+    pub(in crate::jobs) fn is_first_failure(&self, job: JobId) -> bool {
+        self.failures.iter().filter(|failure| failure.job == job).count() <= 1
+    }
+
+    /// Returns whether a run of a job failed recently on another worker.
+    pub(in crate::jobs) fn fails_elsewhere(&self, job: JobId, instance_no: InstanceNo) -> bool {
+        let mut failures = self.failures.iter();
+        failures.any(|failure| failure.job == job && failure.instance_no != instance_no)
+    }
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -13,15 +13,18 @@
 pub(super) mod filter;
 mod first_polls;
 mod fit;
+mod fleet_health;
 pub(super) mod free_capacity;
 mod gauges;
 mod headroom;
+mod health_checks;
 mod incarnations;
 mod inherit;
 mod instance_rows;
 mod lateness;
 mod lease_length;
 mod leasing;
+mod length_model;
 mod orders;
 mod overload;
 mod pace;
@@ -33,15 +36,19 @@
 mod quarantine;
 mod ranking;
 mod requests;
+mod run_lengths;
+pub(super) mod run_pace;
 mod short_tasks;
 mod shrunk;
 mod slowed;
+pub(super) mod step_length;
 mod stragglers;
 pub(super) mod tails;
 mod unique_queue;
 mod unlisted;
 mod unpersisted_ends;
 mod unusable;
+pub(super) mod worker_health;
 mod workers;
 
 use std::{
@@ -53,8 +60,9 @@
 pub use self::inherit::InheritedState;
 use self::{
     backlog::StartedTasks, crash_attribution::LostWorker, deferred_starts::DeferredStarts,
-    evacuation::ZoneEvacuation, first_polls::FirstPolls, lease_length::MIN_LEASE,
-    overload::Overload, pending::PendingRecords, short_tasks::ShortTasks, tails::TailModel,
+    evacuation::ZoneEvacuation, first_polls::FirstPolls, fleet_health::FleetHealth,
+    lease_length::MIN_LEASE, overload::Overload, pending::PendingRecords, run_lengths::RunLengths,
+    short_tasks::ShortTasks, tails::TailModel,
 };
 use super::{
     event::{Action, Event, JobState},
@@ -134,6 +142,8 @@
     deferred_starts: DeferredStarts,
     tails: TailModel,
     short_tasks: ShortTasks,
+    run_lengths: RunLengths,
+    fleet_health: FleetHealth,
     evacuation: ZoneEvacuation,
     overload: Overload,
     first_polls: FirstPolls,
@@ -180,6 +190,8 @@
             deferred_starts: DeferredStarts::default(),
             tails: TailModel::default(),
             short_tasks: ShortTasks::default(),
+            run_lengths: RunLengths::default(),
+            fleet_health: FleetHealth::default(),
             evacuation: ZoneEvacuation::default(),
             overload: Overload::default(),
             first_polls: FirstPolls::default(),
@@ -347,6 +359,7 @@
         for instance_no in due {
             self.check_instance(instance_no);
         }
+        self.confirm_suspects();
         self.evacuate_zones_if_due();
         self.report_backlog_if_due();
         // Back-offs and quarantines end without an event of their own.
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -254,6 +254,7 @@
             run_state.phase = Phase::Running(now);
             run_state.progress.rose_at = now;
         }
+        self.begin_pace(instance_no, start.task, start.run);
         if let Some(job) = self.jobs.get_mut(&start.task.job) {
             job.has_started = true;
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -152,6 +152,7 @@
     ) -> Option<Fit<'a>> {
         let job = self.jobs.get(&name.job)?;
         let first = members.first().and_then(|&instance_no| self.instances.get(instance_no));
+        let lateness = Lateness::of(job, self.now);
         Some(Fit {
             name,
             spec,
@@ -162,9 +163,10 @@
             avoided_instance: job.task(name).and_then(|task| task.avoided_instance),
             now: self.now,
             runs_alone: job.task(name).is_some_and(|task| task.crashes.runs_alone()),
-            lateness: Lateness::of(job, self.now),
+            lateness,
             tails: &self.tails,
             short_tasks: &self.short_tasks,
+            suitability: self.suitability(name, spec, lateness),
         })
     }
 
@@ -190,7 +192,9 @@
             .as_ref()
             .filter(|free_capacity| free_capacity.free.fits(fit.spec))?;
         let is_eligible = instance.accepts_work(self.now) && instance.entry.service == fit.service;
-        if is_eligible { fit.score(instance_no, instance, free_capacity) } else { None }
+        let health_cost =
+            instance.health.cost(fit.suitability, self.now).filter(|_| is_eligible)?;
+        Some(fit.score(instance_no, instance, free_capacity)? + health_cost)
     }
 
     /// Places all members of a gang or none.
@@ -284,6 +288,7 @@
         }
         let phase = if persist_first { Phase::Unpersisted } else { Phase::Ordered };
         let new_run = PlacedRun::new(run, spec, image, self.now);
+        instance.health.record_start(self.now);
         instance.insert_run(name, PlacedRun { phase, suspected, alone: runs_alone, ..new_run });
         let order = StartOrder { task: name, run, payload, checkpoint, ticket: None };
         match persist_first {
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -119,6 +119,7 @@
         }
         self.reconcile_missing(instance_no, poll, sent_at, report);
         self.check_suspects(instance_no);
+        self.assess_worker(instance_no, report.clock_ms);
         self.check_progress(instance_no);
         self.learn_and_update_paces(instance_no);
         if first {
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -6,11 +6,13 @@
 use super::{
     super::{
         instance::{InstanceNo, WorkerInstance},
+        load_parts::LoadPart,
         names::TaskName,
         run::{Phase, PlacedRun},
         steps::Task,
     },
     Scheduler,
+    run_pace::RunVerdict,
 };
 use crate::Time;
 
@@ -90,8 +92,16 @@
     /// restart.
     fn is_slow(&self, instance_no: InstanceNo, task: TaskName) -> bool {
         let run = self.instances.get(instance_no).and_then(|instance| instance.runs().get(&task));
-        let expected_ms = self.expected_ms(task);
-        let (Some(run), Some(expected_ms)) = (run, expected_ms) else { return false };
+        let expected_ms = self.expected_ms(instance_no, task);
+        let Some(run) = run else { return false };
+        if self.is_slow_worker(instance_no)
+            && run.pace.verdict() == Some(RunVerdict::Slow)
+            && let Some(expected) = self.expected_run(task, run)
+        {
+            // Several runs are slow, so that none has to be overdue first.
+            return run.pace.remaining_ms() > expected.in_step_ms * RESTART_FACTOR;
+        }
+        let Some(expected_ms) = expected_ms else { return false };
         let Some(total_ms) = predicted_total_ms(run, self.now) else { return false };
         let elapsed_ms = elapsed_ms(run, self.now).unwrap_or(0.0);
         let remaining_ms = remaining_ms(run, self.now).unwrap_or(0.0);
@@ -100,15 +110,29 @@
             && remaining_ms > expected_ms * RESTART_FACTOR
     }
 
-    /// Returns the expected duration of a task, averaged over the completed ones of its step, in
-    /// milliseconds.
-    fn expected_ms(&self, task: TaskName) -> Option<f64> {
+    /// Returns the expected duration of a task, in milliseconds: the average of the completed ones
+    /// of its step, or what was learned from other jobs if these are too few.
+    fn expected_ms(&self, instance_no: InstanceNo, task: TaskName) -> Option<f64> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task.step_name())?;
         // The first tasks to end are the shortest.
         let is_representative = step.completed_runs >= MIN_TIMED_TASKS
             && step.completed_runs as usize * 2 >= step.tasks.len();
-        is_representative.then(|| step.completed_runs_ms as f64 / f64::from(step.completed_runs))
+        match is_representative {
+            true => Some(step.completed_runs_ms as f64 / f64::from(step.completed_runs)),
+            // Where several runs are compared, a run that is slow alone is a long task.
+            false if self.judges_workers() && self.is_sound(instance_no) => None,
+            false => self.learned_slow_from_ms(task),
+        }
+    }
+
+    /// Returns the duration with which a task of a step without completed ones is compared, in
+    /// milliseconds. A few tasks take many times as long as others wherever they run, so only those
+    /// count as slow that also exceed the high quantile.
+    fn learned_slow_from_ms(&self, task: TaskName) -> Option<f64> {
+        let learned = self.settings.parts.has(LoadPart::RunLengths);
+        let length = self.learned_length(task).filter(|_| learned)?;
+        Some(length.expected_ms.max(length.high_ms / SLOW_FACTOR))
     }
 
     /// Starts a copy of a stalled or slow run, or moves it, if that pays off.
@@ -124,16 +148,14 @@
             return self.start_copy(instance_no, task);
         }
         // A paced run is slow because the scheduler slowed it.
-        if spec.best_effort && problem == Problem::Slow {
+        if spec.best_effort && problem == Problem::Slow && !self.is_slow_worker(instance_no) {
             return;
         }
         let was_moved_enough = |task: &mut Task| task.moves_for_slowness >= MAX_SLOW_MOVES;
         if problem == Problem::Slow && self.task_mut(task).is_some_and(was_moved_enough) {
             return;
         }
-        let other_worker = self
-            .choose_worker(task, &spec, &[])
-            .filter(|&other_worker| other_worker != instance_no);
+        let other_worker = self.choose_sound_worker(task, &spec, instance_no);
         let run = self
             .instances
             .get(instance_no)
@@ -161,9 +183,7 @@
             return;
         }
         self.avoid(name, instance_no);
-        if let Some(other_worker) =
-            self.choose_worker(name, &spec, &[]).filter(|&other_worker| other_worker != instance_no)
-        {
+        if let Some(other_worker) = self.choose_sound_worker(name, &spec, instance_no) {
             self.start(name, other_worker, &spec, None);
         }
     }
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -7,6 +7,7 @@
     instance::InstanceNo,
     names::TaskName,
     record::StepProgress,
+    scheduler::step_length::StepLength,
     spec::{JobSpec, StepSpec},
 };
 use crate::Time;
@@ -67,6 +68,8 @@
     /// The number of runs that did all the work of a task, and their total run time.
     pub(super) completed_runs: u32,
     pub(super) completed_runs_ms: u64,
+    /// The lengths of its runs, also of those that have not ended.
+    pub(super) length: StepLength,
 }
 
 impl Step {
@@ -76,6 +79,7 @@
             done: 0,
             completed_runs: 0,
             completed_runs_ms: 0,
+            length: StepLength::default(),
         }
     }
 
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -67,6 +67,8 @@
     pub longest_lease: Option<LeaseRecord>,
     /// The tasks that crash their workers, and a record of the crashes.
     pub crashes: Crashes,
+    /// The jobs whose tasks fail on every worker.
+    pub failing_jobs: BTreeSet<JobId>,
     /// Instances that crashed and were replaced: on their machines a new instance answers.
     replaced_instances: BTreeSet<String>,
     /// The polls to replaced instances, which reached the new instance.
@@ -144,6 +146,7 @@
             effects: EffectsRecord::default(),
             longest_lease: None,
             crashes: Crashes::default(),
+            failing_jobs: BTreeSet::new(),
             replaced_instances: BTreeSet::new(),
             polls_to_replaced_instances: Vec::new(),
             interrupted_polls: Vec::new(),
@@ -426,6 +429,7 @@
             cpu_millis: spec.map_or(0, |step| step.size.cpu_millis.0),
             is_serving: spec.is_some_and(|step| step.tail_target_ms.is_some()),
             is_long_running: spec.is_some_and(|step| step.long_running),
+            fails: self.failing_jobs.contains(&name.job),
         }
     }
 
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -46,6 +46,8 @@
     Hanging,
     /// The worker answers, but each of its runs fails after 100 ms.
     Failing,
+    /// The worker answers, but its runs take several times as long as elsewhere.
+    Slow { factor: u32 },
     /// The worker does not answer start orders, but carries them out later unless they are no longer valid.
     AnswersStartsLate,
     /// The worker continues to work. Start orders reach it late, other calls do not, and no answer comes back.
@@ -56,6 +58,17 @@
     AnswersPollsLate,
 }
 
+impl Behaviour {
+    /// Returns whether runs progress in the step of the clock that ends now.
+    fn progresses_at(self, now: Time) -> bool {
+        match self {
+            Self::Hanging => false,
+            Self::Slow { factor } => now.as_ms() / STEP.as_millis() as u64 % u64::from(factor) == 0,
+            _ => true,
+        }
+    }
+}
+
 /// A run on a worker.
 #[derive(Debug, Clone)]
 pub struct Running {
@@ -73,6 +86,8 @@
     pub is_serving: bool,
     /// Whether the task is long-running, until it is stopped.
     pub is_long_running: bool,
+    /// Whether the run fails on any worker.
+    pub fails: bool,
     /// Whether the run waits for other members of its gang.
     pub waits_for_gang: bool,
     /// The time that the run has waited for its gang, in milliseconds.
@@ -80,7 +95,10 @@
 }
 
 impl Running {
-    fn new(run: u32, Work { work_ms, cpu_millis, is_serving, is_long_running }: Work) -> Self {
+    fn new(
+        run: u32,
+        Work { work_ms, cpu_millis, is_serving, is_long_running, fails }: Work,
+    ) -> Self {
         Self {
             run,
             done_ms: 0,
@@ -89,6 +107,7 @@
             cpu_millis,
             is_serving,
             is_long_running,
+            fails,
             waits_for_gang: false,
             waited_ms: 0,
         }
@@ -108,6 +127,7 @@
     pub cpu_millis: u32,
     pub is_serving: bool,
     pub is_long_running: bool,
+    pub fails: bool,
 }
 
 /// An order that is carried out at a later time.
@@ -392,7 +412,7 @@
         for running in self
             .running
             .values_mut()
-            .filter(|run| behaviour != Behaviour::Hanging && !run.waits_for_gang)
+            .filter(|run| behaviour.progresses_at(now) && !run.waits_for_gang)
         {
             running.done_ms += STEP.as_millis() as u64 * u64::from(running.percent) / 100;
         }
@@ -404,6 +424,9 @@
             Behaviour::Failing if running.done_ms >= FAILS_AFTER_MS => {
                 Some((task, RunResult::Failed))
             }
+            _ if running.fails && running.done_ms >= FAILS_AFTER_MS => {
+                Some((task, RunResult::Failed))
+            }
             _ if running.done_ms >= running.work_ms => Some((task, RunResult::Done)),
             _ => None,
         });
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -97,6 +97,21 @@
             tail_of_target_percent = *tail_of_target_percent;
             "worker: best-effort tasks throttled"
         ),
+        LogEntry::WorkerHealth {
+            worker,
+            state,
+            slowdown_percent,
+            slow_runs,
+            sound_runs,
+            failed_runs,
+            after_ms,
+            suspects,
+        } => log::info!(
+            worker = worker.as_str(), state = *state, slowdown_percent = *slowdown_percent,
+            slow_runs = *slow_runs, sound_runs = *sound_runs, failed_runs = *failed_runs,
+            after_ms = *after_ms, suspects = *suspects;
+            "worker: health changed"
+        ),
     }
 }
 
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -61,6 +61,9 @@
             LogEntry::CrashCounted { evidence, .. } => {
                 self.shared.metrics.record_task_crash(evidence.as_str());
             }
+            LogEntry::WorkerHealth { state, suspects, .. } => {
+                self.shared.metrics.record_worker_health(state, u64::from(*suspects));
+            }
             LogEntry::WorkerRestarted { .. } => self.shared.metrics.record_worker_restart(),
             LogEntry::CrashingTaskFailed { .. } => self.shared.metrics.record_crashing_job(),
             _ => {}
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -24,6 +24,8 @@
     task_crashes: Counter<u64>,
     crashing_jobs: Counter<u64>,
     worker_restarts: Counter<u64>,
+    worker_health_changes: Counter<u64>,
+    suspected_workers: Gauge<u64>,
     suspensions: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
@@ -84,6 +86,14 @@
                 .u64_counter("kitetrail.worker.restarts")
                 .with_description("Workers that were found to have started again under their id")
                 .build(),
+            worker_health_changes: meter
+                .u64_counter("kitetrail.worker.health_changes")
+                .with_description("Changes of the assessment of a worker, by its new state")
+                .build(),
+            suspected_workers: meter
+                .u64_gauge("kitetrail.suspected_workers")
+                .with_description("Workers that are suspected or on probation, as the owner knows")
+                .build(),
             suspensions: meter
                 .u64_counter("kitetrail.suspensions")
                 .with_description("Times that the box found its machine was suspended")
@@ -140,6 +150,12 @@
         self.worker_restarts.add(1, &[]);
     }
 
+    /// Counts a change of the assessment of a worker, after which `suspects` workers are not sound.
+    pub fn record_worker_health(&self, state: &'static str, suspects: u64) {
+        self.worker_health_changes.add(1, &[KeyValue::new("state", state)]);
+        self.suspected_workers.record(suspects, &[]);
+    }
+
     /// Counts a suspension of the machine that runs this box.
     pub fn record_suspension(&self) {
         self.suspensions.add(1, &[]);
