--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod processor;
 mod restarts;
 mod specs;
+pub mod steady_load;
 mod worker;
 
 use std::{
--- a/crates/kitetrail-core/tests/jobs_worker_health.rs
+++ b/crates/kitetrail-core/tests/jobs_worker_health.rs
@@ -5,23 +5,16 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use fleet::{Behaviour, FakeWorker, Processor, SimulatedFleet, job, step};
+use fleet::{
+    Behaviour, Processor, job,
+    steady_load::{LEARNING_MS, SteadyLoad, TASK_MS, WORKERS},
+    step,
+};
 use kitetrail_core::{
     Resources, Time,
     jobs::{JobState, LoadPart, LoadParts, LogEntry, StepSpec, TaskName},
 };
 
-/// The number of workers: each runs about one task at a time under the load below.
-const WORKERS: u32 = 40;
-/// The interval between two jobs of `TASKS_PER_JOB` tasks each.
-const SUBMIT_INTERVAL_MS: u64 = 100;
-const TASKS_PER_JOB: u32 = 4;
-/// The work of a task.
-const TASK_MS: u64 = 1_000;
-/// The time that callers allow a job: twice its critical path and half a second.
-const OBJECTIVE: Duration = Duration::from_millis(2 * TASK_MS + 500);
-/// The time for which run lengths are learned before anything goes wrong.
-const LEARNING_MS: u64 = 4_000;
 /// The time within which a worker that has recovered gets regular work again: the longest pause
 /// between probes, one task and its report.
 const MAX_RECOVERY_MS: u64 = 3_000 + TASK_MS + 1_500;
@@ -30,80 +23,9 @@
     [LoadPart::WorkerHealth, LoadPart::RunLengths].into_iter().collect()
 }
 
-/// A load of short jobs in steady intervals.
-struct Load {
-    fleet: SimulatedFleet,
-    next_id: u64,
-    submitted: Vec<(u64, Time)>,
-    spec: StepSpec,
-}
-
-impl Load {
-    fn new(parts: LoadParts) -> Self {
-        let fleet = SimulatedFleet::with_parts((0..WORKERS).map(FakeWorker::new), parts);
-        let spec = StepSpec { estimate_ms: TASK_MS, ..step(TASKS_PER_JOB) };
-        Self { fleet, next_id: 1, submitted: Vec::new(), spec }
-    }
-
-    /// Creates a load whose run lengths are learned.
-    fn learned(parts: LoadParts) -> Self {
-        let mut load = Self::new(parts);
-        load.run_for(LEARNING_MS);
-        load
-    }
-
-    fn run_for(&mut self, ms: u64) {
-        for _ in 0..ms / SUBMIT_INTERVAL_MS {
-            self.fleet.submit(self.next_id, job(vec![self.spec.clone()]));
-            self.submitted.push((self.next_id, self.fleet.now));
-            self.next_id += 1;
-            self.fleet.advance_ms(SUBMIT_INTERVAL_MS);
-        }
-    }
-
-    /// Makes every tenth worker behave in some way. Returns their ids.
-    fn set_tenth(&mut self, behaviour: Behaviour) -> BTreeSet<String> {
-        let ids = (0..WORKERS).step_by(10).map(|no| format!("w{no}")).collect::<BTreeSet<_>>();
-        ids.iter().for_each(|id| self.fleet.worker(id).behaviour = behaviour);
-        ids
-    }
-
-    /// Returns the share of the jobs submitted since a moment that were not completed in time.
-    fn late_share(&self, since: Time) -> f64 {
-        let recent = self.submitted.iter().filter(|(_, at)| *at >= since).collect::<Vec<_>>();
-        let is_late = |(id, at): &&&(u64, Time)| {
-            self.fleet.completed_after(*id, *at).is_none_or(|after| after > OBJECTIVE)
-        };
-        recent.iter().filter(is_late).count() as f64 / recent.len() as f64
-    }
-
-    /// Returns the number of starts since a moment on some workers.
-    fn starts_on(&self, ids: &BTreeSet<String>, since: Time) -> usize {
-        let recent = self.fleet.starts.iter().filter(|(at, ..)| *at >= since);
-        recent.filter(|(.., worker)| ids.contains(worker)).count()
-    }
-
-    /// Returns the workers that were put in a state, in order.
-    fn put_in_state(&self, wanted: &str) -> Vec<String> {
-        let entries = self.fleet.log_entries.iter().filter_map(|(_, entry)| match entry {
-            LogEntry::WorkerHealth { worker, state, .. } if *state == wanted => {
-                Some(worker.to_string())
-            }
-            _ => None,
-        });
-        entries.collect()
-    }
-
-    /// Returns the workers that were ever not taken for sound.
-    fn ejected(&self) -> BTreeSet<String> {
-        let suspected = self.put_in_state("suspected").into_iter();
-        suspected.chain(self.put_in_state("probation")).collect()
-    }
-}
-
 /// Runs the load while a tenth of the workers misbehave for 14 s. Returns the share of late jobs.
 fn late_with_tenth(parts: LoadParts, behaviour: Behaviour) -> f64 {
-    let mut load = Load::learned(parts);
+    let mut load = SteadyLoad::learned(parts);
     load.set_tenth(behaviour);
     let since = load.fleet.now;
     load.run_for(14_000);
@@ -126,7 +48,7 @@
 
 #[test]
 fn slow_workers_get_single_tasks_as_probes() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     let slow = load.set_tenth(Behaviour::Slow { factor: 8 });
     load.run_for(4_000);
     let since = load.fleet.now;
@@ -138,7 +60,7 @@
 
 #[test]
 fn recovered_worker_is_used_again() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     let slow = load.set_tenth(Behaviour::Slow { factor: 8 });
     load.run_for(6_000);
     assert!(!load.put_in_state("probation").is_empty());
@@ -156,7 +78,7 @@
 #[test]
 fn nobody_is_suspected_when_all_workers_are_slow_at_once() {
     for factor in [4, 8] {
-        let mut load = Load::learned(parts());
+        let mut load = SteadyLoad::learned(parts());
         load.fleet.set_behaviours(Behaviour::Slow { factor });
         load.run_for(4_000);
         assert_eq!(load.ejected(), BTreeSet::new(), "factor {factor}");
@@ -165,7 +87,7 @@
 
 #[test]
 fn nobody_is_suspected_when_all_tasks_turn_long() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     load.fleet.task_duration_ms = Some(7 * TASK_MS);
     load.run_for(8_000);
     assert_eq!(load.ejected(), BTreeSet::new());
@@ -173,7 +95,7 @@
 
 #[test]
 fn nobody_is_suspected_while_the_owner_is_late() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     let mut processor = Processor::new(Duration::from_micros(100), load.fleet.now);
     processor.reports_lag = true;
     load.fleet.processor = Some(processor);
@@ -187,7 +109,7 @@
 
 #[test]
 fn one_long_task_puts_no_worker_on_probation() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     load.fleet.submit(9_000, job(vec![StepSpec { estimate_ms: 7 * TASK_MS, ..step(1) }]));
     load.run_for(8_000);
     assert_eq!(load.put_in_state("probation"), Vec::<String>::new());
@@ -195,7 +117,7 @@
 
 #[test]
 fn job_whose_tasks_fail_everywhere_ejects_nobody() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     let since = load.fleet.now;
     load.fleet.failing_jobs.insert(kitetrail_core::jobs::JobId(9_000));
     load.fleet.submit(9_000, job(vec![step(WORKERS * 3)]));
@@ -212,7 +134,7 @@
 
 #[test]
 fn new_owner_finds_a_slow_worker_anew() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     let slow = load.set_tenth(Behaviour::Slow { factor: 8 });
     load.run_for(3_000);
     load.fleet.take_over(2, true);
@@ -235,7 +157,7 @@
 
 #[test]
 fn copy_of_a_straggler_goes_to_no_slow_worker() {
-    let mut load = Load::learned(parts());
+    let mut load = SteadyLoad::learned(parts());
     load.spec.copies_allowed = true;
     let slow = load.set_tenth(Behaviour::Slow { factor: 8 });
     load.run_for(6_000);
@@ -252,7 +174,7 @@
 
 /// Returns the starts under a load of which no worker is slow.
 fn starts_of_sound_fleet(parts: LoadParts) -> Vec<(Time, TaskName, u32, String)> {
-    let mut load = Load::new(parts);
+    let mut load = SteadyLoad::new(parts);
     load.run_for(8_000);
     load.fleet.submit(9_000, job(vec![StepSpec { long_running: true, ..step(20) }]));
     let size = Resources::new(500, 256, 0);
@@ -268,7 +190,7 @@
 
 #[test]
 fn nothing_is_judged_without_the_part() {
-    let mut load = Load::learned(LoadParts::default());
+    let mut load = SteadyLoad::learned(LoadParts::default());
     load.set_tenth(Behaviour::Slow { factor: 8 });
     load.run_for(6_000);
     assert_eq!(load.ejected(), BTreeSet::new());
