--- a/crates/kitetrail-core/src/jobs/scheduler/fleet_health.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fleet_health.rs
@@ -47,7 +47,7 @@
 }
 
 impl RecentRuns {
-    /// Returns whether so many runs are slow that their workers are not the cause.
+    /// Returns whether the share of slow runs is too large for their workers to be the cause.
     fn is_slowdown_shared(&self) -> bool {
         self.slow > MAX_SLOW_SHARE * self.judged || self.mean_slowdown() > MAX_MEAN_SLOWDOWN
     }
@@ -59,10 +59,10 @@
 
     fn record(&mut self, is_slow: bool, slowdown: f64, now: Time) {
         let age = self.updated_at.map_or(Duration::ZERO, |at| now.since(at));
-        let kept = (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp();
-        self.slow = self.slow * kept + f64::from(u8::from(is_slow));
-        self.judged = self.judged * kept + 1.0;
-        self.slowdown_ln = self.slowdown_ln * kept + slowdown.clamp(1.0, MAX_SLOWDOWN).ln();
+        let remaining = (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        self.slow = self.slow * remaining + f64::from(u8::from(is_slow));
+        self.judged = self.judged * remaining + 1.0;
+        self.slowdown_ln = self.slowdown_ln * remaining + slowdown.clamp(1.0, MAX_SLOWDOWN).ln();
         self.updated_at = Some(now);
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/health_checks.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/health_checks.rs
@@ -1,5 +1,7 @@
 //! Judges workers by the progress and the ends of their runs.
 
+use std::time::Duration;
+
 use super::{
     super::{
         event::Action,
@@ -23,6 +25,8 @@
 const SLOW_TAIL_OF_TARGET: f64 = 1.2;
 /// Up to this multiple it shows a sound one. Neighbours alone may raise it in between.
 const SOUND_TAIL_OF_TARGET: f64 = 0.7;
+/// The owner's lag up to which the time of a start is exact enough: intervals are 300 ms and longer.
+const MAX_START_LAG: Duration = Duration::from_millis(50);
 /// The share of its processor time that a best-effort run must get for its progress to count.
 const MIN_CPU_SHARE: f64 = 0.9;
 
@@ -180,8 +184,7 @@
     pub(super) fn begin_pace(&mut self, instance_no: InstanceNo, name: TaskName, run: u32) {
         let now = self.now;
         let resumes = self.task_mut(name).is_some_and(|task| task.checkpoint.is_some());
-        // A late owner learns of starts late.
-        if !self.judges_workers() || resumes || !self.tick_lag.is_zero() {
+        if !self.judges_workers() || resumes || self.tick_lag > MAX_START_LAG {
             return;
         }
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
--- a/crates/kitetrail-core/src/jobs/scheduler/run_lengths/tests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/run_lengths/tests.rs
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn lengths_that_change_are_learned_anew() {
+fn changed_lengths_replace_earlier_ones() {
     let mut lengths = learned(300, 1.0);
     for _ in 0..200 {
         lengths.record(kind(0), 1_000, 3_000);
--- a/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/stragglers.rs
@@ -148,7 +148,7 @@
             return self.start_copy(instance_no, task);
         }
         // A paced run is slow because the scheduler slowed it.
-        if spec.best_effort && problem == Problem::Slow && !self.is_slow_worker(instance_no) {
+        if spec.best_effort && problem == Problem::Slow {
             return;
         }
         let was_moved_enough = |task: &mut Task| task.moves_for_slowness >= MAX_SLOW_MOVES;
--- a/crates/kitetrail-core/src/jobs/scheduler/worker_health.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/worker_health.rs
@@ -9,8 +9,8 @@
 const EVIDENCE_AGE: Duration = Duration::from_millis(4_000);
 /// The most ended runs that are kept as evidence.
 const MAX_EVIDENCE: usize = 8;
-/// How long a worker must look slow before it is suspected. By then its peers have reported too, so
-/// that a slowdown of all of them is told apart.
+/// How long a worker must look slow before it is suspected. Its peers report within that time, so
+/// that a slowdown of all of them is recognised.
 const CONFIRMATION: Duration = Duration::from_millis(400);
 /// The number of slow runs, without normal ones, from which a worker is put on probation. Three in
 /// a hundred tasks take many times as long as others, so one says little.
