--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -13,6 +13,7 @@
     lateness::Lateness,
     pace::OWN_STRESS_RISE,
     tails::{ImageNo, TailModel},
+    worker_health::Suitability,
 };
 use crate::Time;
 
@@ -72,6 +73,8 @@
     pub(super) tails: &'a TailModel,
     /// Whether short tasks are packed rather than spread.
     pub(super) packs_short_tasks: bool,
+    /// What the task means for a worker on probation.
+    pub(super) suitability: Suitability,
 }
 
 impl Fit<'_> {
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -14,17 +14,20 @@
 pub(super) mod filter;
 mod first_polls;
 mod fit;
+mod fleet_health;
 pub(super) mod free_capacity;
 mod gaps;
 mod gauges;
 mod hand_in;
 mod headroom;
+mod health_checks;
 mod incarnations;
 mod inherit;
 mod instance_rows;
 mod lateness;
 mod lease_length;
 mod leasing;
+mod length_model;
 mod operator_holds;
 mod orders;
 mod overload;
@@ -38,15 +41,19 @@
 mod quarantine;
 mod ranking;
 mod requests;
+mod run_lengths;
+pub(super) mod run_pace;
 mod short_tasks;
 mod shrunk;
 mod slowed;
+pub(super) mod step_length;
 mod stragglers;
 pub(super) mod tails;
 mod unique_queue;
 mod unlisted;
 mod unpersisted_ends;
 mod unusable;
+pub(super) mod worker_health;
 mod workers;
 
 use std::{
@@ -59,8 +66,9 @@
 use self::{
     backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
     deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
-    gaps::Gaps, lease_length::MIN_LEASE, overload::Overload, pending::PendingRecords,
-    preempting::Preemptions, short_tasks::ShortTasks, tails::TailModel,
+    fleet_health::FleetHealth, gaps::Gaps, lease_length::MIN_LEASE, overload::Overload,
+    pending::PendingRecords, preempting::Preemptions, run_lengths::RunLengths,
+    short_tasks::ShortTasks, tails::TailModel,
 };
 use super::{
     event::{Action, Event, JobState},
@@ -144,6 +152,8 @@
     gaps: Gaps,
     claimants: Claimants,
     preemptions: Preemptions,
+    run_lengths: RunLengths,
+    fleet_health: FleetHealth,
     evacuation: ZoneEvacuation,
     operator_rows: OperatorRows,
     overload: Overload,
@@ -194,6 +204,8 @@
             gaps: Gaps::default(),
             claimants: Claimants::default(),
             preemptions: Preemptions::default(),
+            run_lengths: RunLengths::default(),
+            fleet_health: FleetHealth::default(),
             evacuation: ZoneEvacuation::default(),
             operator_rows: OperatorRows::default(),
             overload: Overload::default(),
@@ -368,6 +380,7 @@
         for instance_no in due {
             self.check_instance(instance_no);
         }
+        self.confirm_suspects();
         self.evacuate_zones_if_due();
         self.report_backlog_if_due();
         // Back-offs and quarantines end without an event of their own.
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod processor;
 mod restarts;
 mod specs;
+pub mod steady_load;
 mod worker;
 
 use std::{
@@ -69,6 +70,8 @@
     pub operator_rows: OperatorRows,
     /// The tasks that crash their workers, and a record of the crashes.
     pub crashes: Crashes,
+    /// The jobs whose tasks fail on every worker.
+    pub failing_jobs: BTreeSet<JobId>,
     /// Instances that crashed and were replaced: on their machines a new instance answers.
     replaced_instances: BTreeSet<String>,
     /// The polls to replaced instances, which reached the new instance.
@@ -147,6 +150,7 @@
             longest_lease: None,
             operator_rows: OperatorRows::default(),
             crashes: Crashes::default(),
+            failing_jobs: BTreeSet::new(),
             replaced_instances: BTreeSet::new(),
             polls_to_replaced_instances: Vec::new(),
             interrupted_polls: Vec::new(),
@@ -455,6 +459,7 @@
             cpu_millis: spec.map_or(0, |step| step.size.cpu_millis.0),
             is_serving: spec.is_some_and(|step| step.tail_target_ms.is_some()),
             is_long_running: spec.is_some_and(|step| step.long_running),
+            fails: self.failing_jobs.contains(&name.job),
         }
     }
 
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -125,6 +125,21 @@
             for_job = for_job.to_string(), lost_core_ms = *lost_core_ms;
             "run: stopped for a more urgent job"
         ),
+        LogEntry::WorkerHealth {
+            worker,
+            state,
+            slowdown_percent,
+            slow_runs,
+            sound_runs,
+            failed_runs,
+            after_ms,
+            suspects,
+        } => log::info!(
+            worker = worker.as_str(), state = *state, slowdown_percent = *slowdown_percent,
+            slow_runs = *slow_runs, sound_runs = *sound_runs, failed_runs = *failed_runs,
+            after_ms = *after_ms, suspects = *suspects;
+            "worker: health changed"
+        ),
     }
 }
 
