Decision whether a slowed owner hands the fleet over

Callers of a fleet whose owner's machine ran six times slower for seconds saw jobs refused with workers free and starts at a third of their rate, while boxes as strong were idle. Nothing decided to use those.

--- a/crates/kitetrail-core/src/lib.rs
+++ b/crates/kitetrail-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod jobs;
 pub mod membership;
+pub mod owner_relief;
 pub mod placement;
 pub mod routing;
 pub mod shard;
