Boxes report their speed, and a slowed owner hands over to a faster one

The owner asks the box that owner_relief names to read from the store, and leaves the fleet to it as it does to a box that alone reaches the store. Pings carry the time for the reference work, answers to the question the time of the read, and the request to take over the pause until the next relief. Older boxes send none of them and are not chosen.

The two calls run on a thread of their own: on the late main loop the question took 1.6 s and came too late. Waiting for the write under way was ruled out, since it takes 0.9 s then.

Off without LoadPart::OwnerRelief: nothing is measured, reported or decided.

--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -8,6 +8,7 @@
 use kitetrail_core::{
     Time,
     jobs::{Event, JobRequestId, Scheduler},
+    owner_relief::ReliefPause,
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -18,6 +19,7 @@
     Platform,
     calls::{Answer, Call},
     committer::Batch,
+    relief_watch::ReliefWatch,
     shared::Shared,
     store_probe::StoreProbe,
 };
@@ -54,6 +56,9 @@
     /// The result of asking other boxes for the store: a box that reaches it while this one does not, or
     /// `None`.
     StoreProbed(Option<SocketAddr>),
+    /// The answer of a box that was asked whether it can relieve this owner: how long its read of the store took,
+    /// `None` if there was no answer or it failed.
+    ReliefAnswered(SocketAddr, Option<Duration>),
 }
 
 /// The cause of an iteration of the owner's loop.
@@ -74,6 +79,9 @@
     NotRead,
     /// It released the fleet in an orderly way.
     Released,
+    /// It has too little processor time and leaves the fleet to a faster box, which keeps a pause before it may be
+    /// relieved.
+    Relieved(SocketAddr, ReliefPause),
     /// It can't reach the store and left the fleet to a box that can.
     LeftTo(SocketAddr),
 }
@@ -95,6 +103,7 @@
     /// Whether the fleet is to be released.
     releasing: bool,
     store_probe: StoreProbe,
+    relief: Option<ReliefWatch>,
     /// The time of the last tick, including a skipped one.
     last_tick_at: Time,
     /// The time at which counts were last published to other components of the box.
@@ -117,6 +126,7 @@
         scheduler: Scheduler,
         (sender, inbox): (mpsc::Sender<OwnerMessage>, mpsc::Receiver<OwnerMessage>),
         batches: mpsc::Sender<Batch>,
+        relief: Option<ReliefWatch>,
     ) -> Self {
         let last_tick_at = shared.clock.now();
         Self {
@@ -131,6 +141,7 @@
             deposed: false,
             releasing: false,
             store_probe: StoreProbe::default(),
+            relief,
             last_tick_at,
             last_published_at: Time::ZERO,
             sent_trouble_until: None,
@@ -189,6 +200,17 @@
             OwnerMessage::StoreProbed(None) => {
                 self.store_probe.record_probe_end(self.shared.clock.now())
             }
+            // The box is stopping, which hands the fleet over as well.
+            OwnerMessage::ReliefAnswered(..) if self.releasing => {}
+            OwnerMessage::ReliefAnswered(successor, store_read_time) => {
+                let relief = self.relief.as_mut();
+                let pause = relief.and_then(|relief| {
+                    relief.record_answer(&self.shared, successor, store_read_time)
+                });
+                if let Some(pause) = pause {
+                    return ControlFlow::Break(OwnershipEnd::Relieved(successor, pause));
+                }
+            }
             OwnerMessage::Call(_, reply) if self.releasing => {
                 let _ = reply.send(Answer::NotOwner);
             }
@@ -219,7 +241,11 @@
         let since_last = now.since(self.last_tick_at);
         let stalled = since_last >= STALL_THRESHOLD;
         self.last_tick_at = now;
-        if !self.handle(Event::OwnerLagged(since_last.saturating_sub(TICK_INTERVAL))) {
+        let lag = since_last.saturating_sub(TICK_INTERVAL);
+        if let Some(relief) = &mut self.relief {
+            relief.record_lag(lag, now);
+        }
+        if !self.handle(Event::OwnerLagged(lag)) {
             return ControlFlow::Break(OwnershipEnd::Deposed);
         }
         if stalled && !self.tick_skipped {
@@ -240,6 +266,9 @@
         self.publish_if_due();
         self.store_probe.probe_if_due(&self.shared, &self.sender);
         self.yield_to_stronger_box();
+        if let Some(relief) = self.relief.as_mut().filter(|_| !self.releasing) {
+            relief.check(&self.shared, self.published_runs_left > 0, &self.sender);
+        }
         ControlFlow::Continue(())
     }
 
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use kitetrail_core::owner_relief::WorkTime;
 use kitetrail_platform::PlatformError;
 use kitetrail_proto::jobs::{PingAnswer, PingRequest};
 use tokio::time;
@@ -183,6 +184,7 @@
         strength_workers: shared.settings.strength.0,
         up_ms: shared.up_ms(),
         stopping: shared.draining.get(),
+        work_time_us: shared.own_work_time.get().map(WorkTime::as_us),
     };
     shared.peers.ping(address, request).await
 }
--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -109,7 +109,8 @@
     ) -> Result<TakeOverAnswer, Status> {
         let channel = self.channels.get_or_open(peer)?;
         let mut client = channel.client();
-        let answer = await_response(timeout, client.take_over(TakeOverRequest { epoch })).await;
+        let request = TakeOverRequest { epoch, relief_pause_ms: None };
+        let answer = await_response(timeout, client.take_over(request)).await;
         answer.inspect(|_| channel.record_response())
     }
 
--- a/crates/kitetraild/src/fleet/peers/mod.rs
+++ b/crates/kitetraild/src/fleet/peers/mod.rs
@@ -3,6 +3,7 @@
 mod channel;
 mod client;
 mod codec;
+mod direct;
 mod server;
 mod status;
 
@@ -10,6 +11,7 @@
 
 pub(super) use client::PeerClients;
 pub(super) use codec::{apply_config, encode_config};
+pub(super) use direct::call_directly;
 pub(super) use server::serve;
 pub(super) use status::PublishedStatus;
 
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use kitetrail_core::succession::{BoxStrength, Candidate};
+use kitetrail_core::{
+    owner_relief::{BoxSpeed, ReliefPause, WorkTime},
+    succession::{BoxStrength, Candidate},
+};
 use kitetrail_proto::jobs::{
     CallAnswer, CallRequest, Config, FetchConfigRequest, OfferConfigAnswer, PingAnswer,
     PingRequest, ReachStoreAnswer, ReachStoreRequest, TakeOverAnswer, TakeOverRequest,
@@ -91,7 +94,7 @@
             task::spawn_local(reach_store(Rc::clone(shared), reply));
         }
         PeerMessage::TakeOver(request, reply) => {
-            task::spawn_local(take_over(Rc::clone(shared), request.epoch, reply));
+            task::spawn_local(take_over(Rc::clone(shared), request, reply));
         }
     }
 }
@@ -116,17 +119,21 @@
 
 /// Checks whether this box reaches the store, with the smallest read of the store.
 async fn reach_store<P: Platform>(shared: Rc<Shared<P>>, reply: oneshot::Sender<ReachStoreAnswer>) {
+    let began_at = Instant::now();
     let read = rows::read_owner(&shared).await;
-    let _ = reply.send(ReachStoreAnswer { reached: read.is_ok() });
+    let read_ms = u32::try_from(began_at.elapsed().as_millis()).ok();
+    let _ = reply.send(ReachStoreAnswer { reached: read.is_ok(), read_ms });
 }
 
 /// Requests that this box take over from a stopped owner, and replies with the owner after that.
 async fn take_over<P: Platform>(
     shared: Rc<Shared<P>>,
-    epoch: u64,
+    TakeOverRequest { epoch, relief_pause_ms }: TakeOverRequest,
     reply: oneshot::Sender<TakeOverAnswer>,
 ) {
     log::info!(epoch = epoch; "owner: asked to take over from an owner that has stopped");
+    let relief = relief_pause_ms.map(|pause_ms| (epoch, ReliefPause::from_ms(pause_ms)));
+    shared.relief_requested.set(relief);
     shared.takeover_requested_epoch.set(epoch);
     shared.takeover_requested.notify_one();
     let succeeded = async {
@@ -144,12 +151,17 @@
 fn record_candidate<P: Platform>(shared: &Shared<P>, request: &PingRequest) {
     let Ok(address) = request.address.parse::<SocketAddr>() else { return };
     let mut candidates = shared.candidates.borrow_mut();
+    let mut speeds = shared.box_speeds.borrow_mut();
     if request.stopping {
+        speeds.record(address, None);
         return candidates.remove(address);
     }
     let now = shared.clock.now();
     let started_at = now - Duration::from_millis(request.up_ms);
     let strength = BoxStrength(request.strength_workers);
+    let speed =
+        |time_us| BoxSpeed { strength, work_time: WorkTime::from_us(time_us), reported_at: now };
+    speeds.record(address, request.work_time_us.map(speed));
     candidates.insert(address, Candidate { strength, started_at, last_request_at: now });
 }
 
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use kitetrail_core::jobs::LoadPart;
 use tokio::{
     net::TcpListener,
     runtime,
@@ -23,7 +24,7 @@
     operators::{self, ReadyFlag},
     ownership, peers,
     shared::Shared,
-    takeover,
+    speed_probe, takeover,
 };
 use crate::{
     clock::{Clock, new_incarnation},
@@ -99,6 +100,9 @@
     task::spawn_local(config_watch::run(Rc::clone(shared)));
     task::spawn_local(ownership::run(Rc::clone(shared)));
     task::spawn_local(front::accept(Rc::clone(shared), listener));
+    if shared.settings.parts.has(LoadPart::OwnerRelief) {
+        task::spawn_local(speed_probe::run(Rc::clone(shared)));
+    }
     task::spawn_local(publish_readiness(Rc::clone(shared), ready));
 }
 
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -9,7 +9,11 @@
 };
 
 use kitetrail_core::{
-    Time, evacuation::EvacuationChange, fleet_config::FleetConfig, succession::Candidates,
+    Time,
+    evacuation::EvacuationChange,
+    fleet_config::FleetConfig,
+    owner_relief::{BoxSpeeds, ReliefPause, WorkTime},
+    succession::Candidates,
 };
 use kitetrail_platform::PlatformError;
 use kitetrail_proto::jobs::PingAnswer;
@@ -99,6 +103,12 @@
     store_unreachable: Cell<bool>,
     /// The time at which the store answered again after a call that got no answer.
     store_recovered_at: Cell<Option<Time>>,
+    /// How long this box takes for the reference work; `None` if not measured.
+    pub(super) own_work_time: Cell<Option<WorkTime>>,
+    /// What other boxes said of their speed.
+    pub(super) box_speeds: RefCell<BoxSpeeds<SocketAddr>>,
+    /// The epoch of an owner that asked this box to relieve it, and the pause until the next relief.
+    pub(super) relief_requested: Cell<Option<(u64, ReliefPause)>>,
     /// Whether the box was asked to stop.
     pub(super) draining: Cell<bool>,
     /// The latest time at which the box ends, once it was asked to stop.
@@ -141,6 +151,9 @@
             store_answered_at: Cell::new(clock.now()),
             store_unreachable: Cell::new(false),
             store_recovered_at: Cell::new(None),
+            own_work_time: Cell::new(None),
+            box_speeds: RefCell::default(),
+            relief_requested: Cell::new(None),
             draining: Cell::new(false),
             stop_deadline: Cell::new(None),
             requests_in_progress: Cell::new(0),
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -19,7 +19,9 @@
     PlatformError,
     fleet::{RowStore, RowTransaction, TransactionAnswer},
 };
+use kitetrail_proto::jobs::TakeOverAnswer;
 use tokio::{sync::mpsc, task, time};
+use tonic::Status;
 
 use super::{
     Platform,
@@ -28,6 +30,7 @@
     owner::{MAX_UNCONFIRMED, Owner, OwnerMessage, OwnershipEnd},
     ownership::STORE_RETRY_DELAY,
     predecessor,
+    relief_watch::{self, ReliefWatch},
     rows::{self, HeadRow, OwnerRow},
     scan,
     shared::{OwnerView, Shared},
@@ -45,7 +48,7 @@
 const LAST_WRITE_TIMEOUT: Duration = HEARTBEAT.saturating_mul(2);
 /// The timeout of the request to the successor to take over. Longer than the successor's own limit
 /// for answering.
-const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(super) const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// The owner that is replaced in a takeover.
 pub(super) struct Predecessor {
@@ -162,6 +165,10 @@
             committer.abort();
             request_takeover(shared, successor, row.epoch).await;
         }
+        OwnershipEnd::Relieved(successor, pause) => {
+            committer.abort();
+            relief_watch::request_takeover(shared, successor, row.epoch, pause).await;
+        }
         OwnershipEnd::Deposed | OwnershipEnd::NotRead => committer.abort(),
     }
     shared.write_pending_since.set(None);
@@ -189,7 +196,8 @@
     let scheduler = new_scheduler(shared, row.epoch, inheritance);
     *shared.owner_inbox.borrow_mut() = Some(sender.clone());
     shared.adopt_owner(OwnerView { epoch: row.epoch, address: Some(row.address) }, "self");
-    Owner::new(Rc::clone(shared), scheduler, (sender, inbox), batches).run().await
+    let relief = ReliefWatch::new(shared, row.epoch);
+    Owner::new(Rc::clone(shared), scheduler, (sender, inbox), batches, relief).run().await
 }
 
 /// Returns the best box to own the fleet after this one.
@@ -199,8 +207,19 @@
 
 /// Asks a box to take over the fleet, now that this one has stopped, and records the new owner.
 async fn request_takeover<P: Platform>(shared: &Shared<P>, successor: SocketAddr, epoch: u64) {
+    let answer = shared.peers.take_over(successor, epoch, TAKE_OVER_TIMEOUT).await;
+    record_takeover(shared, successor, epoch, answer);
+}
+
+/// Records the answer of a box that was asked to take over.
+pub(super) fn record_takeover<P: Platform>(
+    shared: &Shared<P>,
+    successor: SocketAddr,
+    epoch: u64,
+    answer: Result<TakeOverAnswer, Status>,
+) {
     let peer = successor.to_string();
-    match shared.peers.take_over(successor, epoch, TAKE_OVER_TIMEOUT).await {
+    match answer {
         Ok(answer) => {
             log::info!(peer = peer, epoch = epoch, by = answer.epoch; "owner: followed");
             shared.record_reported_owner(answer.epoch, &answer.owner_address);
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -25,6 +25,7 @@
     crashing_jobs: Counter<u64>,
     worker_restarts: Counter<u64>,
     suspensions: Counter<u64>,
+    owner_reliefs: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
 }
@@ -88,6 +89,10 @@
                 .u64_counter("kitetrail.suspensions")
                 .with_description("Times that the box found its machine was suspended")
                 .build(),
+            owner_reliefs: meter
+                .u64_counter("kitetrail.owner.reliefs")
+                .with_description("Decisions of a late owner about a handover, by decision")
+                .build(),
             evacuated_zones: meter
                 .u64_gauge("kitetrail.evacuated.zones")
                 .with_description(
@@ -115,6 +120,11 @@
         self.decisions.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a decision of a late owner about a handover.
+    pub fn record_owner_relief(&self, decision: &'static str) {
+        self.owner_reliefs.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Counts a transaction.
     pub fn record_commit(&self, answer: &'static str) {
         self.commits.add(1, &[KeyValue::new("answer", answer)]);
