Speeds are measured again when a faster box is asked to take over

One of the new owners handed the fleet over once more as the machines were fast again.

The asked box now measures its speed for its answer, and the owner its own when it decides.

Two tests of the decision were seen red without the second comparison.

--- a/crates/kitetrail-core/src/owner_relief/mod.rs
+++ b/crates/kitetrail-core/src/owner_relief/mod.rs
@@ -48,6 +48,15 @@
     pub speeds: &'a BoxSpeeds<K>,
 }
 
+/// What a box answers when it is asked whether it can take over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuccessorAnswer {
+    /// How long its read of the store took.
+    pub store_read_time: Duration,
+    /// How long it takes for the reference work now.
+    pub work_time: WorkTime,
+}
+
 /// Why an owner keeps the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeepReason {
@@ -158,12 +167,23 @@
         ReliefDecision::Keep(keep_reason)
     }
 
-    /// Records the answer of the box that was asked: how long its read of the store took, or `None` if it failed, was
-    /// not answered, or came from a box that does not say. Returns whether the fleet is handed over to that box.
-    pub fn record_answer(&mut self, store_read_time: Option<Duration>, now: Time) -> bool {
+    /// Records the answer of the box that was asked; `None` if there is none. Returns whether the fleet is handed over
+    /// to that box.
+    ///
+    /// Both boxes measure their speed again for it, since what the other one reported may be from before its machine
+    /// became slow as well, and the owner's machine may be fast again.
+    pub fn record_answer(
+        &mut self,
+        answer: Option<SuccessorAnswer>,
+        own_work_time: WorkTime,
+        now: Time,
+    ) -> bool {
         self.is_asking = false;
         self.asked_at = Some(now);
-        store_read_time.is_some_and(|time| time <= MAX_STORE_READ_TIME)
+        answer.is_some_and(|answer| {
+            answer.store_read_time <= MAX_STORE_READ_TIME
+                && own_work_time.is_slower_by(MIN_SPEED_GAIN, answer.work_time)
+        })
     }
 
     fn find_successor<K: Ord + Copy>(
--- a/crates/kitetrail-core/tests/owner_relief.rs
+++ b/crates/kitetrail-core/tests/owner_relief.rs
@@ -6,7 +6,7 @@
     Time,
     owner_relief::{
         BoxSpeed, BoxSpeeds, KeepReason, OwnerRelief, ReliefDecision, ReliefInput, ReliefPause,
-        WorkTime, WorkTimes,
+        SuccessorAnswer, WorkTime, WorkTimes,
     },
     succession::BoxStrength,
 };
@@ -30,6 +30,11 @@
     Time::from_us(ms * 1_000)
 }
 
+fn answer(read_ms: u64, time_us: u32) -> SuccessorAnswer {
+    let store_read_time = Duration::from_millis(read_ms);
+    SuccessorAnswer { store_read_time, work_time: WorkTime::from_us(time_us) }
+}
+
 /// A fleet with one owner, driven on virtual time.
 struct Fleet {
     relief: OwnerRelief,
@@ -77,6 +82,11 @@
         self.relief.decide(&input, at(self.now_ms))
     }
 
+    fn record_answer(&mut self, answer: Option<SuccessorAnswer>) -> bool {
+        let own_work_time = self.own_work_time.unwrap_or(WorkTime::from_us(SLOWED));
+        self.relief.record_answer(answer, own_work_time, at(self.now_ms))
+    }
+
     /// Runs with the recorded lags for a time, and returns the box that is asked first and when.
     fn run_recorded(&mut self, for_ms: u64) -> Option<(&'static str, u64)> {
         let started_ms = self.now_ms;
@@ -108,7 +118,7 @@
     let (successor, after_ms) = fleet.run_recorded(RELIEF_LIMIT_MS).expect("no box is asked");
     assert_eq!(successor, "c");
     assert!(after_ms <= RELIEF_LIMIT_MS, "{after_ms} ms");
-    assert!(fleet.relief.record_answer(Some(Duration::from_millis(6)), at(fleet.now_ms)));
+    assert!(fleet.record_answer(Some(answer(6, USUAL))));
 }
 
 #[test]
@@ -169,18 +179,33 @@
 
 #[test]
 fn a_box_that_is_lost_or_reaches_the_store_late_does_not_get_the_fleet() {
-    for store_read_time in [None, Some(Duration::from_millis(400))] {
+    for unusable in [None, Some(answer(400, USUAL))] {
         let mut fleet = Fleet::new(None, &[("c", STRONG, USUAL)]);
         fleet.run_recorded(RELIEF_LIMIT_MS).expect("no box is asked");
         // Only one box is asked at a time.
         assert_eq!(fleet.tick(80), ReliefDecision::Keep(KeepReason::Asked));
-        assert!(!fleet.relief.record_answer(store_read_time, at(fleet.now_ms)));
+        assert!(!fleet.record_answer(unusable));
         assert_eq!(fleet.tick(80), ReliefDecision::Keep(KeepReason::Asked));
         let (_, after_ms) = fleet.run_recorded(RELIEF_LIMIT_MS).expect("no box is asked again");
         assert!(after_ms >= 200, "asked again after {after_ms} ms");
     }
 }
 
+#[test]
+fn an_owner_is_not_relieved_if_the_other_box_is_slowed_as_well_by_the_time_it_answers() {
+    let mut fleet = Fleet::new(None, &[("c", STRONG, USUAL)]);
+    fleet.run_recorded(RELIEF_LIMIT_MS).expect("no box is asked");
+    assert!(!fleet.record_answer(Some(answer(6, SLOWED))));
+}
+
+#[test]
+fn an_owner_whose_machine_is_fast_again_is_not_relieved() {
+    let mut fleet = Fleet::new(None, &[("c", STRONG, USUAL)]);
+    fleet.run_recorded(RELIEF_LIMIT_MS).expect("no box is asked");
+    fleet.own_work_time = Some(WorkTime::from_us(USUAL));
+    assert!(!fleet.record_answer(Some(answer(6, USUAL))));
+}
+
 #[test]
 fn a_new_owner_is_not_relieved_while_it_takes_over() {
     let mut fleet = Fleet::new(None, &[("c", STRONG, USUAL)]);
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -8,7 +8,7 @@
 use kitetrail_core::{
     Time,
     jobs::{Event, JobRequestId, Scheduler},
-    owner_relief::ReliefPause,
+    owner_relief::{ReliefPause, SuccessorAnswer},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -56,9 +56,8 @@
     /// The result of asking other boxes for the store: a box that reaches it while this one does not, or
     /// `None`.
     StoreProbed(Option<SocketAddr>),
-    /// The answer of a box that was asked whether it can relieve this owner: how long its read of the store took,
-    /// `None` if there was no answer or it failed.
-    ReliefAnswered(SocketAddr, Option<Duration>),
+    /// The answer of a box that was asked whether it can relieve this owner; `None` if it can't or did not answer.
+    ReliefAnswered(SocketAddr, Option<SuccessorAnswer>),
 }
 
 /// The cause of an iteration of the owner's loop.
@@ -202,11 +201,10 @@
             }
             // The box is stopping, which hands the fleet over as well.
             OwnerMessage::ReliefAnswered(..) if self.releasing => {}
-            OwnerMessage::ReliefAnswered(successor, store_read_time) => {
+            OwnerMessage::ReliefAnswered(successor, answer) => {
                 let relief = self.relief.as_mut();
-                let pause = relief.and_then(|relief| {
-                    relief.record_answer(&self.shared, successor, store_read_time)
-                });
+                let pause =
+                    relief.and_then(|relief| relief.record_answer(&self.shared, successor, answer));
                 if let Some(pause) = pause {
                     return ControlFlow::Break(OwnershipEnd::Relieved(successor, pause));
                 }
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -29,6 +29,7 @@
         calls::{self, Answer},
         rows,
         shared::Shared,
+        speed_probe,
     },
     CALL_TIMEOUT,
     codec::{apply_config, decode_call, encode_answer, encode_config},
@@ -122,7 +123,9 @@
     let began_at = Instant::now();
     let read = rows::read_owner(&shared).await;
     let read_ms = u32::try_from(began_at.elapsed().as_millis()).ok();
-    let _ = reply.send(ReachStoreAnswer { reached: read.is_ok(), read_ms });
+    let measures_speed = shared.own_work_time.get().is_some();
+    let work_time_us = measures_speed.then(|| speed_probe::measure_now().as_us());
+    let _ = reply.send(ReachStoreAnswer { reached: read.is_ok(), read_ms, work_time_us });
 }
 
 /// Requests that this box take over from a stopped owner, and replies with the owner after that.
--- a/crates/kitetraild/src/fleet/relief_watch.rs
+++ b/crates/kitetraild/src/fleet/relief_watch.rs
@@ -5,13 +5,16 @@
 use kitetrail_core::{
     Time,
     jobs::LoadPart,
-    owner_relief::{KeepReason, OwnerRelief, ReliefDecision, ReliefInput, ReliefPause},
+    owner_relief::{
+        KeepReason, OwnerRelief, ReliefDecision, ReliefInput, ReliefPause, SuccessorAnswer,
+        WorkTime,
+    },
 };
 use kitetrail_proto::jobs::{ReachStoreAnswer, ReachStoreRequest, TakeOverRequest};
 use tokio::{sync::mpsc, task};
 use tonic::Response;
 
-use super::{Platform, owner::OwnerMessage, peers, shared::Shared, takeover};
+use super::{Platform, owner::OwnerMessage, peers, shared::Shared, speed_probe, takeover};
 
 /// The timeout of the question whether a box can take over.
 /// The call takes a few milliseconds, but on a machine that is six times slower, its thread shares the processor with
@@ -84,16 +87,19 @@
         &mut self,
         shared: &Shared<P>,
         successor: SocketAddr,
-        store_read_time: Option<Duration>,
+        answer: Option<SuccessorAnswer>,
     ) -> Option<ReliefPause> {
         let now = shared.clock.now();
-        let hands_over = self.relief.record_answer(store_read_time, now);
+        let own_work_time = speed_probe::measure_now();
+        let hands_over = self.relief.record_answer(answer, own_work_time, now);
         shared.metrics.record_owner_relief(if hands_over { "handed over" } else { "kept" });
         let pause = self.relief.next_pause(now);
         log::warn!(
             peer = successor.to_string(), hands_over = hands_over,
             lag_ms = self.relief.mean_lag().as_millis() as u64,
-            store_read_ms:? = store_read_time.map(|time| time.as_millis()),
+            own_work_us = own_work_time.as_us(),
+            work_us:? = answer.map(|answer| answer.work_time.as_us()),
+            store_read_ms:? = answer.map(|answer| answer.store_read_time.as_millis()),
             next_after_ms = pause.as_ms();
             "owner: decided about a handover to a faster box"
         );
@@ -106,17 +112,22 @@
     let answer = peers::call_directly(successor, ASK_TIMEOUT, async |mut client| {
         client.reach_store(ReachStoreRequest {}).await
     });
-    let read_time = match answer.await.map(Response::into_inner) {
-        Ok(ReachStoreAnswer { reached: true, read_ms }) => {
-            read_ms.map(|read_ms| Duration::from_millis(read_ms.into()))
-        }
+    let answer = match answer.await.map(Response::into_inner) {
+        Ok(ReachStoreAnswer {
+            reached: true,
+            read_ms: Some(read_ms),
+            work_time_us: Some(time_us),
+        }) => Some(SuccessorAnswer {
+            store_read_time: Duration::from_millis(read_ms.into()),
+            work_time: WorkTime::from_us(time_us),
+        }),
         Ok(_) => None,
         Err(status) => {
             log::info!(peer = successor.to_string(); "owner: a faster box did not answer: {status}");
             None
         }
     };
-    let _ = owner.send(OwnerMessage::ReliefAnswered(successor, read_time)).await;
+    let _ = owner.send(OwnerMessage::ReliefAnswered(successor, answer)).await;
 }
 
 /// Asks a box to relieve this owner, which has stopped, and records the new owner.
--- a/crates/kitetraild/src/fleet/speed_probe.rs
+++ b/crates/kitetraild/src/fleet/speed_probe.rs
@@ -16,6 +16,8 @@
 /// The number of steps of the reference work, some 50 us on a whole core: long compared to the resolution of clocks,
 /// and 0.05 % of the interval.
 const STEPS: u64 = 30_000;
+/// The number of measurements that are made at once if the speed is needed at once.
+const MEASUREMENTS_NOW: usize = 3;
 
 /// Measures the reference work at regular intervals, until the box stops.
 pub(super) async fn run<P: Platform>(shared: Rc<Shared<P>>) {
@@ -27,6 +29,11 @@
     }
 }
 
+/// Measures the speed now: the shortest of some times, so that an interruption does not count.
+pub(super) fn measure_now() -> WorkTime {
+    (0..MEASUREMENTS_NOW).map(|_| measure()).min().unwrap_or_else(measure)
+}
+
 /// Does the reference work and returns the time it took.
 fn measure() -> WorkTime {
     let started = Instant::now();
