--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -29,6 +29,7 @@
     suspensions: Counter<u64>,
     hand_ins: Counter<u64>,
     hand_in_expected_ms: Histogram<f64>,
+    owner_reliefs: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
     operator_rows: Gauge<u64>,
@@ -111,6 +112,10 @@
                 .f64_histogram("kitetrail.hand_in.expected_ms")
                 .with_description("Expected time until a new job is persisted, by decision")
                 .build(),
+            owner_reliefs: meter
+                .u64_counter("kitetrail.owner.reliefs")
+                .with_description("Decisions of a late owner about a handover, by decision")
+                .build(),
             evacuated_zones: meter
                 .u64_gauge("kitetrail.evacuated.zones")
                 .with_description(
@@ -152,6 +157,11 @@
         self.decisions.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a decision of a late owner about a handover.
+    pub fn record_owner_relief(&self, decision: &'static str) {
+        self.owner_reliefs.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Counts a transaction.
     pub fn record_commit(&self, answer: &'static str) {
         self.commits.add(1, &[KeyValue::new("answer", answer)]);
