The load of a service can be forecast from its reports

Best-effort tasks of 1.5 to 4 s are placed by the load of the moment.

Ruled out: one phase for each image; a trend.

Change: LoadSeries follows the load of one service with a Kalman filter of a level and a swing for each of 20 periods. Periods selects the period with the smallest error over all services of an image. A forecast is given only where forecasts were better by a quarter than both the recent average and the level alone, and not right after a jump or a gap. Not used by any decision yet.

Tests: swing with noise at five periods, noise alone, a jump, missing reports, loads without a period.

--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -37,6 +37,8 @@
     ProgressRecord, Record, ServingEffects, StepProgress,
 };
 pub use report::{Poll, PollFailure, Report, RunEnd, RunResult, RunningTask};
-pub use scheduler::{InheritedState, Scheduler, SchedulerSettings};
+pub use scheduler::{
+    InheritedState, LoadForecast, LoadSeries, Periods, Scheduler, SchedulerSettings,
+};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
 pub use worker_entry::WorkerEntry;
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod lateness;
 mod lease_length;
 mod leasing;
+mod load_forecast;
 mod orders;
 mod overload;
 mod pace;
@@ -50,7 +51,10 @@
     time::Duration,
 };
 
-pub use self::inherit::InheritedState;
+pub use self::{
+    inherit::InheritedState,
+    load_forecast::{LoadForecast, LoadSeries, Periods},
+};
 use self::{
     backlog::StartedTasks, crash_attribution::LostWorker, deferred_starts::DeferredStarts,
     evacuation::ZoneEvacuation, first_polls::FirstPolls, lease_length::MIN_LEASE,
