Best-effort tasks are placed by the load that services are expected to have

Cause: a best-effort task of 2 s is placed by the stress of the moment plus a constant; a service's load swings by 0.18 of stress.

Change, with `load-forecast` in the list of parts only: ServiceLoads follows the load of each serving step; Headroom takes the highest load within 1, 2 or 5 s, whichever covers the task's estimated time, for the penalty and the expected pace. The owner logs each second how well the services of one image can be forecast, and two gauges count the services followed and forecast. State is in memory.

A new owner has no forecast until it has learned; a burst is not taken for a swing.

--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -211,4 +211,23 @@
         /// The highest tail latency on the worker relative to its target, in percent.
         tail_of_target_percent: u32,
     },
+    /// How well the loads of the services of one image can be forecast.
+    LoadForecast {
+        /// The image.
+        image: String,
+        /// The period with which the loads swing, in milliseconds.
+        period_ms: u64,
+        /// The number of services of the image.
+        services: u32,
+        /// The number of services whose load is forecast.
+        forecasts: u32,
+        /// The number of services of all images.
+        all_services: u32,
+        /// The number of these whose load is forecast.
+        all_forecasts: u32,
+        /// The mean load expected in 2 s, over these services, in percent.
+        level_percent: u32,
+        /// The mean error of forecasts 2 s ahead, over these services, in thousandths.
+        error_permille: u32,
+    },
 }
--- a/crates/kitetrail-core/src/jobs/names.rs
+++ b/crates/kitetrail-core/src/jobs/names.rs
@@ -111,7 +111,7 @@
 }
 
 /// The name of a step in one occurrence of its job's schedule.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct StepName {
     pub(super) job: JobId,
     pub(super) occurrence: u32,
--- a/crates/kitetrail-core/src/jobs/run.rs
+++ b/crates/kitetrail-core/src/jobs/run.rs
@@ -1,7 +1,7 @@
 //! A run on a worker, as far as the scheduler knows.
 
 use super::{
-    scheduler::{filter::Estimate, tails::ImageNo},
+    scheduler::{LoadForecast, filter::Estimate, tails::ImageNo},
     spec::StepSpec,
 };
 use crate::{Resources, Time};
@@ -78,6 +78,8 @@
     pub(super) paced_percent: u8,
     /// The estimated stress from its own load, for a serving run.
     pub(super) own_stress: Estimate,
+    /// The forecast of that stress, if there is one.
+    pub(super) load_forecast: Option<LoadForecast>,
     /// The time at which its gauge was last used for learning.
     pub(super) learned_at: Option<Time>,
     /// The time since which every report has shown the tail latency above its target.
@@ -105,6 +107,7 @@
             gauge: None,
             paced_percent: FULL_PACE_PERCENT,
             own_stress: Estimate::own_prior(),
+            load_forecast: None,
             learned_at: None,
             above_target_since: None,
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -10,8 +10,8 @@
         spec::StepSpec,
     },
     free_capacity::{FreeCapacity, added_stress, capacity_millis, full_speed_loads},
+    headroom::{PaceAt, Window},
     lateness::Lateness,
-    pace::OWN_STRESS_RISE,
     short_tasks::ShortTasks,
     tails::{ImageNo, TailModel},
 };
@@ -124,14 +124,14 @@
         match (spec.best_effort, spec.tail_target_ms.is_some()) {
             (true, _) => {
                 let min_pace = if spec.keeps_progress { MIN_PACE } else { MIN_PACE_IMMOVABLE };
-                let headroom = free_capacity.headroom(instance, self.tails);
-                let pace =
-                    |stress_rise| headroom.expected_pace(self.tails, self.image, load, stress_rise);
-                if pace(0.0) < min_pace {
+                let headroom = free_capacity.headroom(instance, self.tails, self.now);
+                let window = Window::covering(Duration::from_millis(spec.estimate_ms));
+                let pace = |at| headroom.expected_pace(self.tails, self.image, load, at);
+                if pace(PaceAt::Start) < min_pace {
                     return None;
                 }
-                let penalty = headroom.added_penalty(self.tails, self.image, load);
-                let slowed = 1.0 - pace(OWN_STRESS_RISE);
+                let penalty = headroom.added_penalty(self.tails, self.image, load, window);
+                let slowed = 1.0 - pace(PaceAt::Peak(window));
                 let is_acceptable = penalty <= self.lateness.max_added_penalty();
                 is_acceptable.then_some(slowed + penalty + SCARCITY_WEIGHT * headroom.tolerance)
             }
@@ -139,7 +139,7 @@
                 let stress =
                     added_stress(self.tails, &full_speed_loads(instance), self.image).min(1.0);
                 let serves_only_others = free_capacity
-                    .headroom(instance, self.tails)
+                    .headroom(instance, self.tails, self.now)
                     .serves_only_other_images(self.image);
                 Some(stress + if serves_only_others { OTHER_IMAGE_WEIGHT } else { 0.0 })
             }
--- a/crates/kitetrail-core/src/jobs/scheduler/free_capacity.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/free_capacity.rs
@@ -7,7 +7,7 @@
     headroom::Headroom,
     tails::{ImageNo, Load, TailModel},
 };
-use crate::{Accelerators, CpuMillis, MemoryMb, Resources};
+use crate::{Accelerators, CpuMillis, MemoryMb, Resources, Time};
 
 /// The most processor time of a worker that may be committed, with best-effort tasks at full speed,
 /// in percent of its capacity.
@@ -96,8 +96,13 @@
     }
 
     /// Returns the headroom of the serving tasks on `instance`, the worker that this belongs to.
-    pub(super) fn headroom(&self, instance: &WorkerInstance, tails: &TailModel) -> &Headroom {
-        self.headroom.get_or_init(|| Headroom::of(instance, tails))
+    pub(super) fn headroom(
+        &self,
+        instance: &WorkerInstance,
+        tails: &TailModel,
+        now: Time,
+    ) -> &Headroom {
+        self.headroom.get_or_init(|| Headroom::of(instance, tails, now))
     }
 }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/gauges.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/gauges.rs
@@ -5,6 +5,7 @@
 use super::{
     super::instance::WorkerInstance,
     free_capacity::{capacity_millis, loads_by},
+    load_forecast::ServiceLoads,
     tails::{Load, TailModel, TailReport},
 };
 use crate::Time;
@@ -12,11 +13,16 @@
 /// The time window that a gauge covers, as specified by the platform.
 const GAUGE_WINDOW: Duration = Duration::from_millis(500);
 
-/// Updates the interference model from a worker's latest report.
-pub(super) fn learn_interference(tails: &mut TailModel, instance: &mut WorkerInstance, now: Time) {
+/// Updates the interference model and the forecasts from a worker's latest report.
+pub(super) fn learn_interference(
+    tails: &mut TailModel,
+    mut service_loads: Option<&mut ServiceLoads>,
+    instance: &mut WorkerInstance,
+    now: Time,
+) {
     let loads = loads_in_window(instance, now);
     instance.free_capacity = None;
-    for (_, run) in instance.runs_mut() {
+    for (task, run) in instance.runs_mut() {
         let (Some(tail_ms), Some(target_ms)) = (run.gauge, run.tail_target_ms) else { continue };
         if tail_ms == 0 {
             continue;
@@ -32,7 +38,10 @@
             since_last_report_s,
             reported_at: now,
         };
-        tails.learn(run.image, &mut run.own_stress, &loads, tail);
+        let own_stress = tails.learn(run.image, &mut run.own_stress, &loads, tail);
+        if let (Some(service_loads), Some(own_stress)) = (&mut service_loads, own_stress) {
+            run.load_forecast = service_loads.observe(task.step_name(), run.image, own_stress, now);
+        }
     }
 }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/load_forecast/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/load_forecast/mod.rs
@@ -4,6 +4,8 @@
 mod forecast;
 mod periods;
 mod series;
+mod services;
 mod swing;
 
+pub(super) use self::services::ServiceLoads;
 pub use self::{forecast::LoadForecast, periods::Periods, series::LoadSeries};
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -13,6 +13,7 @@
 pub(super) mod filter;
 mod first_polls;
 mod fit;
+mod forecasts;
 pub(super) mod free_capacity;
 mod gauges;
 mod headroom;
@@ -51,21 +52,22 @@
     time::Duration,
 };
 
-pub use self::{
-    inherit::InheritedState,
-    load_forecast::{LoadForecast, LoadSeries, Periods},
-};
 use self::{
     backlog::StartedTasks, crash_attribution::LostWorker, deferred_starts::DeferredStarts,
     evacuation::ZoneEvacuation, first_polls::FirstPolls, lease_length::MIN_LEASE,
-    overload::Overload, pending::PendingRecords, short_tasks::ShortTasks, tails::TailModel,
+    load_forecast::ServiceLoads, overload::Overload, pending::PendingRecords,
+    short_tasks::ShortTasks, tails::TailModel,
+};
+pub use self::{
+    inherit::InheritedState,
+    load_forecast::{LoadForecast, LoadSeries, Periods},
 };
 use super::{
     event::{Action, Event, JobState},
     instance::InstanceNo,
     instances::Instances,
     job::Job,
-    load_parts::LoadParts,
+    load_parts::{LoadPart, LoadParts},
     log_entry::LogEntry,
     names::{JobId, QueueName, TaskName, WorkerName},
     record::Outcome,
@@ -137,6 +139,8 @@
     pending: PendingRecords,
     deferred_starts: DeferredStarts,
     tails: TailModel,
+    /// The loads of services, if they are forecast.
+    service_loads: Option<ServiceLoads>,
     short_tasks: ShortTasks,
     evacuation: ZoneEvacuation,
     overload: Overload,
@@ -164,6 +168,7 @@
         let mut scheduler = Self {
             lease: settings.max_lease.min(MIN_LEASE),
             longest_lease: settings.max_lease.min(MIN_LEASE),
+            service_loads: settings.parts.has(LoadPart::LoadForecast).then(ServiceLoads::default),
             settings,
             epoch,
             now,
@@ -353,6 +358,7 @@
         }
         self.evacuate_zones_if_due();
         self.report_backlog_if_due();
+        self.report_forecasts_if_due();
         // Back-offs and quarantines end without an event of their own.
         self.placement_needed = true;
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/pace.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pace.rs
@@ -41,7 +41,12 @@
     /// Learns from the latest report of a worker, and adjusts the pace of its best-effort runs.
     pub(super) fn learn_and_update_paces(&mut self, instance_no: InstanceNo) {
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
-        gauges::learn_interference(&mut self.tails, instance, self.now);
+        gauges::learn_interference(
+            &mut self.tails,
+            self.service_loads.as_mut(),
+            instance,
+            self.now,
+        );
         self.update_paces(instance_no);
         self.move_slowed(instance_no);
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/slowed.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/slowed.rs
@@ -11,6 +11,7 @@
     },
     Scheduler,
     free_capacity::capacity_millis,
+    headroom::PaceAt,
 };
 use crate::Time;
 
@@ -58,8 +59,8 @@
         let instance = self.instances.get(instance_no)?;
         let image = *self.jobs.get(&name.job)?.images.get(name.step as usize)?;
         let load = f64::from(spec.size.cpu_millis.0) / capacity_millis(instance);
-        let headroom = instance.free_capacity.as_ref()?.headroom(instance, &self.tails);
-        Some(headroom.expected_pace(&self.tails, image, load, 0.0))
+        let headroom = instance.free_capacity.as_ref()?.headroom(instance, &self.tails, self.now);
+        Some(headroom.expected_pace(&self.tails, image, load, PaceAt::Start))
     }
 }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -24,7 +24,7 @@
 const MAX_EXPORTED_IMAGES: usize = 64;
 
 /// The number of an image within one scheduler.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(in crate::jobs) struct ImageNo(u32);
 
 impl ImageNo {
@@ -71,6 +71,12 @@
         number
     }
 
+    /// Returns the name of an image.
+    pub(super) fn name(&self, image: ImageNo) -> &str {
+        let named = self.numbers.iter().find(|(_, number)| **number == image);
+        named.map_or("", |(name, _)| name.as_str())
+    }
+
     /// Returns the learned effects, to be persisted.
     pub(super) fn export(&self) -> EffectsRecord {
         let names = self.numbers.iter().map(|(name, number)| (*number, name.as_str()));
@@ -132,18 +138,19 @@
     }
 
     /// Learns from a report: corrects the estimates of the task's own stress and of the effects of
-    /// the best-effort tasks beside it.
+    /// the best-effort tasks beside it. Returns the reported stress without the effects, or `None`
+    /// if it was too high to be measured.
     pub(super) fn learn(
         &mut self,
         serving_image: ImageNo,
         own: &mut Estimate,
         loads: &[Load],
         tail: TailReport,
-    ) {
+    ) -> Option<f64> {
         for &(best_effort_image, _) in loads {
             self.record_best_effort_image(best_effort_image);
         }
-        let Some(image) = self.images.get_mut(serving_image.index()) else { return };
+        let image = self.images.get_mut(serving_image.index())?;
         let tail_ms = tail.tail_ms.max(1.0);
         image.lowest_ms = Some(image.lowest_ms.unwrap_or(tail_ms).min(tail_ms));
         let unloaded_tail_ms = unloaded_tail_ms(image.lowest_ms, tail.target_ms);
@@ -151,6 +158,11 @@
         own.drift(tail.since_last_report_s);
         image.drift(tail.reported_at);
         image.learn(own, loads, stress);
+        let added = loads.iter().map(|&(best_effort_image, load)| {
+            image.effect(best_effort_image).unwrap_or(EFFECT_PRIOR) * load
+        });
+        let own_stress = stress - added.sum::<f64>();
+        (stress < MAX_STRESS).then_some(own_stress.max(0.0))
     }
 
     fn record_best_effort_image(&mut self, best_effort_image: ImageNo) {
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -97,6 +97,22 @@
             tail_of_target_percent = *tail_of_target_percent;
             "worker: best-effort tasks throttled"
         ),
+        LogEntry::LoadForecast {
+            image,
+            period_ms,
+            services,
+            forecasts,
+            all_services,
+            all_forecasts,
+            level_percent,
+            error_permille,
+        } => log::info!(
+            image = image.as_str(), period_ms = *period_ms, services = *services,
+            forecasts = *forecasts, all_services = *all_services,
+            all_forecasts = *all_forecasts, level_percent = *level_percent,
+            error_permille = *error_permille;
+            "owner: loads of services forecast"
+        ),
     }
 }
 
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -63,6 +63,9 @@
             }
             LogEntry::WorkerRestarted { .. } => self.shared.metrics.record_worker_restart(),
             LogEntry::CrashingTaskFailed { .. } => self.shared.metrics.record_crashing_job(),
+            LogEntry::LoadForecast { all_services, all_forecasts, .. } => {
+                self.shared.metrics.record_load_forecasts(*all_services, *all_forecasts);
+            }
             _ => {}
         }
         log_entries::log_entry(decision);
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -27,6 +27,8 @@
     suspensions: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     evacuated_runs_left: Gauge<u64>,
+    followed_services: Gauge<u64>,
+    forecast_services: Gauge<u64>,
 }
 
 impl Metrics {
@@ -98,6 +100,14 @@
                 .u64_gauge("kitetrail.evacuated.runs_left")
                 .with_description("Runs that are left in these zones, as the owner knows")
                 .build(),
+            followed_services: meter
+                .u64_gauge("kitetrail.load_forecast.followed")
+                .with_description("Services whose load the owner follows")
+                .build(),
+            forecast_services: meter
+                .u64_gauge("kitetrail.load_forecast.forecast")
+                .with_description("Services whose load the owner can forecast")
+                .build(),
             registry,
             provider,
         })
@@ -145,6 +155,12 @@
         self.suspensions.add(1, &[]);
     }
 
+    /// Records how many services' loads the owner follows and can forecast.
+    pub fn record_load_forecasts(&self, followed: u32, forecast: u32) {
+        self.followed_services.record(u64::from(followed), &[]);
+        self.forecast_services.record(u64::from(forecast), &[]);
+    }
+
     /// Counts a call of a policy function that failed.
     pub fn record_policy_fault(&self, function: &'static str) {
         self.policy_faults.add(1, &[KeyValue::new("function", function)]);
