--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -50,7 +50,9 @@
 pub use report::{Poll, PollFailure, Report, RunEnd, RunResult, RunningTask};
 pub use retry_delay::RetryDelay;
 pub use room::Room;
-pub use scheduler::{InheritedState, Scheduler, SchedulerSettings};
+pub use scheduler::{
+    InheritedState, LoadForecast, LoadSeries, Periods, Scheduler, SchedulerSettings,
+};
 pub use shares::{Allowance, Claim, ShareBound, divide};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
 pub use worker_entry::WorkerEntry;
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod first_polls;
 mod fit;
 mod fleet_health;
+mod forecasts;
 pub(super) mod free_capacity;
 mod gaps;
 mod gauges;
@@ -28,6 +29,7 @@
 mod lease_length;
 mod leasing;
 mod length_model;
+mod load_forecast;
 mod operator_holds;
 mod orders;
 mod overload;
@@ -62,14 +64,17 @@
     time::Duration,
 };
 
-pub use self::inherit::InheritedState;
 use self::{
     backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
     deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
-    fleet_health::FleetHealth, gaps::Gaps, lease_length::MIN_LEASE, overload::Overload,
-    pending::PendingRecords, preempting::Preemptions, run_lengths::RunLengths,
+    fleet_health::FleetHealth, gaps::Gaps, lease_length::MIN_LEASE, load_forecast::ServiceLoads,
+    overload::Overload, pending::PendingRecords, preempting::Preemptions, run_lengths::RunLengths,
     short_tasks::ShortTasks, tails::TailModel,
 };
+pub use self::{
+    inherit::InheritedState,
+    load_forecast::{LoadForecast, LoadSeries, Periods},
+};
 use super::{
     event::{Action, Event, JobState},
     instance::InstanceNo,
@@ -148,6 +153,8 @@
     pending: PendingRecords,
     deferred_starts: DeferredStarts,
     tails: TailModel,
+    /// The loads of services, if they are forecast.
+    service_loads: Option<ServiceLoads>,
     short_tasks: ShortTasks,
     gaps: Gaps,
     claimants: Claimants,
@@ -181,6 +188,7 @@
         let mut scheduler = Self {
             lease: settings.max_lease.min(MIN_LEASE),
             longest_lease: settings.max_lease.min(MIN_LEASE),
+            service_loads: settings.parts.has(LoadPart::LoadForecast).then(ServiceLoads::default),
             settings,
             epoch,
             now,
@@ -383,6 +391,7 @@
         self.confirm_suspects();
         self.evacuate_zones_if_due();
         self.report_backlog_if_due();
+        self.report_forecasts_if_due();
         // Back-offs and quarantines end without an event of their own.
         self.placement_needed = true;
     }
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -140,6 +140,22 @@
             after_ms = *after_ms, suspects = *suspects;
             "worker: health changed"
         ),
+        LogEntry::LoadForecast {
+            image,
+            period_ms,
+            services,
+            forecasts,
+            all_services,
+            all_forecasts,
+            level_percent,
+            error_permille,
+        } => log::info!(
+            image = image.as_str(), period_ms = *period_ms, services = *services,
+            forecasts = *forecasts, all_services = *all_services,
+            all_forecasts = *all_forecasts, level_percent = *level_percent,
+            error_permille = *error_permille;
+            "owner: loads of services forecast"
+        ),
     }
 }
 
--- a/crates/kitetraild/src/fleet/owner/actions.rs
+++ b/crates/kitetraild/src/fleet/owner/actions.rs
@@ -92,6 +92,9 @@
                 *taken_percent,
                 *allowance_percent,
             ),
+            LogEntry::LoadForecast { all_services, all_forecasts, .. } => {
+                self.shared.metrics.record_load_forecasts(*all_services, *all_forecasts);
+            }
             _ => {}
         }
         log_entries::log_entry(decision);
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -35,6 +35,8 @@
     operator_rows: Gauge<u64>,
     preempted_runs: Counter<u64>,
     queue_room_percent: Gauge<u64>,
+    followed_services: Gauge<u64>,
+    forecast_services: Gauge<u64>,
 }
 
 impl Metrics {
@@ -130,6 +132,14 @@
                 .u64_gauge("kitetrail.operator_rows")
                 .with_description("Operators' rows in force, as the owner knows")
                 .build(),
+            followed_services: meter
+                .u64_gauge("kitetrail.load_forecast.followed")
+                .with_description("Services whose load the owner follows")
+                .build(),
+            forecast_services: meter
+                .u64_gauge("kitetrail.load_forecast.forecast")
+                .with_description("Services whose load the owner can forecast")
+                .build(),
             registry,
             provider,
             preempted_runs: meter
@@ -205,6 +215,12 @@
         self.suspensions.add(1, &[]);
     }
 
+    /// Records how many services' loads the owner follows and can forecast.
+    pub fn record_load_forecasts(&self, followed: u32, forecast: u32) {
+        self.followed_services.record(u64::from(followed), &[]);
+        self.forecast_services.record(u64::from(forecast), &[]);
+    }
+
     /// Counts a call of a policy function that failed.
     pub fn record_policy_fault(&self, function: &'static str) {
         self.policy_faults.add(1, &[KeyValue::new("function", function)]);
