Failed runs count against their workers again where wide jobs meet several failing ones

Cause: of a job that failed on two workers no failure counted any more, and a wide job meets two failing workers at once, so that quarantine came late. Change: a failure counts as soon as a task of its step was completed anywhere; until then once for each of two workers of a job.

Test red before (one failure a job): workers_that_fail_everything_are_quarantined_although_wide_jobs_meet_several. A check of the simulated fleet compared starts with the third failure in the order of acknowledgements, which differs between workers; the third in time is what counts, and neither a later start nor an earlier one passes.

--- a/crates/kitetrail-core/src/jobs/scheduler/fleet_health.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fleet_health.rs
@@ -1,6 +1,9 @@
 //! Tells slow workers from slowdowns that all workers share.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use super::{
     super::{instance::InstanceNo, names::JobId},
@@ -139,14 +142,16 @@
         !failed_before
     }
 
-    /// Returns whether only one run of a job failed recently.
-    pub(in crate::jobs) fn is_first_failure(&self, job: JobId) -> bool {
-        self.failures.iter().filter(|failure| failure.job == job).count() <= 1
+    /// Returns the number of workers on which runs of a job failed recently, with the given one.
+    pub(in crate::jobs) fn failing_workers(&self, job: JobId, instance_no: InstanceNo) -> usize {
+        let of_job = self.failures.iter().filter(|failure| failure.job == job);
+        let workers = of_job.map(|failure| failure.instance_no).chain([instance_no]);
+        workers.collect::<BTreeSet<_>>().len()
     }
 
-    /// Returns whether a run of a job failed recently on another worker.
-    pub(in crate::jobs) fn fails_elsewhere(&self, job: JobId, instance_no: InstanceNo) -> bool {
-        let mut failures = self.failures.iter();
-        failures.any(|failure| failure.job == job && failure.instance_no != instance_no)
+    /// Returns the number of runs of a job that failed recently on a worker.
+    pub(in crate::jobs) fn failures_on(&self, job: JobId, instance_no: InstanceNo) -> usize {
+        let here = |failure: &&Failure| failure.job == job && failure.instance_no == instance_no;
+        self.failures.iter().filter(here).count()
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/health_checks.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/health_checks.rs
@@ -27,6 +27,9 @@
 const SOUND_TAIL_OF_TARGET: f64 = 0.7;
 /// The owner's lag up to which the time of a start is exact enough: intervals are 300 ms and longer.
 const MAX_START_LAG: Duration = Duration::from_millis(50);
+/// The number of workers against which failed runs of one job count. A wide job meets one or two
+/// failing workers where a twentieth of them fail.
+const MAX_BLAMED_WORKERS: usize = 2;
 /// The share of its processor time that a best-effort run must get for its progress to count.
 const MIN_CPU_SHARE: f64 = 0.9;
 
@@ -155,17 +158,20 @@
         }
     }
 
-    /// Returns whether a failed run counts against its worker. Of a job that fails repeatedly only the
-    /// first does, unless other tasks of it were completed and it fails on no other worker.
+    /// Returns whether a failed run counts against its worker. Until a task of its step is completed,
+    /// the job may be the cause: then it counts once for each of a few workers.
     pub(super) fn blames_worker_for_failure(
         &self,
         instance_no: InstanceNo,
         name: TaskName,
     ) -> bool {
         let step = self.jobs.get(&name.job).and_then(|job| job.step(name.step_name()));
-        let works_elsewhere = step.is_some_and(|step| step.done > 0)
-            && !self.fleet_health.fails_elsewhere(name.job, instance_no);
-        !self.judges_workers() || self.fleet_health.is_first_failure(name.job) || works_elsewhere
+        let works_elsewhere = step.is_some_and(|step| step.done > 0);
+        let health = &self.fleet_health;
+        !self.judges_workers()
+            || works_elsewhere
+            || health.failing_workers(name.job, instance_no) <= MAX_BLAMED_WORKERS
+                && health.failures_on(name.job, instance_no) <= 1
     }
 
     /// Returns whether a task takes about as long on a worker as others of its kind on theirs: it
--- a/crates/kitetrail-core/tests/fleet/restarts.rs
+++ b/crates/kitetrail-core/tests/fleet/restarts.rs
@@ -120,6 +120,8 @@
     fn record_failed(&mut self, name: TaskName, at: Time) {
         let failed = self.acknowledged_ends.failed.entry(name).or_default();
         failed.push(at);
+        // Ends of several workers are acknowledged in another order than they occurred.
+        failed.sort_unstable();
         let max_failures = queue().max_attempts as usize;
         let Some(last) = failed.get(max_failures - 1) else { return };
         let restarted =
--- a/crates/kitetrail-core/tests/jobs_worker_health.rs
+++ b/crates/kitetrail-core/tests/jobs_worker_health.rs
@@ -134,6 +134,24 @@
     assert_eq!(quarantined.count(), 0, "workers quarantined for the fault of a job");
 }
 
+#[test]
+fn workers_that_fail_everything_are_quarantined_although_wide_jobs_meet_several() {
+    let mut load = SteadyLoad::learned(parts());
+    let failing = load.set_tenth(Behaviour::Failing);
+    let since = load.fleet.now;
+    for id in 9_000..9_010 {
+        load.fleet.submit(id, job(vec![step(WORKERS)]));
+        load.run_for(300);
+    }
+    let quarantined = load.fleet.log_entries.iter().filter_map(|(at, entry)| match entry {
+        LogEntry::Worker { worker, state: "quarantined: its runs fail", .. } if *at >= since => {
+            Some(worker.to_string())
+        }
+        _ => None,
+    });
+    assert_eq!(quarantined.collect::<BTreeSet<_>>(), failing);
+}
+
 #[test]
 fn new_owner_finds_slow_workers_itself() {
     let mut load = SteadyLoad::learned(parts());
