--- a/crates/kitetrail-core/tests/jobs_worker_health.rs
+++ b/crates/kitetrail-core/tests/jobs_worker_health.rs
@@ -139,9 +139,9 @@
     let mut load = SteadyLoad::learned(parts());
     let failing = load.set_tenth(Behaviour::Failing);
     let since = load.fleet.now;
-    for id in 9_000..9_010 {
+    for id in 9_000..9_006 {
         load.fleet.submit(id, job(vec![step(WORKERS)]));
-        load.run_for(300);
+        load.fleet.advance_ms(500);
     }
     let quarantined = load.fleet.log_entries.iter().filter_map(|(at, entry)| match entry {
         LogEntry::Worker { worker, state: "quarantined: its runs fail", .. } if *at >= since => {
