--- a/crates/kitetrail-core/src/jobs/operator_rows.rs
+++ b/crates/kitetrail-core/src/jobs/operator_rows.rs
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkerHold {
-    /// Nothing is started there. What runs there goes on to its end.
+    /// Nothing is started there. What runs there ends by itself.
     Cordoned,
     /// The same, and long tasks move to other workers as these have room.
     Drained,
--- a/crates/kitetrail/src/args.rs
+++ b/crates/kitetrail/src/args.rs
@@ -196,7 +196,7 @@
 /// Workers of the users' platform: take one out of use, or back into use.
 #[derive(Debug, Subcommand)]
 pub enum WorkerCommand {
-    /// Start nothing more on a worker. What runs there goes on to its end.
+    /// Start nothing more on a worker. What runs there ends by itself.
     Cordon(WorkerArgs),
     /// Start nothing more on a worker, and move its long tasks to others.
     Drain(WorkerArgs),
