--- a/crates/kitetrail-core/src/jobs/load_parts.rs
+++ b/crates/kitetrail-core/src/jobs/load_parts.rs
@@ -28,15 +28,13 @@
     Shares,
     /// Best-effort tasks are stopped for tasks of more urgent queues.
     Preemption,
-    /// Jobs that can't complete in time are refused at submission.
-    Admission,
     /// Operators pause queues and take workers out of use.
     OperatorRows,
 }
 
 impl LoadPart {
     /// All parts.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 9] = [
         Self::HandIn,
         Self::QuickRefusal,
         Self::OwnerRelief,
@@ -45,7 +43,6 @@
         Self::LoadForecast,
         Self::Shares,
         Self::Preemption,
-        Self::Admission,
         Self::OperatorRows,
     ];
 
@@ -60,7 +57,6 @@
             Self::LoadForecast => "load-forecast",
             Self::Shares => "shares",
             Self::Preemption => "preemption",
-            Self::Admission => "admission",
             Self::OperatorRows => "operator-rows",
         }
     }
