--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -142,6 +142,12 @@
         self.workers.is_empty() && self.begun.is_none()
     }
 
+    /// Returns the size of the stored crashes, in bytes.
+    pub(super) fn stored_bytes(&self) -> usize {
+        // The crashes contain only strings and numbers, so serialisation can't fail.
+        serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
+    }
+
     /// Returns whether the task must run alone on its worker.
     pub fn runs_alone(&self) -> bool {
         self.fell_at_once || self.workers.len() >= CRASHES_TO_RUN_ALONE
--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -1,6 +1,7 @@
 //! An accepted job: its specification and its progress.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
@@ -10,6 +11,8 @@
     crashes::PersistedStart,
     event::{JobRequestId, JobState},
     names::{JobId, StepName, TaskName},
+    progress_key::ProgressKey,
+    progress_parts::ProgressParts,
     record::{JobRecord, OccurrenceProgress, Outcome, ProgressRecord},
     scheduler::tails::ImageNo,
     spec::{JobSpec, QueueTerms, StepSpec},
@@ -17,10 +20,9 @@
 };
 use crate::Time;
 
-/// The maximum number of tasks of a job whose crashes are stored, at 150 bytes each. It keeps the
-/// row below the store's limit of 64 KiB: when 2,000 tasks were lost at once, the row had 200 KB,
-/// and an owner whose write the store refuses loses the fleet.
-const MAX_TASKS_WITH_STORED_CRASHES: usize = 128;
+/// The most bytes that the crashes of a part's tasks take. With the other progress of its tasks they
+/// fit into a row of the store.
+const MAX_CRASH_BYTES: usize = 12 * 1_024;
 
 /// An accepted job.
 #[derive(Debug)]
@@ -36,6 +38,10 @@
     /// The outcome as decided. If the job has ended, the outcome is not persisted yet.
     pub(super) outcome: Outcome,
     pub(super) ended_unix_ms: Option<u64>,
+    /// The division of its progress into rows.
+    pub(super) parts: ProgressParts,
+    /// The parts of its progress that the store may hold.
+    pub(super) stored_parts: BTreeSet<u32>,
     /// Whether the job is persisted.
     pub(super) is_persisted: bool,
     pub(super) has_started: bool,
@@ -63,6 +69,7 @@
         now: Time,
         unix_ms: u64,
     ) -> Self {
+        let parts = ProgressParts::new(&spec, queue.max_attempts);
         let mut job = Self {
             id,
             payload: spec.payload.as_str().into(),
@@ -73,6 +80,8 @@
             accepted_at: now,
             outcome: Outcome::Open,
             ended_unix_ms: None,
+            parts,
+            stored_parts: BTreeSet::new(),
             is_persisted: false,
             has_started: false,
             may_have_waiting_tasks: true,
@@ -94,7 +103,7 @@
     /// Restores a job from its rows in the store. Its next runs get numbers above `run_floor`.
     pub(super) fn restore(
         record: JobRecord,
-        progress: Option<ProgressRecord>,
+        progress: Vec<ProgressRecord>,
         run_floor: u32,
         now: Time,
         unix_ms: u64,
@@ -106,9 +115,7 @@
         job.due_at = job.accepted_at + Duration::from_millis(job.objective_ms());
         job.is_persisted = true;
         job.inherited = true;
-        if let Some(progress) = progress {
-            job.restore_progress(progress);
-        }
+        job.restore_progress(progress);
         for step in job.occurrences.values_mut().flat_map(|occurrence| &mut occurrence.steps) {
             for task in &mut step.tasks {
                 task.last_run = task.last_run.max(run_floor);
@@ -282,18 +289,39 @@
         }
     }
 
-    pub(super) fn progress(&self) -> ProgressRecord {
+    /// Returns the key of the progress of a task.
+    pub(super) fn progress_key(&self, name: TaskName) -> ProgressKey {
+        ProgressKey { job: self.id, part: self.parts.part_of(name) }
+    }
+
+    /// Returns the keys of the progress of all tasks of a step.
+    pub(super) fn progress_keys_of_step(
+        &self,
+        name: StepName,
+    ) -> impl Iterator<Item = ProgressKey> + use<> {
+        let job = self.id;
+        self.parts.parts_of_step(name).map(move |part| ProgressKey { job, part })
+    }
+
+    /// Returns a part of the progress, to be stored.
+    pub(super) fn progress(&self, part: u32) -> ProgressRecord {
         let pack = |(&number, occurrence): (&u32, &Occurrence)| {
-            let steps = occurrence.steps.iter().map(Step::progress).collect();
+            let ranges = self.parts.steps_in(part, number);
+            let steps = occurrence.steps.iter().zip(ranges);
+            let steps = steps.map(|(step, tasks)| step.progress(tasks)).collect();
             (number, OccurrenceProgress { steps })
         };
         let mut occurrences = match self.outcome {
-            Outcome::Open => self.occurrences.iter().map(pack).collect(),
+            Outcome::Open => {
+                self.occurrences.range(self.parts.occurrences_in(part)).map(pack).collect()
+            }
             _ => BTreeMap::new(),
         };
         limit_stored_crashes(&mut occurrences);
         ProgressRecord {
             id: self.id,
+            part,
+            accepted_unix_ms: (part > 0).then_some(self.accepted_unix_ms),
             outcome: self.outcome,
             ended_unix_ms: self.ended_unix_ms,
             done_before: self.done_before,
@@ -301,12 +329,18 @@
         }
     }
 
-    fn restore_progress(&mut self, progress: ProgressRecord) {
-        self.done_before = progress.done_before;
+    fn restore_progress(&mut self, parts: Vec<ProgressRecord>) {
+        self.stored_parts = parts.iter().map(|progress| progress.part).collect();
+        self.done_before = parts.iter().map(|progress| progress.done_before).max().unwrap_or(0);
         self.has_started |= self.done_before > 0;
-        self.occurrences.retain(|&number, _| number >= progress.done_before);
-        for (number, occurrence) in progress.occurrences {
-            self.begin(number);
+        self.occurrences.retain(|&number, _| number >= self.done_before);
+        // Occurrences begin in order, but not each of them has a task that is stored.
+        let last_begun =
+            parts.iter().filter_map(|progress| progress.occurrences.keys().next_back());
+        if let Some(&last_begun) = last_begun.max() {
+            (self.done_before..=last_begun).for_each(|number| self.begin(number));
+        }
+        for (number, occurrence) in parts.into_iter().flat_map(|progress| progress.occurrences) {
             self.restore_occurrence(number, &occurrence);
         }
     }
@@ -319,25 +353,26 @@
     }
 }
 
-/// Limits the crashes to [`MAX_TASKS_WITH_STORED_CRASHES`] tasks, dropping those with the lowest
-/// weight first.
+/// Limits the crashes to [`MAX_CRASH_BYTES`], dropping those with the lowest weight first.
 fn limit_stored_crashes(occurrences: &mut BTreeMap<u32, OccurrenceProgress>) {
-    let steps = occurrences.values().flat_map(|occurrence| &occurrence.steps);
-    let mut weights =
-        steps.flat_map(|step| &step.crashes).map(|(_, crashes)| crashes.weight).collect::<Vec<_>>();
-    if weights.len() <= MAX_TASKS_WITH_STORED_CRASHES {
-        return;
+    let mut stored = Vec::new();
+    for (&number, occurrence) in &*occurrences {
+        for (step, progress) in occurrence.steps.iter().enumerate() {
+            let crashes = progress.crashes.iter();
+            let crashes = crashes.map(|(&index, crashes)| {
+                (Reverse(crashes.weight), number, step, index, crashes.stored_bytes())
+            });
+            stored.extend(crashes);
+        }
     }
-    weights.sort_unstable_by(|a, b| b.cmp(a));
-    let least = weights[MAX_TASKS_WITH_STORED_CRASHES - 1];
-    let above_least = weights.iter().filter(|&&weight| weight > least).count();
-    // Of the tasks with the lowest weight that is stored, only some fit.
-    let mut left = MAX_TASKS_WITH_STORED_CRASHES - above_least;
-    for step in occurrences.values_mut().flat_map(|occurrence| &mut occurrence.steps) {
-        step.crashes.retain(|_, crashes| {
-            let is_least = crashes.weight == least && left > 0;
-            left -= usize::from(is_least);
-            crashes.weight > least || is_least
-        });
+    stored.sort_unstable();
+    let mut bytes = 0_usize;
+    for (_, number, step, index, task_bytes) in stored {
+        bytes = bytes.saturating_add(task_bytes);
+        if bytes > MAX_CRASH_BYTES
+            && let Some(occurrence) = occurrences.get_mut(&number)
+        {
+            occurrence.steps[step].crashes.remove(&index);
+        }
     }
 }
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -19,6 +19,8 @@
 mod operator_rows;
 mod order;
 mod preemption;
+mod progress_key;
+mod progress_parts;
 mod record;
 mod report;
 mod retry_delay;
@@ -43,6 +45,7 @@
 pub use operator_rows::{InvalidOperatorRow, OperatorRows, WorkerHold, WorkerRow};
 pub use order::{Order, OrderAnswer, OrderRefusal, StartOrder};
 pub use preemption::{CrowdedWorker, Need, Preemption, STOP_TIME, StoppableRun, choose_stops};
+pub use progress_key::ProgressKey;
 pub use record::{
     EffectsRecord, InstanceRecord, JobRecord, LeaseRecord, OccurrenceProgress, Outcome,
     ProgressRecord, Record, ServingEffects, StepProgress,
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -7,11 +7,23 @@
 use super::{
     crashes::TaskCrashes,
     names::{Incarnation, InstanceKey, JobId, WorkerName},
+    progress_key::ProgressKey,
     spec::{JobSpec, QueueTerms},
 };
 
 /// The number of tasks per hexadecimal digit, one bit each.
-const TASKS_PER_DIGIT: u32 = 4;
+pub(super) const TASKS_PER_DIGIT: u32 = 4;
+
+/// The most bytes of a part of the progress beside its occurrences.
+const PROGRESS_HEADER_BYTES: usize = 256;
+/// The most bytes of an occurrence beside its steps: its number and its braces.
+const BYTES_PER_OCCURRENCE: usize = 32;
+/// The most bytes of a step beside its tasks: the names of its fields.
+const BYTES_PER_STEP: usize = 64;
+/// The most bytes of a task's number with its punctuation.
+const BYTES_PER_STORED_TASK: usize = 16;
+/// The most bytes of a failed run: the digits of the largest number, and a comma.
+pub(super) const BYTES_PER_FAILED_RUN: usize = 11;
 
 /// The stored outcome of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -33,12 +45,13 @@
 pub enum Record {
     /// Writes an accepted job. This happens once per job.
     Job(JobRecord),
-    /// Writes the progress of a job, at each change that must be persisted.
+    /// Writes a part of the progress of a job, at each change that must be persisted.
     Progress(ProgressRecord),
     /// Removes the specification of a job that has ended and is no longer needed.
     RemoveJob(JobId),
-    /// Removes the progress of a job that has ended, after its retention time.
-    RemoveProgress(JobId),
+    /// Removes a part of the progress of a job that has ended. The first part, which holds the
+    /// outcome, goes last, after the retention time of the job.
+    RemoveProgress(ProgressKey),
     /// Writes a worker instance that tasks may be started on, before the first of them is started.
     PutInstance(InstanceRecord),
     /// Removes a worker instance on which certainly nothing runs any more.
@@ -117,11 +130,21 @@
     pub accepted_unix_ms: u64,
 }
 
-/// The progress of a job.
+/// A part of the progress of a job.
+///
+/// Most jobs have a single part. The tasks of a job that could outgrow a row of the store are divided
+/// into several, each with a row of its own. The job's progress is what all of them say together.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressRecord {
     /// The id of the job.
     pub id: JobId,
+    /// The number of the part.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub part: u32,
+    /// When the job was accepted, in milliseconds since 1970. It tells the parts of a job from what
+    /// is left of an earlier one with its id. Absent in the first part.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted_unix_ms: Option<u64>,
     /// The outcome.
     #[serde(default)]
     pub outcome: Outcome,
@@ -131,11 +154,25 @@
     /// The number of leading occurrences of the schedule that are done.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub done_before: u32,
-    /// The progress of the later occurrences that have begun, by number.
+    /// The progress of the later occurrences that have begun and have tasks in the part, by number.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub occurrences: BTreeMap<u32, OccurrenceProgress>,
 }
 
+impl ProgressRecord {
+    /// Returns the key of the record.
+    pub fn key(&self) -> ProgressKey {
+        ProgressKey { job: self.id, part: self.part }
+    }
+
+    /// Returns an upper bound of the size of the stored record, in bytes.
+    pub(super) fn max_stored_bytes(&self) -> usize {
+        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        let bytes = PROGRESS_HEADER_BYTES + self.occurrences.len() * BYTES_PER_OCCURRENCE;
+        steps.map(StepProgress::max_stored_bytes).fold(bytes, usize::saturating_add)
+    }
+}
+
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
@@ -154,7 +191,10 @@
     /// task in the lowest bit of the first digit.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub done: String,
-    /// The failed runs of each task.
+    /// The index of the first task in `done`.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub done_from: u32,
+    /// The failed runs of each task that is not done.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub failed_runs: BTreeMap<u32, Vec<u32>>,
     /// The crashes of workers that ran each task.
@@ -163,6 +203,16 @@
 }
 
 impl StepProgress {
+    /// Returns an upper bound of the size of the stored progress, in bytes.
+    fn max_stored_bytes(&self) -> usize {
+        let failed = self.failed_runs.values();
+        let failed = failed.map(|runs| BYTES_PER_STORED_TASK + BYTES_PER_FAILED_RUN * runs.len());
+        let crashes = self.crashes.values();
+        let crashes = crashes.map(|crashes| BYTES_PER_STORED_TASK + crashes.stored_bytes());
+        let bytes = BYTES_PER_STEP + self.done.len();
+        failed.chain(crashes).fold(bytes, usize::saturating_add)
+    }
+
     /// Returns the tasks that are done as a string of hexadecimal digits, empty if there are none.
     pub fn pack_done(done: impl Iterator<Item = bool>) -> String {
         let bits = done.collect::<Vec<_>>();
@@ -180,8 +230,9 @@
 
     /// Returns whether a task is done.
     pub fn is_done(&self, index: u32) -> bool {
-        let digit = self.done.as_bytes().get((index / TASKS_PER_DIGIT) as usize);
+        let Some(position) = index.checked_sub(self.done_from) else { return false };
+        let digit = self.done.as_bytes().get((position / TASKS_PER_DIGIT) as usize);
         let value = digit.and_then(|&digit| char::from(digit).to_digit(16)).unwrap_or(0);
-        value >> (index % TASKS_PER_DIGIT) & 1 == 1
+        value >> (position % TASKS_PER_DIGIT) & 1 == 1
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -9,7 +9,8 @@
         instance::InstanceNo,
         job::Job,
         names::JobId,
-        record::{InstanceRecord, LeaseRecord, Outcome, Record},
+        progress_key::ProgressKey,
+        record::{InstanceRecord, LeaseRecord, Outcome, ProgressRecord, Record},
         worker_entry::WorkerEntry,
     },
     Scheduler,
@@ -88,6 +89,10 @@
     /// Drops a job whose end is persisted; only its outcome is needed from now on.
     fn finish_persisted_job(&mut self, id: JobId) {
         let Some(mut job) = self.jobs.remove(&id) else { return };
+        self.deferred_starts.remove_job(id);
+        for &part in job.stored_parts.iter().filter(|&&part| part > 0) {
+            self.pending.delete_progress(ProgressKey { job: id, part });
+        }
         // The job was submitted and cancelled, and its end was persisted before its submission was.
         let submitted = mem::take(&mut job.submit_waiters).into_iter();
         let accepted = |request| Action::AnswerSubmit(request, SubmitAnswer::Accepted);
@@ -98,20 +103,19 @@
     }
 
     fn send_batch(&mut self) {
-        let stored_bytes = |id: JobId| self.jobs.get(&id).map_or(0, |job| job.spec.stored_bytes());
-        let has_ended = |id: JobId| self.jobs.get(&id).is_some_and(|job| !job.is_open());
-        let answer_by = |id: JobId| self.jobs.get(&id).and_then(|job| job.answer_by);
-        let taken = self.pending.take_batch(self.now, stored_bytes, answer_by, has_ended);
+        let taken = self.pending.take_batch(self.now, &self.jobs);
         self.mark_instances_sent(&taken.instances);
+        for ProgressKey { job, part } in taken.progress.iter().map(ProgressRecord::key) {
+            self.jobs.get_mut(&job).map(|job| job.stored_parts.insert(part));
+        }
         let mut records = self.records(&taken);
         if self.now.since(self.pending.effects_persisted_at) >= EFFECTS_PERSIST_INTERVAL {
             self.pending.effects_persisted_at = self.now;
             records.push(Record::Effects(self.tails.export()));
         }
         let complete = taken.complete;
-        let job = |id: &JobId| self.jobs.get(id);
-        let outcomes = taken.progress.iter().filter_map(job);
-        let outcomes = outcomes.map(|job| (job.id, job.outcome)).collect();
+        let outcomes =
+            taken.progress.iter().map(|progress| (progress.id, progress.outcome)).collect();
         let starts = self.deferred_starts.take(&taken.progress);
         let BatchRecords { new_jobs, instances, longest_lease, .. } = taken;
         let batch = |number| Batch { number, new_jobs, outcomes, instances, longest_lease, starts };
@@ -137,16 +141,17 @@
         };
         // For a job that has already ended, only its progress is persisted.
         let new_jobs = taken.new_jobs.iter().filter_map(job).filter(|job| job.is_open());
-        let progress = taken.progress.iter().filter_map(job);
-        let dropped =
-            progress.clone().filter(|job| job.is_persisted && !job.is_open()).map(|job| job.id);
+        let progress = taken.progress.iter();
+        let ended = progress.clone().filter(|progress| progress.outcome != Outcome::Open);
+        let ended = ended.filter_map(|progress| job(&progress.id));
+        let dropped = ended.filter(|job| job.is_persisted).map(|job| job.id);
         let mut records = Vec::new();
         records.extend(new_jobs.map(Job::record).map(Record::Job));
         records.extend(taken.instances.iter().filter_map(used));
-        records.extend(progress.map(Job::progress).map(Record::Progress));
+        records.extend(progress.cloned().map(Record::Progress));
         records.extend(dropped.map(Record::RemoveJob));
         records.extend(taken.ended_instances.iter().cloned().map(Record::RemoveInstance));
-        records.extend(taken.jobs_to_delete.iter().copied().map(Record::RemoveProgress));
+        records.extend(taken.progress_to_delete.iter().copied().map(Record::RemoveProgress));
         let longest_lease = taken.longest_lease.map(|lease| lease.as_millis() as u64);
         records.extend(longest_lease.map(|max_ms| Record::LongestLease(LeaseRecord { max_ms })));
         records
--- a/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
@@ -155,7 +155,7 @@
             evidence: suspect.evidence,
             crashes,
         }));
-        self.pending.record_progress(name.job);
+        self.record_task_progress(name);
         if is_blamed {
             self.fail_crashing_job(name);
         }
@@ -195,7 +195,7 @@
         }
         task.crashes.clear();
         self.actions.push(Action::Log(LogEntry::SuspicionCleared { task: name }));
-        self.pending.record_progress(name.job);
+        self.record_task_progress(name);
         true
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/deferred_starts.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/deferred_starts.rs
@@ -13,15 +13,17 @@
         instance::InstanceNo,
         names::JobId,
         order::{Order, StartOrder},
+        progress_key::ProgressKey,
+        record::ProgressRecord,
         run::Phase,
     },
     Scheduler,
 };
 
-/// Starts that wait to be persisted, by job.
+/// Starts that wait to be persisted, by the part of the progress that holds them.
 #[derive(Debug, Default)]
 pub(super) struct DeferredStarts {
-    waiting: BTreeMap<JobId, Vec<DeferredStart>>,
+    waiting: BTreeMap<ProgressKey, Vec<DeferredStart>>,
 }
 
 /// A start order and the worker that it goes to.
@@ -32,25 +34,29 @@
 }
 
 impl DeferredStarts {
-    /// Removes and returns the starts that a batch with the progress of the given jobs persists.
-    pub(super) fn take(&mut self, jobs: &[JobId]) -> Vec<DeferredStart> {
+    /// Removes and returns the starts that a batch with the given progress persists.
+    pub(super) fn take(&mut self, progress: &[ProgressRecord]) -> Vec<DeferredStart> {
         if self.waiting.is_empty() {
             return Vec::new();
         }
-        jobs.iter().filter_map(|job| self.waiting.remove(job)).flatten().collect()
+        let starts = progress.iter().filter_map(|progress| self.waiting.remove(&progress.key()));
+        starts.flatten().collect()
+    }
+
+    /// Drops the starts of a job that has ended.
+    pub(super) fn remove_job(&mut self, job: JobId) {
+        self.waiting.retain(|key, _| key.job != job);
     }
 }
 
 impl Scheduler {
     /// Defers a start order until it is persisted.
     pub(super) fn defer_start_until_persisted(&mut self, instance: InstanceNo, order: StartOrder) {
-        let job = order.task.job;
-        self.deferred_starts
-            .waiting
-            .entry(job)
-            .or_default()
-            .push(DeferredStart { instance, order });
-        self.pending.record_start(job);
+        let Some(job) = self.jobs.get(&order.task.job) else { return };
+        let key = job.progress_key(order.task);
+        let starts = self.deferred_starts.waiting.entry(key).or_default();
+        starts.push(DeferredStart { instance, order });
+        self.pending.record_start(key);
     }
 
     /// Sends the start orders that are now persisted, except those cancelled meanwhile.
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -125,13 +125,17 @@
             // The task was to run until its job is cancelled, so it waits for a worker again.
             return;
         }
+        let progress = match gang {
+            true => job.progress_keys_of_step(name.step_name()).collect(),
+            false => vec![job.progress_key(name)],
+        };
         let Some(step) = job.step_mut(name.step_name()) else { return };
         let copies = step.mark_done(name, gang);
         // Steps that depend on this one may now be ready.
         job.may_have_waiting_tasks = true;
         let all_done = job.all_done();
         job.remove_done_occurrences();
-        self.pending.record_progress(name.job);
+        progress.into_iter().for_each(|key| self.pending.record_progress(key));
         // Other members of a gang end on their own; speculative copies of a task must be stopped.
         for placed in copies.into_iter().filter(|_| !gang) {
             self.stop_run(placed.instance, name, placed.run);
@@ -159,7 +163,7 @@
         let failed = task.failed_runs.len() as u32;
         task.not_before = Some(now + RETRY_BACKOFF * failed.max(1));
         let failed = if gang { job.failed_runs_of_gang(name.step_name()) } else { failed };
-        self.pending.record_progress(name.job);
+        self.record_task_progress(name);
         if !long_running && failed >= max_attempts.max(1) {
             self.end_job(name.job, Outcome::Failed);
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -8,6 +8,7 @@
         job::Job,
         names::{InstanceKey, TaskName},
         operator_rows::OperatorRows,
+        progress_key::ProgressKey,
         record::{EffectsRecord, InstanceRecord, JobRecord, Outcome, ProgressRecord},
         worker_entry::WorkerEntry,
     },
@@ -23,8 +24,8 @@
 /// The state that an owner inherits from its predecessor.
 #[derive(Debug, Default)]
 pub struct InheritedState {
-    /// Jobs with a persisted specification, each with its progress if that was persisted.
-    pub jobs: Vec<(JobRecord, Option<ProgressRecord>)>,
+    /// Jobs with a persisted specification, each with the parts of its progress that were persisted.
+    pub jobs: Vec<(JobRecord, Vec<ProgressRecord>)>,
     /// The progress of all other jobs. Ended jobs are remembered; an open job without a readable
     /// specification is ignored.
     pub ended_progress: Vec<ProgressRecord>,
@@ -48,22 +49,36 @@
         self.operator_rows = inheritance.operator_rows;
         self.tails.import(&inheritance.interference);
         for (record, progress) in inheritance.jobs {
-            if let Some(ended) =
-                progress.as_ref().filter(|progress| progress.outcome != Outcome::Open)
-            {
+            if let Some(ended) = progress.iter().find(|part| part.outcome != Outcome::Open) {
                 self.record_ended_job(ended.id, ended.outcome, ended.ended_unix_ms);
+                let parts = progress.iter().filter(|part| part.part > 0);
+                parts.for_each(|part| self.pending.delete_progress(part.key()));
                 continue;
             }
+            let accepted_unix_ms = record.accepted_unix_ms;
+            let is_current = |part: &ProgressRecord| {
+                part.accepted_unix_ms.is_none_or(|accepted_ms| accepted_ms == accepted_unix_ms)
+            };
+            let (progress, stale) = progress.into_iter().partition::<Vec<_>, _>(is_current);
+            stale.iter().for_each(|part| self.pending.delete_progress(part.key()));
+            let first = progress.iter().find(|part| part.part == 0);
+            let first = first.map(|first| first.occurrences.clone()).unwrap_or_default();
             let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
+            if job.parts.count() > 1 && job.progress(0).occurrences != first {
+                self.record_undivided_progress(&job);
+            }
             self.insert_job(job);
         }
-        let ended = inheritance
+        let (ended, open) = inheritance
             .ended_progress
             .into_iter()
-            .filter(|progress| progress.outcome != Outcome::Open);
+            .partition::<Vec<_>, _>(|progress| progress.outcome != Outcome::Open);
         for ProgressRecord { id, outcome, ended_unix_ms, .. } in ended {
             self.record_ended_job(id, outcome, ended_unix_ms);
         }
+        for part in open.iter().filter(|part| self.ended_jobs.contains_key(&part.id)) {
+            self.pending.delete_progress(part.key());
+        }
         self.longest_lease = inheritance.longest_lease.unwrap_or_default().max(self.longest_lease);
         let own_expiry = self.now + self.longest_lease_expiry_delay();
         let mut recorded_starts = self.recorded_starts_by_worker();
@@ -86,6 +101,15 @@
         }
     }
 
+    /// Requests that all parts of a job's progress are persisted, after an earlier release wrote it
+    /// undivided. Rows are written in the order in which they are requested, so that the first one
+    /// is overwritten last.
+    fn record_undivided_progress(&mut self, job: &Job) {
+        for part in 1..job.parts.count() {
+            self.pending.record_progress(ProgressKey { job: job.id, part });
+        }
+    }
+
     /// Handles the news that no earlier owner has renewed leases since a given time.
     pub(super) fn handle_earlier_owners_stopped(&mut self, stopped_at: Time) {
         let expires_at = stopped_at + self.longest_lease_expiry_delay();
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -330,6 +330,13 @@
         self.jobs.get_mut(&name.job)?.task_mut(name)
     }
 
+    /// Records new progress of a task, to be persisted soon.
+    fn record_task_progress(&mut self, name: TaskName) {
+        if let Some(job) = self.jobs.get(&name.job) {
+            self.pending.record_progress(job.progress_key(name));
+        }
+    }
+
     /// Returns the specification of a task's step.
     fn step_spec(&self, name: TaskName) -> Option<&StepSpec> {
         self.jobs.get(&name.job)?.step_spec(name.step)
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -187,7 +187,7 @@
         let Some(task) = job.task_mut(name) else { return };
         task.placed.retain(|placed| *placed != placement);
         if task.crashes.begun.take_if(|begun| begun.run == placement.run).is_some() {
-            self.pending.record_progress(name.job);
+            self.record_task_progress(name);
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -1,12 +1,19 @@
 //! The records that wait to be persisted, and the batch of them that is in flight.
 
-use std::{collections::BTreeSet, iter, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    iter,
+    time::Duration,
+};
 
 use super::{
     super::{
         instance::InstanceNo,
+        job::Job,
         names::{InstanceKey, JobId},
-        record::Outcome,
+        progress_key::ProgressKey,
+        record::{Outcome, ProgressRecord},
     },
     deferred_starts::DeferredStart,
     instance_rows::InstanceRows,
@@ -38,6 +45,9 @@
 /// The most bytes of new jobs in a batch. The store accepts 1 MB per transaction, in which each
 /// byte takes 1.4; half of the rest is left to other records.
 const MAX_NEW_JOB_BYTES: usize = 350_000;
+/// The bytes of progress in a batch from which no more is added. The last record may exceed it by
+/// the size of a row.
+const MAX_PROGRESS_BYTES: usize = 150_000;
 /// The time after which a store that has not answered a batch counts as stuck, so that jobs are
 /// refused at once with a time to retry. A batch usually takes 5 ms, and 300 ms when the store is
 /// slow.
@@ -52,12 +62,14 @@
     new_jobs: UniqueQueue<JobId>,
     /// Jobs that ended. Callers wait for those that they cancelled.
     ended: UniqueQueue<JobId>,
-    /// Other jobs with new progress.
+    /// Other new progress.
     ///
     /// The longest waiting job goes first, as in the queues above. In the order of their ids, jobs
     /// with high ids would be passed over for as long as the store lags behind.
-    progress: UniqueQueue<JobId>,
-    jobs_to_delete: BTreeSet<JobId>,
+    progress: UniqueQueue<ProgressKey>,
+    /// The progress of ended jobs to delete. Of each job the first part, which holds the outcome,
+    /// goes last.
+    progress_to_delete: BTreeSet<(JobId, Reverse<u32>)>,
     instance_rows: InstanceRows,
     /// The bound of the length of leases that is to be stored before longer ones are granted.
     longest_lease: Option<Duration>,
@@ -101,9 +113,9 @@
 pub(super) struct BatchRecords {
     pub(super) new_jobs: Vec<JobId>,
     pub(super) instances: Vec<InstanceNo>,
-    pub(super) progress: Vec<JobId>,
+    pub(super) progress: Vec<ProgressRecord>,
     pub(super) ended_instances: Vec<InstanceKey>,
-    pub(super) jobs_to_delete: Vec<JobId>,
+    pub(super) progress_to_delete: Vec<ProgressKey>,
     pub(super) longest_lease: Option<Duration>,
     /// Whether no other records wait to be persisted.
     pub(super) complete: bool,
@@ -111,41 +123,34 @@
 
 impl PendingRecords {
     /// Takes as many records as fit into a batch, the most urgent first.
-    ///
-    /// `encoded_bytes` returns the size of a new job in the batch, `answer_by` the latest time for the
-    /// answer to its callers, and `has_ended` whether a job is no longer open.
-    pub(super) fn take_batch(
-        &mut self,
-        now: Time,
-        encoded_bytes: impl Fn(JobId) -> usize,
-        answer_by: impl Fn(JobId) -> Option<Time>,
-        has_ended: impl Fn(JobId) -> bool,
-    ) -> BatchRecords {
+    pub(super) fn take_batch(&mut self, now: Time, jobs: &BTreeMap<JobId, Job>) -> BatchRecords {
         let (reserved_for_ended, reserved_for_progress) = self.reserved_entries(now);
         let mut room = MAX_BATCH_ENTRIES;
         let instances = self.instance_rows.take_writes(MAX_WORKER_ENTRIES);
         room -= instances.len();
-        let new_jobs = self.take_new_jobs(
-            &mut room,
-            reserved_for_ended + reserved_for_progress,
-            encoded_bytes,
-            answer_by,
-        );
+        let new_jobs =
+            self.take_new_jobs(&mut room, reserved_for_ended + reserved_for_progress, jobs);
         // The progress of a new job goes with it, since its caller is told that it is persisted.
         let progress_of_new_jobs = new_jobs.iter().copied().filter(|&id| self.remove_progress(id));
-        let mut progress = progress_of_new_jobs.collect::<Vec<_>>();
-        progress.extend(self.take_ended(&mut room, reserved_for_progress));
-        progress.extend(self.take_progress(&mut room, has_ended));
+        let progress_of_new_jobs = progress_of_new_jobs.filter_map(|id| jobs.get(&id));
+        let mut progress = progress_of_new_jobs.map(|job| job.progress(0)).collect::<Vec<_>>();
+        self.take_ended(&mut progress, &mut room, reserved_for_progress, jobs);
+        self.take_progress(&mut progress, &mut room, jobs);
+        for key in progress.iter().map(ProgressRecord::key) {
+            self.progress_to_delete.remove(&deletion(key));
+        }
         let ended_instances = self.instance_rows.take_removals(room);
         room -= ended_instances.len();
-        let jobs_to_delete = iter::from_fn(|| self.jobs_to_delete.pop_first()).take(room).collect();
+        let to_delete = iter::from_fn(|| self.progress_to_delete.pop_first()).take(room);
+        let progress_to_delete =
+            to_delete.map(|(job, Reverse(part))| ProgressKey { job, part }).collect();
         let longest_lease = self.longest_lease.take();
         BatchRecords {
             new_jobs,
             instances,
             progress,
             ended_instances,
-            jobs_to_delete,
+            progress_to_delete,
             longest_lease,
             complete: self.is_empty(),
         }
@@ -166,50 +171,75 @@
         &mut self,
         room: &mut usize,
         reserved: usize,
-        encoded_bytes: impl Fn(JobId) -> usize,
-        answer_by: impl Fn(JobId) -> Option<Time>,
+        jobs: &BTreeMap<JobId, Job>,
     ) -> Vec<JobId> {
         // The sort is stable: jobs without a time keep the order of their submission.
         let mut waiting = self.new_jobs.iter().collect::<Vec<_>>();
-        waiting.sort_by_key(|&id| answer_by(id));
+        waiting.sort_by_key(|id| jobs.get(id).and_then(|job| job.answer_by));
         let mut waiting = waiting.into_iter();
         let (mut taken, mut bytes) = (Vec::new(), 0);
         while *room >= reserved + NEW_JOB_ENTRIES && bytes < MAX_NEW_JOB_BYTES {
             let Some(first) = waiting.find(|id| self.new_jobs.remove(id)) else { break };
-            bytes += encoded_bytes(first);
+            bytes += jobs.get(&first).map_or(0, |job| job.spec.stored_bytes());
             taken.push(first);
             *room -= NEW_JOB_ENTRIES;
         }
         taken
     }
 
-    fn take_ended(&mut self, room: &mut usize, reserved: usize) -> Vec<JobId> {
-        let mut taken = Vec::new();
+    fn take_ended(
+        &mut self,
+        taken: &mut Vec<ProgressRecord>,
+        room: &mut usize,
+        reserved: usize,
+        jobs: &BTreeMap<JobId, Job>,
+    ) {
         while *room >= reserved + ENDED_JOB_ENTRIES {
             let Some(first) = self.ended.pop() else { break };
-            self.progress.remove(&first);
-            taken.push(first);
-            *room -= ENDED_JOB_ENTRIES;
+            if let Some(job) = jobs.get(&first) {
+                self.take_end(taken, room, job);
+            }
         }
-        taken
     }
 
-    fn take_progress(&mut self, room: &mut usize, has_ended: impl Fn(JobId) -> bool) -> Vec<JobId> {
-        let mut taken = Vec::new();
-        while *room >= ENDED_JOB_ENTRIES {
-            let Some(first) = self.progress.pop() else { break };
-            // The end of an ended job is persisted with its progress.
-            self.ended.remove(&first);
-            taken.push(first);
-            *room -= if has_ended(first) { ENDED_JOB_ENTRIES } else { 1 };
+    fn take_progress(
+        &mut self,
+        taken: &mut Vec<ProgressRecord>,
+        room: &mut usize,
+        jobs: &BTreeMap<JobId, Job>,
+    ) {
+        let mut bytes = 0;
+        while *room >= ENDED_JOB_ENTRIES && bytes < MAX_PROGRESS_BYTES {
+            let Some(ProgressKey { job, part }) = self.progress.pop() else { break };
+            match jobs.get(&job) {
+                Some(job) if job.is_open() => {
+                    let progress = job.progress(part);
+                    bytes += progress.max_stored_bytes();
+                    taken.push(progress);
+                    *room -= 1;
+                }
+                // The end of a job replaces all of its progress.
+                Some(job) => self.take_end(taken, room, job),
+                None => {}
+            }
         }
-        taken
     }
 
-    /// Removes a job from those with new progress. Returns whether it was one of them.
+    /// Takes the end of a job, instead of all of its other progress.
+    fn take_end(&mut self, taken: &mut Vec<ProgressRecord>, room: &mut usize, job: &Job) {
+        self.ended.remove(&job.id);
+        for part in 0..job.parts.count() {
+            self.progress.remove(&ProgressKey { job: job.id, part });
+        }
+        taken.push(job.progress(0));
+        *room -= ENDED_JOB_ENTRIES;
+    }
+
+    /// Removes a job that was never persisted from those with new progress. Returns whether it was
+    /// one of them.
     fn remove_progress(&mut self, id: JobId) -> bool {
         // Not `||`, since the job may be in both queues.
-        self.progress.remove(&id) | self.ended.remove(&id)
+        self.progress.remove(&ProgressKey::first(id)) | self.ended.remove(&id)
     }
 
     /// Records that a batch is sent, and returns its number.
@@ -238,14 +268,14 @@
         self.urgent = true;
     }
 
-    /// Records new progress of a job, to be persisted soon.
-    pub(super) fn record_progress(&mut self, id: JobId) {
-        self.progress.push(id, self.unpersisted_ends.last_seq());
+    /// Records new progress, to be persisted soon.
+    pub(super) fn record_progress(&mut self, key: ProgressKey) {
+        self.progress.push(key, self.unpersisted_ends.last_seq());
     }
 
-    /// Records that a start of the job waits until it is persisted.
-    pub(super) fn record_start(&mut self, id: JobId) {
-        self.record_progress(id);
+    /// Records that a start of a task waits until the progress of the task is persisted.
+    pub(super) fn record_start(&mut self, key: ProgressKey) {
+        self.record_progress(key);
         self.urgent = true;
     }
 
@@ -255,15 +285,17 @@
         self.urgent = true;
     }
 
-    pub(super) fn delete_job(&mut self, id: JobId) {
-        self.jobs_to_delete.insert(id);
+    /// Deletes a part of the progress of a job whose end is persisted.
+    pub(super) fn delete_progress(&mut self, key: ProgressKey) {
+        self.progress_to_delete.insert(deletion(key));
     }
 
-    /// Keeps a job that was about to be deleted and is submitted again: its row is overwritten
-    /// instead.
+    /// Keeps the outcome of a job that was about to be deleted and is submitted again: its row is
+    /// overwritten instead.
     pub(super) fn cancel_deletion(&mut self, id: JobId) {
-        if self.jobs_to_delete.remove(&id) {
-            self.progress.push(id, self.unpersisted_ends.last_seq());
+        let first = ProgressKey::first(id);
+        if self.progress_to_delete.remove(&deletion(first)) {
+            self.record_progress(first);
         }
     }
 
@@ -405,7 +437,7 @@
         self.new_jobs.len()
             + self.ended.len()
             + self.progress.len()
-            + self.jobs_to_delete.len()
+            + self.progress_to_delete.len()
             + self.instance_rows.len()
     }
 
@@ -418,8 +450,13 @@
         self.new_jobs.is_empty()
             && self.ended.is_empty()
             && self.progress.is_empty()
-            && self.jobs_to_delete.is_empty()
+            && self.progress_to_delete.is_empty()
             && self.instance_rows.is_empty()
             && self.longest_lease.is_none()
     }
 }
+
+/// Returns the entry of a part of the progress among those to delete.
+fn deletion(key: ProgressKey) -> (JobId, Reverse<u32>) {
+    (key.job, Reverse(key.part))
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -153,7 +153,7 @@
             let runs = report.running.iter().any(|running| running.task == name);
             let Some(task) = self.task_mut(name).filter(|_| !runs) else { continue };
             task.crashes.begun = None;
-            self.pending.record_progress(name.job);
+            self.record_task_progress(name);
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -8,6 +8,7 @@
         load_parts::LoadPart,
         log_entry::LogEntry,
         names::JobId,
+        progress_key::ProgressKey,
         record::Outcome,
         retry_delay::RetryDelay,
         spec::{JobSpec, QueueTerms},
@@ -164,7 +165,7 @@
         {
             self.ended_by_time.pop_first();
             self.ended_jobs.remove(&id);
-            self.pending.delete_job(id);
+            self.pending.delete_progress(ProgressKey::first(id));
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -1,12 +1,12 @@
 //! The state of a job's steps and tasks: placements and progress.
 
-use std::{collections::BTreeSet, mem};
+use std::{collections::BTreeSet, mem, ops::Range};
 
 use super::{
     crashes::TaskCrashes,
     instance::InstanceNo,
     names::TaskName,
-    record::StepProgress,
+    record::{StepProgress, TASKS_PER_DIGIT},
     scheduler::step_length::StepLength,
     spec::{JobSpec, StepSpec},
 };
@@ -111,37 +111,46 @@
         placed
     }
 
-    /// Returns the progress of the step, to be stored.
-    pub(super) fn progress(&self) -> StepProgress {
+    /// Returns the progress of some tasks, to be stored.
+    pub(super) fn progress(&self, range: Range<usize>) -> StepProgress {
+        let first = range.start as u32;
+        let tasks = &self.tasks[range];
         let failed = |(index, task): (u32, &Task)| {
-            (!task.failed_runs.is_empty())
-                .then(|| (index, task.failed_runs.iter().copied().collect()))
+            let counts = !task.done && !task.failed_runs.is_empty();
+            counts.then(|| (index, task.failed_runs.iter().copied().collect()))
         };
         let crashes = |(index, task): (u32, &Task)| {
             let counts = !task.done && !task.crashes.is_empty();
             counts.then(|| (index, task.crashes.clone()))
         };
+        let done = StepProgress::pack_done(tasks.iter().map(|task| task.done));
         StepProgress {
-            done: StepProgress::pack_done(self.tasks.iter().map(|task| task.done)),
-            failed_runs: (0..).zip(&self.tasks).filter_map(failed).collect(),
-            crashes: (0..).zip(&self.tasks).filter_map(crashes).collect(),
+            done_from: if done.is_empty() { 0 } else { first },
+            done,
+            failed_runs: (first..).zip(tasks).filter_map(failed).collect(),
+            crashes: (first..).zip(tasks).filter_map(crashes).collect(),
         }
     }
 
-    /// Restores the stored progress. Returns whether any task had begun.
+    /// Restores a part of the stored progress. Returns whether any of its tasks had begun.
     pub(super) fn restore(&mut self, stored: &StepProgress) -> bool {
-        let mut begun = false;
-        for (index, task) in (0..).zip(&mut self.tasks) {
-            task.done = stored.is_done(index);
-            self.done += u32::from(task.done);
-            let failed = stored.failed_runs.get(&index).into_iter().flatten().copied();
-            task.failed_runs = failed.collect();
+        let done_to = stored.done_from as usize + stored.done.len() * TASKS_PER_DIGIT as usize;
+        let in_done = stored.done_from as usize..done_to.min(self.tasks.len());
+        for index in in_done.filter(|&index| stored.is_done(index as u32)) {
+            let was_done = mem::replace(&mut self.tasks[index].done, true);
+            self.done += u32::from(!was_done);
+        }
+        for (&index, failed) in &stored.failed_runs {
+            let Some(task) = self.tasks.get_mut(index as usize) else { continue };
+            task.failed_runs.extend(failed);
             task.last_run = task.failed_runs.last().copied().unwrap_or(0);
-            task.crashes = stored.crashes.get(&index).cloned().unwrap_or_default();
+        }
+        for (&index, crashes) in &stored.crashes {
+            let Some(task) = self.tasks.get_mut(index as usize) else { continue };
+            task.crashes = crashes.clone();
             task.persists_starts = !task.crashes.is_empty();
-            begun |= task.done || task.persists_starts || !task.failed_runs.is_empty();
         }
-        begun
+        *stored != StepProgress::default()
     }
 }
 
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -22,13 +22,13 @@
     jobs::{
         Action, EffectsRecord, Event, InheritedState, InstanceNo, InstanceRecord, JobId, JobRecord,
         JobRequestId, JobSpec, JobState, LeaseRecord, LoadParts, LogEntry, OperatorRows, Order,
-        OrderAnswer, Outcome, Poll, PollFailure, ProgressRecord, QueueTerms, Record, RunResult,
-        Scheduler, SubmitAnswer, TaskName, WorkerEntry,
+        OrderAnswer, Outcome, Poll, PollFailure, ProgressKey, ProgressRecord, QueueTerms, Record,
+        RunResult, Scheduler, SubmitAnswer, TaskName, WorkerEntry,
     },
 };
 
 pub use crashes::Crashes;
-use owners::scheduler;
+use owners::{check_batch, scheduler};
 pub use predecessor::{InFlight, Predecessor};
 pub use processor::Processor;
 use restarts::AcknowledgedEnds;
@@ -42,8 +42,6 @@
 pub const TOKEN_OF_LATER_OWNER: u64 = 9 << 20;
 /// One step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(10);
-/// The largest number of records in a batch: the store allows 100 entries, of which the owner's own rows need a few.
-const MAX_BATCH_RECORDS: usize = 95;
 /// The default time that the store takes to commit a batch.
 const DEFAULT_STORE_LATENCY: Duration = Duration::from_millis(10);
 
@@ -62,7 +60,7 @@
     pub start_orders: Vec<(Time, TaskName, String)>,
     /// The contents of the store: this field and the next four.
     pub jobs: BTreeMap<JobId, JobRecord>,
-    pub progress: BTreeMap<JobId, ProgressRecord>,
+    pub progress: BTreeMap<ProgressKey, ProgressRecord>,
     pub instances: BTreeMap<String, InstanceRecord>,
     pub effects: EffectsRecord,
     pub longest_lease: Option<LeaseRecord>,
@@ -385,7 +383,7 @@
                 }
             }
             Action::Commit { batch, records } => {
-                assert!(records.len() <= MAX_BATCH_RECORDS, "{} records in a batch", records.len());
+                check_batch(&records);
                 self.batches.push_back((self.now + self.store_latency, batch, records));
             }
             Action::Log(entry) => self.log_entries.push((self.now, entry)),
@@ -407,7 +405,8 @@
     fn check_accepted_is_stored(&self, answer: &Action) {
         if let Action::AnswerSubmit(request, SubmitAnswer::Accepted) = answer {
             let id = self.submitted_jobs[request];
-            let is_stored = self.jobs.contains_key(&id) || self.progress.contains_key(&id);
+            let is_stored =
+                self.jobs.contains_key(&id) || self.progress.contains_key(&ProgressKey::first(id));
             assert!(is_stored, "{id} is accepted without a record in the store");
         }
     }
@@ -486,17 +485,24 @@
                 continue;
             }
             // A dropped job, or one that was never stored, has no records.
-            let Some(stored) = self.progress.get(&name.job) else {
+            let stored = self.progress_of(name.job).collect::<Vec<_>>();
+            if stored.is_empty() {
                 assert!(
                     !self.jobs.contains_key(&name.job),
                     "the store holds no record of the end of {name}"
                 );
                 continue;
+            }
+            let is_done = |part: &&ProgressRecord| {
+                let step = part.occurrences.get(&name.occurrence);
+                let step = step.and_then(|occurrence| occurrence.steps.get(name.step as usize));
+                step.is_some_and(|step| step.is_done(name.index))
+            };
+            let is_over = |part: &&ProgressRecord| {
+                part.outcome != Outcome::Open || part.done_before > name.occurrence
             };
-            let step = stored.occurrences.get(&name.occurrence);
-            let step = step.and_then(|occurrence| occurrence.steps.get(name.step as usize));
-            let is_done = step.is_none_or(|step| step.is_done(name.index));
-            assert!(is_done || stored.outcome != Outcome::Open, "the end of {name} is not stored");
+            let is_stored = stored.iter().any(|part| is_done(part) || is_over(part));
+            assert!(is_stored, "the end of {name} is not stored");
         }
     }
 
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -4,11 +4,21 @@
 
 use kitetrail_core::{
     Time,
-    jobs::{Event, InheritedState, JobRecord, LoadParts, Record, Scheduler, SchedulerSettings},
+    jobs::{
+        Event, InheritedState, JobId, JobRecord, LoadParts, ProgressKey, ProgressRecord, Record,
+        Scheduler, SchedulerSettings,
+    },
 };
 
 use super::{CLOCK_ZERO_UNIX_MS, STEP, SimulatedFleet};
 
+/// The largest number of records in a batch: the store allows 100 entries, of which the owner's own rows need a few.
+const MAX_BATCH_RECORDS: usize = 95;
+/// The most bytes of a row.
+const MAX_ROW_BYTES: usize = 64 * 1_024;
+/// The most bytes of a batch, in which rows are encoded as base64.
+const MAX_BATCH_BYTES: usize = 1_000_000;
+
 /// The time for which an owner may renew leases without the store.
 pub(super) const MAX_RENEWAL_WITHOUT_STORE: Duration = Duration::from_secs(12);
 
@@ -50,7 +60,7 @@
             false => MAX_RENEWAL_WITHOUT_STORE,
         };
         let job_with_progress =
-            |job: &JobRecord| (job.clone(), self.progress.get(&job.id).cloned());
+            |job: &JobRecord| (job.clone(), self.progress_of(job.id).cloned().collect());
         let ended = self
             .progress
             .values()
@@ -83,7 +93,7 @@
     pub(super) fn apply_record(&mut self, record: Record) {
         match record {
             Record::Job(job) => drop(self.jobs.insert(job.id, job)),
-            Record::Progress(progress) => drop(self.progress.insert(progress.id, progress)),
+            Record::Progress(progress) => drop(self.progress.insert(progress.key(), progress)),
             Record::RemoveJob(id) => {
                 assert!(self.jobs.remove(&id).is_some(), "a dropped row must exist");
             }
@@ -93,9 +103,39 @@
             Record::RemoveInstance(instance) => drop(self.instances.remove(&instance.to_string())),
             Record::Effects(effects) => self.effects = effects,
             Record::LongestLease(lease) => self.longest_lease = Some(lease),
-            Record::RemoveProgress(id) => drop(self.progress.remove(&id)),
+            Record::RemoveProgress(key) => drop(self.progress.remove(&key)),
         }
     }
+
+    /// Returns the stored parts of the progress of a job.
+    pub fn progress_of(&self, job: JobId) -> impl Iterator<Item = &ProgressRecord> {
+        self.progress
+            .range(ProgressKey::first(job)..)
+            .map(|(_, part)| part)
+            .take_while(move |part| part.id == job)
+    }
+}
+
+/// Panics if the store does not accept a batch: it has too many records, or one of them is too large.
+pub(super) fn check_batch(records: &[Record]) {
+    assert!(records.len() <= MAX_BATCH_RECORDS, "{} records in a batch", records.len());
+    let mut batch_bytes = 0;
+    for record in records {
+        let json = match record {
+            Record::Job(job) => serde_json::to_string(job),
+            Record::Progress(progress) => serde_json::to_string(progress),
+            Record::PutInstance(instance) => serde_json::to_string(instance),
+            Record::Effects(effects) => serde_json::to_string(effects),
+            Record::LongestLease(lease) => serde_json::to_string(lease),
+            Record::RemoveJob(_) | Record::RemoveInstance(_) | Record::RemoveProgress(_) => {
+                continue;
+            }
+        };
+        let row_bytes = json.expect("records can be encoded").len();
+        assert!(row_bytes <= MAX_ROW_BYTES, "a row of {row_bytes} bytes");
+        batch_bytes += row_bytes * 4 / 3;
+    }
+    assert!(batch_bytes <= MAX_BATCH_BYTES, "a batch of {batch_bytes} bytes");
 }
 
 /// Creates the scheduler of an owner.
--- a/crates/kitetrail-core/tests/jobs_crashing.rs
+++ b/crates/kitetrail-core/tests/jobs_crashing.rs
@@ -240,9 +240,9 @@
     let mut largest = 0;
     for _ in 0..100 {
         fleet.advance_ms(100);
-        let progress = fleet.progress.get(&JobId(1));
-        largest =
-            largest.max(progress.map_or(0, |progress| serde_json::to_vec(progress).unwrap().len()));
+        let rows = fleet.progress_of(JobId(1));
+        let bytes = rows.map(|progress| serde_json::to_vec(progress).unwrap().len());
+        largest = largest.max(bytes.max().unwrap_or(0));
     }
     assert!(fleet.starts.len() >= 4_000, "the tasks were not restarted");
     assert!(largest > 0 && largest < MAX_ROW_BYTES, "{largest} bytes");
--- a/crates/kitetrail-core/tests/jobs_kept.rs
+++ b/crates/kitetrail-core/tests/jobs_kept.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::{CLOCK_ZERO_UNIX_MS, SimulatedFleet, job, step};
-use kitetrail_core::jobs::{InvalidJob, JobId, JobSpec, JobState, Schedule, StepSpec};
+use kitetrail_core::jobs::{InvalidJob, JobId, JobSpec, JobState, ProgressKey, Schedule, StepSpec};
 
 #[test]
 fn only_the_outcome_of_an_ended_job_is_persisted() {
@@ -59,7 +59,7 @@
     fleet.submit(1, JobSpec { schedule: Some(schedule), ..job(vec![step(1)]) });
     fleet.advance_until("four occurrences are done", |fleet| fleet.starts.len() == 5);
     fleet.advance_ms(300);
-    let stored = &fleet.progress[&JobId(1)];
+    let stored = &fleet.progress[&ProgressKey::first(JobId(1))];
     assert_eq!(stored.done_before, 4);
     assert!(stored.occurrences.len() <= 1, "{:?}", stored.occurrences);
     fleet.take_over(2, true);
--- /dev/null
+++ b/crates/kitetrail-core/tests/jobs_wide.rs
@@ -0,0 +1,165 @@
+//! Jobs of many tasks: their rows and batches stay within the limits of the store, on virtual time.
+//!
+//! The simulated fleet panics on a row or a batch that the store does not accept.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use std::{collections::BTreeMap, mem};
+
+use fleet::{CLOCK_ZERO_UNIX_MS, SimulatedFleet, job, step, task};
+use kitetrail_core::{
+    Resources,
+    jobs::{JobId, JobSpec, JobState, Schedule, StepProgress, StepSpec},
+};
+
+/// The largest number of tasks of a job that a test uses. Jobs may have 10,000.
+const TASKS: u32 = 8_000;
+
+/// Returns a step of small tasks, many of which fit on one worker.
+fn wide_step(count: u32) -> StepSpec {
+    StepSpec { size: Resources::new(10, 1, 0), estimate_ms: 200, ..step(count) }
+}
+
+/// Returns the number of runs of each task that were started, at most and at least.
+fn starts_per_task(fleet: &SimulatedFleet, job: u64) -> (usize, usize) {
+    let mut counts = BTreeMap::<_, usize>::new();
+    for (_, name, ..) in fleet.starts.iter().filter(|(_, name, ..)| name.job == JobId(job)) {
+        *counts.entry(*name).or_default() += 1;
+    }
+    (counts.values().copied().max().unwrap_or(0), counts.values().copied().min().unwrap_or(0))
+}
+
+/// Guards against the row of a failing job that outgrew the store's limit, which every owner in turn lost the fleet over.
+#[test]
+fn a_wide_job_whose_runs_all_fail_leaves_other_jobs_alone() {
+    let mut fleet = SimulatedFleet::new(40);
+    fleet.failing_jobs.insert(JobId(1));
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    fleet.advance_until("most tasks have run", |fleet| fleet.starts.len() >= TASKS as usize / 2);
+    fleet.submit(2, job(vec![step(1)]));
+    fleet.advance_until("the job has failed", |fleet| fleet.state(1) == Some(JobState::Failed));
+    fleet.advance_until("the other job is done", |fleet| {
+        fleet.state(2) == Some(JobState::Completed)
+    });
+}
+
+#[test]
+fn failed_runs_of_a_wide_job_count_for_later_owners() {
+    let mut fleet = SimulatedFleet::new(40);
+    fleet.failing_jobs.insert(JobId(1));
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    for epoch in 2..6 {
+        fleet.advance_ms(150);
+        fleet.take_over(epoch, true);
+    }
+    fleet.advance_until("the job has failed", |fleet| fleet.state(1) == Some(JobState::Failed));
+    let (most, _) = starts_per_task(&fleet, 1);
+    assert!(most <= 3, "a task was started {most} times, the queue allows 3 failed runs");
+}
+
+#[test]
+fn tasks_of_a_wide_job_run_once_over_several_owners() {
+    let mut fleet = SimulatedFleet::new(40);
+    fleet.submit(1, job(vec![wide_step(TASKS), StepSpec { depends_on: vec![0], ..step(1) }]));
+    for epoch in 2..5 {
+        fleet.advance_ms(700);
+        fleet.take_over(epoch, epoch % 2 == 0);
+    }
+    fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
+    assert_eq!(starts_per_task(&fleet, 1), (1, 1));
+    assert_eq!(fleet.starts.len(), TASKS as usize + 1);
+}
+
+#[test]
+fn occurrences_of_a_schedule_that_are_all_due_fit_into_rows() {
+    let mut fleet = SimulatedFleet::new(40);
+    let schedule = Schedule {
+        start_at_unix_ms: CLOCK_ZERO_UNIX_MS + fleet.now.as_ms(),
+        interval_ms: 0,
+        count: 2_500,
+    };
+    let steps = vec![wide_step(1), StepSpec { depends_on: vec![0], ..wide_step(2) }];
+    fleet.submit(1, JobSpec { schedule: Some(schedule), ..job(steps) });
+    for epoch in 2..5 {
+        fleet.advance_ms(700);
+        fleet.take_over(epoch, true);
+    }
+    fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
+    assert_eq!(starts_per_task(&fleet, 1), (1, 1));
+    assert_eq!(fleet.starts.len(), 7_500);
+}
+
+#[test]
+fn members_of_a_wide_gang_that_is_done_do_not_run_again() {
+    let mut fleet = SimulatedFleet::new(40);
+    let steps = vec![
+        StepSpec { gang: true, ..wide_step(1_000) },
+        StepSpec { depends_on: vec![0], ..step(1) },
+    ];
+    fleet.task_duration_ms = Some(1_000);
+    fleet.submit(1, job(steps));
+    fleet.advance_until("the last step has begun", |fleet| {
+        fleet.starts.iter().any(|(_, name, ..)| *name == task(1, 1, 0))
+    });
+    fleet.take_over(2, true);
+    fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 1_001);
+}
+
+#[test]
+fn nothing_is_left_of_a_wide_job_after_its_retention_time() {
+    let mut fleet = SimulatedFleet::new(40);
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    fleet.advance_until("the job has several rows", |fleet| fleet.progress.len() > 1);
+    fleet.cancel(1);
+    fleet.advance_ms(2_000);
+    assert_eq!(fleet.progress.len(), 1, "only the outcome is left");
+    fleet.advance_ms(120_000);
+    assert!(fleet.progress.is_empty());
+}
+
+#[test]
+fn rows_of_an_earlier_job_with_the_same_id_do_not_count() {
+    let mut fleet = SimulatedFleet::new(40);
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    fleet.advance_until("the job has several rows", |fleet| fleet.progress.len() > 10);
+    let left = fleet.progress.clone().into_iter().filter(|(key, _)| key.part > 0);
+    fleet.cancel(1);
+    fleet.advance_ms(125_000);
+    assert!(fleet.progress.is_empty());
+    let starts = fleet.starts.len();
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    fleet.advance_ms(100);
+    fleet.progress.extend(left);
+    fleet.take_over(2, true);
+    fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
+    assert_eq!(fleet.starts.len(), starts + TASKS as usize);
+}
+
+#[test]
+fn progress_that_an_earlier_release_wrote_undivided_is_kept() {
+    let mut fleet = SimulatedFleet::new(10);
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    fleet.advance_until("half of the tasks are done", |fleet| {
+        fleet.workers.values().map(|worker| worker.completed.len()).sum::<usize>() > 3_000
+    });
+    fleet.advance_ms(200);
+    let rows = mem::take(&mut fleet.progress);
+    let is_done = |index| {
+        let steps = rows.values().flat_map(|part| part.occurrences.get(&0));
+        steps.into_iter().any(|occurrence| occurrence.steps[0].is_done(index))
+    };
+    let done = StepProgress::pack_done((0..TASKS).map(is_done));
+    let (key, mut undivided) =
+        rows.first_key_value().map(|(key, row)| (*key, row.clone())).unwrap();
+    undivided.occurrences.get_mut(&0).unwrap().steps[0] =
+        StepProgress { done, ..StepProgress::default() };
+    fleet.progress.insert(key, undivided);
+    for epoch in 2..4 {
+        fleet.take_over(epoch, true);
+        fleet.advance_ms(60);
+    }
+    fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
+    assert_eq!(starts_per_task(&fleet, 1), (1, 1));
+}
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use kitetrail_core::{
-    jobs::{JobRecord, ProgressRecord, Record},
+    jobs::{JobRecord, Record},
     succession::BoxStrength,
 };
 use kitetrail_platform::{
@@ -100,8 +100,8 @@
         Record::Job(JobRecord { id, .. }) => {
             put_record(transaction, job_row_name(&id.to_string()), record)
         }
-        Record::Progress(ProgressRecord { id, .. }) => {
-            put_record(transaction, progress_row_name(&id.to_string()), record)
+        Record::Progress(progress) => {
+            put_record(transaction, progress_row_name(&progress.key().to_string()), record)
         }
         Record::RemoveJob(id) => {
             transaction.removes.push(job_row_name(&id.to_string()));
@@ -118,8 +118,8 @@
             transaction.removes.push(row_name(INCARNATIONS_TABLE, &instance.to_string()));
             Ok(())
         }
-        Record::RemoveProgress(id) => {
-            transaction.removes.push(progress_row_name(&id.to_string()));
+        Record::RemoveProgress(key) => {
+            transaction.removes.push(progress_row_name(&key.to_string()));
             Ok(())
         }
     }
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -10,8 +11,8 @@
 use kitetrail_core::{
     Time,
     jobs::{
-        EffectsRecord, InheritedState, LeaseRecord, Outcome, ProgressRecord, Scheduler,
-        SchedulerSettings,
+        EffectsRecord, InheritedState, JobId, JobRecord, LeaseRecord, Outcome, ProgressRecord,
+        Scheduler, SchedulerSettings,
     },
     succession::{BoxStrength, EarlierOwners},
 };
@@ -344,7 +345,7 @@
     let instances = scan::read_table(shared, rows::INCARNATIONS_TABLE).await?;
     let progress = scan::read_table(shared, rows::PROGRESS_TABLE).await?;
     let jobs = scan::read_table(shared, rows::JOBS_TABLE).await?;
-    let mut progress = rows::decode_all::<ProgressRecord>(&progress);
+    let mut progress = progress_by_job(rows::decode_all(&progress));
     let mut inheritance = InheritedState {
         interference: load_effects(shared).await?,
         longest_lease: load_longest_lease(shared).await?,
@@ -352,10 +353,11 @@
         instances: rows::decode_all(&instances).into_values().collect(),
         ..InheritedState::default()
     };
-    for (key, job) in rows::decode_all(&jobs) {
-        inheritance.jobs.push((job, progress.remove(&key)));
+    for job in rows::decode_all::<JobRecord>(&jobs).into_values() {
+        let parts = progress.remove(&job.id).unwrap_or_default();
+        inheritance.jobs.push((job, parts));
     }
-    inheritance.ended_progress = progress.into_values().collect();
+    inheritance.ended_progress = progress.into_values().flatten().collect();
     for unreadable in
         inheritance.ended_progress.iter().filter(|progress| progress.outcome == Outcome::Open)
     {
@@ -367,6 +369,15 @@
     Ok(inheritance)
 }
 
+/// Returns the parts of the progress of each job.
+fn progress_by_job(rows: BTreeMap<String, ProgressRecord>) -> BTreeMap<JobId, Vec<ProgressRecord>> {
+    let mut by_job = BTreeMap::<_, Vec<_>>::new();
+    for part in rows.into_values() {
+        by_job.entry(part.id).or_default().push(part);
+    }
+    by_job
+}
+
 /// Reads what the previous owner learned about images. Returns an empty record if the row can't be
 /// decoded, since the scheduler relearns it within seconds.
 async fn load_effects<P: Platform>(shared: &Rc<Shared<P>>) -> Result<EffectsRecord, PlatformError> {
