A run is lost only by a report that lists all ends

Cause: a worker lists 500 ends at once. A run that had ended behind the cut stood in neither list, and reconcile_missing took it for one that never began. A new owner took the first, cut off answer of a worker for all that its predecessor had left there.

Fix: a report says whether it lists all ends. Only such a report shows that a run is gone, or that nothing of an earlier owner is left. Until then the run keeps its room, so the ends that wait are limited as well. Ruled out: asking by the number of the last end, as numbers may have gaps; dropping the runs later, which only moves the moment.

--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -206,6 +206,8 @@
     pub(super) inherited_starts: Vec<TaskName>,
     /// Whether one of the polls went unanswered while the owner itself did not lag.
     pub(super) silent_while_owner_on_time: bool,
+    /// Whether its last report did not list all of its ends.
+    pub(super) has_unlisted_ends: bool,
     /// The number of the last run end that the worker reported.
     pub(super) last_end_received: u64,
     /// The number of the last run end that is persisted.
@@ -255,6 +257,7 @@
             suspects: Vec::new(),
             inherited_starts: Vec::new(),
             silent_while_owner_on_time: false,
+            has_unlisted_ends: false,
             last_end_received: 0,
             last_end_persisted: 0,
             last_end_acknowledged: 0,
--- a/crates/kitetrail-core/src/jobs/report.rs
+++ b/crates/kitetrail-core/src/jobs/report.rs
@@ -45,6 +45,9 @@
     pub running: Vec<RunningTask>,
     /// The ended runs that are not acknowledged, in order.
     pub ended: Vec<RunEnd>,
+    /// Whether `ended` holds all of them. A worker lists a limited number at once, the earliest
+    /// ones, so that a run may be in neither list although it has ended.
+    pub lists_all_ends: bool,
 }
 
 /// A running task in a report.
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{
-        instance::{Leasing, Listing},
+        instance::{Leasing, Listing, WorkerInstance},
         job::Job,
         names::{InstanceKey, TaskName},
         operator_rows::OperatorRows,
@@ -114,9 +114,10 @@
     pub(super) fn handle_earlier_owners_stopped(&mut self, stopped_at: Time) {
         let expires_at = stopped_at + self.longest_lease_expiry_delay();
         for &instance_no in &self.unconfirmed_instances {
-            if let Some(instance) =
-                self.instances.get_mut(instance_no).filter(|instance| !instance.contested)
-            {
+            // Those that have answered have leases of this owner.
+            let has_earlier_lease =
+                |instance: &&mut WorkerInstance| !instance.contested && !instance.has_reported;
+            if let Some(instance) = self.instances.get_mut(instance_no).filter(has_earlier_lease) {
                 instance.leases_expire_by = instance.leases_expire_by.min(expires_at);
             }
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -140,8 +140,8 @@
     busy_workers: usize,
     /// Entries whose service no queue uses. Their workers are not contacted.
     unused_service_entries: BTreeMap<WorkerName, WorkerEntry>,
-    /// Worker instances used by an earlier owner that have neither answered nor outlasted their
-    /// lease yet.
+    /// Worker instances used by an earlier owner that have neither listed all of their runs and ends
+    /// nor outlasted their lease yet.
     unconfirmed_instances: BTreeSet<InstanceNo>,
     /// Whether one of those crashed. Tasks that may have been running there unnoticed are then
     /// possible causes.
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -104,7 +104,7 @@
         instance.last_end_acknowledged = instance.last_end_acknowledged.max(poll.acknowledged_end);
         let contested = instance.contested;
         instance.update_running(report);
-        self.unconfirmed_instances.remove(&instance_no);
+        self.record_unlisted_ends(instance_no, !report.lists_all_ends);
         if first || contested {
             self.end_earlier_instances(instance_no, sent_at, report);
         }
@@ -117,16 +117,33 @@
         for running in &report.running {
             self.reconcile_running(instance_no, running);
         }
-        self.reconcile_missing(instance_no, poll, sent_at, report);
+        if report.lists_all_ends {
+            self.unconfirmed_instances.remove(&instance_no);
+            self.reconcile_missing(instance_no, poll, sent_at, report);
+        }
         self.check_suspects(instance_no);
         self.assess_worker(instance_no, report.clock_ms);
-        self.check_progress(instance_no);
+        // Runs whose ends are not listed yet would seem stalled.
+        if report.lists_all_ends {
+            self.check_progress(instance_no);
+        }
         self.learn_and_update_paces(instance_no);
         if first {
             self.placement_needed = true;
         }
     }
 
+    /// Records whether a worker has ends that its report did not list.
+    fn record_unlisted_ends(&mut self, instance_no: InstanceNo, has_unlisted_ends: bool) {
+        let Some(instance) = self.instances.get_mut(instance_no) else { return };
+        let had_unlisted_ends = mem::replace(&mut instance.has_unlisted_ends, has_unlisted_ends);
+        match (had_unlisted_ends, has_unlisted_ends) {
+            (false, true) => self.log_worker_state(instance_no, "lists only some of its ends"),
+            (true, false) => self.log_worker_state(instance_no, "lists all of its ends"),
+            _ => {}
+        }
+    }
+
     /// Reconciles a reported run, which may be expected, inherited or unwanted.
     fn reconcile_running(&mut self, instance_no: InstanceNo, running: &RunningTask) {
         let now = self.now;
@@ -216,7 +233,8 @@
         known.copied().unwrap_or_else(|| self.tails.image_no(None))
     }
 
-    /// Drops runs that the scheduler expects on a worker but the worker does not report.
+    /// Drops runs that the scheduler expects on a worker but the worker does not report, given a
+    /// report that lists all ends.
     fn reconcile_missing(
         &mut self,
         instance_no: InstanceNo,
--- a/crates/kitetrail-core/src/jobs/scheduler/polls.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/polls.rs
@@ -80,12 +80,12 @@
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         let pause = match instance.unanswered_polls {
             0 if instance.contested => POLL_PAUSE,
-            0 if instance.runs().is_empty()
-                && instance.last_end_acknowledged >= instance.last_end_received =>
-            {
-                POLL_PAUSE_IDLE
+            0 if instance.runs().is_empty() && !instance.has_unlisted_ends => {
+                match instance.last_end_acknowledged >= instance.last_end_received {
+                    true => POLL_PAUSE_IDLE,
+                    false => POLL_PAUSE_UNACKNOWLEDGED,
+                }
             }
-            0 if instance.runs().is_empty() => POLL_PAUSE_UNACKNOWLEDGED,
             0 if instance.exceeds_tail_target() => POLL_PAUSE,
             0 => POLL_PAUSE + self.overload.poll_pause(),
             failed_polls => (POLL_RETRY_STEP * failed_polls).min(MAX_POLL_RETRY),
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -30,6 +30,8 @@
 const FAILS_AFTER_MS: u64 = 100;
 /// The longest lease that a worker grants, on its own clock.
 const LONGEST_LEASE_MS: u64 = 6_000;
+/// The most ends that a worker lists at once, the earliest ones.
+const MAX_LISTED_ENDS: usize = 500;
 /// The default delay after which a late worker carries out an order.
 const DEFAULT_ORDER_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -395,7 +397,8 @@
             incarnation: self.entry.incarnation,
             clock_ms: self.clock_ms(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            lists_all_ends: self.ended.len() < MAX_LISTED_ENDS,
         }
     }
 
--- a/crates/kitetrail-core/tests/jobs_incarnations.rs
+++ b/crates/kitetrail-core/tests/jobs_incarnations.rs
@@ -114,6 +114,7 @@
             clock_ms: fleet.now.as_ms(),
             running: vec![],
             ended: vec![],
+            lists_all_ends: true,
         };
         fleet.advance_ms(50);
         fleet.replace_instance("w0", "w0-again");
