A row that the store refuses costs its job and not each owner the fleet

Callers would see that nothing new is accepted or started while the store refuses one row for good; a job refused as it was handed in was answered 504, though it is certain that it is not stored.

Cause: a batch is one transaction, and after three permanent refusals the owner gave the fleet up without knowing which record was refused. The next one comes to the same record from the same rows and ends.

Fix: the writer finds the refused records by halves, commits the others and tells the scheduler, which refuses that new job, fails that open one, or uses that worker for nothing. A write without records comes first, so that an owner that can write nothing at all still gives the fleet up. Such writes say which row is the largest.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -15,7 +15,7 @@
     names::{Incarnation, JobId, QueueName, WorkerName},
     operator_rows::OperatorRows,
     order::{Order, OrderAnswer},
-    record::Record,
+    record::{Record, RecordSubject},
     report::{Poll, PollFailure, Report, RunEnd},
     retry_delay::RetryDelay,
     spec::{JobSpec, QueueTerms},
@@ -101,6 +101,9 @@
     },
     /// The batch of records with this number is persisted.
     Committed(u64),
+    /// The store permanently refuses to write the records about these subjects. The batch with them
+    /// is committed without them: this event comes before [`Event::Committed`].
+    RecordsRefused(Vec<RecordSubject>),
     /// The owner's event loop ran this much later than scheduled: everything it reads and sends is
     /// delayed as long.
     OwnerLagged(Duration),
--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -6,6 +6,7 @@
     hand_in::HandInDecision,
     names::{Incarnation, JobId, QueueName, TaskName, WorkerName},
     order::OrderAnswer,
+    record::RecordSubject,
     report::RunResult,
     room::Room,
     shares::ShareBound,
@@ -205,6 +206,11 @@
         /// pending.
         batch_sent_ago_ms: Option<u64>,
     },
+    /// The store permanently refuses the records about a subject.
+    RecordRefused {
+        /// The subject.
+        subject: RecordSubject,
+    },
     /// The best-effort runs on a worker were throttled, or their throttling changed.
     Paced {
         /// The worker.
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -48,7 +48,7 @@
 pub use progress_key::ProgressKey;
 pub use record::{
     EffectsRecord, InstanceRecord, JobRecord, LeaseRecord, OccurrenceProgress, Outcome,
-    ProgressRecord, Record, ServingEffects, StepProgress,
+    ProgressRecord, Record, RecordSubject, ServingEffects, StepProgress,
 };
 pub use report::{Poll, PollFailure, Report, RunEnd, RunResult, RunningTask};
 pub use retry_delay::RetryDelay;
--- a/crates/kitetrail-core/src/jobs/record.rs
+++ b/crates/kitetrail-core/src/jobs/record.rs
@@ -1,6 +1,9 @@
 //! The rows that the scheduler keeps in the store, so that the next owner can continue from them.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display, Formatter},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +65,46 @@
     LongestLease(LeaseRecord),
 }
 
+impl Record {
+    /// Returns what the record is about.
+    pub fn subject(&self) -> RecordSubject {
+        match self {
+            Self::Job(JobRecord { id, .. })
+            | Self::Progress(ProgressRecord { id, .. })
+            | Self::RemoveJob(id)
+            | Self::RemoveProgress(ProgressKey { job: id, .. }) => RecordSubject::Job(*id),
+            Self::PutInstance(instance) => RecordSubject::Instance(instance.key()),
+            Self::RemoveInstance(key) => RecordSubject::Instance(key.clone()),
+            Self::Effects(_) => RecordSubject::Effects,
+            Self::LongestLease(_) => RecordSubject::LongestLease,
+        }
+    }
+}
+
+/// What a record is about. Records about different subjects may be written apart.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RecordSubject {
+    /// A job.
+    Job(JobId),
+    /// A worker instance.
+    Instance(InstanceKey),
+    /// The learned interference between images.
+    Effects,
+    /// The bound of the length of leases.
+    LongestLease,
+}
+
+impl Display for RecordSubject {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Job(id) => write!(f, "job {id}"),
+            Self::Instance(key) => write!(f, "worker {key}"),
+            Self::Effects => f.write_str("effects"),
+            Self::LongestLease => f.write_str("longest lease"),
+        }
+    }
+}
+
 /// The bound of the length of the leases that owners have granted.
 ///
 /// A new owner waits this long for leases on workers that it can't reach.
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -42,6 +42,7 @@
 mod preempting;
 mod quarantine;
 mod ranking;
+mod refused_records;
 mod requests;
 mod run_lengths;
 pub(super) mod run_pace;
@@ -254,6 +255,7 @@
                 self.handle_late_ends(instance, incarnation, &ended)
             }
             Event::Committed(batch) => self.handle_committed(batch),
+            Event::RecordsRefused(subjects) => self.handle_refused_records(subjects),
             Event::OwnerLagged(lag) => self.record_lag(lag),
             Event::Tick => self.tick(),
             Event::ClaimantTermsChanged(terms) => self.set_claimant_terms(terms),
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -3,11 +3,15 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use kitetrail_core::{jobs::Record, succession::EarlierOwners};
+use kitetrail_core::{
+    jobs::{Record, RecordSubject},
+    succession::EarlierOwners,
+};
 use kitetrail_platform::{
     PlatformError,
     fleet::{RowStore, RowTransaction, TransactionAnswer},
@@ -48,10 +52,11 @@
 
 /// The HTTP statuses that refuse a write permanently: malformed, and too large.
 const PERMANENT_REFUSAL_STATUSES: [u16; 2] = [400, 413];
-/// The number of consecutive permanent refusals after which an owner releases the fleet. The next owner starts from
-/// the committed state alone, whereas this one could commit nothing more while this write is pending. More than one
-/// refusal is required, since a failing platform may return such a status by mistake.
+/// The number of consecutive permanent refusals after which the records of a write are written apart, to find those
+/// that are refused. More than one refusal is required, since a failing platform may return such a status by mistake.
 const MAX_PERMANENT_REFUSALS: u32 = 3;
+/// The same for a part of these records: the store has shown that it refuses some of them.
+const MAX_PERMANENT_REFUSALS_OF_PART: u32 = 1;
 
 type Attempts = JoinSet<Result<TransactionAnswer, PlatformError>>;
 
@@ -60,7 +65,8 @@
 enum WriteFailure {
     /// Another owner has written.
     AnotherOwner,
-    /// The records can't be encoded, or the store refuses them permanently.
+    /// The records can't be encoded, or the store refuses them permanently. An owner whose writes without any
+    /// records are refused can't go on.
     Refused,
 }
 
@@ -121,23 +127,73 @@
                 Ok(None) => return,
                 Err(_) => (None, Vec::new()),
             };
-            let began_at = self.shared.clock.now();
-            self.shared.write_pending_since.set(Some(began_at));
-            let written = self.write(&records).await;
-            self.shared.write_pending_since.set(None);
-            self.shared.confirmed_owner_at.set(written.is_ok().then_some(began_at));
-            if let Err(failure) = written {
-                let _ = self.owner.send(OwnerMessage::Deposed(failure.reason())).await;
-                return;
-            }
+            let refused = match self.write_except_refused(&records).await {
+                Ok(refused) => refused,
+                Err(failure) => {
+                    self.shared.confirmed_owner_at.set(None);
+                    let _ = self.owner.send(OwnerMessage::Deposed(failure.reason())).await;
+                    return;
+                }
+            };
             if let Some(number) = number {
-                let _ = self.owner.send(OwnerMessage::Committed(number)).await;
+                let _ = self.owner.send(OwnerMessage::Committed(number, refused)).await;
+            }
+        }
+    }
+
+    /// Writes records, except those that the store permanently refuses. Returns the subjects of these.
+    ///
+    /// The records about one subject stay together.
+    async fn write_except_refused(
+        &mut self,
+        records: &[Record],
+    ) -> Result<Vec<RecordSubject>, WriteFailure> {
+        match self.write(records, MAX_PERMANENT_REFUSALS).await {
+            Err(WriteFailure::Refused) if !records.is_empty() => {}
+            written => return written.map(|()| Vec::new()),
+        }
+        // Shows whether the records are the cause.
+        self.write(&[], MAX_PERMANENT_REFUSALS).await?;
+        let mut by_subject = BTreeMap::<_, Vec<_>>::new();
+        for record in records {
+            by_subject.entry(record.subject()).or_default().push(record.clone());
+        }
+        let mut refused = Vec::new();
+        let mut parts = vec![by_subject.into_iter().collect::<Vec<_>>()];
+        while let Some(mut part) = parts.pop() {
+            let records = part.iter().flat_map(|(_, records)| records).cloned().collect::<Vec<_>>();
+            match self.write(&records, MAX_PERMANENT_REFUSALS_OF_PART).await {
+                Err(WriteFailure::Refused) if part.len() > 1 => {
+                    parts.push(part.split_off(part.len() / 2));
+                    parts.push(part);
+                }
+                Err(WriteFailure::Refused) => {
+                    self.shared.metrics.record_commit("record-refused");
+                    refused.extend(part.into_iter().map(|(subject, _)| subject));
+                }
+                written => written?,
             }
         }
+        Ok(refused)
     }
 
     /// Writes records, retrying until the store answers definitely.
-    async fn write(&mut self, records: &[Record]) -> Result<(), WriteFailure> {
+    async fn write(&mut self, records: &[Record], max_refusals: u32) -> Result<(), WriteFailure> {
+        let began_at = self.shared.clock.now();
+        self.shared.write_pending_since.set(Some(began_at));
+        let written = self.write_until_answered(records, max_refusals).await;
+        self.shared.write_pending_since.set(None);
+        if written.is_ok() {
+            self.shared.confirmed_owner_at.set(Some(began_at));
+        }
+        written
+    }
+
+    async fn write_until_answered(
+        &mut self,
+        records: &[Record],
+        max_refusals: u32,
+    ) -> Result<(), WriteFailure> {
         self.write += 1;
         let head = HeadRow {
             epoch: self.epoch,
@@ -160,10 +216,10 @@
                 Ok(_) => return Err(WriteFailure::AnotherOwner),
                 Err(error) => {
                     refused = if is_permanent_refusal(&error) { refused + 1 } else { 0 };
-                    self.log_failure_and_wait(&error).await;
+                    self.log_failure_and_wait(&transaction, &error).await;
                 }
             }
-            if refused >= MAX_PERMANENT_REFUSALS {
+            if refused >= max_refusals {
                 return Err(WriteFailure::Refused);
             }
             if self.owner.is_closed() {
@@ -241,11 +297,11 @@
         attempts.spawn_local(async move { store.transact(&transaction).await });
     }
 
-    async fn log_failure_and_wait(&self, error: &PlatformError) {
+    async fn log_failure_and_wait(&self, transaction: &RowTransaction, error: &PlatformError) {
         self.shared.metrics.record_commit("failed");
         match is_permanent_refusal(error) {
             true => log::error!(
-                write = self.write;
+                write = self.write, rows = transaction.puts.len(), largest_row:? = largest_row(transaction);
                 "owner: the store permanently rejects a write: {error}"
             ),
             false => log::debug!(
@@ -277,6 +333,13 @@
     matches!(error, PlatformError::Refused { status, .. } if PERMANENT_REFUSAL_STATUSES.contains(status))
 }
 
+/// Returns the table, the key and the size of the largest row that a transaction writes.
+fn largest_row(transaction: &RowTransaction) -> Option<(&'static str, &str, usize)> {
+    let rows =
+        transaction.puts.iter().map(|(name, value)| (name.table, name.key.as_str(), value.len()));
+    rows.max_by_key(|&(.., bytes)| bytes)
+}
+
 fn task_failure(error: &JoinError) -> PlatformError {
     PlatformError::AnswerLost { service: "store", cause: error.to_string() }
 }
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -98,6 +98,10 @@
             retry_after_s:? = decision.retry_after().map(RetryDelay::as_secs);
             "job: hand-in decided"
         ),
+        LogEntry::RecordRefused { subject } => log::error!(
+            subject = subject.to_string();
+            "owner: continues without a record that the store permanently rejects"
+        ),
         LogEntry::Paced { worker, percent, tail_of_target_percent } => log::info!(
             worker = worker.as_str(), percent = *percent,
             tail_of_target_percent = *tail_of_target_percent;
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -7,7 +7,7 @@
 
 use kitetrail_core::{
     Time,
-    jobs::{Event, JobRequestId, Scheduler},
+    jobs::{Event, JobRequestId, RecordSubject, Scheduler},
     owner_relief::{ReliefPause, SuccessorAnswer},
 };
 use tokio::{
@@ -46,8 +46,8 @@
     Call(Call, oneshot::Sender<Answer>),
     /// An event for the scheduler.
     Event(Event),
-    /// A batch was committed.
-    Committed(u64),
+    /// A batch was committed, except for the records about subjects that the store permanently refuses.
+    Committed(u64, Vec<RecordSubject>),
     /// The writer can commit nothing more: another owner took over, or the store refuses a write
     /// permanently. The text is the reason.
     Deposed(&'static str),
@@ -220,8 +220,11 @@
                     return ControlFlow::Break(OwnershipEnd::Deposed);
                 }
             }
-            OwnerMessage::Committed(batch) => {
+            OwnerMessage::Committed(batch, refused) => {
                 self.commit_in_flight = false;
+                if !refused.is_empty() {
+                    self.handle(Event::RecordsRefused(refused));
+                }
                 self.handle(Event::Committed(batch));
             }
         }
