The row of learned effects is limited by its size

Callers would see nothing, once the writer goes on without a refused row; before, each owner in turn would have lost the fleet: the row holds 64 serving images and all images that ran beside each of them, by names that callers choose, of any length.

Fix: effects are exported up to 48 KiB, by the size of their names as stored; the rest is learned again by the next owner.

--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -23,6 +23,12 @@
 /// The most serving images whose effects are exported, to bound the size of the record.
 const MAX_EXPORTED_IMAGES: usize = 64;
 
+/// The most bytes of the exported effects. A row of the store holds 64 KiB, which may count the value
+/// as base64.
+const MAX_EXPORTED_BYTES: usize = 48 * 1_024;
+/// The most bytes of an image or an effect beside the name: two numbers, and the names of fields.
+const BYTES_PER_EFFECT: usize = 96;
+
 /// The number of an image within one scheduler.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(in crate::jobs) struct ImageNo(u32);
@@ -78,19 +84,32 @@
     }
 
     /// Returns the learned effects, to be persisted.
+    ///
+    /// Effects beyond [`MAX_EXPORTED_BYTES`] are left out: images and their names come from callers.
     pub(super) fn export(&self) -> EffectsRecord {
         let names = self.numbers.iter().map(|(name, number)| (*number, name.as_str()));
         let names = names.collect::<HashMap<_, _>>();
         let name = |image: ImageNo| names.get(&image).copied().unwrap_or("").to_owned();
+        let mut bytes_left = MAX_EXPORTED_BYTES;
+        let mut take = |name: &str| {
+            // A name can always be encoded, in which some characters take several bytes.
+            let name_bytes =
+                serde_json::to_string(name).map_or(MAX_EXPORTED_BYTES, |json| json.len());
+            let left = bytes_left.checked_sub(name_bytes + BYTES_PER_EFFECT);
+            bytes_left = left.unwrap_or(bytes_left);
+            left.is_some()
+        };
         let serving = (0..).zip(&self.images).filter_map(|(number, image)| {
-            Some(ServingEffects {
-                image: name(ImageNo(number)),
-                lowest_tail_ms: image.lowest_ms?,
-                effects: image
-                    .known_effects()
-                    .map(|(best_effort_image, effect)| (name(best_effort_image), effect))
-                    .collect(),
-            })
+            let lowest_tail_ms = image.lowest_ms?;
+            let image_name = name(ImageNo(number));
+            if !take(&image_name) {
+                return None;
+            }
+            let effects = image.known_effects();
+            let effects =
+                effects.map(|(best_effort_image, effect)| (name(best_effort_image), effect));
+            let effects = effects.filter(|(best_effort_name, _)| take(best_effort_name)).collect();
+            Some(ServingEffects { image: image_name, lowest_tail_ms, effects })
         });
         EffectsRecord { serving: serving.take(MAX_EXPORTED_IMAGES).collect() }
     }
