Failed runs of a wide job are remembered by job, not among the last 64

Callers' jobs were not started for 2 s and more while a wide job failed on all workers: each of them was put in quarantine.

Cause: a failed run counts against its worker unless its job failed on several workers of late.

Evidence: the new test, red on the code before: 13 quarantines on 12 workers.

Fix: for each of 64 jobs the last four workers are remembered on which its runs failed, and how often there. The questions asked are about more than two workers and more than one run, so this is exact whatever the number of runs.

--- a/crates/kitetrail-core/src/jobs/scheduler/fleet_health.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fleet_health.rs
@@ -1,7 +1,7 @@
 //! Tells slow workers from slowdowns that all workers share.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -27,16 +27,20 @@
 const MAX_MEAN_SLOWDOWN: f64 = 1.8;
 /// The owner's lag from which reports say little: starts and ends are read late.
 const MAX_LAG: Duration = Duration::from_millis(250);
-/// The number of failed runs whose jobs are remembered, and for how long.
-const MAX_FAILURES: usize = 64;
+/// The number of jobs whose failed runs are remembered, and for how long.
+const MAX_FAILING_JOBS: usize = 64;
 const FAILURE_AGE: Duration = Duration::from_millis(5_000);
+/// The number of workers that are remembered for each of these jobs: enough to tell that a job fails
+/// on more than a few.
+const MAX_FAILING_WORKERS: usize = 4;
 
-/// A failed run.
+/// The failed runs of one job on one worker.
 #[derive(Debug)]
-struct Failure {
-    job: JobId,
+struct FailuresOnWorker {
     instance_no: InstanceNo,
-    at: Time,
+    count: usize,
+    /// When the last of them ended.
+    last_at: Time,
 }
 
 /// What the runs of all workers did recently; older verdicts decay.
@@ -82,7 +86,8 @@
     /// The number of workers that are not sound.
     suspects: usize,
     lag: Duration,
-    failures: VecDeque<Failure>,
+    /// The recent failed runs of each job, on the workers where they failed last.
+    failures: BTreeMap<JobId, Vec<FailuresOnWorker>>,
 }
 
 impl FleetHealth {
@@ -133,25 +138,52 @@
         instance_no: InstanceNo,
         now: Time,
     ) -> bool {
-        let is_old = |failure: &Failure| now.since(failure.at) > FAILURE_AGE;
-        while self.failures.len() >= MAX_FAILURES || self.failures.front().is_some_and(is_old) {
-            self.failures.pop_front();
+        self.failures.retain(|_, workers| {
+            workers.retain(|failures| now.since(failures.last_at) <= FAILURE_AGE);
+            !workers.is_empty()
+        });
+        let failed_before = self.failures.contains_key(&job);
+        if !failed_before && self.failures.len() >= MAX_FAILING_JOBS {
+            self.forget_oldest_job();
+        }
+        let workers = self.failures.entry(job).or_default();
+        match workers.iter_mut().find(|failures| failures.instance_no == instance_no) {
+            Some(failures) => {
+                failures.count += 1;
+                failures.last_at = now;
+            }
+            None => {
+                // They are in the order in which their workers joined.
+                if workers.len() >= MAX_FAILING_WORKERS {
+                    workers.remove(0);
+                }
+                workers.push(FailuresOnWorker { instance_no, count: 1, last_at: now });
+            }
         }
-        let failed_before = self.failures.iter().any(|failure| failure.job == job);
-        self.failures.push_back(Failure { job, instance_no, at: now });
         !failed_before
     }
 
+    /// Forgets the job whose last failed run is the oldest.
+    fn forget_oldest_job(&mut self) {
+        let last_at =
+            |workers: &[FailuresOnWorker]| workers.iter().map(|failures| failures.last_at).max();
+        let oldest = self.failures.iter().min_by_key(|(_, workers)| last_at(workers));
+        if let Some(job) = oldest.map(|(&job, _)| job) {
+            self.failures.remove(&job);
+        }
+    }
+
     /// Returns the number of workers on which runs of a job failed recently, with the given one.
     pub(in crate::jobs) fn failing_workers(&self, job: JobId, instance_no: InstanceNo) -> usize {
-        let of_job = self.failures.iter().filter(|failure| failure.job == job);
-        let workers = of_job.map(|failure| failure.instance_no).chain([instance_no]);
+        let workers = self.failures.get(&job).into_iter().flatten();
+        let workers = workers.map(|failures| failures.instance_no).chain([instance_no]);
         workers.collect::<BTreeSet<_>>().len()
     }
 
     /// Returns the number of runs of a job that failed recently on a worker.
     pub(in crate::jobs) fn failures_on(&self, job: JobId, instance_no: InstanceNo) -> usize {
-        let here = |failure: &&Failure| failure.job == job && failure.instance_no == instance_no;
-        self.failures.iter().filter(here).count()
+        let mut workers = self.failures.get(&job).into_iter().flatten();
+        let here = workers.find(|failures| failures.instance_no == instance_no);
+        here.map_or(0, |failures| failures.count)
     }
 }
--- a/crates/kitetrail-core/tests/jobs_wide.rs
+++ b/crates/kitetrail-core/tests/jobs_wide.rs
@@ -7,10 +7,12 @@
 
 use std::{collections::BTreeMap, mem};
 
-use fleet::{CLOCK_ZERO_UNIX_MS, SimulatedFleet, job, step, task};
+use fleet::{CLOCK_ZERO_UNIX_MS, FakeWorker, SimulatedFleet, job, step, task};
 use kitetrail_core::{
-    Resources,
-    jobs::{JobId, JobSpec, JobState, Schedule, StepProgress, StepSpec},
+    Resources, Time,
+    jobs::{
+        JobId, JobSpec, JobState, LoadPart, LoadParts, LogEntry, Schedule, StepProgress, StepSpec,
+    },
 };
 
 /// The largest number of tasks of a job that a test uses. Jobs may have 10,000.
@@ -30,6 +32,18 @@
     (counts.values().copied().max().unwrap_or(0), counts.values().copied().min().unwrap_or(0))
 }
 
+/// Returns a fleet that judges its workers by their runs.
+fn fleet_that_judges_workers() -> SimulatedFleet {
+    let parts = [LoadPart::WorkerHealth].into_iter().collect::<LoadParts>();
+    SimulatedFleet::with_parts((0..12).map(FakeWorker::new), parts)
+}
+
+/// Returns the number of times that a worker got no new work because its runs failed.
+fn blamed_workers(fleet: &SimulatedFleet) -> usize {
+    let is_blamed = |(_, entry): &&(Time, LogEntry)| matches!(entry, LogEntry::Worker { state, .. } if *state == "quarantined: its runs fail");
+    fleet.log_entries.iter().filter(is_blamed).count()
+}
+
 /// Guards against the row of a failing job that outgrew the store's limit, which every owner in turn lost the fleet over.
 #[test]
 fn a_wide_job_whose_runs_all_fail_leaves_other_jobs_alone() {
@@ -58,6 +72,20 @@
     assert!(most <= 3, "a task was started {most} times, the queue allows 3 failed runs");
 }
 
+/// Guards against failed runs that were forgotten after 64 others, so that each worker was blamed again.
+#[test]
+fn no_worker_is_blamed_for_a_wide_job_that_fails_everywhere() {
+    let mut fleet = fleet_that_judges_workers();
+    fleet.failing_jobs.insert(JobId(1));
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    fleet.advance_ms(200);
+    fleet.submit(2, job(vec![step(1)]));
+    fleet.advance_until("the job has failed", |fleet| fleet.state(1) == Some(JobState::Failed));
+    fleet.advance_ms(1_000);
+    assert_eq!(blamed_workers(&fleet), 0);
+    assert_eq!(starts_per_task(&fleet, 2), (1, 1), "the other job has begun");
+}
+
 #[test]
 fn tasks_of_a_wide_job_run_once_over_several_owners() {
     let mut fleet = SimulatedFleet::new(40);
