A new owner counts failed runs of its predecessor for their job

Cause: a failed run counts against its worker unless runs of its job fail on several workers. The owner counted only runs that it knew; the first ends that a new one reads are of unknown runs, so each worker was blamed and put in quarantine.

Fix: a failed run counts for its job whoever started it.

--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -33,8 +33,13 @@
         let ended = instance.remove_run(end.task, end.run);
         let done = ended.as_ref().filter(|_| end.how == RunResult::Done);
         let run_duration_ms = done.and_then(|run| run_duration_ms(run, now));
-        if let Some(run) = &ended {
-            self.learn_from_end(instance_no, end.task, run, end.how, run_duration_ms);
+        match &ended {
+            Some(run) => self.learn_from_end(instance_no, end.task, run, end.how, run_duration_ms),
+            // An earlier owner started the run. It still shows on which workers its job fails.
+            None if end.how == RunResult::Failed => {
+                self.fleet_health.record_failure(end.task.job, instance_no, now);
+            }
+            None => {}
         }
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if let Some(run) = ended.filter(|run| run.is_best_effort) {
--- a/crates/kitetrail-core/tests/jobs_wide.rs
+++ b/crates/kitetrail-core/tests/jobs_wide.rs
@@ -86,6 +86,24 @@
     assert_eq!(starts_per_task(&fleet, 2), (1, 1), "the other job has begun");
 }
 
+/// Guards against a new owner that took all workers for failing, as it did not count the failed runs that it read for
+/// their job.
+#[test]
+fn new_owner_does_not_blame_workers_for_a_job_that_fails_everywhere() {
+    let mut fleet = fleet_that_judges_workers();
+    fleet.failing_jobs.insert(JobId(1));
+    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    fleet.advance_until("many tasks run", |fleet| {
+        fleet.workers.values().all(|worker| worker.running.len() > 20)
+    });
+    fleet.advance_without_owner(400);
+    fleet.take_over(2, true);
+    fleet.submit(2, job(vec![step(1)]));
+    fleet.advance_ms(1_500);
+    assert_eq!(blamed_workers(&fleet), 0);
+    assert_eq!(starts_per_task(&fleet, 2), (1, 1), "the other job has begun");
+}
+
 #[test]
 fn tasks_of_a_wide_job_run_once_over_several_owners() {
     let mut fleet = SimulatedFleet::new(40);
