Tasks that a new owner has accounted for do not wait for silent workers

Cause: all inherited jobs waited as a whole while any worker of the predecessor was neither heard nor outwaited; during a release some worker has always just ended, and waits are longest for it. Meanwhile the new owner stopped runs on leaving workers and started them nowhere.

Ruled out, by a run: that the first report of a run is enough. With workers that answer a waiting poll after a higher token has come, the predecessor learns of the end as well, and jobs_two_owners had a task run twice. The simulated worker refused such polls; it answers them now, as the platform allows, and answers them when a run ends and not when its owner is reached again.

Fix: a task that a worker reports as running 2.1 s after its first report to the new owner has no other run and will get none from the predecessor, so it may start again at once; until then it isn't moved. Tasks that only ended or that nobody reports wait as before.

--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -161,6 +161,8 @@
     known_since: Time,
     /// Whether its first report to this scheduler has arrived.
     pub(super) has_reported: bool,
+    /// The worker's clock in that report, in milliseconds.
+    pub(super) first_report_clock_ms: Option<u64>,
     /// The time of its last answer.
     pub(super) last_answer_at: Option<Time>,
     /// The worker's clock in its last answer.
@@ -234,6 +236,7 @@
             is_persisted: false,
             known_since: now,
             has_reported: false,
+            first_report_clock_ms: None,
             last_answer_at: None,
             clock: None,
             contested: false,
--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -120,6 +120,7 @@
             for task in &mut step.tasks {
                 task.last_run = task.last_run.max(run_floor);
                 task.maybe_started_before = !task.done;
+                task.is_unaccounted = !task.done;
             }
         }
         job
@@ -183,8 +184,9 @@
         self.spec.steps.get(step as usize)
     }
 
-    /// Returns the steps whose dependencies are done and that have tasks waiting for a worker.
-    pub(super) fn due_steps(&mut self, now: Time) -> Vec<StepName> {
+    /// Returns the steps whose dependencies are done and that have tasks which may be placed, given
+    /// whether workers of the previous owner have not been heard yet.
+    pub(super) fn due_steps(&mut self, now: Time, awaits_workers: bool) -> Vec<StepName> {
         let mut due = Vec::new();
         self.may_have_waiting_tasks = false;
         for (&number, occurrence) in &self.occurrences {
@@ -196,7 +198,7 @@
                 // A task that has just failed waits for its retry delay, so the step may not be due
                 // yet.
                 self.may_have_waiting_tasks = true;
-                if step.tasks.iter().any(|task| task.waits(now)) {
+                if step.tasks.iter().any(|task| task.may_start(now, awaits_workers)) {
                     due.push(StepName { job: self.id, occurrence: number, step: index });
                 }
             }
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -71,7 +71,8 @@
         }
     }
 
-    /// Stops a run so that its task continues elsewhere.
+    /// Stops a run so that its task continues elsewhere, unless the task would have to wait for workers
+    /// that were not heard yet.
     pub(super) fn move_run(
         &mut self,
         instance_no: InstanceNo,
@@ -79,6 +80,10 @@
         run: u32,
         why: &'static str,
     ) {
+        let awaits_workers = !self.unconfirmed_instances.is_empty();
+        if awaits_workers && self.task_mut(task).is_some_and(|task| task.is_unaccounted) {
+            return;
+        }
         let Some(instance) = self.instances.get(instance_no) else { return };
         let worker = instance.id().clone();
         self.actions.push(Action::Log(LogEntry::RunMoved { task, run, worker, why }));
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -65,11 +65,10 @@
         let is_paused = self.jobs.get(&id).is_some_and(|job| self.is_paused(job));
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_persisted) else { return };
         let lateness = Lateness::of(job, now);
-        let must_wait = job.inherited && awaits_workers;
-        if must_wait || pass.starts_left == 0 || is_paused {
+        if pass.starts_left == 0 || is_paused {
             return;
         }
-        for step in job.due_steps(now) {
+        for step in job.due_steps(now, awaits_workers) {
             self.log_if_zone_required(step);
             let spec = self.jobs.get(&id).and_then(|job| job.step_spec(step.step));
             let Some(spec) = spec.filter(|spec| !pass.has_no_room_for(spec, lateness)).cloned()
@@ -111,8 +110,11 @@
     /// Returns the tasks of a step that wait for a worker.
     fn waiting_tasks(&self, step: StepName, spec: &StepSpec) -> Vec<TaskName> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
-        let names = (0..spec.count).map(|index| step.task(index));
-        names.filter(|&name| job.task(name).is_some_and(|task| task.waits(self.now))).collect()
+        let (now, awaits_workers) = (self.now, !self.unconfirmed_instances.is_empty());
+        let may_start = |name: &TaskName| {
+            job.task(*name).is_some_and(|task| task.may_start(now, awaits_workers))
+        };
+        (0..spec.count).map(|index| step.task(index)).filter(may_start).collect()
     }
 
     /// Ranks the workers with room for a task, best first.
@@ -215,7 +217,8 @@
     fn place_gang(&mut self, step: StepName, spec: &StepSpec, pass: &mut PlacementPass) {
         let members = self.jobs.get(&step.job).and_then(|job| job.step(step));
         let Some(tasks) = members.map(|members| &members.tasks) else { return };
-        if !tasks.iter().all(|task| task.waits(self.now)) {
+        let awaits_workers = !self.unconfirmed_instances.is_empty();
+        if !tasks.iter().all(|task| task.may_start(self.now, awaits_workers)) {
             return;
         }
         let run = tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -1,6 +1,6 @@
 //! Handles answers to polls: reconciles what workers run with the scheduler's state.
 
-use std::mem;
+use std::{mem, time::Duration};
 
 use super::{
     super::{
@@ -13,10 +13,15 @@
     },
     Scheduler,
     incarnations::ReportSource,
+    polls::MAX_POLL_WAIT,
     tails::ImageNo,
 };
 use crate::Time;
 
+/// The time on a worker's clock after its first report by which all polls of earlier owners are
+/// answered: the longest wait of a poll, and a margin for the answer.
+const EARLIER_POLLS_TIMEOUT: Duration = MAX_POLL_WAIT.saturating_add(Duration::from_millis(100));
+
 impl Scheduler {
     /// Handles the answer to a poll, or its failure.
     pub(super) fn handle_poll_answer(
@@ -98,6 +103,7 @@
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         let first = !instance.has_reported;
         instance.has_reported = true;
+        instance.first_report_clock_ms.get_or_insert(report.clock_ms);
         instance.record_answer(report.clock_ms, sent_at, now);
         self.resume_leasing(instance_no);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
@@ -117,6 +123,7 @@
         for running in &report.running {
             self.reconcile_running(instance_no, running);
         }
+        self.account_for_runs(instance_no, report);
         if report.lists_all_ends {
             self.unconfirmed_instances.remove(&instance_no);
             self.reconcile_missing(instance_no, poll, sent_at, report);
@@ -162,6 +169,31 @@
         }
     }
 
+    /// Accounts for the tasks that a worker runs: none of them runs elsewhere, or will.
+    ///
+    /// A task has one run at a time, so the previous owner starts another one only once it knows that
+    /// this one ended. From the worker's first report to this owner on, it refuses the previous one,
+    /// but it may still answer a poll that was waiting before. A run that is reported after all such
+    /// polls are answered ends unnoticed by the previous owner. The end of a run shows less: the
+    /// previous owner may have known of it and started the next run on a worker that was not heard.
+    fn account_for_runs(&mut self, instance_no: InstanceNo, report: &Report) {
+        let first_clock_ms =
+            self.instances.get(instance_no).and_then(|instance| instance.first_report_clock_ms);
+        let earlier_polls_are_over = first_clock_ms.is_some_and(|first_clock_ms| {
+            report.clock_ms >= first_clock_ms + EARLIER_POLLS_TIMEOUT.as_millis() as u64
+        });
+        if self.unconfirmed_instances.is_empty() || !earlier_polls_are_over {
+            return;
+        }
+        for RunningTask { task, run, .. } in &report.running {
+            let placement = Placement { instance: instance_no, run: *run };
+            let task = self.task_mut(*task);
+            if let Some(task) = task.filter(|task| task.placed.contains(&placement)) {
+                task.is_unaccounted = false;
+            }
+        }
+    }
+
     /// Clears recorded starts when a worker used by an earlier owner answers: tasks recorded as
     /// about to start there that it does not run never ran.
     fn clear_unstarted(&mut self, instance_no: InstanceNo, report: &Report) {
--- a/crates/kitetrail-core/src/jobs/scheduler/polls.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/polls.rs
@@ -18,7 +18,7 @@
 /// latencies change within seconds.
 const POLL_WAIT_SHARED: Duration = Duration::from_millis(500);
 /// The longest time that a worker may wait, as accepted by the platform.
-const MAX_POLL_WAIT: Duration = Duration::from_millis(2_000);
+pub(super) const MAX_POLL_WAIT: Duration = Duration::from_millis(2_000);
 /// The pause before the next poll, so that ends that occur close together share one answer.
 const POLL_PAUSE: Duration = Duration::from_millis(120);
 /// The same for a worker that runs nothing, of which only the health matters.
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -41,12 +41,16 @@
     /// Whether the previous owner may have started the task, while this one has neither started it
     /// nor received a report of a run.
     pub(super) maybe_started_before: bool,
+    /// Whether a run of the previous owner may be, or may yet be started, on a worker that this one
+    /// has not heard.
+    pub(super) is_unaccounted: bool,
 }
 
 impl Task {
     /// Records that the task is started. `owner_lost` is whether the previous owner was lost and
     /// may have started the task on a worker that crashed, without counting the crash.
     pub(super) fn record_start(&mut self, owner_lost: bool) {
+        self.is_unaccounted = false;
         if mem::take(&mut self.maybe_started_before) && owner_lost {
             self.persists_starts = true;
             self.crashes.may_miss_some = true;
@@ -57,6 +61,12 @@
     pub(super) fn waits(&self, now: Time) -> bool {
         !self.done && self.placed.is_empty() && self.not_before.is_none_or(|time| time <= now)
     }
+
+    /// Returns whether the task waits for a worker and may be placed now, given whether workers of
+    /// the previous owner have not been heard yet.
+    pub(super) fn may_start(&self, now: Time, awaits_workers: bool) -> bool {
+        self.waits(now) && !(awaits_workers && self.is_unaccounted)
+    }
 }
 
 /// The tasks of one step in one occurrence of the schedule.
--- a/crates/kitetrail-core/tests/fleet/predecessor.rs
+++ b/crates/kitetrail-core/tests/fleet/predecessor.rs
@@ -38,6 +38,8 @@
     /// When this owner was replaced: none of its later writes was committed.
     replaced_at: Time,
     polls: Vec<(InstanceNo, WorkerEntry, Poll, Time)>,
+    /// The polls whose answers were lost, which this owner does not know yet.
+    unanswered_polls: Vec<(InstanceNo, Poll, Time)>,
     events: VecDeque<(Time, Event)>,
 }
 
@@ -95,6 +97,7 @@
             suspended_until: None,
             replaced_at: self.now,
             polls,
+            unanswered_polls: Vec::new(),
             events,
         });
         self.take_over(epoch, false);
@@ -104,6 +107,7 @@
     pub(super) fn step_predecessor(&mut self) {
         let now = self.now;
         let Some(mut owner) = self.predecessor.take() else { return };
+        self.answer_predecessor(&mut owner);
         if owner.suspended_until.is_some_and(|until| now < until) {
             self.predecessor = Some(owner);
             return;
@@ -112,28 +116,51 @@
             return;
         }
         let mut events = owner.take_due(now);
+        events.push(Event::Tick);
+        for event in events {
+            let actions = owner.scheduler.handle(event, now, CLOCK_ZERO_UNIX_MS + now.as_ms());
+            if !actions.into_iter().all(|action| self.perform_for_predecessor(&mut owner, action)) {
+                return;
+            }
+        }
+        self.predecessor = Some(owner);
+    }
+
+    /// Lets the workers answer the polls of the previous owner. It reads the answers later if it is suspended.
+    fn answer_predecessor(&mut self, owner: &mut Predecessor) {
+        let now = self.now;
         for (instance, entry, poll, sent_at) in mem::take(&mut owner.polls) {
-            let answer = match owner.reaches(&entry) && self.listens_at(&entry) {
-                true => self.workers.get_mut(entry.id.as_str()).and_then(|worker| {
+            let is_reached = owner.reaches(&entry) && self.listens_at(&entry);
+            let worker = self.workers.get_mut(entry.id.as_str());
+            let answer = match (is_reached, worker) {
+                (true, Some(worker)) => {
                     worker.answer_poll(now, (instance, poll, sent_at), self.tail_ms)
-                }),
-                false => answer_unreachable_poll(now, &poll, sent_at),
+                }
+                // The worker answers a poll that waits when a run ends, not when it is reached again.
+                (false, Some(worker)) if worker.answers_waiting_poll(now, &poll, sent_at) => {
+                    owner.unanswered_polls.push((instance, poll, sent_at));
+                    continue;
+                }
+                (false, _) => answer_unreachable_poll(now, &poll, sent_at),
+                (true, None) => None,
             };
             match answer {
                 Some(answer) => {
-                    events.push(Event::PollAnswered { instance, poll, sent_at, answer })
+                    let answered = Event::PollAnswered { instance, poll, sent_at, answer };
+                    owner.events.push_back((now, answered));
                 }
                 None => owner.polls.push((instance, entry, poll, sent_at)),
             }
         }
-        events.push(Event::Tick);
-        for event in events {
-            let actions = owner.scheduler.handle(event, now, CLOCK_ZERO_UNIX_MS + now.as_ms());
-            if !actions.into_iter().all(|action| self.perform_for_predecessor(&mut owner, action)) {
-                return;
+        for (instance, poll, sent_at) in mem::take(&mut owner.unanswered_polls) {
+            match answer_unreachable_poll(now, &poll, sent_at) {
+                Some(answer) => {
+                    let answered = Event::PollAnswered { instance, poll, sent_at, answer };
+                    owner.events.push_back((now, answered));
+                }
+                None => owner.unanswered_polls.push((instance, poll, sent_at)),
             }
         }
-        self.predecessor = Some(owner);
     }
 
     /// Performs an action of the previous owner. Returns `false` if it was deposed.
--- a/crates/kitetrail-core/tests/fleet/worker.rs
+++ b/crates/kitetrail-core/tests/fleet/worker.rs
@@ -157,6 +157,8 @@
     pub running: BTreeMap<TaskName, Running>,
     pub ended: Vec<RunEnd>,
     pub token: u64,
+    /// When the fencing token rose.
+    token_raised_at: Time,
     /// The lead of the worker's clock over the owner's, in milliseconds.
     pub clock_ahead_ms: u64,
     /// Whether answers to orders contain the incarnation, as reports do.
@@ -215,6 +217,7 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             token: 0,
+            token_raised_at: Time::ZERO,
             clock_ahead_ms: 0,
             answers_contain_incarnation: false,
             leased_until_ms: 0,
@@ -250,6 +253,13 @@
         self.leased_until_ms = self.leased_until_ms.max(granted_ms);
     }
 
+    fn raise_token(&mut self, now: Time, token: u64) {
+        if token > self.token {
+            self.token = token;
+            self.token_raised_at = now;
+        }
+    }
+
     /// Carries out an order, or refuses it.
     pub fn carry_out(
         &mut self,
@@ -262,7 +272,7 @@
         if token < self.token {
             return OrderAnswer::Refused(OrderRefusal::Fenced);
         }
-        self.token = token;
+        self.raise_token(now, token);
         let clock_ms = self.clock_ms(now);
         match order {
             Order::Start(_) if lease_until_ms <= clock_ms => {
@@ -347,20 +357,34 @@
             }
             return Some(Err(PollFailure::Unanswered));
         }
-        if poll.token < self.token {
-            return Some(Err(PollFailure::Fenced));
-        }
-        self.token = poll.token;
-        if let Some(until_ms) = poll.lease_until_ms {
-            self.lease(now, until_ms);
+        match poll.token < self.token {
+            true if !self.is_waiting(&poll, sent_at) => return Some(Err(PollFailure::Fenced)),
+            true => {}
+            false => {
+                self.raise_token(now, poll.token);
+                if let Some(until_ms) = poll.lease_until_ms {
+                    self.lease(now, until_ms);
+                }
+                self.acknowledge_ends(poll.acknowledged_end);
+            }
         }
-        self.acknowledge_ends(poll.acknowledged_end);
         if self.ended.is_empty() && waited < Duration::from_millis(poll.wait_ms.into()) {
             return None;
         }
         Some(Ok(self.report(now, tail_ms(self))))
     }
 
+    /// Returns whether a poll arrived before a higher token, and waits for an end.
+    fn is_waiting(&self, poll: &Poll, sent_at: Time) -> bool {
+        poll.token < self.token && sent_at < self.token_raised_at
+    }
+
+    /// Returns whether the worker answers such a poll now.
+    pub fn answers_waiting_poll(&self, now: Time, poll: &Poll, sent_at: Time) -> bool {
+        let wait_is_over = now.since(sent_at) >= Duration::from_millis(poll.wait_ms.into());
+        self.is_waiting(poll, sent_at) && (wait_is_over || !self.ended.is_empty())
+    }
+
     /// Removes the ends up to a number, which are acknowledged.
     fn acknowledge_ends(&mut self, last: u64) {
         let (acknowledged, remaining) =
--- a/crates/kitetrail-core/tests/jobs_two_owners.rs
+++ b/crates/kitetrail-core/tests/jobs_two_owners.rs
@@ -61,6 +61,78 @@
     assert_eq!(fleet.starts.len(), 12, "each task was started once");
 }
 
+/// Guards against inherited tasks that a new owner stopped on leaving workers and left waiting for a worker that never
+/// answered, although it had heard them run.
+#[test]
+fn task_that_a_new_owner_has_heard_moves_while_another_worker_is_silent() {
+    let mut fleet = SimulatedFleet::new(6);
+    let spread = StepSpec { long_running: true, max_per_worker: Some(1), ..step(4) };
+    fleet.submit(1, job(vec![spread]));
+    fleet.advance_until("all tasks run", |fleet| fleet.starts.len() == 4);
+    // A worker is lost together with the owner, whose box never answers again.
+    let lost = fleet.worker_of(task(1, 0, 0));
+    fleet.worker(&lost).crash();
+    fleet.worker(&lost).unlisted = true;
+    fleet.take_over(2, false);
+    fleet.advance_ms(1_500);
+    let moved = task(1, 0, 1);
+    let leaving = fleet.worker_of(moved);
+    fleet.worker(&leaving).entry.draining = true;
+    fleet.report_all_listed();
+    // The previous owner may have polls at the worker that wait for 2 s, and its drain takes longer.
+    fleet.advance_ms(2_500);
+    assert_ne!(fleet.worker_of(moved), leaving, "the task runs elsewhere");
+    assert_eq!(fleet.starts.len(), 5, "the task of the silent worker waits for its lease");
+    fleet.advance_until("the task of the silent worker runs", |fleet| fleet.starts.len() == 6);
+}
+
+#[test]
+fn task_whose_failed_run_a_new_owner_has_heard_waits_for_a_silent_worker() {
+    // The fleet panics if the task runs twice at the same time.
+    let mut fleet = SimulatedFleet::new(2);
+    fleet.task_duration_ms = Some(30_000);
+    fleet.submit(1, job(vec![step(1)]));
+    fleet.advance_until("the task runs", |fleet| fleet.starts.len() == 1);
+    // The owner learns of the failed run and starts the next one elsewhere, but stores nothing of it.
+    fleet.store_down = true;
+    let failing = fleet.worker_of(task(1, 0, 0));
+    fleet.worker(&failing).behaviour = Behaviour::Failing;
+    fleet.advance_until("the task runs elsewhere", |fleet| fleet.starts.len() == 2);
+    fleet.worker(&failing).behaviour = Behaviour::Healthy;
+    let silent = fleet.worker_of(task(1, 0, 0));
+    fleet.worker(&silent).behaviour = Behaviour::Partitioned;
+    fleet.store_down = false;
+    fleet.take_over(2, false);
+    fleet.advance_ms(11_000);
+    assert_eq!(fleet.starts.len(), 2, "started while the previous owner may renew the lease");
+    fleet.advance_until("the task runs again", |fleet| fleet.starts.len() == 3);
+}
+
+#[test]
+fn task_whose_end_the_previous_owner_may_hear_too_waits_for_a_silent_worker() {
+    // The fleet panics if the task runs twice at the same time.
+    for fails_after_ms in [50, 300, 800, 1_500, 2_500, 4_000] {
+        let mut fleet = SimulatedFleet::new(3);
+        fleet.task_duration_ms = Some(30_000);
+        fleet.submit(1, job(vec![step(1)]));
+        fleet.advance_until("the task runs", |fleet| fleet.starts.len() == 1);
+        fleet.advance_ms(500);
+        let failing = fleet.worker_of(task(1, 0, 0));
+        let others = fleet.workers.keys().filter(|id| **id != failing).cloned().collect::<Vec<_>>();
+        // Both owners reach the worker of the task, and each of them one other worker.
+        fleet.unreachable_workers = [others[0].clone()].into();
+        fleet.take_over_beside_predecessor(2, InFlight::Lost, &[&others[1]]);
+        fleet.advance_ms(fails_after_ms);
+        fleet.worker(&failing).behaviour = Behaviour::Failing;
+        fleet.advance_ms(200);
+        fleet.worker(&failing).behaviour = Behaviour::Healthy;
+        fleet.advance_ms(6_000);
+        end_partition(&mut fleet);
+        fleet.advance_ms(20_000);
+        assert_eq!(fleet.workers_running(task(1, 0, 0)).len(), 1, "it runs again");
+    }
+}
+
 #[test]
 fn an_owner_after_a_short_lived_one_waits_for_the_earlier_owner() {
     // The fleet panics if a task runs twice at the same time.
