A gang of which one stored part is done is done

Callers would have seen a wide gang that neither runs nor ends, after the loss of an owner and of the worker that holds the end: the parts of a gang's progress are written one after the other, and a restored gang was done in part.

Evidence: the new test, red before: the job is not done within a minute.

Fix: one end stands for all members of a gang, so one part that says so does as well. Beside it, records of a batch are moved and not copied, and whether a worker has reported follows from the clock in its first report.

--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -159,9 +159,7 @@
     pub(super) is_persisted: bool,
     /// The time at which this scheduler learned of the instance, which had started by then.
     known_since: Time,
-    /// Whether its first report to this scheduler has arrived.
-    pub(super) has_reported: bool,
-    /// The worker's clock in that report, in milliseconds.
+    /// The worker's clock in its first report to this scheduler, in milliseconds.
     pub(super) first_report_clock_ms: Option<u64>,
     /// The time of its last answer.
     pub(super) last_answer_at: Option<Time>,
@@ -235,7 +233,6 @@
             listing: Listing::Listed,
             is_persisted: false,
             known_since: now,
-            has_reported: false,
             first_report_clock_ms: None,
             last_answer_at: None,
             clock: None,
@@ -292,10 +289,15 @@
             && self.last_answer_at.is_none_or(|last_answer_at| last_answer_at < moment)
     }
 
+    /// Returns whether its first report to this scheduler has arrived.
+    pub(super) fn has_reported(&self) -> bool {
+        self.first_report_clock_ms.is_some()
+    }
+
     /// Returns whether new work may be placed here.
     pub(super) fn accepts_work(&self, now: Time) -> bool {
         let quarantined = self.quarantined_until.is_some_and(|until| now < until);
-        self.has_reported
+        self.has_reported()
             && self.is_persisted
             && self.listing == Listing::Listed
             && !self.entry.draining
@@ -379,7 +381,7 @@
     /// nothing new to acknowledge, or the poll may reach a later instance: that one numbers its
     /// ends from 1 and would drop ends that were never received.
     pub(super) fn end_to_acknowledge(&self) -> u64 {
-        let is_sure = self.has_reported && self.unanswered_polls == 0 && !self.contested;
+        let is_sure = self.has_reported() && self.unanswered_polls == 0 && !self.contested;
         if is_sure && self.last_end_persisted > self.last_end_acknowledged {
             self.last_end_persisted
         } else {
--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -345,6 +345,7 @@
         for (number, occurrence) in parts.into_iter().flat_map(|progress| progress.occurrences) {
             self.restore_occurrence(number, &occurrence);
         }
+        self.restore_gangs();
     }
 
     fn restore_occurrence(&mut self, number: u32, progress: &OccurrenceProgress) {
@@ -353,6 +354,17 @@
             self.has_started |= step.restore(stored);
         }
     }
+
+    /// Completes the gangs that are done by some of their stored parts only: one end stands for all
+    /// members, but its parts may be written one after the other.
+    fn restore_gangs(&mut self) {
+        for occurrence in self.occurrences.values_mut() {
+            let steps = occurrence.steps.iter_mut().zip(&self.spec.steps);
+            steps
+                .filter(|(step, spec)| spec.gang && step.done > 0)
+                .for_each(|(step, _)| step.mark_all_done());
+        }
+    }
 }
 
 /// Limits the crashes to [`MAX_CRASH_BYTES`], dropping those with the lowest weight first.
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -103,20 +103,20 @@
     }
 
     fn send_batch(&mut self) {
-        let taken = self.pending.take_batch(self.now, &self.jobs);
+        let mut taken = self.pending.take_batch(self.now, &self.jobs);
         self.mark_instances_sent(&taken.instances);
         for ProgressKey { job, part } in taken.progress.iter().map(ProgressRecord::key) {
             self.jobs.get_mut(&job).map(|job| job.stored_parts.insert(part));
         }
-        let mut records = self.records(&taken);
+        let outcomes =
+            taken.progress.iter().map(|progress| (progress.id, progress.outcome)).collect();
+        let starts = self.deferred_starts.take(&taken.progress);
+        let mut records = self.records(&mut taken);
         if self.now.since(self.pending.effects_persisted_at) >= EFFECTS_PERSIST_INTERVAL {
             self.pending.effects_persisted_at = self.now;
             records.push(Record::Effects(self.tails.export()));
         }
         let complete = taken.complete;
-        let outcomes =
-            taken.progress.iter().map(|progress| (progress.id, progress.outcome)).collect();
-        let starts = self.deferred_starts.take(&taken.progress);
         let BatchRecords { new_jobs, instances, longest_lease, .. } = taken;
         let batch = |number| Batch { number, new_jobs, outcomes, instances, longest_lease, starts };
         let batch = self.pending.record_sent(batch, self.now);
@@ -124,8 +124,8 @@
         self.actions.push(Action::Commit { batch, records });
     }
 
-    /// Returns the store records of a batch.
-    fn records(&self, taken: &BatchRecords) -> Vec<Record> {
+    /// Returns the store records of a batch. Takes out the progress.
+    fn records(&self, taken: &mut BatchRecords) -> Vec<Record> {
         let job = |id: &JobId| self.jobs.get(id);
         let used = |instance: &InstanceNo| {
             let instance = self.instances.get(*instance)?;
@@ -141,15 +141,15 @@
         };
         // For a job that has already ended, only its progress is persisted.
         let new_jobs = taken.new_jobs.iter().filter_map(job).filter(|job| job.is_open());
-        let progress = taken.progress.iter();
-        let ended = progress.clone().filter(|progress| progress.outcome != Outcome::Open);
+        let progress = mem::take(&mut taken.progress);
+        let ended = progress.iter().filter(|progress| progress.outcome != Outcome::Open);
         let ended = ended.filter_map(|progress| job(&progress.id));
-        let dropped = ended.filter(|job| job.is_persisted).map(|job| job.id);
+        let dropped = ended.filter(|job| job.is_persisted).map(|job| job.id).collect::<Vec<_>>();
         let mut records = Vec::new();
         records.extend(new_jobs.map(Job::record).map(Record::Job));
         records.extend(taken.instances.iter().filter_map(used));
-        records.extend(progress.cloned().map(Record::Progress));
-        records.extend(dropped.map(Record::RemoveJob));
+        records.extend(progress.into_iter().map(Record::Progress));
+        records.extend(dropped.into_iter().map(Record::RemoveJob));
         records.extend(taken.ended_instances.iter().cloned().map(Record::RemoveInstance));
         records.extend(taken.progress_to_delete.iter().copied().map(Record::RemoveProgress));
         let longest_lease = taken.longest_lease.map(|lease| lease.as_millis() as u64);
--- a/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
@@ -158,7 +158,7 @@
         match self.find_instance_for_entry(&entry) {
             Some(other)
                 if precedes
-                    && self.instances.get(other).is_some_and(|other| other.has_reported) =>
+                    && self.instances.get(other).is_some_and(|other| other.has_reported()) =>
             {
                 self.log_worker_restart(instance_no, other);
                 self.end_instance(instance_no, InstanceEnd::StartedAgain);
@@ -272,7 +272,7 @@
     /// Logs that a worker has restarted under the same id.
     pub(super) fn log_worker_restart(&mut self, before: InstanceNo, after: InstanceNo) {
         let Some(instance) = self.instances.get(before) else { return };
-        if !instance.has_reported && !self.unconfirmed_instances.contains(&before) {
+        if !instance.has_reported() && !self.unconfirmed_instances.contains(&before) {
             // The incarnation came from a late entry.
             return;
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -116,7 +116,7 @@
         for &instance_no in &self.unconfirmed_instances {
             // Those that have answered have leases of this owner.
             let has_earlier_lease =
-                |instance: &&mut WorkerInstance| !instance.contested && !instance.has_reported;
+                |instance: &&mut WorkerInstance| !instance.contested && !instance.has_reported();
             if let Some(instance) = self.instances.get_mut(instance_no).filter(has_earlier_lease) {
                 instance.leases_expire_by = instance.leases_expire_by.min(expires_at);
             }
--- a/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
@@ -26,7 +26,7 @@
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         let silent_too_long =
             instance.unanswered_since.is_some_and(|time| now.since(time) >= STOP_LEASING_AFTER);
-        let may_record = instance.has_reported && instance.is_persisted && !instance.contested;
+        let may_record = instance.has_reported() && instance.is_persisted && !instance.contested;
         if silent_too_long && may_record && instance.leasing == Leasing::Allowed {
             instance.leasing = Leasing::Ended;
             self.pending.rewrite_instance(instance_no);
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -96,13 +96,12 @@
         if self
             .instances
             .get(instance_no)
-            .is_some_and(|instance| instance.unanswered_polls > 0 && instance.has_reported)
+            .is_some_and(|instance| instance.unanswered_polls > 0 && instance.has_reported())
         {
             self.log_worker_state(instance_no, "answers again");
         }
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
-        let first = !instance.has_reported;
-        instance.has_reported = true;
+        let first = !instance.has_reported();
         instance.first_report_clock_ms.get_or_insert(report.clock_ms);
         instance.record_answer(report.clock_ms, sent_at, now);
         self.resume_leasing(instance_no);
--- a/crates/kitetrail-core/src/jobs/scheduler/polls.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/polls.rs
@@ -50,7 +50,7 @@
             // not get the acknowledgement, which it would apply to its own ends.
             return;
         }
-        if !instance.has_reported && !self.first_polls.take() {
+        if !instance.has_reported() && !self.first_polls.take() {
             return;
         }
         let wait_ms = poll_wait(instance, fleet_cycle).as_millis() as u32;
@@ -139,7 +139,7 @@
 fn poll_wait(instance: &WorkerInstance, fleet_cycle: Duration) -> Duration {
     let is_leased = instance.unanswered_polls == 0 && instance.leasing == Leasing::Allowed;
     let immediate =
-        !is_leased || instance.contested || !instance.has_reported || instance.runs().is_empty();
+        !is_leased || instance.contested || !instance.has_reported() || instance.runs().is_empty();
     let in_large_fleet = wait_in_large_fleet(fleet_cycle);
     let shared = instance.has_serving() && instance.has_best_effort();
     match (immediate, shared) {
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -121,6 +121,11 @@
         placed
     }
 
+    pub(super) fn mark_all_done(&mut self) {
+        self.tasks.iter_mut().for_each(|task| task.done = true);
+        self.done = self.tasks.len() as u32;
+    }
+
     /// Returns the progress of some tasks, to be stored.
     pub(super) fn progress(&self, range: Range<usize>) -> StepProgress {
         let first = range.start as u32;
--- a/crates/kitetrail-core/tests/jobs_wide.rs
+++ b/crates/kitetrail-core/tests/jobs_wide.rs
@@ -153,6 +153,20 @@
     assert_eq!(fleet.starts.len(), 1_001);
 }
 
+/// Guards against a gang of which only some rows say that it is done: it could neither run again nor end.
+#[test]
+fn gang_whose_end_is_stored_in_part_is_done() {
+    let mut fleet = SimulatedFleet::new(40);
+    let gang = StepSpec { gang: true, ..wide_step(1_000) };
+    fleet.task_duration_ms = Some(1_000);
+    fleet.submit(1, job(vec![gang, StepSpec { depends_on: vec![0], ..step(1) }]));
+    fleet.advance_until("the gang is stored as done", |fleet| fleet.progress.len() == 4);
+    fleet.progress.retain(|key, _| key.part == 1);
+    fleet.workers.values_mut().for_each(|worker| worker.ended.clear());
+    fleet.take_over(2, true);
+    fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
+}
+
 #[test]
 fn nothing_is_left_of_a_wide_job_after_its_retention_time() {
     let mut fleet = SimulatedFleet::new(40);
