Occurrences that a new owner begins anew wait for silent workers

Callers' tasks would have run twice: an occurrence of a schedule that the lost owner had begun is not stored before one of its tasks ends, so the next owner begins it anew. Since waiting is decided by task, its tasks counted as never started, whereas the whole job waited before.

Evidence: the new test, red before: a task runs twice, on a worker that the new owner does not reach and on another one.

Fix: tasks of occurrences that an inherited job begins are not accounted for until a worker reports them.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -252,7 +252,12 @@
 
     pub(super) fn begin(&mut self, occurrence: u32) {
         if !self.occurrences.contains_key(&occurrence) {
-            self.occurrences.insert(occurrence, Occurrence::new(&self.spec));
+            let mut begun = Occurrence::new(&self.spec);
+            // An earlier owner may have begun it, which is not stored before one of its tasks ends.
+            for task in begun.steps.iter_mut().flat_map(|step| &mut step.tasks) {
+                task.is_unaccounted = self.inherited;
+            }
+            self.occurrences.insert(occurrence, begun);
             self.may_have_waiting_tasks = true;
         }
     }
--- a/crates/kitetrail-core/tests/jobs_two_owners.rs
+++ b/crates/kitetrail-core/tests/jobs_two_owners.rs
@@ -5,8 +5,8 @@
 
 use std::{env, ops::Range, time::Duration};
 
-use fleet::{Behaviour, InFlight, SimulatedFleet, job, step, task};
-use kitetrail_core::jobs::{JobId, JobState, StepSpec};
+use fleet::{Behaviour, CLOCK_ZERO_UNIX_MS, InFlight, SimulatedFleet, job, step, task};
+use kitetrail_core::jobs::{JobId, JobSpec, JobState, Schedule, StepSpec, TaskName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -108,6 +108,29 @@
     fleet.advance_until("the task runs again", |fleet| fleet.starts.len() == 3);
 }
 
+/// Guards against an occurrence that the previous owner had begun without storing it, and whose tasks a new owner took for
+/// never started.
+#[test]
+fn occurrence_that_is_not_stored_waits_for_a_silent_worker() {
+    // The fleet panics if a task runs twice at the same time.
+    let mut fleet = SimulatedFleet::new(3);
+    fleet.task_duration_ms = Some(30_000);
+    let start_at_unix_ms = CLOCK_ZERO_UNIX_MS + fleet.now.as_ms() + 1_000;
+    let schedule = Schedule { start_at_unix_ms, interval_ms: 1_000, count: 3 };
+    fleet.submit(1, JobSpec { schedule: Some(schedule), ..job(vec![step(1)]) });
+    fleet.advance_until("two occurrences run", |fleet| fleet.starts.len() == 2);
+    let second = TaskName { occurrence: 1, ..task(1, 0, 0) };
+    let silent = fleet.worker_of(second);
+    fleet.worker(&silent).behaviour = Behaviour::Partitioned;
+    let started = fleet.starts.iter().filter(|(.., id)| *id == silent).count();
+    fleet.take_over(2, false);
+    fleet.advance_ms(11_000);
+    assert_eq!(fleet.starts.len(), 2, "started while the previous owner may renew the lease");
+    fleet.advance_until("the lost tasks and the last one run", |fleet| {
+        fleet.starts.len() == 3 + started
+    });
+}
+
 #[test]
 fn task_whose_end_the_previous_owner_may_hear_too_waits_for_a_silent_worker() {
     // The fleet panics if the task runs twice at the same time.
