--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -185,7 +185,7 @@
     }
 
     /// Returns the steps whose dependencies are done and that have tasks which may be placed, given
-    /// whether workers of the previous owner have not been heard yet.
+    /// whether workers of the previous owner have not reported yet.
     pub(super) fn due_steps(&mut self, now: Time, awaits_workers: bool) -> Vec<StepName> {
         let mut due = Vec::new();
         self.may_have_waiting_tasks = false;
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -72,7 +72,7 @@
     }
 
     /// Stops a run so that its task continues elsewhere, unless the task would have to wait for workers
-    /// that were not heard yet.
+    /// that have not reported yet.
     pub(super) fn move_run(
         &mut self,
         instance_no: InstanceNo,
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -174,7 +174,7 @@
     /// this one ended. From the worker's first report to this owner on, it refuses the previous one,
     /// but it may still answer a poll that was waiting before. A run that is reported after all such
     /// polls are answered ends unnoticed by the previous owner. The end of a run shows less: the
-    /// previous owner may have known of it and started the next run on a worker that was not heard.
+    /// previous owner may have known of it and started the next run on a worker that has not reported.
     fn account_for_runs(&mut self, instance_no: InstanceNo, report: &Report) {
         let first_clock_ms =
             self.instances.get(instance_no).and_then(|instance| instance.first_report_clock_ms);
--- a/crates/kitetrail-core/src/jobs/scheduler/refused_records.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/refused_records.rs
@@ -12,8 +12,7 @@
 };
 
 impl Scheduler {
-    /// Handles the news that the batch in flight is committed without the records about some
-    /// subjects.
+    /// Handles the commit of the batch in flight without the records about some subjects.
     pub(super) fn handle_refused_records(&mut self, subjects: Vec<RecordSubject>) {
         for subject in subjects {
             self.actions.push(Action::Log(LogEntry::RecordRefused { subject: subject.clone() }));
--- a/crates/kitetrail-core/src/jobs/scheduler/tails.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/tails.rs
@@ -85,7 +85,7 @@
 
     /// Returns the learned effects, to be persisted.
     ///
-    /// Effects beyond [`MAX_EXPORTED_BYTES`] are left out: images and their names come from callers.
+    /// Effects beyond [`MAX_EXPORTED_BYTES`] are omitted: images and their names come from callers.
     pub(super) fn export(&self) -> EffectsRecord {
         let names = self.numbers.iter().map(|(name, number)| (*number, name.as_str()));
         let names = names.collect::<HashMap<_, _>>();
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -42,7 +42,7 @@
     /// nor received a report of a run.
     pub(super) maybe_started_before: bool,
     /// Whether a run of the previous owner may be, or may yet be started, on a worker that this one
-    /// has not heard.
+    /// has no report of.
     pub(super) is_unaccounted: bool,
 }
 
@@ -63,7 +63,7 @@
     }
 
     /// Returns whether the task waits for a worker and may be placed now, given whether workers of
-    /// the previous owner have not been heard yet.
+    /// the previous owner have not reported yet.
     pub(super) fn may_start(&self, now: Time, awaits_workers: bool) -> bool {
         self.waits(now) && !(awaits_workers && self.is_unaccounted)
     }
--- a/crates/kitetrail-core/tests/jobs_many_images.rs
+++ b/crates/kitetrail-core/tests/jobs_many_images.rs
@@ -20,6 +20,6 @@
     fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
     fleet.submit(2, job(vec![step(4)]));
     fleet.advance_until("the job is done", |fleet| fleet.state(2) == Some(JobState::Completed));
-    let kept = fleet.effects.serving.iter().map(|serving| serving.effects.len()).sum::<usize>();
-    assert!((100..6_400).contains(&kept), "{kept} effects are stored");
+    let stored = fleet.effects.serving.iter().map(|serving| serving.effects.len()).sum::<usize>();
+    assert!((100..6_400).contains(&stored), "{stored} effects are stored");
 }
--- a/crates/kitetrail-core/tests/jobs_two_owners.rs
+++ b/crates/kitetrail-core/tests/jobs_two_owners.rs
@@ -62,9 +62,9 @@
 }
 
 /// Guards against inherited tasks that a new owner stopped on leaving workers and left waiting for a worker that never
-/// answered, although it had heard them run.
+/// answered, although they had been reported to it as running.
 #[test]
-fn task_that_a_new_owner_has_heard_moves_while_another_worker_is_silent() {
+fn task_reported_to_a_new_owner_moves_while_another_worker_is_silent() {
     let mut fleet = SimulatedFleet::new(6);
     let spread = StepSpec { long_running: true, max_per_worker: Some(1), ..step(4) };
     fleet.submit(1, job(vec![spread]));
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn task_whose_failed_run_a_new_owner_has_heard_waits_for_a_silent_worker() {
+fn task_whose_failed_run_is_reported_to_a_new_owner_waits_for_a_silent_worker() {
     // The fleet panics if the task runs twice at the same time.
     let mut fleet = SimulatedFleet::new(2);
     fleet.task_duration_ms = Some(30_000);
@@ -132,7 +132,7 @@
 }
 
 #[test]
-fn task_whose_end_the_previous_owner_may_hear_too_waits_for_a_silent_worker() {
+fn task_whose_end_the_previous_owner_may_receive_too_waits_for_a_silent_worker() {
     // The fleet panics if the task runs twice at the same time.
     for fails_after_ms in [50, 300, 800, 1_500, 2_500, 4_000] {
         let mut fleet = SimulatedFleet::new(3);
--- a/crates/kitetrail-core/tests/jobs_wide.rs
+++ b/crates/kitetrail-core/tests/jobs_wide.rs
@@ -198,7 +198,7 @@
 }
 
 #[test]
-fn progress_that_an_earlier_release_wrote_undivided_is_kept() {
+fn progress_that_an_earlier_release_wrote_undivided_is_restored() {
     let mut fleet = SimulatedFleet::new(10);
     fleet.submit(1, job(vec![wide_step(TASKS)]));
     fleet.advance_until("half of the tasks are done", |fleet| {
