One refusal by mistake fails no job; refused writes are tried again sooner

A part that can't be divided further is now refused three times before it counts, as the whole batch is.

--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -32,9 +32,10 @@
 /// The longest interval between the owner's writes. Other boxes consider an owner lost that has not
 /// written for more than twice as long.
 pub(super) const HEARTBEAT: Duration = Duration::from_millis(300);
-/// The delay after a call that got no answer. It is short because the store may have recovered.
+/// The delay after a call that got no answer, since the store may have recovered, and after a permanent refusal, since
+/// callers wait.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
-/// The delay after the store refused a write, such as when it is overloaded.
+/// The delay after the store refused a write that it may accept later, such as when it is overloaded.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// A write is sent again if its answer has not arrived within this multiple of the typical latency.
@@ -55,7 +56,8 @@
 /// The number of consecutive permanent refusals after which the records of a write are written apart, to find those
 /// that are refused. More than one refusal is required, since a failing platform may return such a status by mistake.
 const MAX_PERMANENT_REFUSALS: u32 = 3;
-/// The same for a part of these records: the store has shown that it refuses some of them.
+/// The same for a part of these records that can be divided further. Whether a single subject is refused is as certain as
+/// for the whole.
 const MAX_PERMANENT_REFUSALS_OF_PART: u32 = 1;
 
 type Attempts = JoinSet<Result<TransactionAnswer, PlatformError>>;
@@ -162,7 +164,11 @@
         let mut parts = vec![by_subject.into_iter().collect::<Vec<_>>()];
         while let Some(mut part) = parts.pop() {
             let records = part.iter().flat_map(|(_, records)| records).cloned().collect::<Vec<_>>();
-            match self.write(&records, MAX_PERMANENT_REFUSALS_OF_PART).await {
+            let max_refusals = match part.len() {
+                0 | 1 => MAX_PERMANENT_REFUSALS,
+                _ => MAX_PERMANENT_REFUSALS_OF_PART,
+            };
+            match self.write(&records, max_refusals).await {
                 Err(WriteFailure::Refused) if part.len() > 1 => {
                     parts.push(part.split_off(part.len() / 2));
                     parts.push(part);
@@ -309,8 +315,9 @@
                 "owner: a write failed and will be retried: {error}"
             ),
         }
-        let was_refused = matches!(error, PlatformError::Refused { .. });
-        time::sleep(if was_refused { BUSY_RETRY_DELAY } else { RETRY_DELAY }).await;
+        let may_be_busy =
+            matches!(error, PlatformError::Refused { .. }) && !is_permanent_refusal(error);
+        time::sleep(if may_be_busy { BUSY_RETRY_DELAY } else { RETRY_DELAY }).await;
     }
 
     fn transaction(
