--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -42,6 +42,9 @@
     pub(super) parts: ProgressParts,
     /// The parts of its progress that the store may hold.
     pub(super) stored_parts: BTreeSet<u32>,
+    /// Whether the first part of its progress, as it was stored, holds more than its share: an
+    /// earlier release wrote it undivided.
+    pub(super) is_stored_undivided: bool,
     /// Whether the job is persisted.
     pub(super) is_persisted: bool,
     pub(super) has_started: bool,
@@ -82,6 +85,7 @@
             ended_unix_ms: None,
             parts,
             stored_parts: BTreeSet::new(),
+            is_stored_undivided: false,
             is_persisted: false,
             has_started: false,
             may_have_waiting_tasks: true,
@@ -341,6 +345,8 @@
         self.done_before = parts.iter().map(|progress| progress.done_before).max().unwrap_or(0);
         self.has_started |= self.done_before > 0;
         self.occurrences.retain(|&number, _| number >= self.done_before);
+        let first = parts.iter().find(|progress| progress.part == 0 && self.parts.count() > 1);
+        let first = first.map(|first| first.occurrences.clone());
         // Occurrences begin in order, but not each of them has a task that is stored.
         let last_begun =
             parts.iter().filter_map(|progress| progress.occurrences.keys().next_back());
@@ -351,6 +357,7 @@
             self.restore_occurrence(number, &occurrence);
         }
         self.restore_gangs();
+        self.is_stored_undivided = first.is_some_and(|first| first != self.progress(0).occurrences);
     }
 
     fn restore_occurrence(&mut self, number: u32, progress: &OccurrenceProgress) {
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -61,10 +61,8 @@
             };
             let (progress, stale) = progress.into_iter().partition::<Vec<_>, _>(is_current);
             stale.iter().for_each(|part| self.pending.delete_progress(part.key()));
-            let first = progress.iter().find(|part| part.part == 0);
-            let first = first.map(|first| first.occurrences.clone()).unwrap_or_default();
             let job = Job::restore(record, progress, run_floor, self.now, self.unix_ms);
-            if job.parts.count() > 1 && job.progress(0).occurrences != first {
+            if job.is_stored_undivided {
                 self.record_undivided_progress(&job);
             }
             self.insert_job(job);
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -332,6 +332,11 @@
         self.jobs.get_mut(&name.job)?.task_mut(name)
     }
 
+    /// Returns whether runs of an earlier owner may be on workers that have not reported yet.
+    fn awaits_workers(&self) -> bool {
+        !self.unconfirmed_instances.is_empty()
+    }
+
     /// Records new progress of a task, to be persisted soon.
     fn record_task_progress(&mut self, name: TaskName) {
         if let Some(job) = self.jobs.get(&name.job) {
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -80,8 +80,7 @@
         run: u32,
         why: &'static str,
     ) {
-        let awaits_workers = !self.unconfirmed_instances.is_empty();
-        if awaits_workers && self.task_mut(task).is_some_and(|task| task.is_unaccounted) {
+        if self.awaits_workers() && self.task_mut(task).is_some_and(|task| task.is_unaccounted) {
             return;
         }
         let Some(instance) = self.instances.get(instance_no) else { return };
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -61,7 +61,7 @@
 
     /// Places the waiting tasks of one job.
     pub(super) fn place_job(&mut self, id: JobId, pass: &mut PlacementPass) {
-        let (now, awaits_workers) = (self.now, !self.unconfirmed_instances.is_empty());
+        let (now, awaits_workers) = (self.now, self.awaits_workers());
         let is_paused = self.jobs.get(&id).is_some_and(|job| self.is_paused(job));
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_persisted) else { return };
         let lateness = Lateness::of(job, now);
@@ -110,7 +110,7 @@
     /// Returns the tasks of a step that wait for a worker.
     fn waiting_tasks(&self, step: StepName, spec: &StepSpec) -> Vec<TaskName> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
-        let (now, awaits_workers) = (self.now, !self.unconfirmed_instances.is_empty());
+        let (now, awaits_workers) = (self.now, self.awaits_workers());
         let may_start = |name: &TaskName| {
             job.task(*name).is_some_and(|task| task.may_start(now, awaits_workers))
         };
@@ -217,7 +217,7 @@
     fn place_gang(&mut self, step: StepName, spec: &StepSpec, pass: &mut PlacementPass) {
         let members = self.jobs.get(&step.job).and_then(|job| job.step(step));
         let Some(tasks) = members.map(|members| &members.tasks) else { return };
-        let awaits_workers = !self.unconfirmed_instances.is_empty();
+        let awaits_workers = self.awaits_workers();
         if !tasks.iter().all(|task| task.may_start(self.now, awaits_workers)) {
             return;
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -181,7 +181,7 @@
         let earlier_polls_are_over = first_clock_ms.is_some_and(|first_clock_ms| {
             report.clock_ms >= first_clock_ms + EARLIER_POLLS_TIMEOUT.as_millis() as u64
         });
-        if self.unconfirmed_instances.is_empty() || !earlier_polls_are_over {
+        if !self.awaits_workers() || !earlier_polls_are_over {
             return;
         }
         for RunningTask { task, run, .. } in &report.running {
