--- a/crates/kitetrail-core/tests/jobs_many_ends.rs
+++ b/crates/kitetrail-core/tests/jobs_many_ends.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use fleet::{SimulatedFleet, job, step};
+use fleet::{Behaviour, SimulatedFleet, job, step, task};
 use kitetrail_core::{
     Resources,
-    jobs::{JobState, LogEntry, StepSpec},
+    jobs::{Event, JobState, LogEntry, StepSpec},
 };
 
 /// The number of tasks: several times as many as four workers list in one report each.
@@ -103,3 +103,34 @@
     let is_quarantined = |entry: &LogEntry| matches!(entry, LogEntry::Worker { state, .. } if state.starts_with("quarantined"));
     assert!(!fleet.log_entries.iter().any(|(_, entry)| is_quarantined(entry)));
 }
+
+#[test]
+fn lease_renewed_on_a_worker_with_unlisted_ends_outlasts_the_stop_of_earlier_owners() {
+    // The fleet panics if the task runs twice at the same time.
+    let mut fleet = SimulatedFleet::new(4);
+    fleet.submit(2, job(vec![StepSpec { estimate_ms: 60_000, ..step(1) }]));
+    let short = StepSpec { size: Resources::new(50, 1, 0), estimate_ms: 100, ..step(TASKS) };
+    fleet.submit(1, job(vec![short]));
+    fleet.advance_until("some tasks are done", |fleet| completed(fleet) > 100);
+    fleet.store_down = true;
+    fleet.advance_until("more ends wait than a worker lists", |fleet| {
+        fleet.workers.values().all(|worker| worker.ended.len() > 520)
+    });
+    fleet.take_over(2, false);
+    let taken_over_at = fleet.now;
+    fleet.advance_ms(3_500);
+    let long = task(2, 0, 0);
+    let silent = fleet.worker_of(long);
+    fleet.worker(&silent).behaviour = Behaviour::Partitioned;
+    // The owner notices the silence, after it has renewed the lease.
+    fleet.advance_ms(1_200);
+    fleet.send_event(Event::EarlierOwnersStopped { at: taken_over_at });
+    fleet.store_down = false;
+    fleet.advance_ms(1_500);
+    assert_eq!(fleet.workers_running(long), [silent.as_str()], "its lease was renewed");
+    fleet.worker(&silent).behaviour = Behaviour::Healthy;
+    fleet.advance_until("the short job is done", |fleet| {
+        fleet.state(1) == Some(JobState::Completed)
+    });
+    assert_eq!(fleet.starts.len(), TASKS as usize + 1);
+}
--- a/crates/kitetrail-core/tests/jobs_wide.rs
+++ b/crates/kitetrail-core/tests/jobs_wide.rs
@@ -106,10 +106,14 @@
 
 #[test]
 fn tasks_of_a_wide_job_run_once_over_several_owners() {
-    let mut fleet = SimulatedFleet::new(40);
+    let mut fleet = SimulatedFleet::new(4);
     fleet.submit(1, job(vec![wide_step(TASKS), StepSpec { depends_on: vec![0], ..step(1) }]));
-    for epoch in 2..5 {
-        fleet.advance_ms(700);
+    for epoch in 2..7 {
+        fleet.advance_ms(120);
+        assert!(
+            fleet.starts.len() < TASKS as usize,
+            "all tasks were started before the last owner"
+        );
         fleet.take_over(epoch, epoch % 2 == 0);
     }
     fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
@@ -119,7 +123,7 @@
 
 #[test]
 fn occurrences_of_a_schedule_that_are_all_due_fit_into_rows() {
-    let mut fleet = SimulatedFleet::new(40);
+    let mut fleet = SimulatedFleet::new(4);
     let schedule = Schedule {
         start_at_unix_ms: CLOCK_ZERO_UNIX_MS + fleet.now.as_ms(),
         interval_ms: 0,
@@ -127,11 +131,14 @@
     };
     let steps = vec![wide_step(1), StepSpec { depends_on: vec![0], ..wide_step(2) }];
     fleet.submit(1, JobSpec { schedule: Some(schedule), ..job(steps) });
-    for epoch in 2..5 {
-        fleet.advance_ms(700);
+    let mut epoch = 1;
+    while fleet.state(1) != Some(JobState::Completed) {
+        epoch += 1;
+        assert!(epoch < 200, "the job is not done");
+        fleet.advance_ms(150);
         fleet.take_over(epoch, true);
     }
-    fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
+    assert!(epoch > 10, "the job was done after {epoch} owners");
     assert_eq!(starts_per_task(&fleet, 1), (1, 1));
     assert_eq!(fleet.starts.len(), 7_500);
 }
@@ -181,9 +188,9 @@
 
 #[test]
 fn rows_of_an_earlier_job_with_the_same_id_do_not_count() {
-    let mut fleet = SimulatedFleet::new(40);
+    let mut fleet = SimulatedFleet::new(4);
     fleet.submit(1, job(vec![wide_step(TASKS)]));
-    fleet.advance_until("the job has several rows", |fleet| fleet.progress.len() > 10);
+    fleet.advance_until("the job has several rows", |fleet| fleet.progress.len() > 20);
     let left = fleet.progress.clone().into_iter().filter(|(key, _)| key.part > 0);
     fleet.cancel(1);
     fleet.advance_ms(125_000);
@@ -191,6 +198,7 @@
     let starts = fleet.starts.len();
     fleet.submit(1, job(vec![wide_step(TASKS)]));
     fleet.advance_ms(100);
+    assert!(fleet.starts.len() < starts + 3_000, "the tasks of the last rows wait");
     fleet.progress.extend(left);
     fleet.take_over(2, true);
     fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
@@ -200,7 +208,10 @@
 #[test]
 fn progress_that_an_earlier_release_wrote_undivided_is_restored() {
     let mut fleet = SimulatedFleet::new(10);
-    fleet.submit(1, job(vec![wide_step(TASKS)]));
+    // A task of the first part ends after the first takeover, so that this part is written again.
+    let long = StepSpec { estimate_ms: 1_000, ..wide_step(1) };
+    let last = StepSpec { depends_on: vec![0, 1], ..step(1) };
+    fleet.submit(1, job(vec![long, wide_step(TASKS), last]));
     fleet.advance_until("half of the tasks are done", |fleet| {
         fleet.workers.values().map(|worker| worker.completed.len()).sum::<usize>() > 3_000
     });
@@ -208,18 +219,44 @@
     let rows = mem::take(&mut fleet.progress);
     let is_done = |index| {
         let steps = rows.values().flat_map(|part| part.occurrences.get(&0));
-        steps.into_iter().any(|occurrence| occurrence.steps[0].is_done(index))
+        steps
+            .into_iter()
+            .any(|occurrence| occurrence.steps.get(1).is_some_and(|step| step.is_done(index)))
     };
     let done = StepProgress::pack_done((0..TASKS).map(is_done));
     let (key, mut undivided) =
         rows.first_key_value().map(|(key, row)| (*key, row.clone())).unwrap();
-    undivided.occurrences.get_mut(&0).unwrap().steps[0] =
+    undivided.occurrences.get_mut(&0).unwrap().steps[1] =
         StepProgress { done, ..StepProgress::default() };
     fleet.progress.insert(key, undivided);
-    for epoch in 2..4 {
-        fleet.take_over(epoch, true);
-        fleet.advance_ms(60);
-    }
+    fleet.take_over(2, true);
+    fleet.advance_until("the long task is stored as done", |fleet| {
+        let rows = fleet.progress_of(JobId(1)).filter_map(|part| part.occurrences.get(&0));
+        rows.filter_map(|occurrence| occurrence.steps.first()).any(|step| step.is_done(0))
+    });
+    fleet.take_over(3, true);
     fleet.advance_until("the job is done", |fleet| fleet.state(1) == Some(JobState::Completed));
     assert_eq!(starts_per_task(&fleet, 1), (1, 1));
 }
+
+/// Guards against crashes that were limited by their number alone.
+#[test]
+fn crashes_of_workers_with_long_ids_fit_into_rows() {
+    let workers = (0..64).map(|no| {
+        let mut worker = FakeWorker::new(no);
+        worker.entry.id = format!("{no:0>190}").as_str().into();
+        worker
+    });
+    let mut fleet = SimulatedFleet::with_workers(workers);
+    let jobs = 1..=3;
+    for id in jobs.clone() {
+        fleet.submit(id, job(vec![StepSpec { long_running: true, ..wide_step(TASKS) }]));
+    }
+    let tasks = jobs.count() * TASKS as usize;
+    fleet.advance_until("all tasks run", |fleet| fleet.starts.len() == tasks);
+    for id in fleet.workers.keys().cloned().collect::<Vec<_>>() {
+        fleet.crash(&id);
+    }
+    fleet.take_over(2, false);
+    fleet.advance_until("all tasks run again", |fleet| fleet.starts.len() >= 2 * tasks);
+}
