Cut leases short while the store is silent: a successor waits 7.2 s, not 11.2 s

Cause: an owner may go on without the store for 7 s, and its last lease lasts 4 s more; a successor that can't reach a worker waited for both. The wait protects leases that no outage of the store needs.

Ruled out by the logs: a new owner that asks too late (all workers are polled within 0.35 s of the claim, those that matter had left before); signs that a worker is gone; runs that could not have started there (the rows do not say when an owner learned that a worker drains).

Change: from 3 s after its last persisted write on, an owner cuts each lease short, so that none outlasts a whole lease granted at 3 s. It still goes on for 7 s. Each write says so (`renew_for_ms`); owners of earlier releases are waited for as before. The scheduler learns of heartbeats that the store kept, not of batches alone.

Why it works: the last write that was kept precedes the successor's claim, so 3 s and one lease after the claim no lease of the predecessor is left, whichever workers it reaches.

--- a/crates/kitetrail-core/src/jobs/event.rs
+++ b/crates/kitetrail-core/src/jobs/event.rs
@@ -64,6 +64,11 @@
         /// The latest time at which an earlier owner may have renewed leases.
         at: Time,
     },
+    /// The store has persisted a write of this owner, or its claim.
+    OwnershipConfirmed {
+        /// The time at which the write was sent.
+        sent_at: Time,
+    },
     /// The store did not answer, or refused requests, until this moment.
     StoreUnavailable {
         /// The time at which the store answered again; the current time while it does not answer.
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -54,7 +54,8 @@
 pub use retry_delay::RetryDelay;
 pub use room::Room;
 pub use scheduler::{
-    InheritedState, LoadForecast, LoadSeries, Periods, Scheduler, SchedulerSettings,
+    InheritedState, LoadForecast, LoadSeries, MAX_RENEWAL_WITHOUT_STORE, Periods, Scheduler,
+    SchedulerSettings,
 };
 pub use shares::{Allowance, Claim, ShareBound, divide};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
--- a/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
@@ -1,4 +1,4 @@
-//! Tracks on which workers the owner grants leases, and persists that for the next owner.
+//! Decides on which workers the owner grants leases, and how long they are while the store is silent.
 //!
 //! A new owner must wait until the leases of its predecessor have expired on each worker that it
 //! can't reach, and all inherited jobs wait for that. For a worker that falls silent, the owner
@@ -7,6 +7,9 @@
 //!
 //! Only an owner that has heard from the worker may record this: the worker then holds its fencing
 //! token, so no earlier owner grants leases either.
+//!
+//! For all other workers, the next owner counts from its claim, before which the last write of its
+//! predecessor was persisted. Leases granted long after that write are therefore cut short.
 
 use std::time::Duration;
 
@@ -19,7 +22,19 @@
 /// requests get lost; a longer delay leaves more leases to wait for if the owner is lost too.
 const STOP_LEASING_AFTER: Duration = Duration::from_millis(1_200);
 
+/// How long after its last persisted write an owner grants leases of full length. Later ones end no
+/// later than one granted at that time, so that a successor waits this long and one lease. In an
+/// outage of the store of 5 s, the longest that is common, the leases of a small fleet still last 2 s.
+pub const MAX_RENEWAL_WITHOUT_STORE: Duration = Duration::from_millis(3_000);
+
 impl Scheduler {
+    /// Returns the length of a lease granted now, or `None` if none may be granted.
+    pub(super) fn grantable_lease(&self) -> Option<Duration> {
+        let confirmed_ago = self.pending.confirmed_ago(self.now)?;
+        let cut = confirmed_ago.saturating_sub(MAX_RENEWAL_WITHOUT_STORE);
+        self.lease.checked_sub(cut).filter(|lease| !lease.is_zero())
+    }
+
     /// Stops granting leases on a worker that has been silent for a while, and persists that.
     pub(super) fn stop_leasing_if_silent(&mut self, instance_no: InstanceNo) {
         let now = self.now;
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -74,6 +74,7 @@
 };
 pub use self::{
     inherit::InheritedState,
+    leasing::MAX_RENEWAL_WITHOUT_STORE,
     load_forecast::{LoadForecast, LoadSeries, Periods},
 };
 use super::{
@@ -244,6 +245,7 @@
             Event::OperatorRowsChanged(rows) => self.set_operator_rows(rows),
             Event::WorkerListChanged(changes) => self.handle_discovery(changes),
             Event::EarlierOwnersStopped { at } => self.handle_earlier_owners_stopped(at),
+            Event::OwnershipConfirmed { sent_at } => self.pending.record_confirmation(sent_at),
             Event::StoreUnavailable { until } => self.record_store_outage(until),
             Event::OrderAnswered { instance, order, answer } => {
                 self.handle_order_answer(instance, order, answer)
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -91,7 +91,8 @@
 
     /// Sends the oldest waiting order if the worker can take one.
     pub(super) fn send_next_order(&mut self, instance_no: InstanceNo) {
-        let (now, lease, lease_expiry_delay) = (self.now, self.lease, self.lease_expiry_delay());
+        let (now, lease_expiry_delay) = (self.now, self.lease_expiry_delay());
+        let lease = self.grantable_lease();
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if instance.order_in_flight.is_some() || instance.unanswered_polls > 0 || instance.contested
         {
@@ -99,7 +100,7 @@
         }
         let Some(clock_ms) = instance.clock_ms(now) else { return };
         let starts = matches!(instance.orders.front(), Some(Order::Start(_)));
-        if starts && instance.leasing != Leasing::Allowed {
+        if starts && (instance.leasing != Leasing::Allowed || lease.is_none()) {
             return;
         }
         let Some(order) = instance.orders.pop_front() else { return };
@@ -121,7 +122,7 @@
             instance: instance_no,
             entry: Arc::clone(&instance.entry),
             token: instance.token,
-            lease_until_ms: clock_ms + lease.as_millis() as u64,
+            lease_until_ms: clock_ms + lease.unwrap_or_default().as_millis() as u64,
             order,
         };
         self.actions.push(action);
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -83,7 +83,7 @@
     next_batch: u64,
     pub(super) in_flight: Option<Batch>,
     pub(super) last_sent_at: Time,
-    /// When the last persisted batch was sent. Its commit proves that this owner owned the fleet at
+    /// When the last persisted write was sent. Its commit proves that this owner owned the fleet at
     /// some moment since.
     confirmed_since: Option<Time>,
     /// Whether a batch is needed for its confirmation, even if it is empty.
@@ -252,7 +252,17 @@
         number
     }
 
-    /// Returns whether the store has confirmed this owner by a batch sent at or after `moment`.
+    /// Records that the store has persisted a write of this owner that was sent at `sent_at`.
+    pub(super) fn record_confirmation(&mut self, sent_at: Time) {
+        self.confirmed_since = self.confirmed_since.max(Some(sent_at));
+    }
+
+    /// Returns how long ago the last persisted write was sent, `None` if there is none.
+    pub(super) fn confirmed_ago(&self, now: Time) -> Option<Duration> {
+        self.confirmed_since.map(|since| now.since(since))
+    }
+
+    /// Returns whether the store has confirmed this owner by a write sent at or after `moment`.
     pub(super) fn is_confirmed_since(&self, moment: Time) -> bool {
         self.confirmed_since.is_some_and(|since| since >= moment)
     }
@@ -352,7 +362,7 @@
         let batch = self.in_flight.take_if(|batch| batch.number == number)?;
         self.previous_batch_time = self.last_batch_time;
         self.last_batch_time = now.since(self.last_sent_at);
-        self.confirmed_since = Some(self.last_sent_at);
+        self.record_confirmation(self.last_sent_at);
         self.last_persisted_at = now;
         Some(batch)
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/polls.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/polls.rs
@@ -38,7 +38,8 @@
 impl Scheduler {
     /// Sends a poll to a worker if one is due.
     pub(super) fn send_poll_if_due(&mut self, instance_no: InstanceNo) {
-        let (now, lease, lease_expiry_delay) = (self.now, self.lease, self.lease_expiry_delay());
+        let (now, lease_expiry_delay) = (self.now, self.lease_expiry_delay());
+        let lease = self.grantable_lease();
         let fleet_cycle = fleet_cycle(self.busy_workers);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if instance.poll_in_flight || instance.next_poll_at.is_none_or(|due_at| due_at > now) {
@@ -57,8 +58,11 @@
         // The lease of a silent worker is left to expire, because even an unanswered renewal may
         // take effect.
         let may_lease = instance.unanswered_polls == 0 && instance.leasing == Leasing::Allowed;
-        let lease_clock_ms = instance.clock_ms(now).filter(|_| may_lease);
-        let lease_until_ms = lease_clock_ms.map(|clock_ms| clock_ms + lease.as_millis() as u64);
+        let lease = lease.filter(|_| may_lease);
+        let lease_until_ms = instance
+            .clock_ms(now)
+            .zip(lease)
+            .map(|(clock_ms, lease)| clock_ms + lease.as_millis() as u64);
         if lease_until_ms.is_some() {
             instance.extend_leases(lease_expiry_delay, now);
         }
@@ -97,7 +101,8 @@
     /// was unknown or it had been silent.
     pub(super) fn renew_leases_if_late(&mut self, instance_no: InstanceNo, poll: Poll) {
         let Some(instance) = self.instances.get(instance_no) else { return };
-        let may_lease = instance.unanswered_polls == 0
+        let may_lease = self.grantable_lease().is_some()
+            && instance.unanswered_polls == 0
             && instance.leasing == Leasing::Allowed
             && !instance.contested;
         if poll.lease_until_ms.is_none() && may_lease && !instance.runs().is_empty() {
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -28,6 +28,7 @@
 };
 
 pub use crashes::Crashes;
+pub use owners::EARLIER_LEASES_EXPIRE_AFTER_MS;
 use owners::{check_batch, scheduler};
 pub use predecessor::{InFlight, Predecessor};
 pub use processor::Processor;
--- a/crates/kitetraild/src/fleet/committer.rs
+++ b/crates/kitetraild/src/fleet/committer.rs
@@ -201,11 +201,7 @@
         max_refusals: u32,
     ) -> Result<(), WriteFailure> {
         self.write += 1;
-        let head = HeadRow {
-            epoch: self.epoch,
-            write: self.write,
-            earlier_renew_for_ms: Some(self.earlier_renew_for_ms()),
-        };
+        let head = HeadRow::new(self.epoch, self.write, self.earlier_renew_for_ms());
         let transaction = match self.transaction(head, records) {
             Ok(transaction) => transaction,
             Err(error) => {
--- a/crates/kitetraild/src/fleet/owner/mod.rs
+++ b/crates/kitetraild/src/fleet/owner/mod.rs
@@ -35,8 +35,8 @@
 /// handled before the tick.
 const STALL_THRESHOLD: Duration = Duration::from_millis(150);
 /// How long an owner continues without confirmation by the store. Longer than most outages that the
-/// platform documents (4 to 5 s). A new owner has to wait that much longer for live workers that it can't
-/// reach.
+/// platform documents (4 to 5 s). The leases that it grants meanwhile get shorter and shorter, see
+/// [`kitetrail_core::jobs::MAX_RENEWAL_WITHOUT_STORE`].
 pub(super) const MAX_UNCONFIRMED: Duration = Duration::from_millis(7_000);
 
 /// A message to the owner's loop.
@@ -109,6 +109,8 @@
     last_published_at: Time,
     /// The end of the store outage as last passed to the scheduler.
     sent_trouble_until: Option<Time>,
+    /// When the last committed write was sent, as last passed to the scheduler.
+    sent_confirmation: Option<Time>,
     /// The version of the configuration last passed to the scheduler.
     sent_config: Option<u64>,
     /// The revision of the evacuated zones last passed to the scheduler.
@@ -144,6 +146,7 @@
             last_tick_at,
             last_published_at: Time::ZERO,
             sent_trouble_until: None,
+            sent_confirmation: None,
             sent_config: None,
             sent_evacuations: None,
             published_runs_left: 0,
@@ -259,6 +262,7 @@
 
     fn tick(&mut self) -> ControlFlow<OwnershipEnd> {
         self.send_store_trouble();
+        self.send_confirmation();
         if !self.handle(Event::Tick) {
             return ControlFlow::Break(OwnershipEnd::Deposed);
         }
@@ -300,6 +304,15 @@
         }
     }
 
+    /// Passes to the scheduler when the last committed write was sent, if that changed.
+    fn send_confirmation(&mut self) {
+        let sent_at = self.shared.confirmed_owner_at.get();
+        if let Some(sent_at) = sent_at.filter(|_| sent_at != self.sent_confirmation) {
+            self.sent_confirmation = Some(sent_at);
+            self.handle(Event::OwnershipConfirmed { sent_at });
+        }
+    }
+
     /// Passes an event to the scheduler and executes its actions. Returns `false` if this owner is deposed.
     ///
     /// An owner that the store has not confirmed for too long makes no more decisions on any event: after a suspension,
--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -103,12 +103,15 @@
     if yield_to_other_boxes(shared, &owner, version).await? {
         return Ok(None);
     }
-    let earlier_renew_for_ms = head.and_then(|(head, _)| head.earlier_renew_for_ms);
+    let (last_write, head_version) = head.unzip();
+    let earlier_renew_for_ms = last_write.and_then(|head| head.earlier_renew_for_ms);
     let earlier_renew_for = earlier_renew_for_ms.map_or(MAX_UNCONFIRMED, Duration::from_millis);
-    let head_version = head.map_or(0, |(_, version)| version);
+    let renew_for_ms = last_write.and_then(|head| head.renew_for_ms);
+    let renew_for = renew_for_ms.map_or(MAX_UNCONFIRMED, Duration::from_millis);
     // A refused connection may come from the network path, and does not prove that the owner stopped.
-    let predecessor = Predecessor { row: owner, version, stopped: verdict == OwnerState::Stopped };
-    Ok(new_claim(shared, Some(predecessor), head_version, earlier_renew_for))
+    let stopped = verdict == OwnerState::Stopped;
+    let predecessor = Predecessor { row: owner, version, stopped, renew_for };
+    Ok(new_claim(shared, Some(predecessor), head_version.unwrap_or(0), earlier_renew_for))
 }
 
 /// Returns how much the limit without writes is extended for an owner that reported lag.
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use kitetrail_core::{
-    jobs::{JobRecord, Record},
+    jobs::{JobRecord, MAX_RENEWAL_WITHOUT_STORE, Record},
     succession::BoxStrength,
 };
 use kitetrail_platform::{
@@ -60,6 +60,21 @@
     /// How long earlier owners may continue to renew leases, as of this write. Absent in rows of earlier releases.
     #[serde(default)]
     pub(super) earlier_renew_for_ms: Option<u64>,
+    /// How long after this write its owner grants leases of full length. Absent in rows of earlier releases, whose
+    /// owners do so until they give up ownership.
+    #[serde(default)]
+    pub(super) renew_for_ms: Option<u64>,
+}
+
+impl HeadRow {
+    pub(super) fn new(epoch: u64, write: u64, earlier_renew_for_ms: u64) -> Self {
+        Self {
+            epoch,
+            write,
+            earlier_renew_for_ms: Some(earlier_renew_for_ms),
+            renew_for_ms: Some(MAX_RENEWAL_WITHOUT_STORE.as_millis() as u64),
+        }
+    }
 }
 
 pub(super) fn owner_row_name() -> RowName {
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -28,7 +28,7 @@
     Platform,
     committer::{Batch, Committer, HEARTBEAT},
     evacuation, operator_rows,
-    owner::{MAX_UNCONFIRMED, Owner, OwnerMessage, OwnershipEnd},
+    owner::{Owner, OwnerMessage, OwnershipEnd},
     ownership::STORE_RETRY_DELAY,
     predecessor,
     relief_watch::{self, ReliefWatch},
@@ -57,6 +57,8 @@
     pub(super) version: u64,
     /// Whether it certainly renews no more leases.
     pub(super) stopped: bool,
+    /// How long after its last write it grants leases of full length.
+    pub(super) renew_for: Duration,
 }
 
 /// The state that a takeover replaces, with the row versions it depends on.
@@ -70,8 +72,9 @@
 impl Claim {
     /// Returns the earlier owners, as of a time after the claim was committed.
     fn earlier_owners(&self, now: Time) -> EarlierOwners {
-        let stopped = self.predecessor.as_ref().is_none_or(|predecessor| predecessor.stopped);
-        EarlierOwners::new(self.earlier_renew_for, stopped, MAX_UNCONFIRMED, now)
+        let last = self.predecessor.as_ref().filter(|predecessor| !predecessor.stopped);
+        let last_renews_for = last.map_or(Duration::ZERO, |predecessor| predecessor.renew_for);
+        EarlierOwners::new(self.earlier_renew_for, last.is_none(), last_renews_for, now)
     }
 }
 
@@ -265,8 +268,7 @@
     shared.set_claimed_epoch(row.epoch);
     shared.takeover_requested_epoch.set(0);
     let earlier = claim.earlier_owners(Time::ZERO).may_renew_for(Time::ZERO);
-    let earlier_renew_for_ms = Some(earlier.as_millis() as u64);
-    let head = HeadRow { epoch: row.epoch, write: 0, earlier_renew_for_ms };
+    let head = HeadRow::new(row.epoch, 0, earlier.as_millis() as u64);
     let transaction = RowTransaction {
         expected: vec![
             (rows::owner_row_name(), version),
