A draining worker that runs nothing loses its record at once

Cause: the record that tasks may run on a worker lasts until its lease has expired, also where the owner knows that nothing runs there and that nothing will be started.

Change: once a draining worker has no run, no open order and no end that is not stored, its owner removes the record and grants no lease there. Why it holds: nothing is started on a draining worker, and since its first report to this owner it refuses the orders of earlier ones.

--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -92,6 +92,9 @@
     Ended,
     /// Leases may be granted again once that is stored.
     Resumed,
+    /// The worker is leaving and runs nothing. Its record is removed, since nothing is started there
+    /// any more.
+    Retired,
 }
 
 /// The throttling of the best-effort runs of one image on a worker.
@@ -336,6 +339,20 @@
         }
     }
 
+    /// Returns whether the worker is draining and certainly runs nothing: no order is open, and all
+    /// ends of its runs are persisted.
+    pub(super) fn has_drained(&self) -> bool {
+        self.entry.draining
+            && self.has_reported()
+            && !self.contested
+            && self.unanswered_polls == 0
+            && self.runs.is_empty()
+            && self.orders.is_empty()
+            && self.order_in_flight.is_none()
+            && !self.has_unlisted_ends
+            && self.last_end_persisted >= self.last_end_received
+    }
+
     /// Returns whether the passing of time requires action: its lease has expired, a poll is due,
     /// or the worker is leaving and its tasks must move.
     pub(super) fn needs_check(&self, now: Time) -> bool {
--- a/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
@@ -48,6 +48,23 @@
         }
     }
 
+    /// Removes the record of a worker that has drained, so that the next owner need not wait for it.
+    ///
+    /// Nothing is started on a draining worker, and it refuses the orders of earlier owners since its
+    /// first report to this one.
+    pub(super) fn retire_if_drained(&mut self, instance_no: InstanceNo) {
+        let is_confirmed = !self.unconfirmed_instances.contains(&instance_no);
+        let Some(instance) = self.instances.get_mut(instance_no) else { return };
+        let may_retire = is_confirmed && instance.is_persisted && instance.has_drained();
+        if may_retire && instance.leasing == Leasing::Allowed {
+            instance.leasing = Leasing::Retired;
+            instance.is_persisted = false;
+            let key = instance.entry.key();
+            self.pending.remove_instance(instance_no, key, true);
+            self.log_worker_state(instance_no, "retired: it drained and runs nothing");
+        }
+    }
+
     /// Resumes granting leases on a worker that answered, once that is persisted.
     pub(super) fn resume_leasing(&mut self, instance_no: InstanceNo) {
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         event::WorkerListChange,
-        instance::{InstanceEnd, InstanceNo, Listing, WorkerInstance},
+        instance::{InstanceEnd, InstanceNo, Leasing, Listing, WorkerInstance},
         report::Report,
         run::PlacedRun,
         worker_entry::WorkerEntry,
@@ -80,7 +80,9 @@
         self.inherited_worker_crashed |= self.unconfirmed_instances.remove(&instance_no);
         self.record_lost_worker(&instance);
         self.record_crash(&instance.entry.key(), suspects);
-        self.pending.remove_instance(instance_no, instance.entry.key(), instance.is_persisted);
+        if instance.leasing != Leasing::Retired {
+            self.pending.remove_instance(instance_no, instance.entry.key(), instance.is_persisted);
+        }
         self.resolve_contest(instance.id());
         self.placement_needed = true;
     }
@@ -88,6 +90,7 @@
     /// Applies time-based changes to an instance: expired leases and due polls.
     pub(super) fn check_instance(&mut self, instance_no: InstanceNo) {
         self.stop_leasing_if_silent(instance_no);
+        self.retire_if_drained(instance_no);
         let lease_has_expired = self.silent_lease_has_expired(instance_no);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         let grace_is_over = self.now.since(instance.leases_expire_by) >= LATE_ANSWER_GRACE;
--- a/crates/kitetrail-core/tests/jobs_two_owners.rs
+++ b/crates/kitetrail-core/tests/jobs_two_owners.rs
@@ -9,7 +9,10 @@
     Behaviour, CLOCK_ZERO_UNIX_MS, EARLIER_LEASES_EXPIRE_AFTER_MS, InFlight, SimulatedFleet, job,
     step, task,
 };
-use kitetrail_core::jobs::{JobId, JobSpec, JobState, Schedule, StepSpec, TaskName};
+use kitetrail_core::{
+    Time,
+    jobs::{JobId, JobSpec, JobState, Schedule, StepSpec, TaskName},
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -211,6 +214,31 @@
     assert!(fleet.predecessor.is_some(), "the previous owner goes on");
 }
 
+/// Guards against a new owner that waits for workers that drained and left under its lost predecessor.
+#[test]
+fn tasks_do_not_wait_for_a_worker_that_drained_before_its_owner_was_lost() {
+    let mut fleet = SimulatedFleet::new(6);
+    let spread = StepSpec { long_running: true, max_per_worker: Some(1), ..step(4) };
+    fleet.submit(1, job(vec![spread]));
+    fleet.advance_until("all tasks run", |fleet| fleet.starts.len() == 4);
+    let drained = fleet.worker_of(task(1, 0, 0));
+    fleet.worker(&drained).entry.draining = true;
+    fleet.report_all_listed();
+    fleet.advance_until("its task runs elsewhere", |fleet| fleet.starts.len() == 5);
+    fleet.advance_ms(1_500);
+    // The worker leaves, and another one crashes so that its task has to start again.
+    fleet.worker(&drained).crash();
+    fleet.worker(&drained).unlisted = true;
+    fleet.take_over(2, false);
+    fleet.advance_ms(100);
+    let failing = fleet.worker_of(task(1, 0, 1));
+    fleet.worker(&failing).behaviour = Behaviour::Failing;
+    fleet.advance_until("a run fails", |fleet| fleet.workers_running(task(1, 0, 1)).is_empty());
+    fleet.worker(&failing).behaviour = Behaviour::Healthy;
+    fleet.advance_ms(1_000);
+    assert_eq!(fleet.workers_running(task(1, 0, 1)).len(), 1, "it waits for the drained worker");
+}
+
 /// Guards against leases that lapse while the store is away for as long as the platform documents.
 #[test]
 fn no_lease_expires_in_a_long_outage_of_the_store() {
@@ -341,6 +369,77 @@
     }
 }
 
+/// Lets a worker drain and leave some time later, while it may still run tasks.
+fn drain(fleet: &mut SimulatedFleet, rng: &mut ChaCha8Rng, leaving: &mut Vec<(Time, String)>) {
+    let id = format!("w{}", rng.random_range(0..fleet.workers.len()));
+    if leaving.len() < fleet.workers.len() / 2 && leaving.iter().all(|(_, other)| *other != id) {
+        fleet.worker(&id).entry.draining = true;
+        let entry = fleet.worker(&id).entry.clone();
+        fleet.report_listed(entry);
+        leaving.push((fleet.now + Duration::from_millis(rng.random_range(100..5_000)), id));
+    }
+}
+
+/// Lets the workers leave whose time has come.
+fn leave(fleet: &mut SimulatedFleet, leaving: &[(Time, String)]) {
+    let now = fleet.now;
+    for (_, id) in leaving.iter().filter(|(at, _)| *at <= now) {
+        fleet.worker(id).crash();
+        fleet.worker(id).unlisted = true;
+    }
+    fleet.report_all_listed();
+}
+
+/// Guards against tasks that run twice since a worker that drains has no record any more.
+#[test]
+fn random_faults_while_workers_drain_run_each_task_once_and_all_jobs_end() {
+    // The fleet panics if a task runs twice at the same time, or is started after its end was recorded.
+    for seed in seeds() {
+        println!("seed {seed}");
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = SimulatedFleet::new(10);
+        fleet.report_incarnations();
+        fleet.task_duration_ms = Some(rng.random_range(50..5_000));
+        fleet.order_answer_delay = Duration::from_millis(rng.random_range(0..3) * 150);
+        let (mut epoch, mut next_job, mut leaving) = (1, 1, Vec::new());
+        fleet.submit(1_000, job(vec![StepSpec { long_running: true, ..step(4) }]));
+        for round in 0..4 {
+            for _ in 0..4 {
+                let steps =
+                    vec![step(rng.random_range(1..6)), StepSpec { depends_on: vec![0], ..step(2) }];
+                fleet.submit(next_job, job(steps));
+                next_job += 1;
+                drain(&mut fleet, &mut rng, &mut leaving);
+                fleet.advance_ms(rng.random_range(0..900));
+                leave(&mut fleet, &leaving);
+            }
+            match round % 2 {
+                0 => replace_undetected(&mut fleet, &mut rng, &mut epoch),
+                _ => {
+                    epoch += 1;
+                    fleet.take_over(epoch, rng.random_bool(0.3));
+                }
+            }
+            for _ in 0..rng.random_range(1..6) {
+                fleet.advance_ms(rng.random_range(0..1_500));
+                leave(&mut fleet, &leaving);
+                inject_fault(&mut fleet, &mut rng);
+            }
+            end_partition(&mut fleet);
+            fleet.advance_ms(rng.random_range(0..2_000));
+        }
+        fleet.advance_ms(5_000);
+        leave(&mut fleet, &leaving);
+        fleet.advance_ms(60_000);
+        let accepted = (1..next_job).filter(|&id| fleet.jobs.contains_key(&JobId(id)));
+        let open = accepted.filter(|&id| fleet.state(id) != Some(JobState::Completed));
+        assert_eq!(open.collect::<Vec<_>>(), [0; 0], "jobs that did not end, seed {seed}");
+        let running = (0..4).map(|index| fleet.workers_running(task(1_000, 0, index)).len());
+        assert_eq!(running.collect::<Vec<_>>(), [1; 4], "long-running tasks, seed {seed}");
+        assert!(!fleet.deposed, "deposed, seed {seed}");
+    }
+}
+
 #[test]
 fn random_faults_with_two_owners_run_each_task_once_and_all_jobs_end() {
     // The fleet panics if a task runs twice at the same time, or is started after its end was recorded.
