--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -300,6 +300,32 @@
     fleet.advance_until("the task starts on another worker", |fleet| fleet.starts.len() == 4);
 }
 
+/// Guards against a start before the lease has certainly expired, where the answer that listed the end is lost with its
+/// worker.
+#[test]
+fn task_whose_end_is_lost_with_its_worker_starts_again_after_the_lease() {
+    let mut fleet = SimulatedFleet::new(2);
+    fleet.task_duration_ms = Some(1_500);
+    fleet.submit(1, job(vec![step(1)]));
+    fleet.advance_until("the task runs", |fleet| fleet.starts.len() == 1);
+    let leaving = fleet.worker_of(task(1, 0, 0));
+    fleet.worker(&leaving).entry.draining = true;
+    fleet.report_all_listed();
+    fleet.advance_until("the run has almost ended", |fleet| {
+        fleet.workers[&leaving].running[&task(1, 0, 0)].done_ms >= 1_480
+    });
+    fleet.unreachable_workers = [leaving.clone()].into();
+    fleet.advance_ms(50);
+    assert_eq!(fleet.workers[&leaving].completed.len(), 1);
+    let leased_until_ms = fleet.workers[&leaving].leased_until_ms;
+    fleet.worker(&leaving).crash();
+    fleet.worker(&leaving).unlisted = true;
+    fleet.report_all_listed();
+    fleet.advance_until("the task runs again", |fleet| fleet.starts.len() == 2);
+    assert!(fleet.now.as_ms() >= leased_until_ms, "started before the lease expired");
+    fleet.advance_until("the job completes", |fleet| fleet.state(1) == Some(JobState::Completed));
+}
+
 #[test]
 fn owner_is_deposed_when_a_worker_has_seen_a_higher_fencing_token() {
     let mut fleet = SimulatedFleet::new(1);
