--- a/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/leasing.rs
@@ -1,4 +1,4 @@
-//! Decides on which workers the owner grants leases, and how long they are while the store is silent.
+//! Decides on which workers the owner grants leases, and for how long while the store is silent.
 //!
 //! A new owner must wait until the leases of its predecessor have expired on each worker that it
 //! can't reach, and all inherited jobs wait for that. For a worker that falls silent, the owner
@@ -8,8 +8,8 @@
 //! Only an owner that has heard from the worker may record this: the worker then holds its fencing
 //! token, so no earlier owner grants leases either.
 //!
-//! For all other workers, the next owner counts from its claim, before which the last write of its
-//! predecessor was persisted. Leases granted long after that write are therefore cut short.
+//! For all other workers, the next owner counts from its claim, which follows the last write of its
+//! predecessor. Leases granted long after that write are therefore cut short.
 
 use std::time::Duration;
 
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -92,6 +92,7 @@
     /// Sends the oldest waiting order if the worker can take one.
     pub(super) fn send_next_order(&mut self, instance_no: InstanceNo) {
         let (now, lease_expiry_delay) = (self.now, self.lease_expiry_delay());
+        // Only starts need a lease.
         let lease = self.grantable_lease();
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         if instance.order_in_flight.is_some() || instance.unanswered_polls > 0 || instance.contested
