Log how a crash that counts against a task is known, and how long the task had run

What callers saw: a job is failed, and neither the owner's log nor the box that shows it says by what evidence. The line `task: its worker crashed` is the same whether a later instance answered in the worker's place, the worker was only silent, or a start was recorded and its worker has no row.

It now has `why`, and the bounds of the time of running, which decide whether crashes count as those of one task.

--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -1,7 +1,7 @@
 //! The scheduler's decisions as structured log entries.
 
 use super::{
-    crashes::CrashEvidence,
+    crashes::{CrashEvidence, RunTimeBounds},
     event::JobState,
     hand_in::HandInDecision,
     names::{Incarnation, JobId, QueueName, TaskName, WorkerName},
@@ -115,6 +115,10 @@
         worker: WorkerName,
         /// How strongly the crash suggests that the task caused it.
         evidence: CrashEvidence,
+        /// How it is known that the worker crashed.
+        why: &'static str,
+        /// The bounds of the time that the task had run for, if known.
+        ran: Option<RunTimeBounds>,
         /// The number of consecutive crashes counted against the task.
         crashes: u32,
     },
--- a/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
@@ -122,19 +122,25 @@
         if let Some(instance) = self.instances.get_mut(instance_no) {
             instance.suspects.extend(others);
         }
-        self.drop_all_runs(instance_no, "its worker is silent and its lease has expired");
-        self.record_crash(&worker, persists_starts);
+        let why = "its worker is silent and its lease has expired";
+        self.drop_all_runs(instance_no, why);
+        self.record_crash(&worker, persists_starts, why);
     }
 
     /// Counts a crash against the tasks that may have caused it. Must be called after the runs of
     /// that instance were dropped.
-    pub(super) fn record_crash(&mut self, worker: &InstanceKey, suspects: Vec<CrashSuspect>) {
+    pub(super) fn record_crash(
+        &mut self,
+        worker: &InstanceKey,
+        suspects: Vec<CrashSuspect>,
+        why: &'static str,
+    ) {
         for suspect in suspects {
-            self.count_crash(worker, &suspect);
+            self.count_crash(worker, &suspect, why);
         }
     }
 
-    fn count_crash(&mut self, worker: &InstanceKey, suspect: &CrashSuspect) {
+    fn count_crash(&mut self, worker: &InstanceKey, suspect: &CrashSuspect, why: &'static str) {
         let now = self.now;
         let name = suspect.task;
         let Some(job) = self.jobs.get_mut(&name.job).filter(|job| job.is_open()) else { return };
@@ -153,6 +159,8 @@
             task: name,
             worker: worker.id.clone(),
             evidence: suspect.evidence,
+            why,
+            ran: suspect.ran,
             crashes,
         }));
         self.record_task_progress(name);
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -95,6 +95,7 @@
             self.record_crash(
                 &worker,
                 tasks.into_iter().map(CrashSuspect::from_recorded_start).collect(),
+                "its start is recorded and the worker has no row",
             );
         }
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -79,7 +79,7 @@
         let Some(instance) = self.instances.remove(instance_no) else { return };
         self.inherited_worker_crashed |= self.unconfirmed_instances.remove(&instance_no);
         self.record_lost_worker(&instance);
-        self.record_crash(&instance.entry.key(), suspects);
+        self.record_crash(&instance.entry.key(), suspects, end.why());
         if instance.leasing != Leasing::Retired {
             self.pending.remove_instance(instance_no, instance.entry.key(), instance.is_persisted);
         }
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -39,9 +39,11 @@
             why = *why, ran_ms:? = *ran_ms, beside = *beside;
             "run: lost"
         ),
-        LogEntry::CrashCounted { task, worker, evidence, crashes } => log::warn!(
+        LogEntry::CrashCounted { task, worker, evidence, why, ran, crashes } => log::warn!(
             job = task.job.to_string(), task = task_path(task), worker = worker.as_str(),
-            evidence = evidence.as_str(), crashes = *crashes;
+            evidence = evidence.as_str(), why = *why,
+            ran_least_ms:? = ran.map(|ran| ran.least_ms),
+            ran_most_ms:? = ran.map(|ran| ran.most_ms), crashes = *crashes;
             "task: its worker crashed"
         ),
         LogEntry::SuspicionCleared { task } => log::info!(
