--- /dev/null
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -0,0 +1,149 @@
+//! Tests of workers that fall silent and run on: none of them has crashed, so no task is to blame.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use std::{mem, time::Duration};
+
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+use fleet::{Behaviour, STEP, SimulatedFleet, job, step, task};
+use kitetrail_core::{
+    Resources, Time,
+    jobs::{JobState, StepSpec, TaskName},
+};
+
+/// The time without heartbeats after which the entry of a worker expires.
+const EXPIRY_DELAY: Duration = Duration::from_millis(3_300);
+
+/// Workers that are cut off. They run on until their leases expire, and return.
+#[derive(Default)]
+struct Cuts {
+    /// Whether they are cut off from the store too, so that their entries expire.
+    entries_expire: bool,
+    returning: Vec<(Time, String)>,
+    expiring: Vec<(Time, String)>,
+}
+
+impl Cuts {
+    fn cut_off(&mut self, fleet: &mut SimulatedFleet, id: &str, duration: Duration) {
+        fleet.worker(id).behaviour = Behaviour::Partitioned;
+        self.returning.push((fleet.now + duration, id.to_owned()));
+        if self.entries_expire && duration > EXPIRY_DELAY {
+            self.expiring.push((fleet.now + EXPIRY_DELAY, id.to_owned()));
+        }
+    }
+
+    /// Advances the clock until a condition holds, for a limited time.
+    fn advance_until(
+        &mut self,
+        fleet: &mut SimulatedFleet,
+        limit: Duration,
+        holds: impl Fn(&SimulatedFleet) -> bool,
+    ) {
+        let until = fleet.now + limit;
+        while fleet.now < until && !holds(fleet) {
+            fleet.advance_ms(STEP.as_millis() as u64);
+            for id in take_due(&mut self.expiring, fleet.now) {
+                fleet.report_expired(&id);
+            }
+            for id in take_due(&mut self.returning, fleet.now) {
+                fleet.worker(&id).behaviour = Behaviour::Healthy;
+                fleet.report_relisted(&id);
+            }
+        }
+    }
+
+    fn advance(&mut self, fleet: &mut SimulatedFleet, duration: Duration) {
+        self.advance_until(fleet, duration, |_| false);
+    }
+}
+
+fn take_due(waiting: &mut Vec<(Time, String)>, now: Time) -> Vec<String> {
+    let (due, later) = mem::take(waiting).into_iter().partition(|(at, _)| *at <= now);
+    *waiting = later;
+    let due: Vec<(Time, String)> = due;
+    due.into_iter().map(|(_, id)| id).collect()
+}
+
+/// Returns a step of small long-running tasks, of which many fit on a worker.
+fn long_running_step(count: u32) -> StepSpec {
+    StepSpec { long_running: true, size: Resources::new(500, 256, 0), ..step(count) }
+}
+
+/// Returns the reachable worker that runs a task, if any.
+fn reachable_worker_of(fleet: &SimulatedFleet, name: TaskName) -> Option<String> {
+    let mut workers = fleet.workers_running(name).into_iter();
+    workers.find(|&id| fleet.workers[id].behaviour == Behaviour::Healthy).map(str::to_owned)
+}
+
+/// Returns half of the workers, at random.
+fn random_half(fleet: &SimulatedFleet, rng: &mut ChaCha8Rng) -> Vec<String> {
+    let mut ids = fleet.workers.keys().cloned().collect::<Vec<_>>();
+    ids.shuffle(rng);
+    ids.truncate(ids.len() / 2);
+    ids
+}
+
+#[test]
+fn silent_workers_fail_no_job_after_the_loss_of_an_owner() {
+    // Half of the workers are cut off at a time, the next half soon after tasks have started again.
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = SimulatedFleet::new(16);
+        let mut cuts = Cuts { entries_expire: seed % 2 == 1, ..Cuts::default() };
+        fleet.task_duration_ms = Some(4_000);
+        fleet.submit(1, job(vec![long_running_step(24)]));
+        fleet.submit(2, job(vec![step(20), StepSpec { depends_on: vec![0], ..step(20) }]));
+        cuts.advance(&mut fleet, Duration::from_millis(rng.random_range(1_000..4_000)));
+        for cut in 0..6 {
+            fleet.submit(10 + cut, job(vec![step(6), StepSpec { depends_on: vec![0], ..step(6) }]));
+            for id in random_half(&fleet, &mut rng) {
+                let duration_ms = if cut == 0 { 6_000 } else { 5_000 };
+                cuts.cut_off(&mut fleet, &id, Duration::from_millis(duration_ms));
+            }
+            if cut == 0 {
+                cuts.advance(&mut fleet, Duration::from_millis(rng.random_range(500..1_500)));
+                fleet.take_over(2, true);
+            }
+            cuts.advance(&mut fleet, Duration::from_millis(rng.random_range(5_200..6_200)));
+        }
+        cuts.advance(&mut fleet, Duration::from_secs(60));
+        assert_eq!(fleet.state(1), Some(JobState::Running), "seed {seed}");
+        let incomplete = [2].into_iter().chain(10..16);
+        let incomplete =
+            incomplete.filter(|&id| fleet.final_state(id) != Some(JobState::Completed));
+        assert_eq!(incomplete.collect::<Vec<_>>(), [0; 0], "jobs not completed, seed {seed}");
+    }
+}
+
+#[test]
+fn a_task_whose_workers_are_cut_off_one_after_the_other_fails_no_job() {
+    for entries_expire in [false, true] {
+        let mut fleet = SimulatedFleet::new(12);
+        let mut cuts = Cuts { entries_expire, ..Cuts::default() };
+        let name = task(1, 0, 0);
+        fleet.submit(1, job(vec![long_running_step(1)]));
+        fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+        // After the loss of an owner with one of its workers, each start is stored as a possible cause of a crash.
+        let worker = fleet.worker_of(name);
+        fleet.crash(&worker);
+        fleet.take_over(2, false);
+        for round in 0..8 {
+            let limit = Duration::from_secs(60);
+            cuts.advance_until(&mut fleet, limit, |fleet| {
+                reachable_worker_of(fleet, name).is_some()
+            });
+            let Some(worker) = reachable_worker_of(&fleet, name) else {
+                panic!("the task does not run again, round {round}: {:?}", fleet.state(1));
+            };
+            cuts.advance(&mut fleet, Duration::from_millis(50));
+            cuts.cut_off(&mut fleet, &worker, Duration::from_millis(6_000));
+            assert_eq!(fleet.state(1), Some(JobState::Running), "round {round}");
+        }
+        cuts.advance(&mut fleet, Duration::from_secs(10));
+        assert_eq!(fleet.state(1), Some(JobState::Running));
+        assert!(!fleet.workers_running(name).is_empty(), "the task does not run");
+    }
+}
