Only a proved crash of a worker counts against a task

Cause: three places took the absence of an answer for a crash. `drop_runs_of_silent_worker` counted one for each task with stored starts (after the loss of an owner: all that it may have started) as soon as the lease of a silent worker had expired; `InstanceEnd::Gone` did for runs that had just started; `Scheduler::inherit` did, with the heaviest weight, for recorded starts of workers without a row. A worker that is cut off, suspended or behind a store outage is silent, goes from the list, and answers again: three such silences failed a job. Class of fault: what is not known is taken for what is the case.

Change: the loss of a silent worker is recorded as unresolved (`scheduler/losses.rs`). An answer of the same instance takes it back, one of another instance at its place makes it a crash. Losses never fail a job. They limit starts: from five losses and crashes on (three after the loss of an owner that may have hidden two) a task waits until one of them is resolved, or 60 s, doubling. Losses of runs that had just started are stored with the job, so that the next owner goes on with them. A recorded start weighs 15 if it is the only one on its crashed worker, else 12, where it was 20: it may not have been sent.

Why it works: the limit on starts needs only the number of possible crashes, and failing only the proved ones; they were one count.

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -1,5 +1,7 @@
 //! Crashes of the workers that ran a task, and the evidence that the task caused them.
 
+use std::{mem, time::Duration};
+
 use serde::{Deserialize, Serialize};
 
 use super::names::{Incarnation, InstanceKey, WorkerName};
@@ -18,6 +20,14 @@
 /// The same limit after the loss of an owner that may have known of one more crash, or of two if it
 /// had started a copy.
 const WEIGHT_LIMIT_AFTER_OWNER_LOSS: u32 = 45;
+/// The number of consecutive losses, proven crashes or not, after which a task waits until it is
+/// known what became of its workers: the crashes that the platform tolerates.
+const MAX_LOSSES_BEFORE_PROOF: usize = 5;
+/// The number of crashes that the loss of an owner may hide: one, or two if it had started a copy.
+const MAX_MISSED_CRASHES: usize = 2;
+/// How long such a task waits; the time doubles with each further loss. Crashed workers return
+/// sooner, and those that never return prove nothing.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(60);
 /// The number of crashes in a row, one of them immediate, after which the task starts without its
 /// checkpoint, since the checkpoint may be the cause. One or two attempts are left then.
 const CRASHES_TO_DROP_CHECKPOINT: usize = 2;
@@ -35,7 +45,8 @@
 const UNKNOWN_RUN_TIME_MS: u64 = 500;
 
 /// How strongly a crash suggests that a task on the worker caused it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum CrashEvidence {
     /// The worker stopped answering right after the task had started on it.
     Immediate,
@@ -60,6 +71,14 @@
             Self::AfterLongRun => "ran-there",
         }
     }
+
+    fn weight(self) -> u32 {
+        match self {
+            Self::Immediate => IMMEDIATE_CRASH_WEIGHT,
+            Self::WithOthers | Self::JustStarted | Self::AfterLongRun => CRASH_WEIGHT,
+            Self::Unconfirmed => UNCONFIRMED_START_WEIGHT,
+        }
+    }
 }
 
 /// The bounds of the time that a run had run for when its worker crashed.
@@ -106,6 +125,32 @@
     }
 }
 
+/// A worker that became silent with a run of the task, and of which it is not known whether it
+/// crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnresolvedLoss {
+    /// The worker.
+    pub worker: WorkerName,
+    /// The incarnation of the worker, if the platform reports it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<Incarnation>,
+    /// The address of the worker, if known. An answer of another instance there proves the crash.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<String>,
+    /// How strongly the loss suggests that the task caused it, if the worker crashed.
+    pub evidence: CrashEvidence,
+    /// The run time, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ran: Option<RunTimeBounds>,
+}
+
+impl UnresolvedLoss {
+    /// Returns the worker instance that became silent.
+    pub fn instance(&self) -> InstanceKey {
+        InstanceKey { id: self.worker.clone(), incarnation: self.incarnation }
+    }
+}
+
 /// The crashes of the workers that ran a task, in consecutive runs of about the same length.
 ///
 /// A task that crashes its workers does so at the same point of its work, whereas crashes with
@@ -113,7 +158,7 @@
 /// continues the count.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskCrashes {
-    /// The workers that crashed, in order. A worker that restarted under its id and crashed again
+    /// The workers that are known to have crashed, in order. A worker that restarted under its id and crashed again
     /// is listed twice.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub workers: Vec<WorkerName>,
@@ -134,12 +179,20 @@
     /// crashed counts the crash.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub begun: Option<PersistedStart>,
+    /// The losses that may have been crashes, in order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unresolved: Vec<UnresolvedLoss>,
 }
 
 impl TaskCrashes {
-    /// Returns whether there are neither crashes nor a stored start.
+    /// Returns whether there are neither crashes nor losses that may have been, nor a stored start.
     pub fn is_empty(&self) -> bool {
-        self.workers.is_empty() && self.begun.is_none()
+        !self.is_suspected() && self.begun.is_none()
+    }
+
+    /// Returns whether the task may have crashed a worker.
+    pub fn is_suspected(&self) -> bool {
+        !self.workers.is_empty() || !self.unresolved.is_empty()
     }
 
     /// Returns the size of the stored crashes, in bytes.
@@ -148,9 +201,17 @@
         serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
     }
 
+    /// Returns the total weight if all unresolved losses were crashes.
+    pub(super) fn possible_weight(&self) -> u32 {
+        self.weight + self.unresolved.iter().map(|loss| loss.evidence.weight()).sum::<u32>()
+    }
+
     /// Returns whether the task must run alone on its worker.
     pub fn runs_alone(&self) -> bool {
-        self.fell_at_once || self.workers.len() >= CRASHES_TO_RUN_ALONE
+        let is_immediate = |loss: &UnresolvedLoss| loss.evidence == CrashEvidence::Immediate;
+        self.fell_at_once
+            || self.workers.len() >= CRASHES_TO_RUN_ALONE
+            || self.unresolved.iter().any(is_immediate)
     }
 
     /// Returns whether the task starts without its checkpoint.
@@ -168,8 +229,31 @@
 
     /// Returns whether a run of this length shows that the task does not crash its workers.
     pub fn is_cleared_by(&self, ran_ms: u64) -> bool {
-        let last_run_ms = self.ran.map_or(0, |ran| ran.most_ms);
-        !self.workers.is_empty() && ran_ms >= last_run_ms + CLEARED_AFTER_MS
+        let lost_runs = self.unresolved.iter().filter_map(|loss| loss.ran).chain(self.ran);
+        let longest_ms = lost_runs.map(|ran| ran.most_ms).max().unwrap_or(0);
+        self.is_suspected() && ran_ms >= longest_ms + CLEARED_AFTER_MS
+    }
+
+    /// Returns for how long the task must wait for proof of what became of its workers, `None` if
+    /// it may start. It would cost too many workers if it had crashed all of them.
+    pub fn proof_timeout(&self) -> Option<Duration> {
+        let missed = if self.may_miss_some { MAX_MISSED_CRASHES } else { 0 };
+        let losses = self.workers.len() + self.unresolved.len() + missed;
+        let excess = losses.checked_sub(MAX_LOSSES_BEFORE_PROOF)?;
+        (!self.unresolved.is_empty())
+            .then(|| PROOF_TIMEOUT.saturating_mul(2_u32.saturating_pow(excess as u32)))
+    }
+
+    /// Records that a worker became silent with a run of the task.
+    pub fn record_loss(&mut self, loss: UnresolvedLoss) {
+        self.unresolved.retain(|known| known.instance() != loss.instance());
+        self.unresolved.push(loss);
+    }
+
+    /// Removes and returns the loss of a worker instance, now that it is known what became of it.
+    pub fn take_loss(&mut self, instance: &InstanceKey) -> Option<UnresolvedLoss> {
+        let index = self.unresolved.iter().position(|loss| loss.instance() == *instance)?;
+        Some(self.unresolved.remove(index))
     }
 
     /// Counts a crash. If the run time differs from that of the crashes before, the count
@@ -182,23 +266,19 @@
     ) {
         let differs = |(last, ran): (RunTimeBounds, RunTimeBounds)| !last.is_similar(ran);
         if self.ran.zip(ran).is_some_and(differs) {
+            let unresolved = mem::take(&mut self.unresolved);
             self.clear();
+            self.unresolved = unresolved;
         }
         // A stored start may belong to a later run on another worker: that entry stays.
         self.begun.take_if(|begun| begun.instance() == *instance);
         self.workers.push(instance.id.clone());
         self.ran = ran.or(self.ran).or(Some(RunTimeBounds::UNKNOWN));
         self.fell_at_once |= evidence == CrashEvidence::Immediate;
-        self.weight += match evidence {
-            CrashEvidence::Immediate => IMMEDIATE_CRASH_WEIGHT,
-            CrashEvidence::WithOthers
-            | CrashEvidence::JustStarted
-            | CrashEvidence::AfterLongRun => CRASH_WEIGHT,
-            CrashEvidence::Unconfirmed => UNCONFIRMED_START_WEIGHT,
-        };
+        self.weight += evidence.weight();
     }
 
-    /// Removes all crashes. A stored start stays.
+    /// Removes all crashes and losses. A stored start stays.
     pub fn clear(&mut self) {
         let begun = self.begun.take();
         *self = Self { begun, ..Self::default() };
--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -15,8 +15,8 @@
     report::Report,
     run::{Phase, PlacedRun},
     scheduler::{
-        MAX_CLOCK_SLOWDOWN_PERCENT, crash_attribution::CrashSuspect, free_capacity::FreeCapacity,
-        tails::ImageNo, worker_health::WorkerHealth,
+        MAX_CLOCK_SLOWDOWN_PERCENT, free_capacity::FreeCapacity, tails::ImageNo,
+        worker_health::WorkerHealth,
     },
     worker_entry::WorkerEntry,
 };
@@ -202,8 +202,6 @@
     pub(super) unanswered_since: Option<Time>,
     /// Whether its machine crashed recently.
     pub(super) crashed_recently: bool,
-    /// The runs that may have crashed it and that the scheduler has since abandoned.
-    pub(super) suspects: Vec<CrashSuspect>,
     /// The tasks that the previous owner was about to start here with a stored start, since they
     /// may crash their worker.
     pub(super) inherited_starts: Vec<TaskName>,
@@ -257,7 +255,6 @@
             unanswered_polls: 0,
             unanswered_since: None,
             crashed_recently: false,
-            suspects: Vec::new(),
             inherited_starts: Vec::new(),
             silent_while_owner_on_time: false,
             has_unlisted_ends: false,
@@ -444,7 +441,6 @@
         self.last_answer_at = Some(now);
         self.unanswered_polls = 0;
         self.unanswered_since = None;
-        self.suspects.clear();
         self.silent_while_owner_on_time = false;
         self.expiry_unconfirmed = false;
         self.clock = Some(ClockReading { clock_ms, sent_at, received_at: now });
--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    crashes::PersistedStart,
+    crashes::{PersistedStart, UnresolvedLoss},
     event::{JobRequestId, JobState},
     names::{JobId, StepName, TaskName},
     progress_key::ProgressKey,
@@ -239,19 +239,34 @@
         }
     }
 
+    /// Returns the tasks that may have crashed workers of an earlier owner, with the losses that it
+    /// stored.
+    pub(super) fn unresolved_losses(&self) -> Vec<(TaskName, UnresolvedLoss)> {
+        self.open_tasks()
+            .flat_map(|(name, task)| {
+                task.crashes.unresolved.iter().map(move |loss| (name, loss.clone()))
+            })
+            .collect()
+    }
+
     /// Returns the tasks that an earlier owner was about to start, with the run and worker that it
     /// stored.
     pub(super) fn begun_tasks(&self) -> Vec<(TaskName, PersistedStart)> {
-        let mut begun = Vec::new();
-        for (&occurrence, state) in &self.occurrences {
-            for (step, tasks) in (0_u32..).zip(&state.steps) {
-                for (index, task) in (0_u32..).zip(&tasks.tasks).filter(|(_, task)| !task.done) {
-                    let name = TaskName { job: self.id, occurrence, step, index };
-                    begun.extend(task.crashes.begun.clone().map(|run| (name, run)));
-                }
-            }
-        }
-        begun
+        self.open_tasks()
+            .filter_map(|(name, task)| Some((name, task.crashes.begun.clone()?)))
+            .collect()
+    }
+
+    /// Returns the tasks that are not done, of the occurrences that have begun.
+    fn open_tasks(&self) -> impl Iterator<Item = (TaskName, &Task)> {
+        let steps = self.occurrences.iter().flat_map(|(&occurrence, state)| {
+            (0..).zip(&state.steps).map(move |(step, tasks)| (occurrence, step, tasks))
+        });
+        let tasks = steps.flat_map(move |(occurrence, step, tasks)| {
+            let name = move |index| TaskName { job: self.id, occurrence, step, index };
+            (0..).zip(&tasks.tasks).map(move |(index, task)| (name(index), task))
+        });
+        tasks.filter(|(_, task)| !task.done)
     }
 
     pub(super) fn begin(&mut self, occurrence: u32) {
@@ -386,7 +401,7 @@
         for (step, progress) in occurrence.steps.iter().enumerate() {
             let crashes = progress.crashes.iter();
             let crashes = crashes.map(|(&index, crashes)| {
-                (Reverse(crashes.weight), number, step, index, crashes.stored_bytes())
+                (Reverse(crashes.possible_weight()), number, step, index, crashes.stored_bytes())
             });
             stored.extend(crashes);
         }
--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -122,6 +122,28 @@
         /// The number of consecutive crashes counted against the task.
         crashes: u32,
     },
+    /// A worker became silent while it ran a task, and may have crashed.
+    LossRecorded {
+        /// The task.
+        task: TaskName,
+        /// The worker.
+        worker: WorkerName,
+        /// How strongly the loss suggests that the task caused it, if the worker crashed.
+        evidence: CrashEvidence,
+        /// The bounds of the time that the task had run for, if known.
+        ran: Option<RunTimeBounds>,
+        /// The number of workers of the task of which it is not known whether they crashed.
+        losses: u32,
+        /// How long the task waits for it to become known, in milliseconds; `None` if it may start.
+        waits_ms: Option<u64>,
+    },
+    /// A worker that had become silent answers again: it has not crashed.
+    LossesDismissed {
+        /// The worker.
+        worker: WorkerName,
+        /// The number of tasks that it had been lost with.
+        tasks: u32,
+    },
     /// A task whose workers had crashed has run for long enough to be no longer a suspect.
     SuspicionCleared {
         /// The task.
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -33,7 +33,7 @@
 mod worker_entry;
 
 pub use claimant_terms::ClaimantTerms;
-pub use crashes::{CrashEvidence, PersistedStart, RunTimeBounds, TaskCrashes};
+pub use crashes::{CrashEvidence, PersistedStart, RunTimeBounds, TaskCrashes, UnresolvedLoss};
 pub use event::{
     Action, CancelAnswer, Event, JobRequestId, JobState, SubmitAnswer, WorkerListChange,
 };
--- a/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
@@ -5,7 +5,7 @@
 //! just started, from how long runs had lasted before each crash, and by running suspects in
 //! isolation.
 
-use std::{mem, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use super::{
     super::{
@@ -44,17 +44,22 @@
 
 /// A run that may have crashed its worker.
 #[derive(Debug, Clone)]
-pub(in crate::jobs) struct CrashSuspect {
-    task: TaskName,
-    evidence: CrashEvidence,
+pub(super) struct CrashSuspect {
+    pub(super) task: TaskName,
+    pub(super) evidence: CrashEvidence,
     /// The duration of the run; unknown if an earlier owner started it.
-    ran: Option<RunTimeBounds>,
+    pub(super) ran: Option<RunTimeBounds>,
 }
 
 impl CrashSuspect {
-    /// Creates a suspect for a task that an earlier owner recorded as about to start on the worker.
-    pub(super) fn from_recorded_start(task: TaskName) -> Self {
-        Self { task, evidence: CrashEvidence::Immediate, ran: None }
+    /// Creates suspects for the tasks that an earlier owner recorded as about to start on a worker.
+    /// The starts may not have been ordered.
+    pub(super) fn from_recorded_starts(tasks: &[TaskName]) -> Vec<Self> {
+        let evidence = match tasks.len() {
+            1 => CrashEvidence::JustStarted,
+            _ => CrashEvidence::Unconfirmed,
+        };
+        tasks.iter().map(|&task| Self { task, evidence, ran: None }).collect()
     }
 }
 
@@ -69,26 +74,24 @@
 }
 
 impl Scheduler {
-    /// Returns the runs that may have crashed a worker whose instance ended; empty if it did not
-    /// crash.
+    /// Returns the runs that may have crashed a worker; empty if it can't have crashed. `end` is how
+    /// its instance ended, if it is known to have.
     pub(super) fn crash_suspects(
         &self,
         instance_no: InstanceNo,
-        end: InstanceEnd,
+        end: Option<InstanceEnd>,
     ) -> Vec<CrashSuspect> {
         let Some(instance) =
             self.instances.get(instance_no).filter(|instance| !instance.entry.draining)
         else {
             return Vec::new();
         };
-        let recorded =
-            instance.inherited_starts.iter().copied().map(CrashSuspect::from_recorded_start);
-        let mut suspects = recorded.chain(instance.suspects.iter().cloned()).collect::<Vec<_>>();
+        let mut suspects = CrashSuspect::from_recorded_starts(&instance.inherited_starts);
         suspects.extend(suspects_among(instance, self.now));
         let with_others = self.lost_with_others(instance);
         // If the worker left, is only unreachable, or was lost together with others, runs that had
         // lasted a while are not implicated.
-        let implicates_all = end != InstanceEnd::Gone
+        let implicates_all = end != Some(InstanceEnd::Gone)
             && !matches!(instance.listing, Listing::Removed { .. })
             && !instance.is_closed_to_starts()
             && !with_others;
@@ -102,29 +105,14 @@
         suspects
     }
 
-    /// Drops the runs of a silent worker whose lease has expired.
-    ///
-    /// A crash is confirmed only once another instance answers or the worker's entry has
-    /// expired. Tasks whose starts are persisted as possible crash causes don't wait for that: a
-    /// worker may take longer to return than two more attempts.
+    /// Drops the runs of a silent worker whose lease has expired. Whether it crashed is not known.
     pub(super) fn drop_runs_of_silent_worker(&mut self, instance_no: InstanceNo) {
+        let suspects = self.crash_suspects(instance_no, None);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
-        let worker = instance.entry.key();
-        let recorded = mem::take(&mut instance.inherited_starts)
-            .into_iter()
-            .map(CrashSuspect::from_recorded_start);
-        let suspects = recorded.chain(suspects_among(instance, self.now)).collect::<Vec<_>>();
-        let is_watched = |suspect: &CrashSuspect| {
-            let job = self.jobs.get(&suspect.task.job);
-            job.and_then(|job| job.task(suspect.task)).is_some_and(|task| task.persists_starts)
-        };
-        let (persists_starts, others) = suspects.into_iter().partition::<Vec<_>, _>(is_watched);
-        if let Some(instance) = self.instances.get_mut(instance_no) {
-            instance.suspects.extend(others);
-        }
-        let why = "its worker is silent and its lease has expired";
-        self.drop_all_runs(instance_no, why);
-        self.record_crash(&worker, persists_starts, why);
+        instance.inherited_starts.clear();
+        let entry = Arc::clone(&instance.entry);
+        self.drop_all_runs(instance_no, "its worker is silent and its lease has expired");
+        self.record_losses(&entry, suspects);
     }
 
     /// Counts a crash against the tasks that may have caused it. Must be called after the runs of
--- a/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/incarnations.rs
@@ -133,6 +133,7 @@
             Some(_) | None => {}
         }
         instance.record_answer(clock_ms, sent_at, now);
+        self.dismiss_losses_of_answering(instance_no);
         self.resume_leasing(instance_no);
         Executor::ThisInstance
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -13,7 +13,6 @@
         worker_entry::WorkerEntry,
     },
     Scheduler,
-    crash_attribution::CrashSuspect,
 };
 use crate::{Resources, Time};
 
@@ -79,6 +78,7 @@
         }
         self.longest_lease = inheritance.longest_lease.unwrap_or_default().max(self.longest_lease);
         let own_expiry = self.now + self.longest_lease_expiry_delay();
+        self.restore_losses();
         let mut recorded_starts = self.recorded_starts_by_worker();
         for record in inheritance.instances {
             let starts_here = recorded_starts.remove(&record.key()).unwrap_or_default();
@@ -90,13 +90,9 @@
             };
             self.add_inherited_instance(record, starts_here, own_expiry + renewed_for);
         }
-        // The instances of these workers are over, and no end of these runs was persisted.
+        // The previous owner removed these workers, and persisted no end of these runs.
         for (worker, tasks) in recorded_starts {
-            self.record_crash(
-                &worker,
-                tasks.into_iter().map(CrashSuspect::from_recorded_start).collect(),
-                "its start is recorded and the worker has no row",
-            );
+            self.record_losses_of_removed(&worker, &tasks);
         }
     }
 
--- /dev/null
+++ b/crates/kitetrail-core/src/jobs/scheduler/losses.rs
@@ -0,0 +1,217 @@
+//! Tracks the losses of workers of which it is not known whether they crashed.
+//!
+//! A silent worker may have crashed, or may be cut off, suspended or slow. Once its lease has
+//! expired, its runs start elsewhere in any case. Whether it crashed is shown by an answer only:
+//! of the same instance, or of another one at its place. Until then its loss is counted against no
+//! task. It only limits how often the tasks that may be the cause are started.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use super::{
+    super::{
+        crashes::{CrashEvidence, UnresolvedLoss},
+        event::Action,
+        instance::InstanceNo,
+        job::Job,
+        log_entry::LogEntry,
+        names::{InstanceKey, TaskName},
+        worker_entry::WorkerEntry,
+    },
+    Scheduler,
+    crash_attribution::CrashSuspect,
+};
+use crate::Time;
+
+/// The worker instances that may have crashed, with the tasks that may have crashed them.
+#[derive(Debug, Default)]
+pub(super) struct Losses {
+    by_instance: BTreeMap<InstanceKey, LostInstance>,
+}
+
+/// A worker instance that may have crashed.
+#[derive(Debug)]
+struct LostInstance {
+    address: Option<String>,
+    machine: Option<String>,
+    lost_at: Time,
+    tasks: BTreeSet<TaskName>,
+}
+
+impl LostInstance {
+    /// Returns whether an instance that answers a request sent at a given time shows that this one
+    /// crashed: it has its id, address or machine.
+    fn is_replaced_by(&self, key: &InstanceKey, entry: &WorkerEntry, sent_at: Time) -> bool {
+        let same_machine = entry.machine.is_some() && entry.machine == self.machine;
+        let same_place = self.address.as_ref() == Some(&entry.address) || same_machine;
+        let is_another = *key != entry.key();
+        is_another && (key.id == entry.id || same_place) && self.lost_at <= sent_at
+    }
+}
+
+impl Losses {
+    fn record(&mut self, key: &InstanceKey, lost: LostInstance) {
+        match self.by_instance.get_mut(key) {
+            Some(known) => known.tasks.extend(lost.tasks),
+            None => drop(self.by_instance.insert(key.clone(), lost)),
+        }
+    }
+
+    fn take(&mut self, key: &InstanceKey) -> BTreeSet<TaskName> {
+        self.by_instance.remove(key).map(|lost| lost.tasks).unwrap_or_default()
+    }
+}
+
+impl Scheduler {
+    /// Records that a worker became silent, or left the list, with runs that may have crashed it.
+    pub(super) fn record_losses(&mut self, entry: &WorkerEntry, suspects: Vec<CrashSuspect>) {
+        let mut tasks = BTreeSet::new();
+        for suspect in suspects {
+            if self.record_loss(&entry.key(), Some(&entry.address), &suspect) {
+                tasks.insert(suspect.task);
+            }
+        }
+        if !tasks.is_empty() {
+            self.forget_ended_losses();
+            let (address, machine) = (Some(entry.address.clone()), entry.machine.clone());
+            let lost = LostInstance { address, machine, lost_at: self.now, tasks };
+            self.losses.record(&entry.key(), lost);
+        }
+    }
+
+    /// Records that an earlier owner was about to start tasks on a worker instance that it has
+    /// removed since.
+    pub(super) fn record_losses_of_removed(&mut self, key: &InstanceKey, tasks: &[TaskName]) {
+        let suspects = CrashSuspect::from_recorded_starts(tasks);
+        let recorded = suspects.iter().filter(|suspect| self.record_loss(key, None, suspect));
+        let tasks = recorded.map(|suspect| suspect.task).collect();
+        let lost = LostInstance { address: None, machine: None, lost_at: self.now, tasks };
+        self.losses.record(key, lost);
+    }
+
+    /// Restores the losses that an earlier owner stored.
+    pub(super) fn restore_losses(&mut self) {
+        let now = self.now;
+        let losses = self.jobs.values().flat_map(Job::unresolved_losses).collect::<Vec<_>>();
+        for (task, loss) in losses {
+            let key = loss.instance();
+            let tasks = BTreeSet::from([task]);
+            let lost = LostInstance { address: loss.address, machine: None, lost_at: now, tasks };
+            self.losses.record(&key, lost);
+            if let Some(task) = self.task_mut(task) {
+                task.begin_proof_wait(now);
+            }
+        }
+    }
+
+    fn record_loss(
+        &mut self,
+        key: &InstanceKey,
+        address: Option<&String>,
+        suspect: &CrashSuspect,
+    ) -> bool {
+        let now = self.now;
+        let name = suspect.task;
+        let Some(job) = self.jobs.get_mut(&name.job).filter(|job| job.is_open()) else {
+            return false;
+        };
+        let Some(task) = job.task_mut(name).filter(|task| !task.done) else { return false };
+        let loss = UnresolvedLoss {
+            worker: key.id.clone(),
+            incarnation: key.incarnation,
+            address: address.cloned(),
+            evidence: suspect.evidence,
+            ran: suspect.ran,
+        };
+        task.record_loss(loss, now);
+        // The next owner must know of losses that suggest the task. Others are too many to store.
+        task.persists_starts |= suspect.evidence != CrashEvidence::AfterLongRun;
+        let (persists, losses) = (task.persists_starts, task.crashes.unresolved.len() as u32);
+        let waits_ms = task.proof_due_at.map(|due_at| due_at.since(now).as_millis() as u64);
+        self.actions.push(Action::Log(LogEntry::LossRecorded {
+            task: name,
+            worker: key.id.clone(),
+            evidence: suspect.evidence,
+            ran: suspect.ran,
+            losses,
+            waits_ms,
+        }));
+        if persists {
+            self.record_task_progress(name);
+        }
+        true
+    }
+
+    /// Handles an answer of an instance that may have crashed.
+    pub(super) fn dismiss_losses_of_answering(&mut self, instance_no: InstanceNo) {
+        if !self.losses.by_instance.is_empty()
+            && let Some(instance) = self.instances.get(instance_no)
+        {
+            let key = instance.entry.key();
+            self.dismiss_losses(&key);
+        }
+    }
+
+    /// Removes the losses of an instance that has not crashed.
+    pub(super) fn dismiss_losses(&mut self, key: &InstanceKey) {
+        let tasks = self.losses.take(key);
+        if tasks.is_empty() {
+            return;
+        }
+        let (worker, count) = (key.id.clone(), tasks.len() as u32);
+        self.actions.push(Action::Log(LogEntry::LossesDismissed { worker, tasks: count }));
+        for name in tasks {
+            if self.take_loss(name, key).is_some() {
+                self.record_task_progress(name);
+                self.review_proof_wait(name);
+            }
+        }
+    }
+
+    /// Counts the crash of an instance that had been lost, now that it is proved.
+    pub(super) fn confirm_losses(&mut self, key: &InstanceKey, why: &'static str) {
+        for name in self.losses.take(key) {
+            if let Some(UnresolvedLoss { evidence, ran, .. }) = self.take_loss(name, key) {
+                self.record_crash(key, vec![CrashSuspect { task: name, evidence, ran }], why);
+                self.review_proof_wait(name);
+            }
+        }
+    }
+
+    /// Counts the crashes of lost instances at whose place another one answered a poll sent at a
+    /// given time.
+    pub(super) fn confirm_losses_at_place(&mut self, instance_no: InstanceNo, sent_at: Time) {
+        let Some(instance) = self.instances.get(instance_no) else { return };
+        let entry = Arc::clone(&instance.entry);
+        let lost = self.losses.by_instance.iter();
+        let replaced = lost.filter(|(key, lost)| lost.is_replaced_by(key, &entry, sent_at));
+        for key in replaced.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+            self.confirm_losses(&key, "a later instance answers at its place");
+        }
+    }
+
+    /// Removes the loss of an instance from a task.
+    fn take_loss(&mut self, name: TaskName, key: &InstanceKey) -> Option<UnresolvedLoss> {
+        let job = self.jobs.get_mut(&name.job).filter(|job| job.is_open())?;
+        job.task_mut(name).filter(|task| !task.done)?.crashes.take_loss(key)
+    }
+
+    /// Lets a task start again if enough is known of what became of its workers.
+    fn review_proof_wait(&mut self, name: TaskName) {
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        job.may_have_waiting_tasks = true;
+        if let Some(task) = job.task_mut(name) {
+            task.review_proof_wait();
+        }
+        self.placement_needed = true;
+    }
+
+    /// Forgets the losses of jobs that have ended.
+    fn forget_ended_losses(&mut self) {
+        let jobs = &self.jobs;
+        let is_open = |task: &TaskName| jobs.get(&task.job).is_some_and(Job::is_open);
+        self.losses.by_instance.retain(|_, lost| lost.tasks.iter().any(is_open));
+    }
+}
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -30,6 +30,7 @@
 mod leasing;
 mod length_model;
 mod load_forecast;
+mod losses;
 mod operator_holds;
 mod orders;
 mod overload;
@@ -69,8 +70,8 @@
     backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
     deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
     fleet_health::FleetHealth, gaps::Gaps, lease_length::MIN_LEASE, load_forecast::ServiceLoads,
-    overload::Overload, pending::PendingRecords, preempting::Preemptions, run_lengths::RunLengths,
-    short_tasks::ShortTasks, tails::TailModel,
+    losses::Losses, overload::Overload, pending::PendingRecords, preempting::Preemptions,
+    run_lengths::RunLengths, short_tasks::ShortTasks, tails::TailModel,
 };
 pub use self::{
     inherit::InheritedState,
@@ -148,6 +149,7 @@
     /// Whether one of those crashed. Tasks that may have been running there unnoticed are then
     /// possible causes.
     inherited_worker_crashed: bool,
+    losses: Losses,
     /// Workers whose instance ended recently.
     lost_workers: Vec<LostWorker>,
     /// The end of the last known store outage, if there was one.
@@ -205,6 +207,7 @@
             unused_service_entries: BTreeMap::new(),
             unconfirmed_instances: BTreeSet::new(),
             inherited_worker_crashed: false,
+            losses: Losses::default(),
             lost_workers: Vec::new(),
             store_outage_until: None,
             pending: PendingRecords::default(),
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -282,7 +282,7 @@
         self.preemptions.record_start(instance_no, name.job);
         let run = run.unwrap_or(task.last_run + 1);
         task.last_run = run;
-        let suspected = !task.crashes.workers.is_empty();
+        let suspected = task.crashes.is_suspected();
         let runs_alone = task.crashes.runs_alone();
         task.record_start(self.inherited_worker_crashed);
         let persist_first = task.persists_starts;
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -104,6 +104,7 @@
         let first = !instance.has_reported();
         instance.first_report_clock_ms.get_or_insert(report.clock_ms);
         instance.record_answer(report.clock_ms, sent_at, now);
+        self.dismiss_losses_of_answering(instance_no);
         self.resume_leasing(instance_no);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         instance.last_end_acknowledged = instance.last_end_acknowledged.max(poll.acknowledged_end);
@@ -112,6 +113,7 @@
         self.record_unlisted_ends(instance_no, !report.lists_all_ends);
         if first || contested {
             self.end_earlier_instances(instance_no, sent_at, report);
+            self.confirm_losses_at_place(instance_no, sent_at);
         }
         if first {
             self.clear_unstarted(instance_no, report);
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -71,17 +71,25 @@
     /// Ends a worker instance and drops all of its runs for good.
     ///
     /// A crashed worker reports no ends, so the cause of the crash is derived here: a run lost with
-    /// its worker may have caused the loss.
+    /// its worker may have caused the loss. That an instance is gone proves no crash.
     pub(super) fn end_instance(&mut self, instance_no: InstanceNo, end: InstanceEnd) {
         self.log_worker_state(instance_no, end.why());
-        let suspects = self.crash_suspects(instance_no, end);
+        let suspects = self.crash_suspects(instance_no, Some(end));
         self.drop_all_runs(instance_no, end.why());
         let Some(instance) = self.instances.remove(instance_no) else { return };
+        let key = instance.entry.key();
         self.inherited_worker_crashed |= self.unconfirmed_instances.remove(&instance_no);
         self.record_lost_worker(&instance);
-        self.record_crash(&instance.entry.key(), suspects, end.why());
+        match end {
+            InstanceEnd::Gone => self.record_losses(&instance.entry, suspects),
+            _ if instance.entry.draining => self.dismiss_losses(&key),
+            InstanceEnd::AnotherAnswers | InstanceEnd::LaterAnswers | InstanceEnd::StartedAgain => {
+                self.confirm_losses(&key, end.why());
+                self.record_crash(&key, suspects, end.why());
+            }
+        }
         if instance.leasing != Leasing::Retired {
-            self.pending.remove_instance(instance_no, instance.entry.key(), instance.is_persisted);
+            self.pending.remove_instance(instance_no, key, instance.is_persisted);
         }
         self.resolve_contest(instance.id());
         self.placement_needed = true;
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, mem, ops::Range};
 
 use super::{
-    crashes::TaskCrashes,
+    crashes::{TaskCrashes, UnresolvedLoss},
     instance::InstanceNo,
     names::TaskName,
     record::{StepProgress, TASKS_PER_DIGIT},
@@ -36,6 +36,9 @@
     pub(super) moves_for_slowness: u32,
     /// The crashes of workers that ran the task.
     pub(super) crashes: TaskCrashes,
+    /// The time before which the task is not placed again, unless it becomes known what became of
+    /// its workers.
+    pub(super) proof_due_at: Option<Time>,
     /// Whether each start of the task is stored before it is ordered.
     pub(super) persists_starts: bool,
     /// Whether the previous owner may have started the task, while this one has neither started it
@@ -57,9 +60,26 @@
         }
     }
 
+    /// Records that a worker became silent with a run of the task.
+    pub(super) fn record_loss(&mut self, loss: UnresolvedLoss, now: Time) {
+        self.crashes.record_loss(loss);
+        self.begin_proof_wait(now);
+    }
+
+    /// Lets the task wait for proof of what became of its workers, if it must.
+    pub(super) fn begin_proof_wait(&mut self, now: Time) {
+        self.proof_due_at = self.crashes.proof_timeout().map(|timeout| now + timeout);
+    }
+
+    /// Ends the wait for proof of what became of its workers if enough of it is known.
+    pub(super) fn review_proof_wait(&mut self) {
+        self.proof_due_at = self.proof_due_at.filter(|_| self.crashes.proof_timeout().is_some());
+    }
+
     /// Returns whether the task waits for a worker and may be placed now.
     pub(super) fn waits(&self, now: Time) -> bool {
-        !self.done && self.placed.is_empty() && self.not_before.is_none_or(|time| time <= now)
+        let is_due = |time: Option<Time>| time.is_none_or(|time| time <= now);
+        !self.done && self.placed.is_empty() && is_due(self.not_before) && is_due(self.proof_due_at)
     }
 
     /// Returns whether the task waits for a worker and may be placed now, given whether workers of
@@ -135,7 +155,7 @@
             counts.then(|| (index, task.failed_runs.iter().copied().collect()))
         };
         let crashes = |(index, task): (u32, &Task)| {
-            let counts = !task.done && !task.crashes.is_empty();
+            let counts = !task.done && task.persists_starts && !task.crashes.is_empty();
             counts.then(|| (index, task.crashes.clone()))
         };
         let done = StepProgress::pack_done(tasks.iter().map(|task| task.done));
--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -147,3 +147,63 @@
         assert!(!fleet.workers_running(name).is_empty(), "the task does not run");
     }
 }
+
+/// Advances the clock until a task has lost a given number of workers to crashes.
+fn advance_until_crashes(fleet: &mut SimulatedFleet, name: TaskName, crashes: usize) {
+    fleet.advance_until("the task has crashed its workers", |fleet| {
+        fleet.crashes_of(name) >= crashes
+    });
+}
+
+#[test]
+fn a_task_waits_while_it_may_have_crashed_five_workers_and_fails_once_that_is_proved() {
+    let mut fleet = SimulatedFleet::new(12);
+    fleet.crashes.return_delay = Duration::from_secs(50);
+    let crashing = task(1, 0, 0);
+    fleet.make_crashing(crashing);
+    fleet.submit(1, job(vec![step(1)]));
+    advance_until_crashes(&mut fleet, crashing, 5);
+    fleet.advance_ms(20_000);
+    assert_eq!(fleet.crashes_of(crashing), 5, "the task was started again");
+    assert_eq!(fleet.state(1), Some(JobState::Running), "no crash was proved");
+    fleet.advance_until("the job has failed", |fleet| fleet.state(1) == Some(JobState::Failed));
+    assert_eq!(fleet.crashes_of(crashing), 5);
+}
+
+#[test]
+fn losses_that_may_be_crashes_are_counted_across_owners() {
+    let mut fleet = SimulatedFleet::new(12);
+    fleet.crashes.return_delay = Duration::from_secs(40);
+    let crashing = task(1, 0, 0);
+    fleet.make_crashing(crashing);
+    fleet.submit(1, job(vec![step(1)]));
+    advance_until_crashes(&mut fleet, crashing, 3);
+    fleet.advance_ms(5_000);
+    fleet.take_over(2, true);
+    fleet.advance_ms(60_000);
+    let starts = fleet.starts_after_third_crash(crashing);
+    assert!(starts <= 2, "{starts} starts after the third crash");
+    assert_eq!(fleet.state(1), Some(JobState::Failed));
+}
+
+#[test]
+fn a_recorded_start_on_a_worker_without_a_row_fails_no_job() {
+    let mut fleet = SimulatedFleet::new(12);
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+    let worker = fleet.worker_of(name);
+    fleet.crash(&worker);
+    for epoch in 2..5 {
+        fleet.take_over(epoch, true);
+        fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+        // The worker has left and its row is removed before the owner stores what became of the run.
+        let worker = fleet.worker_of(name);
+        fleet.instances.retain(|_, row| row.id.as_str() != worker);
+        fleet.worker(&worker).crash();
+        fleet.worker(&worker).unlisted = true;
+    }
+    fleet.take_over(5, true);
+    fleet.advance_ms(1_000);
+    assert_eq!(fleet.state(1), Some(JobState::Running));
+}
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -46,6 +46,16 @@
             ran_most_ms:? = ran.map(|ran| ran.most_ms), crashes = *crashes;
             "task: its worker crashed"
         ),
+        LogEntry::LossRecorded { task, worker, evidence, ran, losses, waits_ms } => log::info!(
+            job = task.job.to_string(), task = task_path(task), worker = worker.as_str(),
+            evidence = evidence.as_str(), ran_least_ms:? = ran.map(|ran| ran.least_ms),
+            ran_most_ms:? = ran.map(|ran| ran.most_ms), losses = *losses, waits_ms:? = *waits_ms;
+            "task: its worker may have crashed"
+        ),
+        LogEntry::LossesDismissed { worker, tasks } => log::info!(
+            worker = worker.as_str(), tasks = *tasks;
+            "worker: has not crashed, it answers again"
+        ),
         LogEntry::SuspicionCleared { task } => log::info!(
             job = task.job.to_string(), task = task_path(task);
             "task: no longer suspected of crashes"
