A worker of a lost owner that answers again hides no crash

What callers saw: after the loss of an owner with some workers cut off, tasks wait for the store before each start, run without copies beside them, and are failed after three crashes in place of four, for as long as they live, although every worker has long answered again.

Cause: `inherited_worker_crashed` was set for good by the first inherited worker whose lease expired in silence, and each task that the lost owner may have started was marked as one that may have crashed a worker unnoticed.

Change: inherited workers that were silent until their leases expired are kept by key (`UnheardWorkers`). A proved crash of one keeps the marks, a planned leave makes none; once all of the others have answered, the marks that this owner made go. Marks of earlier owners stay. What is stored first follows from the losses that are left.

Evidence: `tasks_of_a_lost_owner_are_no_suspects_once_all_of_its_workers_answer`, red before ("the worker answers again": the row still holds the stored start).

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -190,6 +190,13 @@
         !self.is_suspected() && self.begun.is_none()
     }
 
+    /// Returns whether starts of the task must be stored, so that the next owner knows of a crash
+    /// that this one does not notice.
+    pub fn needs_stored_starts(&self) -> bool {
+        let suggests_task = |loss: &UnresolvedLoss| loss.evidence != CrashEvidence::AfterLongRun;
+        !self.workers.is_empty() || self.unresolved.iter().any(suggests_task) || self.may_miss_some
+    }
+
     /// Returns whether the task may have crashed a worker.
     pub fn is_suspected(&self) -> bool {
         !self.workers.is_empty() || !self.unresolved.is_empty()
--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -257,6 +257,22 @@
             .collect()
     }
 
+    /// Takes back that the previous owner may have missed crashes. Returns the tasks for which that
+    /// changed anything.
+    pub(super) fn dismiss_missed_crashes(&mut self) -> Vec<TaskName> {
+        let mut dismissed = Vec::new();
+        for (&occurrence, state) in &mut self.occurrences {
+            for (step, tasks) in (0..).zip(&mut state.steps) {
+                for (index, task) in (0..).zip(&mut tasks.tasks).filter(|(_, task)| !task.done) {
+                    if task.dismiss_missed_crash() {
+                        dismissed.push(TaskName { job: self.id, occurrence, step, index });
+                    }
+                }
+            }
+        }
+        dismissed
+    }
+
     /// Returns the tasks that are not done, of the occurrences that have begun.
     fn open_tasks(&self) -> impl Iterator<Item = (TaskName, &Task)> {
         let steps = self.occurrences.iter().flat_map(|(&occurrence, state)| {
--- a/crates/kitetrail-core/src/jobs/scheduler/losses.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/losses.rs
@@ -12,7 +12,7 @@
 
 use super::{
     super::{
-        crashes::{CrashEvidence, UnresolvedLoss},
+        crashes::UnresolvedLoss,
         event::Action,
         instance::InstanceNo,
         job::Job,
@@ -64,6 +64,40 @@
     }
 }
 
+/// The workers of earlier owners that were not heard of until their leases had expired.
+///
+/// An earlier owner may have started tasks there, and a crash there may be one that it missed.
+#[derive(Debug, Default)]
+pub(super) struct UnheardWorkers {
+    silent: BTreeSet<InstanceKey>,
+    has_crashed: bool,
+}
+
+impl UnheardWorkers {
+    /// Returns whether tasks may have been lost there unnoticed.
+    pub(super) fn may_hide_losses(&self) -> bool {
+        self.has_crashed || !self.silent.is_empty()
+    }
+
+    /// Records that the lease of a worker has expired. `is_unheard` is whether it had not answered
+    /// this owner.
+    pub(super) fn record_silent(&mut self, key: &InstanceKey, is_unheard: bool) {
+        if is_unheard {
+            self.silent.insert(key.clone());
+        }
+    }
+
+    /// Records that a worker crashed.
+    pub(super) fn record_crashed(&mut self, key: &InstanceKey, is_unheard: bool) {
+        self.has_crashed |= self.silent.remove(key) || is_unheard;
+    }
+
+    /// Records that a worker answers. Returns whether nothing can have been lost there any more.
+    fn record_answer(&mut self, key: &InstanceKey) -> bool {
+        self.silent.remove(key) && !self.may_hide_losses()
+    }
+}
+
 impl Scheduler {
     /// Records that a worker became silent, or left the list, with runs that may have crashed it.
     pub(super) fn record_losses(&mut self, entry: &WorkerEntry, suspects: Vec<CrashSuspect>) {
@@ -127,7 +161,7 @@
         };
         task.record_loss(loss, now);
         // The next owner must know of losses that suggest the task. Others are too many to store.
-        task.persists_starts |= suspect.evidence != CrashEvidence::AfterLongRun;
+        task.persists_starts |= task.crashes.needs_stored_starts();
         let (persists, losses) = (task.persists_starts, task.crashes.unresolved.len() as u32);
         let waits_ms = task.proof_due_at.map(|due_at| due_at.since(now).as_millis() as u64);
         self.actions.push(Action::Log(LogEntry::LossRecorded {
@@ -146,9 +180,9 @@
 
     /// Handles an answer of an instance that may have crashed.
     pub(super) fn dismiss_losses_of_answering(&mut self, instance_no: InstanceNo) {
-        if !self.losses.by_instance.is_empty()
-            && let Some(instance) = self.instances.get(instance_no)
-        {
+        let nothing_lost =
+            self.losses.by_instance.is_empty() && self.unheard_workers.silent.is_empty();
+        if let Some(instance) = self.instances.get(instance_no).filter(|_| !nothing_lost) {
             let key = instance.entry.key();
             self.dismiss_losses(&key);
         }
@@ -156,6 +190,9 @@
 
     /// Removes the losses of an instance that has not crashed.
     pub(super) fn dismiss_losses(&mut self, key: &InstanceKey) {
+        if self.unheard_workers.record_answer(key) {
+            self.dismiss_missed_crashes();
+        }
         let tasks = self.losses.take(key);
         if tasks.is_empty() {
             return;
@@ -165,17 +202,29 @@
         for name in tasks {
             if self.take_loss(name, key).is_some() {
                 self.record_task_progress(name);
-                self.review_proof_wait(name);
+                self.review_suspicion(name);
             }
         }
     }
 
+    /// Takes back that the previous owner may have missed crashes: all of its workers were heard of.
+    fn dismiss_missed_crashes(&mut self) {
+        let mut changed = BTreeSet::new();
+        for job in self.jobs.values_mut().filter(|job| job.is_open()) {
+            let dismissed = job.dismiss_missed_crashes();
+            job.may_have_waiting_tasks |= !dismissed.is_empty();
+            changed.extend(dismissed);
+        }
+        changed.into_iter().for_each(|name| self.record_task_progress(name));
+        self.placement_needed = true;
+    }
+
     /// Counts the crash of an instance that had been lost, now that it is proved.
     pub(super) fn confirm_losses(&mut self, key: &InstanceKey, why: &'static str) {
         for name in self.losses.take(key) {
             if let Some(UnresolvedLoss { evidence, ran, .. }) = self.take_loss(name, key) {
                 self.record_crash(key, vec![CrashSuspect { task: name, evidence, ran }], why);
-                self.review_proof_wait(name);
+                self.review_suspicion(name);
             }
         }
     }
@@ -198,12 +247,12 @@
         job.task_mut(name).filter(|task| !task.done)?.crashes.take_loss(key)
     }
 
-    /// Lets a task start again if enough is known of what became of its workers.
-    fn review_proof_wait(&mut self, name: TaskName) {
+    /// Updates what follows from the losses of a task, after some of them were resolved.
+    fn review_suspicion(&mut self, name: TaskName) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         job.may_have_waiting_tasks = true;
         if let Some(task) = job.task_mut(name) {
-            task.review_proof_wait();
+            task.review_suspicion();
         }
         self.placement_needed = true;
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -67,11 +67,23 @@
 };
 
 use self::{
-    backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
-    deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
-    fleet_health::FleetHealth, gaps::Gaps, lease_length::MIN_LEASE, load_forecast::ServiceLoads,
-    losses::Losses, overload::Overload, pending::PendingRecords, preempting::Preemptions,
-    run_lengths::RunLengths, short_tasks::ShortTasks, tails::TailModel,
+    backlog::StartedTasks,
+    claimants::Claimants,
+    crash_attribution::LostWorker,
+    deferred_starts::DeferredStarts,
+    evacuation::ZoneEvacuation,
+    first_polls::FirstPolls,
+    fleet_health::FleetHealth,
+    gaps::Gaps,
+    lease_length::MIN_LEASE,
+    load_forecast::ServiceLoads,
+    losses::{Losses, UnheardWorkers},
+    overload::Overload,
+    pending::PendingRecords,
+    preempting::Preemptions,
+    run_lengths::RunLengths,
+    short_tasks::ShortTasks,
+    tails::TailModel,
 };
 pub use self::{
     inherit::InheritedState,
@@ -146,9 +158,7 @@
     /// Worker instances used by an earlier owner that have neither listed all of their runs and ends
     /// nor outlasted their lease yet.
     unconfirmed_instances: BTreeSet<InstanceNo>,
-    /// Whether one of those crashed. Tasks that may have been running there unnoticed are then
-    /// possible causes.
-    inherited_worker_crashed: bool,
+    unheard_workers: UnheardWorkers,
     losses: Losses,
     /// Workers whose instance ended recently.
     lost_workers: Vec<LostWorker>,
@@ -206,7 +216,7 @@
             busy_workers: 0,
             unused_service_entries: BTreeMap::new(),
             unconfirmed_instances: BTreeSet::new(),
-            inherited_worker_crashed: false,
+            unheard_workers: UnheardWorkers::default(),
             losses: Losses::default(),
             lost_workers: Vec::new(),
             store_outage_until: None,
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -222,7 +222,7 @@
             return;
         }
         let run = tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
-        let persists_starts = tasks.iter().any(|task| task.persists_starts);
+        let persists_starts = tasks.iter().any(|task| task.crashes.needs_stored_starts());
         let checkpoint = tasks.iter().find_map(|task| task.checkpoint.clone());
         let mut chosen = Vec::new();
         for index in 0..spec.count {
@@ -284,7 +284,7 @@
         task.last_run = run;
         let suspected = task.crashes.is_suspected();
         let runs_alone = task.crashes.runs_alone();
-        task.record_start(self.inherited_worker_crashed);
+        task.record_start(self.unheard_workers.may_hide_losses());
         let persist_first = task.persists_starts;
         task.crashes.begun = persist_first.then(|| PersistedStart::new(run, instance.entry.key()));
         task.placed.push(Placement { instance: instance_no, run });
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -78,12 +78,16 @@
         self.drop_all_runs(instance_no, end.why());
         let Some(instance) = self.instances.remove(instance_no) else { return };
         let key = instance.entry.key();
-        self.inherited_worker_crashed |= self.unconfirmed_instances.remove(&instance_no);
+        let is_unheard = self.unconfirmed_instances.remove(&instance_no);
         self.record_lost_worker(&instance);
         match end {
-            InstanceEnd::Gone => self.record_losses(&instance.entry, suspects),
             _ if instance.entry.draining => self.dismiss_losses(&key),
+            InstanceEnd::Gone => {
+                self.unheard_workers.record_silent(&key, is_unheard);
+                self.record_losses(&instance.entry, suspects);
+            }
             InstanceEnd::AnotherAnswers | InstanceEnd::LaterAnswers | InstanceEnd::StartedAgain => {
+                self.unheard_workers.record_crashed(&key, is_unheard);
                 self.confirm_losses(&key, end.why());
                 self.record_crash(&key, suspects, end.why());
             }
@@ -109,7 +113,6 @@
             // The ends of its runs may be in answers that were received but not read, so a lagging
             // owner polls again.
             true if instance.silent_while_owner_on_time || grace_is_over => {
-                self.inherited_worker_crashed |= self.unconfirmed_instances.remove(&instance_no);
                 self.drop_runs_of_silent_worker(instance_no);
             }
             _ => {}
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -41,6 +41,9 @@
     pub(super) proof_due_at: Option<Time>,
     /// Whether each start of the task is stored before it is ordered.
     pub(super) persists_starts: bool,
+    /// Whether `may_miss_some` holds only because workers of the previous owner have not been heard
+    /// of since.
+    pub(super) presumes_missed_crash: bool,
     /// Whether the previous owner may have started the task, while this one has neither started it
     /// nor received a report of a run.
     pub(super) maybe_started_before: bool,
@@ -51,15 +54,33 @@
 
 impl Task {
     /// Records that the task is started. `owner_lost` is whether the previous owner was lost and
-    /// may have started the task on a worker that crashed, without counting the crash.
+    /// may have started the task on a worker that crashed or is silent, without counting the loss.
     pub(super) fn record_start(&mut self, owner_lost: bool) {
         self.is_unaccounted = false;
         if mem::take(&mut self.maybe_started_before) && owner_lost {
             self.persists_starts = true;
+            self.presumes_missed_crash = !self.crashes.may_miss_some;
             self.crashes.may_miss_some = true;
         }
     }
 
+    /// Takes back that the previous owner may have missed a crash. Returns whether that changed
+    /// anything.
+    pub(super) fn dismiss_missed_crash(&mut self) -> bool {
+        let presumed = mem::take(&mut self.presumes_missed_crash);
+        if presumed {
+            self.crashes.may_miss_some = false;
+            self.review_suspicion();
+        }
+        presumed
+    }
+
+    /// Updates what follows from the losses of the task, after some of them were resolved.
+    pub(super) fn review_suspicion(&mut self) {
+        self.proof_due_at = self.proof_due_at.filter(|_| self.crashes.proof_timeout().is_some());
+        self.persists_starts = self.crashes.needs_stored_starts();
+    }
+
     /// Records that a worker became silent with a run of the task.
     pub(super) fn record_loss(&mut self, loss: UnresolvedLoss, now: Time) {
         self.crashes.record_loss(loss);
@@ -71,11 +92,6 @@
         self.proof_due_at = self.crashes.proof_timeout().map(|timeout| now + timeout);
     }
 
-    /// Ends the wait for proof of what became of its workers if enough of it is known.
-    pub(super) fn review_proof_wait(&mut self) {
-        self.proof_due_at = self.proof_due_at.filter(|_| self.crashes.proof_timeout().is_some());
-    }
-
     /// Returns whether the task waits for a worker and may be placed now.
     pub(super) fn waits(&self, now: Time) -> bool {
         let is_due = |time: Option<Time>| time.is_none_or(|time| time <= now);
--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -11,7 +11,7 @@
 use fleet::{Behaviour, STEP, SimulatedFleet, job, step, task};
 use kitetrail_core::{
     Resources, Time,
-    jobs::{JobState, StepSpec, TaskName},
+    jobs::{JobId, JobState, StepSpec, TaskName},
 };
 
 /// The time without heartbeats after which the entry of a worker expires.
@@ -207,3 +207,36 @@
     fleet.advance_ms(1_000);
     assert_eq!(fleet.state(1), Some(JobState::Running));
 }
+
+/// Returns whether the store holds crashes, losses or stored starts of tasks of a job.
+fn has_stored_suspects(fleet: &SimulatedFleet, id: u64) -> bool {
+    let steps = fleet
+        .progress_of(JobId(id))
+        .flat_map(|part| part.occurrences.values())
+        .flat_map(|occurrence| &occurrence.steps);
+    steps.into_iter().any(|step| !step.crashes.is_empty())
+}
+
+#[test]
+fn tasks_of_a_lost_owner_are_no_suspects_once_all_of_its_workers_answer() {
+    let mut fleet = SimulatedFleet::new(6);
+    let mut cuts = Cuts::default();
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+    let worker = fleet.worker_of(name);
+    cuts.cut_off(&mut fleet, &worker, Duration::from_millis(7_000));
+    fleet.take_over(2, true);
+    cuts.advance(&mut fleet, Duration::from_millis(5_000));
+    assert!(has_stored_suspects(&fleet, 1), "the worker may have crashed");
+    cuts.advance(&mut fleet, Duration::from_millis(4_000));
+    assert!(!has_stored_suspects(&fleet, 1), "the worker answers again");
+    // A later move is an ordinary start.
+    let worker = reachable_worker_of(&fleet, name).unwrap();
+    fleet.worker(&worker).entry.draining = true;
+    let entry = fleet.worker(&worker).entry.clone();
+    fleet.report_listed(entry);
+    fleet.advance_ms(3_000);
+    assert_ne!(reachable_worker_of(&fleet, name), Some(worker), "the task did not move");
+    assert!(!has_stored_suspects(&fleet, 1), "the task is still a suspect");
+}
