--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -240,3 +240,25 @@
     assert_ne!(reachable_worker_of(&fleet, name), Some(worker), "the task did not move");
     assert!(!has_stored_suspects(&fleet, 1), "the task is still a suspect");
 }
+
+#[test]
+fn the_loss_of_a_worker_that_leaves_while_it_is_silent_is_no_crash() {
+    let mut fleet = SimulatedFleet::new(4);
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+    let worker = fleet.worker_of(name);
+    fleet.worker(&worker).behaviour = Behaviour::Partitioned;
+    fleet.advance_until("the task runs elsewhere", |fleet| {
+        reachable_worker_of(fleet, name).is_some()
+    });
+    fleet.worker(&worker).entry.draining = true;
+    let entry = fleet.worker(&worker).entry.clone();
+    fleet.report_listed(entry);
+    fleet.replace_instance(&worker, "next");
+    fleet.worker("next").entry.draining = false;
+    fleet.report_relisted("next");
+    fleet.advance_ms(3_000);
+    assert_eq!(fleet.counted_crashes(), 0);
+    assert_eq!(fleet.state(1), Some(JobState::Running));
+}
