--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -30,6 +30,7 @@
 mod leasing;
 mod length_model;
 mod load_forecast;
+mod losses;
 mod operator_holds;
 mod orders;
 mod overload;
@@ -66,11 +67,23 @@
 };
 
 use self::{
-    backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
-    deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
-    fleet_health::FleetHealth, gaps::Gaps, lease_length::MIN_LEASE, load_forecast::ServiceLoads,
-    overload::Overload, pending::PendingRecords, preempting::Preemptions, run_lengths::RunLengths,
-    short_tasks::ShortTasks, tails::TailModel,
+    backlog::StartedTasks,
+    claimants::Claimants,
+    crash_attribution::LostWorker,
+    deferred_starts::DeferredStarts,
+    evacuation::ZoneEvacuation,
+    first_polls::FirstPolls,
+    fleet_health::FleetHealth,
+    gaps::Gaps,
+    lease_length::MIN_LEASE,
+    load_forecast::ServiceLoads,
+    losses::{Losses, UnheardWorkers},
+    overload::Overload,
+    pending::PendingRecords,
+    preempting::Preemptions,
+    run_lengths::RunLengths,
+    short_tasks::ShortTasks,
+    tails::TailModel,
 };
 pub use self::{
     inherit::InheritedState,
@@ -145,9 +158,8 @@
     /// Worker instances used by an earlier owner that have neither listed all of their runs and ends
     /// nor outlasted their lease yet.
     unconfirmed_instances: BTreeSet<InstanceNo>,
-    /// Whether one of those crashed. Tasks that may have been running there unnoticed are then
-    /// possible causes.
-    inherited_worker_crashed: bool,
+    unheard_workers: UnheardWorkers,
+    losses: Losses,
     /// Workers whose instance ended recently.
     lost_workers: Vec<LostWorker>,
     /// The end of the last known store outage, if there was one.
@@ -204,7 +216,8 @@
             busy_workers: 0,
             unused_service_entries: BTreeMap::new(),
             unconfirmed_instances: BTreeSet::new(),
-            inherited_worker_crashed: false,
+            unheard_workers: UnheardWorkers::default(),
+            losses: Losses::default(),
             lost_workers: Vec::new(),
             store_outage_until: None,
             pending: PendingRecords::default(),
