Keys of other writers no longer end or shorten the reading of a table

What callers saw: with one row of another writer under a key with a blank, a quote or a control character, or of 200 bytes, as the last of a page (500 rows; 128 for the boxes' own tables), a box read the list of workers never again, and no box could take the fleet over. Keys with `&`, `#` or `+` there made it read rows twice. Rows whose key is that of a page's last row continued by a byte below `!` were left out. An operators' row of a worker such as `i+<1>` could be written, not removed.

Cause: `StoreClient` put keys into queries as they are. Where the URI could not be parsed it asked 0.0.0.0 for `invalid-name`; `#` cuts the query off, `&` begins another parameter, `+` means a blank. The next page began at the last key with `!` appended, which is one byte too long after a key of 200 bytes, and isn't the next possible key.

--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -71,7 +71,7 @@
 pub struct RowPage {
     /// The rows.
     pub rows: Vec<StoredRow>,
-    /// The key at which the next page starts, or `None` for the last page.
+    /// The key after which the next page starts, or `None` for the last page.
     pub next: Option<String>,
     /// The latest version of the store when the page was read.
     pub version: u64,
@@ -99,12 +99,13 @@
         name: &RowName,
     ) -> impl Future<Output = Result<Option<StoredRow>, PlatformError>>;
 
-    /// Reads at most `limit` rows of a part of a table, starting at the key `from`.
+    /// Reads at most `limit` rows of a part of a table, at least 2, from the first one or from the one with the next
+    /// higher key than `after`.
     fn page(
         &self,
         table: &'static str,
         part: &str,
-        from: &str,
+        after: Option<&str>,
         limit: usize,
     ) -> impl Future<Output = Result<RowPage, PlatformError>>;
 
--- a/crates/kitetraild/src/fleet/operator_rows.rs
+++ b/crates/kitetraild/src/fleet/operator_rows.rs
@@ -151,16 +151,17 @@
 async fn read_all<P: Platform>(
     shared: &Rc<Shared<P>>,
 ) -> Result<(Vec<StoredRow>, u64), PlatformError> {
-    let (mut all, mut from, mut first_version) = (Vec::new(), String::new(), None);
+    let (mut all, mut after, mut first_version) = (Vec::new(), None::<String>, None);
     loop {
         let store = &shared.services.store;
-        let page = store.page(rows::OPERATORS_TABLE, rows::PARTITION, &from, PAGE_ROWS).await;
+        let page =
+            store.page(rows::OPERATORS_TABLE, rows::PARTITION, after.as_deref(), PAGE_ROWS).await;
         shared.record_store_result(&page);
         let RowPage { rows, next, version } = page?;
         let version = *first_version.get_or_insert(version);
         all.extend(rows);
         match next {
-            Some(next) => from = next,
+            Some(next) => after = Some(next),
             None => return Ok((all, version)),
         }
     }
--- a/crates/kitetraild/src/fleet/scan.rs
+++ b/crates/kitetraild/src/fleet/scan.rs
@@ -54,11 +54,12 @@
     shared: &Rc<Shared<P>>,
     table: &'static str,
 ) -> Result<Vec<StoredRow>, PlatformError> {
-    let (mut rows, mut from, mut page_size, mut failures) =
-        (Vec::new(), String::new(), PageSize::new(), 0);
+    let (mut rows, mut after, mut page_size, mut failures) =
+        (Vec::new(), None::<String>, PageSize::new(), 0);
     loop {
         let started = Instant::now();
-        let page = shared.services.store.page(table, rows::PARTITION, &from, page_size.rows).await;
+        let store = &shared.services.store;
+        let page = store.page(table, rows::PARTITION, after.as_deref(), page_size.rows).await;
         shared.record_store_result(&page);
         match page {
             Ok(RowPage { rows: page_rows, next, .. }) => {
@@ -66,7 +67,7 @@
                 failures = 0;
                 page_size.record_page(started.elapsed());
                 match next {
-                    Some(next) => from = next,
+                    Some(next) => after = Some(next),
                     None => return Ok(rows),
                 }
             }
