A copy of a row under another key stands for nothing

What callers saw: with copies of the rows of a job and of a worker instance under other keys, the tasks that waited at a takeover were never started.

Cause: records were taken from all rows, whatever their keys. The copy of an instance was a second one of the same start, and the two contested each other for good. The copy of a job replaces the job without its progress (read).

Evidence: `copies_of_rows_under_other_keys_are_ignored` printed "timed out after 30s: the job completes" on the code as found.

Change: a row counts if its key is the one that its contents are written under. Others are logged and skipped.

--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -1,6 +1,6 @@
 //! The names and contents of the rows that boxes keep in the store.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{fmt::Display, net::SocketAddr, rc::Rc};
 
 use kitetrail_core::{
     jobs::{JobRecord, MAX_RENEWAL_WITHOUT_STORE, Record},
@@ -145,16 +145,22 @@
     serde_json::from_slice(&row.value)
 }
 
-/// Decodes rows, by their keys. Rows that can't be decoded are logged and skipped.
-pub(super) fn decode_all<T: DeserializeOwned>(rows: &[StoredRow]) -> BTreeMap<String, T> {
-    let decode = |row: &StoredRow| {
-        let decoded = decode(row).map(|value| (row.key.clone(), value));
-        let key = row.key.as_str();
-        decoded
-            .inspect_err(|error| log::error!(key = key; "store: failed to decode a row: {error}"))
-            .ok()
+/// Decodes rows whose keys follow from their contents. A row that can't be decoded or has another key is logged and
+/// skipped: a copy of a record would stand for a second one of the same job or worker instance.
+pub(super) fn decode_all<T: DeserializeOwned, K: Display>(
+    rows: &[StoredRow],
+    key_of: impl Fn(&T) -> K,
+) -> Vec<T> {
+    let decode_one = |row: &StoredRow| {
+        let fault = match decode::<T>(row) {
+            Ok(record) if key_of(&record).to_string() == row.key => return Some(record),
+            Ok(record) => format!("it is the record of {}", key_of(&record)),
+            Err(error) => error.to_string(),
+        };
+        log::error!(key = row.key.as_str(); "store: failed to decode a row: {fault}");
+        None
     };
-    rows.iter().filter_map(decode).collect()
+    rows.iter().filter_map(decode_one).collect()
 }
 
 /// Reads a row from the store, with its version. Returns `None` if it is absent.
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -11,8 +11,8 @@
 use kitetrail_core::{
     Time,
     jobs::{
-        EffectsRecord, InheritedState, JobId, JobRecord, LeaseRecord, Outcome, ProgressRecord,
-        Scheduler, SchedulerSettings,
+        EffectsRecord, InheritedState, InstanceRecord, JobId, JobRecord, LeaseRecord, Outcome,
+        ProgressRecord, Scheduler, SchedulerSettings,
     },
     succession::{BoxStrength, EarlierOwners},
 };
@@ -347,15 +347,15 @@
     let instances = scan::read_table(shared, rows::INCARNATIONS_TABLE).await?;
     let progress = scan::read_table(shared, rows::PROGRESS_TABLE).await?;
     let jobs = scan::read_table(shared, rows::JOBS_TABLE).await?;
-    let mut progress = progress_by_job(rows::decode_all(&progress));
+    let mut progress = progress_by_job(rows::decode_all(&progress, ProgressRecord::key));
     let mut inheritance = InheritedState {
         interference: load_effects(shared).await?,
         longest_lease: load_longest_lease(shared).await?,
         operator_rows: operator_rows::load(shared).await?,
-        instances: rows::decode_all(&instances).into_values().collect(),
+        instances: rows::decode_all(&instances, InstanceRecord::key),
         ..InheritedState::default()
     };
-    for job in rows::decode_all::<JobRecord>(&jobs).into_values() {
+    for job in rows::decode_all(&jobs, |job: &JobRecord| job.id) {
         let parts = progress.remove(&job.id).unwrap_or_default();
         inheritance.jobs.push((job, parts));
     }
@@ -372,9 +372,9 @@
 }
 
 /// Returns the parts of the progress of each job.
-fn progress_by_job(rows: BTreeMap<String, ProgressRecord>) -> BTreeMap<JobId, Vec<ProgressRecord>> {
+fn progress_by_job(parts: Vec<ProgressRecord>) -> BTreeMap<JobId, Vec<ProgressRecord>> {
     let mut by_job = BTreeMap::<_, Vec<_>>::new();
-    for part in rows.into_values() {
+    for part in parts {
         by_job.entry(part.id).or_default().push(part);
     }
     by_job
