Rows of jobs and progress that no box writes don't stop a takeover

What callers saw: with a job row that names a step which does not exist as a dependency, or with progress of occurrence 4,294,967,295 of a job, a new owner never completed the jobs that it inherited.

Cause: the limits of jobs are checked when they are handed in. What was read from the store was trusted: dependencies index steps, and each task and occurrence takes memory.

Evidence: `job_row_that_no_box_writes_costs_itself_alone` printed "timed out after 30s: the job completes" on the code as found, and the box's log "panicked at crates/kitetrail-core/src/jobs/spec.rs: index out of bounds: the len is 1 but the index is 7"; with the check of jobs alone it timed out as well, while the new owner began one occurrence after the other. Tasks by the billion were not tried without the check.

Change: a new owner checks the specification of a job as boxes do when they accept it, and that progress is about occurrences of its job. The others are logged and ignored; rows of boxes pass both.

--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -356,7 +356,12 @@
         ..InheritedState::default()
     };
     for job in rows::decode_all(&jobs, |job: &JobRecord| job.id) {
-        let parts = progress.remove(&job.id).unwrap_or_default();
+        if let Err(error) = job.spec.check() {
+            log::error!(job = job.id.to_string(); "owner: a job that no box accepts is ignored: {error}");
+            continue;
+        }
+        let mut parts = progress.remove(&job.id).unwrap_or_default();
+        parts.retain(|part| is_progress_of(&job, part));
         inheritance.jobs.push((job, parts));
     }
     inheritance.ended_progress = progress.into_values().flatten().collect();
@@ -371,6 +376,17 @@
     Ok(inheritance)
 }
 
+/// Returns whether a job can have made this progress. Other progress is logged: it may name any number of occurrences.
+fn is_progress_of(job: &JobRecord, part: &ProgressRecord) -> bool {
+    let occurrences = job.spec.occurrences();
+    let is_possible = part.done_before <= occurrences
+        && part.occurrences.keys().all(|&occurrence| occurrence < occurrences);
+    if !is_possible {
+        log::error!(key = part.key().to_string(); "owner: progress of other occurrences is ignored");
+    }
+    is_possible
+}
+
 /// Returns the parts of the progress of each job.
 fn progress_by_job(parts: Vec<ProgressRecord>) -> BTreeMap<JobId, Vec<ProgressRecord>> {
     let mut by_job = BTreeMap::<_, Vec<_>>::new();
