Changes in other parts of a table are no changes of its list

What callers saw: a row of another writer in another part of a table acted as one of the list: a configuration there removed queues (404), an entry there made a worker unusable, until the table was read again.

Cause: the change feed returns the changes of all parts of a table. Lists are read from one part, but changes were taken from all.

Evidence: `rows_in_other_parts_of_a_table_change_nothing` printed "timed out after 30s: the job is accepted" on the code as found: the configuration of the other part was in force.

Change: changes of other parts are dropped by the client.

--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -77,7 +77,7 @@
     pub version: u64,
 }
 
-/// The changes of a table since a version.
+/// The changes of a part of a table since a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TableChanges {
     /// The rows that changed, in the order of the changes.
@@ -118,10 +118,11 @@
         transaction: &RowTransaction,
     ) -> impl Future<Output = Result<TransactionAnswer, PlatformError>>;
 
-    /// Returns the changes of a table after a version. Waits up to `wait` for the first change.
+    /// Returns the changes of a part of a table after a version. Waits up to `wait` for the first change of the table.
     fn watch(
         &self,
         table: &'static str,
+        part: &str,
         after: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<TableChanges, PlatformError>>;
--- a/crates/kitetraild/src/fleet/operator_rows.rs
+++ b/crates/kitetraild/src/fleet/operator_rows.rs
@@ -133,7 +133,8 @@
     version: u64,
 ) -> Result<Option<(OperatorRows, u64)>, PlatformError> {
     let wait = shared.settings.limits.config_watch_wait;
-    let changes = shared.services.store.watch(rows::OPERATORS_TABLE, version, wait).await;
+    let (store, table) = (&shared.services.store, rows::OPERATORS_TABLE);
+    let changes = store.watch(table, rows::PARTITION, version, wait).await;
     shared.record_store_result(&changes);
     match changes? {
         TableChanges::HistoryGone => Ok(None),
