Entries under ids that no call can carry are unusable

What callers saw: copies of a worker's entry under its id with a blank or a control character, or under the empty one, took its place: the worker was said to be over ("a later instance answers on its machine"). An entry under an id of 195 bytes made the store reject the owner's write, so that callers waited for its other records to be written apart.

Cause: calls name the worker they are for in a header. Blanks at its ends get lost, and for ids that a header can't hold it was left out, so that the worker at the address took such calls for its own. The key of an instance's row is its id, `@` and its start, which is more than the store's 200 bytes for a long id.

--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -140,6 +140,9 @@
 /// The reason why an entry in the list of workers can't be used.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum EntryFault {
+    /// The id is not one that a worker can be addressed by.
+    #[error("the worker id is invalid: {0:?}")]
+    Id(String),
     /// The entry can't be parsed.
     #[error("the entry can't be parsed: {0}")]
     Unreadable(String),
@@ -164,6 +167,7 @@
     /// Returns the reason as one word, for metric labels.
     pub fn reason(&self) -> &'static str {
         match self {
+            Self::Id(_) => "id",
             Self::Unreadable(_) => "unreadable",
             Self::Fields(_) => "fields",
             Self::State(_) => "state",
