A last write that can't be read is replaced by a takeover

What callers saw: after another writer had overwritten the row with the owner's last write, the owner gave the fleet up, and no box ever owned it again.

Cause: a takeover reads that row to depend on its version, and failed as it could not be decoded.

Evidence: `next_owner_replaces_a_last_write_that_it_cannot_read` printed "timed out after 30s: the job is accepted" on the code as found.

Change: the version counts even if the contents can't be decoded. How long earlier owners may renew leases is not known then, so the new owner waits as long as after a row of an earlier release, which said nothing about it. An owner row that can't be decoded still stops takeovers: without it, boxes do not know the epoch (docs/OPEN.md).

--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -104,6 +104,7 @@
         return Ok(None);
     }
     let (last_write, head_version) = head.unzip();
+    let last_write = last_write.flatten();
     let earlier_renew_for_ms = last_write.and_then(|head| head.earlier_renew_for_ms);
     let earlier_renew_for = earlier_renew_for_ms.map_or(MAX_UNCONFIRMED, Duration::from_millis);
     let renew_for_ms = last_write.and_then(|head| head.renew_for_ms);
@@ -228,7 +229,7 @@
     Changed,
     /// The owner wrote nothing, and this is its last write with its version, if there is any. Only an owner that writes
     /// nothing after it may be replaced, so a takeover depends on this version, however long it waits for other boxes.
-    Unchanged(Option<(HeadRow, u64)>),
+    Unchanged(Option<(Option<HeadRow>, u64)>),
 }
 
 /// Watches for some time whether the owner writes. Ends early if the owner asks this box to take over.
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -183,10 +183,20 @@
 }
 
 /// Reads the head row, with its version. Returns `None` if nothing was ever written.
+///
+/// A row that can't be decoded has no contents: a takeover replaces it, and waits as after a row of an earlier release.
 pub(super) async fn read_head<P: Platform>(
     shared: &Rc<Shared<P>>,
-) -> Result<Option<(HeadRow, u64)>, PlatformError> {
-    read_decoded(shared, &head_row_name()).await
+) -> Result<Option<(Option<HeadRow>, u64)>, PlatformError> {
+    let row = shared.services.store.read(&head_row_name()).await;
+    shared.record_store_result(&row);
+    let decode_head = |row: StoredRow| {
+        let log_error = |error: &serde_json::Error| {
+            log::error!(version = row.version; "owner: the last write can't be decoded: {error}");
+        };
+        (decode(&row).inspect_err(log_error).ok(), row.version)
+    };
+    Ok(row?.map(decode_head))
 }
 
 /// Encodes a value of a row.
