An owner row that can't be read is replaced once its owner is lost

What callers saw: after another writer had overwritten the owner row, the fleet had no owner from the loss of that owner on, and jobs waited for good.

Cause: a box that checks the owner reads that row first, and failed as it could not be decoded.

Change: the epoch is taken from the last write beside it, which has the same one. The owner counts as silent: a box takes over once that row has not changed for as long as that of a silent owner, and waits for the leases of an owner that may live. Where the last write can't be decoded either, the epoch is not known, and nobody takes over.

--- a/crates/kitetraild/src/fleet/ownership.rs
+++ b/crates/kitetraild/src/fleet/ownership.rs
@@ -87,9 +87,15 @@
         let head_version = rows::read_head(shared).await?.map_or(0, |(_, version)| version);
         return Ok(new_claim(shared, None, head_version, Duration::ZERO));
     };
-    let address = Some(owner.address).filter(|_| !owner.released);
-    shared.adopt_owner(OwnerView { epoch: owner.epoch, address }, "store");
-    let verdict = assess(shared, &owner).await;
+    let (owner, verdict) = match owner {
+        Some(owner) => {
+            let address = Some(owner.address).filter(|_| !owner.released);
+            shared.adopt_owner(OwnerView { epoch: owner.epoch, address }, "store");
+            let verdict = assess(shared, &owner).await;
+            (owner, verdict)
+        }
+        None => (read_unknown_owner(shared).await?, OwnerState::Silent),
+    };
     let timeout = match verdict {
         OwnerState::Fine => return Ok(None),
         OwnerState::Stopped => Duration::ZERO,
@@ -115,6 +121,18 @@
     Ok(new_claim(shared, Some(predecessor), head_version.unwrap_or(0), earlier_renew_for))
 }
 
+/// Returns the owner whose row can't be decoded. Its last write has the same epoch.
+async fn read_unknown_owner<P: Platform>(
+    shared: &Rc<Shared<P>>,
+) -> Result<OwnerRow, PlatformError> {
+    let last_write = rows::read_head(shared).await?.and_then(|(last_write, _)| last_write);
+    let owner = last_write.map(|head| OwnerRow::of_unknown_box(head.epoch));
+    owner.ok_or_else(|| PlatformError::Malformed {
+        service: "store",
+        cause: "neither the owner nor its last write can be decoded".to_owned(),
+    })
+}
+
 /// Returns how much the limit without writes is extended for an owner that reported lag.
 fn lag_extension<P: Platform>(shared: &Shared<P>) -> Duration {
     shared.owner_lag().saturating_mul(LAG_EXTENSION_FACTOR).min(MAX_LAG_EXTENSION)
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -1,6 +1,10 @@
 //! The names and contents of the rows that boxes keep in the store.
 
-use std::{fmt::Display, net::SocketAddr, rc::Rc};
+use std::{
+    fmt::Display,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
 
 use kitetrail_core::{
     jobs::{JobRecord, MAX_RENEWAL_WITHOUT_STORE, Record},
@@ -66,6 +70,21 @@
     pub(super) renew_for_ms: Option<u64>,
 }
 
+impl OwnerRow {
+    /// Returns a row of an owner of which only the epoch is known. Nobody answers at its address.
+    pub(super) fn of_unknown_box(epoch: u64) -> Self {
+        Self {
+            epoch,
+            box_name: String::new(),
+            incarnation: 0,
+            address: SocketAddr::new(Ipv4Addr::UNSPECIFIED.into(), 0),
+            released: false,
+            successor: None,
+            strongest: BoxStrength::default(),
+        }
+    }
+}
+
 impl HeadRow {
     pub(super) fn new(epoch: u64, write: u64, earlier_renew_for_ms: u64) -> Self {
         Self {
@@ -176,27 +195,35 @@
 }
 
 /// Reads the owner row, with its version. Returns `None` if the fleet never had an owner.
+///
+/// A row that can't be decoded has no contents, also below: a takeover replaces it.
 pub(super) async fn read_owner<P: Platform>(
     shared: &Rc<Shared<P>>,
-) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
-    read_decoded(shared, &owner_row_name()).await
+) -> Result<Option<(Option<OwnerRow>, u64)>, PlatformError> {
+    read_if_decodable(shared, &owner_row_name()).await
 }
 
 /// Reads the head row, with its version. Returns `None` if nothing was ever written.
-///
-/// A row that can't be decoded has no contents: a takeover replaces it, and waits as after a row of an earlier release.
 pub(super) async fn read_head<P: Platform>(
     shared: &Rc<Shared<P>>,
 ) -> Result<Option<(Option<HeadRow>, u64)>, PlatformError> {
-    let row = shared.services.store.read(&head_row_name()).await;
+    read_if_decodable(shared, &head_row_name()).await
+}
+
+/// Reads a row with its version, which counts even if the contents can't be decoded.
+async fn read_if_decodable<P: Platform, T: DeserializeOwned>(
+    shared: &Rc<Shared<P>>,
+    name: &RowName,
+) -> Result<Option<(Option<T>, u64)>, PlatformError> {
+    let row = shared.services.store.read(name).await;
     shared.record_store_result(&row);
-    let decode_head = |row: StoredRow| {
+    let decode_if_possible = |row: StoredRow| {
         let log_error = |error: &serde_json::Error| {
-            log::error!(version = row.version; "owner: the last write can't be decoded: {error}");
+            log::error!(key = row.key.as_str(); "store: failed to decode a row: {error}");
         };
         (decode(&row).inspect_err(log_error).ok(), row.version)
     };
-    Ok(row?.map(decode_head))
+    Ok(row?.map(decode_if_possible))
 }
 
 /// Encodes a value of a row.
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -332,7 +332,9 @@
     released: &OwnerRow,
 ) -> Result<(), PlatformError> {
     let found = rows::read_owner(shared).await?;
-    let Some((_, version)) = found.filter(|(found, _)| found == row) else { return Ok(()) };
+    let Some((_, version)) = found.filter(|(found, _)| found.as_ref() == Some(row)) else {
+        return Ok(());
+    };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row_name(), version)],
         puts: vec![(rows::owner_row_name(), rows::encode(released)?)],
