--- a/crates/kitetrail-platform/src/fleet.rs
+++ b/crates/kitetrail-platform/src/fleet.rs
@@ -71,13 +71,13 @@
 pub struct RowPage {
     /// The rows.
     pub rows: Vec<StoredRow>,
-    /// The key at which the next page starts, or `None` for the last page.
+    /// The key after which the next page starts, or `None` for the last page.
     pub next: Option<String>,
     /// The latest version of the store when the page was read.
     pub version: u64,
 }
 
-/// The changes of a table since a version.
+/// The changes of a part of a table since a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TableChanges {
     /// The rows that changed, in the order of the changes.
@@ -99,12 +99,13 @@
         name: &RowName,
     ) -> impl Future<Output = Result<Option<StoredRow>, PlatformError>>;
 
-    /// Reads at most `limit` rows of a part of a table, starting at the key `from`.
+    /// Reads at most `limit` rows of a part of a table, at least 2, from the first one or from the one with the next
+    /// higher key than `after`.
     fn page(
         &self,
         table: &'static str,
         part: &str,
-        from: &str,
+        after: Option<&str>,
         limit: usize,
     ) -> impl Future<Output = Result<RowPage, PlatformError>>;
 
@@ -117,10 +118,11 @@
         transaction: &RowTransaction,
     ) -> impl Future<Output = Result<TransactionAnswer, PlatformError>>;
 
-    /// Returns the changes of a table after a version. Waits up to `wait` for the first change.
+    /// Returns the changes of a part of a table after a version. Waits up to `wait` for the first change of the table.
     fn watch(
         &self,
         table: &'static str,
+        part: &str,
         after: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<TableChanges, PlatformError>>;
@@ -138,6 +140,9 @@
 /// The reason why an entry in the list of workers can't be used.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum EntryFault {
+    /// The id is not one that a worker can be addressed by.
+    #[error("the worker id is invalid: {0:?}")]
+    Id(String),
     /// The entry can't be parsed.
     #[error("the entry can't be parsed: {0}")]
     Unreadable(String),
@@ -162,6 +167,7 @@
     /// Returns the reason as one word, for metric labels.
     pub fn reason(&self) -> &'static str {
         match self {
+            Self::Id(_) => "id",
             Self::Unreadable(_) => "unreadable",
             Self::Fields(_) => "fields",
             Self::State(_) => "state",
--- a/crates/kitetraild/src/fleet/operator_rows.rs
+++ b/crates/kitetraild/src/fleet/operator_rows.rs
@@ -133,7 +133,8 @@
     version: u64,
 ) -> Result<Option<(OperatorRows, u64)>, PlatformError> {
     let wait = shared.settings.limits.config_watch_wait;
-    let changes = shared.services.store.watch(rows::OPERATORS_TABLE, version, wait).await;
+    let (store, table) = (&shared.services.store, rows::OPERATORS_TABLE);
+    let changes = store.watch(table, rows::PARTITION, version, wait).await;
     shared.record_store_result(&changes);
     match changes? {
         TableChanges::HistoryGone => Ok(None),
@@ -151,16 +152,17 @@
 async fn read_all<P: Platform>(
     shared: &Rc<Shared<P>>,
 ) -> Result<(Vec<StoredRow>, u64), PlatformError> {
-    let (mut all, mut from, mut first_version) = (Vec::new(), String::new(), None);
+    let (mut all, mut after, mut first_version) = (Vec::new(), None::<String>, None);
     loop {
         let store = &shared.services.store;
-        let page = store.page(rows::OPERATORS_TABLE, rows::PARTITION, &from, PAGE_ROWS).await;
+        let page =
+            store.page(rows::OPERATORS_TABLE, rows::PARTITION, after.as_deref(), PAGE_ROWS).await;
         shared.record_store_result(&page);
         let RowPage { rows, next, version } = page?;
         let version = *first_version.get_or_insert(version);
         all.extend(rows);
         match next {
-            Some(next) => from = next,
+            Some(next) => after = Some(next),
             None => return Ok((all, version)),
         }
     }
--- a/crates/kitetraild/src/fleet/rows.rs
+++ b/crates/kitetraild/src/fleet/rows.rs
@@ -1,6 +1,10 @@
 //! The names and contents of the rows that boxes keep in the store.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    fmt::Display,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
 
 use kitetrail_core::{
     jobs::{JobRecord, MAX_RENEWAL_WITHOUT_STORE, Record},
@@ -66,6 +70,21 @@
     pub(super) renew_for_ms: Option<u64>,
 }
 
+impl OwnerRow {
+    /// Returns a row of an owner of which only the epoch is known. Nobody answers at its address.
+    pub(super) fn of_unknown_box(epoch: u64) -> Self {
+        Self {
+            epoch,
+            box_name: String::new(),
+            incarnation: 0,
+            address: SocketAddr::new(Ipv4Addr::UNSPECIFIED.into(), 0),
+            released: false,
+            successor: None,
+            strongest: BoxStrength::default(),
+        }
+    }
+}
+
 impl HeadRow {
     pub(super) fn new(epoch: u64, write: u64, earlier_renew_for_ms: u64) -> Self {
         Self {
@@ -145,16 +164,22 @@
     serde_json::from_slice(&row.value)
 }
 
-/// Decodes rows, by their keys. Rows that can't be decoded are logged and skipped.
-pub(super) fn decode_all<T: DeserializeOwned>(rows: &[StoredRow]) -> BTreeMap<String, T> {
-    let decode = |row: &StoredRow| {
-        let decoded = decode(row).map(|value| (row.key.clone(), value));
-        let key = row.key.as_str();
-        decoded
-            .inspect_err(|error| log::error!(key = key; "store: failed to decode a row: {error}"))
-            .ok()
+/// Decodes rows whose keys follow from their contents. A row that can't be decoded or has another key is logged and
+/// skipped: a copy of a record would stand for a second one of the same job or worker instance.
+pub(super) fn decode_all<T: DeserializeOwned, K: Display>(
+    rows: &[StoredRow],
+    key_of: impl Fn(&T) -> K,
+) -> Vec<T> {
+    let decode_one = |row: &StoredRow| {
+        let fault = match decode::<T>(row) {
+            Ok(record) if key_of(&record).to_string() == row.key => return Some(record),
+            Ok(record) => format!("it is the record of {}", key_of(&record)),
+            Err(error) => error.to_string(),
+        };
+        log::error!(key = row.key.as_str(); "store: failed to decode a row: {fault}");
+        None
     };
-    rows.iter().filter_map(decode).collect()
+    rows.iter().filter_map(decode_one).collect()
 }
 
 /// Reads a row from the store, with its version. Returns `None` if it is absent.
@@ -170,17 +195,35 @@
 }
 
 /// Reads the owner row, with its version. Returns `None` if the fleet never had an owner.
+///
+/// A row that can't be decoded has no contents, also below: a takeover replaces it.
 pub(super) async fn read_owner<P: Platform>(
     shared: &Rc<Shared<P>>,
-) -> Result<Option<(OwnerRow, u64)>, PlatformError> {
-    read_decoded(shared, &owner_row_name()).await
+) -> Result<Option<(Option<OwnerRow>, u64)>, PlatformError> {
+    read_if_decodable(shared, &owner_row_name()).await
 }
 
 /// Reads the head row, with its version. Returns `None` if nothing was ever written.
 pub(super) async fn read_head<P: Platform>(
     shared: &Rc<Shared<P>>,
-) -> Result<Option<(HeadRow, u64)>, PlatformError> {
-    read_decoded(shared, &head_row_name()).await
+) -> Result<Option<(Option<HeadRow>, u64)>, PlatformError> {
+    read_if_decodable(shared, &head_row_name()).await
+}
+
+/// Reads a row with its version, which counts even if the contents can't be decoded.
+async fn read_if_decodable<P: Platform, T: DeserializeOwned>(
+    shared: &Rc<Shared<P>>,
+    name: &RowName,
+) -> Result<Option<(Option<T>, u64)>, PlatformError> {
+    let row = shared.services.store.read(name).await;
+    shared.record_store_result(&row);
+    let decode_if_possible = |row: StoredRow| {
+        let log_error = |error: &serde_json::Error| {
+            log::error!(key = row.key.as_str(); "store: failed to decode a row: {error}");
+        };
+        (decode(&row).inspect_err(log_error).ok(), row.version)
+    };
+    Ok(row?.map(decode_if_possible))
 }
 
 /// Encodes a value of a row.
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -11,8 +11,8 @@
 use kitetrail_core::{
     Time,
     jobs::{
-        EffectsRecord, InheritedState, JobId, JobRecord, LeaseRecord, Outcome, ProgressRecord,
-        Scheduler, SchedulerSettings,
+        EffectsRecord, InheritedState, InstanceRecord, JobId, JobRecord, LeaseRecord, Outcome,
+        ProgressRecord, Scheduler, SchedulerSettings,
     },
     succession::{BoxStrength, EarlierOwners},
 };
@@ -332,7 +332,9 @@
     released: &OwnerRow,
 ) -> Result<(), PlatformError> {
     let found = rows::read_owner(shared).await?;
-    let Some((_, version)) = found.filter(|(found, _)| found == row) else { return Ok(()) };
+    let Some((_, version)) = found.filter(|(found, _)| found.as_ref() == Some(row)) else {
+        return Ok(());
+    };
     let transaction = RowTransaction {
         expected: vec![(rows::owner_row_name(), version)],
         puts: vec![(rows::owner_row_name(), rows::encode(released)?)],
@@ -347,16 +349,21 @@
     let instances = scan::read_table(shared, rows::INCARNATIONS_TABLE).await?;
     let progress = scan::read_table(shared, rows::PROGRESS_TABLE).await?;
     let jobs = scan::read_table(shared, rows::JOBS_TABLE).await?;
-    let mut progress = progress_by_job(rows::decode_all(&progress));
+    let mut progress = progress_by_job(rows::decode_all(&progress, ProgressRecord::key));
     let mut inheritance = InheritedState {
         interference: load_effects(shared).await?,
         longest_lease: load_longest_lease(shared).await?,
         operator_rows: operator_rows::load(shared).await?,
-        instances: rows::decode_all(&instances).into_values().collect(),
+        instances: rows::decode_all(&instances, InstanceRecord::key),
         ..InheritedState::default()
     };
-    for job in rows::decode_all::<JobRecord>(&jobs).into_values() {
-        let parts = progress.remove(&job.id).unwrap_or_default();
+    for job in rows::decode_all(&jobs, |job: &JobRecord| job.id) {
+        if let Err(error) = job.spec.check() {
+            log::error!(job = job.id.to_string(); "owner: a job that no box accepts is ignored: {error}");
+            continue;
+        }
+        let mut parts = progress.remove(&job.id).unwrap_or_default();
+        parts.retain(|part| is_progress_of(&job, part));
         inheritance.jobs.push((job, parts));
     }
     inheritance.ended_progress = progress.into_values().flatten().collect();
@@ -371,10 +378,21 @@
     Ok(inheritance)
 }
 
+/// Returns whether a job can have made this progress. Other progress is logged: it may name any number of occurrences.
+fn is_progress_of(job: &JobRecord, part: &ProgressRecord) -> bool {
+    let occurrences = job.spec.occurrences();
+    let is_possible = part.done_before <= occurrences
+        && part.occurrences.keys().all(|&occurrence| occurrence < occurrences);
+    if !is_possible {
+        log::error!(key = part.key().to_string(); "owner: progress of other occurrences is ignored");
+    }
+    is_possible
+}
+
 /// Returns the parts of the progress of each job.
-fn progress_by_job(rows: BTreeMap<String, ProgressRecord>) -> BTreeMap<JobId, Vec<ProgressRecord>> {
+fn progress_by_job(parts: Vec<ProgressRecord>) -> BTreeMap<JobId, Vec<ProgressRecord>> {
     let mut by_job = BTreeMap::<_, Vec<_>>::new();
-    for part in rows.into_values() {
+    for part in parts {
         by_job.entry(part.id).or_default().push(part);
     }
     by_job
