Log why a job ended, and that a box shows it as failed

`LogEntry::JobEnded` has the cause now (`EndCause`): completed, cancelled by the caller, failed runs at the limit (which task, how many of how many), a task that crashes its workers, a record that the store refuses. The outcome and the state that callers see follow from it, so that the three can't differ. A box that shows a job as failed logs `job: shown as failed` with the address of the owner that answered and its epoch, or that it read the row itself. Both lines go through the bounded log, as their neighbours do, and don't wait for it.

No file of expected output holds these lines.

--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -2,6 +2,7 @@
 
 use super::{
     crashes::CrashEvidence,
+    end_cause::EndCause,
     event::JobState,
     hand_in::HandInDecision,
     names::{Incarnation, JobId, QueueName, TaskName, WorkerName},
@@ -34,6 +35,8 @@
         job: JobId,
         /// The final state.
         state: JobState,
+        /// Why it ended.
+        cause: EndCause,
         /// The time since the job was submitted, in milliseconds.
         after_ms: u64,
         /// The time that the queue promises, in milliseconds.
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 
 mod claimant_terms;
 mod crashes;
+mod end_cause;
 mod event;
 mod hand_in;
 mod instance;
@@ -34,6 +35,7 @@
 
 pub use claimant_terms::ClaimantTerms;
 pub use crashes::{CrashEvidence, PersistedStart, RunTimeBounds, TaskCrashes};
+pub use end_cause::EndCause;
 pub use event::{
     Action, CancelAnswer, Event, JobRequestId, JobState, SubmitAnswer, WorkerListChange,
 };
--- a/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
@@ -10,11 +10,11 @@
 use super::{
     super::{
         crashes::{CrashEvidence, RunTimeBounds},
+        end_cause::EndCause,
         event::Action,
         instance::{InstanceEnd, InstanceNo, Listing, WorkerInstance},
         log_entry::LogEntry,
         names::{InstanceKey, TaskName, WorkerName},
-        record::Outcome,
         run::{Phase, PlacedRun},
     },
     Scheduler,
@@ -166,7 +166,7 @@
         let task = self.task_mut(name);
         let workers = task.map(|task| task.crashes.workers.clone()).unwrap_or_default();
         self.actions.push(Action::Log(LogEntry::CrashingTaskFailed { task: name, workers }));
-        self.end_job(name.job, Outcome::Failed);
+        self.end_job(name.job, EndCause::CrashesWorkers { task: name });
     }
 
     /// Checks the suspects that a worker reports as running. After a while others may run beside
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -4,11 +4,11 @@
 
 use super::{
     super::{
+        end_cause::EndCause,
         event::Action,
         instance::{InstanceNo, JustEnded},
         log_entry::LogEntry,
         names::TaskName,
-        record::Outcome,
         report::{RunEnd, RunResult},
         run::{FULL_PACE_PERCENT, Phase, PlacedRun},
         steps::Placement,
@@ -146,7 +146,7 @@
             self.stop_run(placed.instance, name, placed.run);
         }
         if all_done {
-            self.end_job(name.job, Outcome::Completed);
+            self.end_job(name.job, EndCause::Completed);
         }
     }
 
@@ -158,8 +158,8 @@
         }
         let Some(job) = self.jobs.get_mut(&name.job).filter(|job| job.is_open()) else { return };
         let Some(spec) = job.step_spec(name.step) else { return };
-        let (gang, long_running, max_attempts) =
-            (spec.gang, spec.long_running, job.queue.max_attempts);
+        let (gang, long_running) = (spec.gang, spec.long_running);
+        let max_attempts = job.queue.max_attempts.max(1);
         let Some(task) = job.task_mut(name).filter(|task| !task.done) else { return };
         if !long_running {
             task.failed_runs.insert(end.run);
@@ -167,10 +167,10 @@
         task.avoided_instance = Some(instance_no);
         let failed = task.failed_runs.len() as u32;
         task.not_before = Some(now + RETRY_BACKOFF * failed.max(1));
-        let failed = if gang { job.failed_runs_of_gang(name.step_name()) } else { failed };
+        let failed_runs = if gang { job.failed_runs_of_gang(name.step_name()) } else { failed };
         self.record_task_progress(name);
-        if !long_running && failed >= max_attempts.max(1) {
-            self.end_job(name.job, Outcome::Failed);
+        if !long_running && failed_runs >= max_attempts {
+            self.end_job(name.job, EndCause::FailedRuns { task: name, failed_runs, max_attempts });
         }
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/refused_records.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/refused_records.rs
@@ -3,10 +3,11 @@
 
 use super::{
     super::{
+        end_cause::EndCause,
         event::Action,
         log_entry::LogEntry,
         names::{InstanceKey, JobId},
-        record::{Outcome, RecordSubject},
+        record::RecordSubject,
     },
     Scheduler,
 };
@@ -40,7 +41,7 @@
         if batch.new_jobs.len() < new_jobs {
             self.refuse_unsent_job(id, None);
         } else if self.jobs.get(&id).is_some_and(|job| job.is_open()) {
-            self.end_job(id, Outcome::Failed);
+            self.end_job(id, EndCause::RecordRefused);
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -3,13 +3,13 @@
 
 use super::{
     super::{
-        event::{Action, CancelAnswer, JobRequestId, JobState, SubmitAnswer},
+        end_cause::EndCause,
+        event::{Action, CancelAnswer, JobRequestId, SubmitAnswer},
         job::Job,
         load_parts::LoadPart,
         log_entry::LogEntry,
         names::JobId,
         progress_key::ProgressKey,
-        record::Outcome,
         retry_delay::RetryDelay,
         spec::{JobSpec, QueueTerms},
     },
@@ -74,7 +74,7 @@
             Some(job) => {
                 job.cancel_waiters.push(request);
                 if job.is_open() {
-                    self.end_job(id, Outcome::Cancelled);
+                    self.end_job(id, EndCause::CancelledByCaller);
                 }
             }
         }
@@ -95,26 +95,22 @@
     }
 
     /// Sets the outcome of a job and stops its remaining runs.
-    pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome) {
+    pub(super) fn end_job(&mut self, id: JobId, cause: EndCause) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         self.open_jobs.remove(&(job.queue.priority, job.due_at, id));
-        job.outcome = outcome;
+        job.outcome = cause.outcome();
         job.ended_unix_ms = Some(self.unix_ms);
-        let state = match outcome {
-            Outcome::Failed => JobState::Failed,
-            Outcome::Cancelled => JobState::Cancelled,
-            Outcome::Completed | Outcome::Open => JobState::Completed,
-        };
         self.actions.push(Action::Log(LogEntry::JobEnded {
             job: id,
-            state,
+            state: cause.state(),
+            cause,
             after_ms: self.now.since(job.accepted_at).as_millis() as u64,
             objective_ms: job.objective_ms(),
         }));
         self.pending.record_job_ended(id);
         self.clear_zone_checks(id);
         // All runs of a completed job have ended or are already being stopped.
-        if outcome != Outcome::Completed {
+        if cause != EndCause::Completed {
             self.stop_job_runs(id);
         }
     }
--- a/crates/kitetrail-core/tests/jobs.rs
+++ b/crates/kitetrail-core/tests/jobs.rs
@@ -13,7 +13,8 @@
 use kitetrail_core::{
     Resources,
     jobs::{
-        Event, InvalidJob, JobState, LogEntry, Schedule, StepProgress, StepSpec, WorkerListChange,
+        EndCause, Event, InvalidJob, JobState, LogEntry, Schedule, StepProgress, StepSpec,
+        WorkerListChange,
     },
 };
 
@@ -125,6 +126,12 @@
     fleet.submit(1, job(vec![step(1)]));
     fleet.advance_until("the job fails", |fleet| fleet.state(1) == Some(JobState::Failed));
     assert_eq!(fleet.starts.len(), 3, "not the number of runs that the queue allows");
+    let cause = fleet.log_entries.iter().find_map(|(_, entry)| match entry {
+        LogEntry::JobEnded { cause, .. } => Some(*cause),
+        _ => None,
+    });
+    let failed_runs = EndCause::FailedRuns { task: task(1, 0, 0), failed_runs: 3, max_attempts: 3 };
+    assert_eq!(cause, Some(failed_runs));
     fleet.advance_ms(3_000);
     assert_eq!(fleet.starts.len(), 3, "started again after the job had failed");
 }
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -127,14 +127,35 @@
 ) -> Answer {
     let local = shared.owner_inbox.borrow().clone();
     let owner = shared.owner();
-    match (local, owner.address) {
-        (Some(owner), _) => call_local_owner(owner, call.clone(), timeout).await,
+    let (answer, epoch, source) = match (local, owner.address) {
+        (Some(owner), _) => {
+            let epoch = shared.claimed_epoch();
+            let answer = call_local_owner(owner, call.clone(), timeout).await;
+            (answer, epoch, shared.settings.listen.peers.to_string())
+        }
         (None, Some(address)) if address != shared.settings.listen.peers => {
             let (answer, view) = shared.peers.call(address, call, timeout).await;
             shared.record_reported_view(view);
-            answer
+            (answer, view.epoch, address.to_string())
         }
-        _ => Answer::NotRun,
+        _ => return Answer::NotRun,
+    };
+    if let Call::State { job } = call {
+        log_if_failed(*job, answer, epoch, &source);
+    }
+    answer
+}
+
+/// Logs that a job is shown to a caller as failed. The owner's log says why it failed.
+///
+/// `epoch` is the one of the owner that is known to the source: the address of the owner that answered,
+/// or `store` if this box read the row itself.
+fn log_if_failed(job: JobId, answer: Answer, epoch: u64, source: &str) {
+    if answer == Answer::State(JobState::Failed) {
+        log::info!(
+            job = job.to_string(), epoch = epoch, source = source;
+            "job: shown as failed"
+        );
     }
 }
 
@@ -174,6 +195,12 @@
 
 /// Returns a job's state from the store, `None` if the store can't be read.
 async fn read_state_from_store<P: Platform>(shared: &Rc<Shared<P>>, job: JobId) -> Option<Answer> {
+    let answer = read_state(shared, job).await?;
+    log_if_failed(job, answer, shared.owner().epoch, "store");
+    Some(answer)
+}
+
+async fn read_state<P: Platform>(shared: &Rc<Shared<P>>, job: JobId) -> Option<Answer> {
     let name = job.to_string();
     let progress = read_row(shared, &rows::progress_row_name(&name)).await?;
     if let Some(progress) = progress {
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -1,6 +1,6 @@
 //! Writes the scheduler's decisions to the log.
 
-use kitetrail_core::jobs::{LogEntry, RetryDelay, TaskName, WorkerName};
+use kitetrail_core::jobs::{EndCause, LogEntry, RetryDelay, TaskName, WorkerName};
 
 /// Writes a decision to the log.
 pub(super) fn log_entry(entry: &LogEntry) {
@@ -9,8 +9,20 @@
             job = job.to_string(), queue = queue.as_str(), tasks = *tasks, known = *known;
             "job: submitted"
         ),
-        LogEntry::JobEnded { job, state, after_ms, objective_ms } => log::info!(
-            job = job.to_string(), state:? = *state, after_ms = *after_ms,
+        LogEntry::JobEnded {
+            job,
+            state,
+            cause: cause @ EndCause::FailedRuns { task, failed_runs, max_attempts },
+            after_ms,
+            objective_ms,
+        } => log::info!(
+            job = job.to_string(), state:? = *state, cause = cause.as_str(), task = task_path(task),
+            failed_runs = *failed_runs, max_attempts = *max_attempts, after_ms = *after_ms,
+            objective_ms = *objective_ms;
+            "job: ended"
+        ),
+        LogEntry::JobEnded { job, state, cause, after_ms, objective_ms } => log::info!(
+            job = job.to_string(), state:? = *state, cause = cause.as_str(), after_ms = *after_ms,
             objective_ms = *objective_ms;
             "job: ended"
         ),
