Write refused progress again before its job fails

What callers saw: a job that runs is shown as `failed` after the store answered 400 or 413 for a moment, although it takes the same row a second later. Three such answers within 0.12 s, a write without records that is accepted, and three more for the job alone were enough; a store in trouble, or a proxy before it, can give them. Failing a job that could be done is the worst of all answers, waiting the least.

Cause: `handle_refused_job` failed the job at the first report of the writer.

Now the refused records of an accepted job are written again after 1, 2, 4 and 8 s, and the job goes on meanwhile. New progress of it waits for the same write, as each refusal costs other jobs 0.4 s. Ends of runs from the first refusal on are not acknowledged until then, and starts that have to be stored first wait, so that an owner that takes over is told of these ends and runs nothing twice. Progress that is refused for over 10 s fails its job, as before: workers can't keep their ends for ever. A job that is refused as it is handed in is answered 503, as before.

--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -47,9 +47,10 @@
         for &id in &batch.new_jobs {
             self.mark_job_persisted(id);
         }
-        for (id, outcome) in batch.outcomes {
-            if outcome != Outcome::Open {
-                self.finish_persisted_job(id);
+        for (key, outcome) in batch.progress {
+            match outcome {
+                Outcome::Open => self.pending.record_persisted(key),
+                _ => self.finish_persisted_job(key.job),
             }
         }
         if let Some(lease) = batch.longest_lease {
@@ -90,6 +91,7 @@
     fn finish_persisted_job(&mut self, id: JobId) {
         let Some(mut job) = self.jobs.remove(&id) else { return };
         self.deferred_starts.remove_job(id);
+        self.pending.forget_refused(id);
         for &part in job.stored_parts.iter().filter(|&&part| part > 0) {
             self.pending.delete_progress(ProgressKey { job: id, part });
         }
@@ -108,8 +110,8 @@
         for ProgressKey { job, part } in taken.progress.iter().map(ProgressRecord::key) {
             self.jobs.get_mut(&job).map(|job| job.stored_parts.insert(part));
         }
-        let outcomes =
-            taken.progress.iter().map(|progress| (progress.id, progress.outcome)).collect();
+        let progress =
+            taken.progress.iter().map(|progress| (progress.key(), progress.outcome)).collect();
         let starts = self.deferred_starts.take(&taken.progress);
         let mut records = self.records(&mut taken);
         if self.now.since(self.pending.effects_persisted_at) >= EFFECTS_PERSIST_INTERVAL {
@@ -118,7 +120,7 @@
         }
         let complete = taken.complete;
         let BatchRecords { new_jobs, instances, longest_lease, .. } = taken;
-        let batch = |number| Batch { number, new_jobs, outcomes, instances, longest_lease, starts };
+        let batch = |number| Batch { number, new_jobs, progress, instances, longest_lease, starts };
         let batch = self.pending.record_sent(batch, self.now);
         self.pending.urgent = !complete;
         self.actions.push(Action::Commit { batch, records });
--- a/crates/kitetrail-core/src/jobs/scheduler/deferred_starts.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/deferred_starts.rs
@@ -43,6 +43,11 @@
         starts.flatten().collect()
     }
 
+    /// Puts back a start whose record was refused.
+    fn put_back(&mut self, key: ProgressKey, start: DeferredStart) {
+        self.waiting.entry(key).or_default().push(start);
+    }
+
     /// Drops the starts of a job that has ended.
     pub(super) fn remove_job(&mut self, job: JobId) {
         self.waiting.retain(|key, _| key.job != job);
@@ -59,6 +64,16 @@
         self.pending.record_start(key);
     }
 
+    /// Puts the starts of a job back that the batch in flight was to persist: its progress was
+    /// refused.
+    pub(super) fn put_back_starts(&mut self, id: JobId) {
+        let Some(batch) = &mut self.pending.in_flight else { return };
+        let Some(job) = self.jobs.get(&id) else { return };
+        for start in batch.starts.extract_if(.., |start| start.order.task.job == id) {
+            self.deferred_starts.put_back(job.progress_key(start.order.task), start);
+        }
+    }
+
     /// Sends the start orders that are now persisted, except those cancelled meanwhile.
     pub(super) fn send_persisted_starts(&mut self, starts: Vec<DeferredStart>) {
         for DeferredStart { instance: instance_no, order } in starts {
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -42,6 +42,7 @@
 mod preempting;
 mod quarantine;
 mod ranking;
+mod refused_progress;
 mod refused_records;
 mod requests;
 mod run_lengths;
@@ -390,6 +391,7 @@
         self.first_polls.begin_tick(self.tick_lag);
         self.update_lease();
         self.refuse_unsent_jobs();
+        self.retry_refused_records();
         self.review_waiting_jobs();
         self.start_due_occurrences();
         self.remove_expired_jobs();
--- a/crates/kitetrail-core/src/jobs/scheduler/pending.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pending.rs
@@ -17,6 +17,7 @@
     },
     deferred_starts::DeferredStart,
     instance_rows::InstanceRows,
+    refused_progress::RefusedProgress,
     unique_queue::UniqueQueue,
     unpersisted_ends::{ReportedEnd, UnpersistedEnds},
 };
@@ -71,6 +72,7 @@
     /// goes last.
     progress_to_delete: BTreeSet<(JobId, Reverse<u32>)>,
     instance_rows: InstanceRows,
+    refused: RefusedProgress,
     /// The bound of the length of leases that is to be stored before longer ones are granted.
     longest_lease: Option<Duration>,
     /// Whether new jobs get more entries than progress while the store is slow.
@@ -100,7 +102,7 @@
 pub(super) struct Batch {
     pub(super) number: u64,
     pub(super) new_jobs: Vec<JobId>,
-    pub(super) outcomes: Vec<(JobId, Outcome)>,
+    pub(super) progress: Vec<(ProgressKey, Outcome)>,
     pub(super) instances: Vec<InstanceNo>,
     /// The bound of the length of leases that is stored with the batch.
     pub(super) longest_lease: Option<Duration>,
@@ -280,7 +282,35 @@
 
     /// Records new progress, to be persisted soon.
     pub(super) fn record_progress(&mut self, key: ProgressKey) {
-        self.progress.push(key, self.unpersisted_ends.last_seq());
+        let last_end = self.unpersisted_ends.last_seq();
+        if !self.refused.defer(key, last_end) {
+            self.progress.push(key, last_end);
+        }
+    }
+
+    /// Records that the store refused the records of a persisted job in the batch in flight, with the
+    /// given parts of its progress. Returns whether it has done so for too long to accept them ever.
+    pub(super) fn record_refused(&mut self, job: &Job, parts: Vec<u32>, now: Time) -> bool {
+        let changed_since = (0..job.parts.count())
+            .filter(|&part| self.progress.remove(&ProgressKey { job: job.id, part }));
+        let parts = parts.into_iter().chain(changed_since).collect::<Vec<_>>();
+        self.refused.record(job.id, parts, self.unpersisted_ends.oldest_seq(), now)
+    }
+
+    /// Returns the jobs whose refused records are to be written again now, with the parts of their
+    /// progress.
+    pub(super) fn take_refused(&mut self, now: Time) -> Vec<(JobId, BTreeSet<u32>)> {
+        self.refused.take_due(now)
+    }
+
+    /// Records that a part of the progress of a job is persisted.
+    pub(super) fn record_persisted(&mut self, key: ProgressKey) {
+        self.refused.record_persisted(key);
+    }
+
+    /// Forgets that records of a job were refused, since its outcome is persisted.
+    pub(super) fn forget_refused(&mut self, id: JobId) {
+        self.refused.remove(id);
     }
 
     /// Records that a start of a task waits until the progress of the task is persisted.
@@ -348,7 +378,8 @@
             self.in_flight.is_none(),
             "the changes of a batch in flight are not persisted yet"
         );
-        let oldest = self.ended.oldest().into_iter().chain(self.progress.oldest()).min();
+        let waiting = self.ended.oldest().into_iter().chain(self.progress.oldest());
+        let oldest = waiting.chain(self.refused.oldest_end()).min();
         self.unpersisted_ends.take_persisted(oldest)
     }
 
@@ -449,6 +480,7 @@
             + self.progress.len()
             + self.progress_to_delete.len()
             + self.instance_rows.len()
+            + self.refused.len()
     }
 
     /// Returns the number of ends whose changes are not all persisted yet.
--- a/crates/kitetrail-core/src/jobs/scheduler/unpersisted_ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/unpersisted_ends.rs
@@ -33,6 +33,11 @@
         self.reported.len()
     }
 
+    /// Returns the sequence number of the first end that is not persisted, if there is one.
+    pub(super) fn oldest_seq(&self) -> Option<u64> {
+        self.reported.front().map(|end| end.seq)
+    }
+
     /// Returns the sequence number for the changes caused by the latest end.
     pub(super) fn last_seq(&self) -> u64 {
         self.last_seq
--- a/crates/kitetrail-core/tests/fleet/mod.rs
+++ b/crates/kitetrail-core/tests/fleet/mod.rs
@@ -88,6 +88,8 @@
     pub store_down: bool,
     /// The time that the store takes to commit a batch.
     pub store_latency: Duration,
+    /// Whether the store permanently refuses a record: then it takes none about the same subject.
+    pub refuses_record: fn(&Record) -> bool,
     /// The work of a task, in milliseconds, if it differs from its estimate.
     pub task_duration_ms: Option<u64>,
     /// The time after which a long-running task ends on its own, in milliseconds.
@@ -161,6 +163,7 @@
             acknowledged_ends: AcknowledgedEnds::default(),
             store_down: false,
             store_latency: DEFAULT_STORE_LATENCY,
+            refuses_record: |_| false,
             task_duration_ms: None,
             long_running_ms: 600_000,
             tail_ms: |_| 10,
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -1,6 +1,6 @@
 //! Simulates successive owners of the fleet, and the records that the store holds for them.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use kitetrail_core::{
     Time,
@@ -91,8 +91,15 @@
         }
         while !self.store_down && self.batches.front().is_some_and(|(at, ..)| *at <= self.now) {
             let Some((_, batch, records)) = self.batches.pop_front() else { return };
+            let refused = records.iter().filter(|record| (self.refuses_record)(record));
+            let refused = refused.map(Record::subject).collect::<BTreeSet<_>>();
             for record in records {
-                self.apply_record(record);
+                if !refused.contains(&record.subject()) {
+                    self.apply_record(record);
+                }
+            }
+            if !refused.is_empty() {
+                self.send_event(Event::RecordsRefused(refused.into_iter().collect()));
             }
             self.send_event(Event::Committed(batch));
         }
