Give a job the newest known terms of its queue

What callers would see: a job is shown as `failed` after fewer failed runs than the configuration in force allows, if the box that accepted it had an older one. The owner knew the newer number and did not use it. The opposite as well: a new owner with an older configuration overwrote the newer terms of the jobs that it read.

Cause: `submit` took the terms that the accepting box sent as they were, and `update_queues` applied the owner's to open jobs whenever these changed, whichever was newer. Nothing said of which version terms are.

The terms carry the version of their configuration now. The owner gives a new job the newer of those sent and those that it knows, and leaves an open job alone whose terms are newer than its own. Rows and calls of earlier releases have version 0, the oldest; a configuration from a box of an earlier release gets its version as it is read.

Versions that operators are seen to send change time-outs and routes, so that this is no explanation of the report.

Red before (`jobs_attempts.rs`): `a_job_accepted_by_a_box_with_an_older_configuration_has_the_attempts_in_force` and `a_job_accepted_by_a_box_with_a_newer_configuration_keeps_its_attempts`, both "left: 2 right: 3" runs.

--- a/crates/kitetrail-core/src/fleet_config.rs
+++ b/crates/kitetrail-core/src/fleet_config.rs
@@ -79,6 +79,15 @@
         matching.max_by_key(|(route, _)| route.path_prefix.len())
     }
 
+    /// Returns the configuration with its version in the terms of each queue. A box of an earlier
+    /// release leaves it out of those that it sends.
+    pub fn with_versioned_terms(mut self) -> Self {
+        for route in &mut self.routes {
+            route.queue.config_version = self.version;
+        }
+        self
+    }
+
     /// Returns the settings of all queues.
     pub fn queues(&self) -> Vec<QueueTerms> {
         self.routes.iter().map(|route| route.queue.clone()).collect()
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -45,6 +45,7 @@
             }
             None => match self.admit(id, answer_by) {
                 Ok(()) => {
+                    let queue = self.newest_terms(queue);
                     let mut job = Job::new(id, queue, spec, self.now, self.unix_ms);
                     job.submit_waiters.push(request);
                     job.answer_by = answer_by;
@@ -80,11 +81,21 @@
         }
     }
 
-    /// Applies the operators' queue settings, also to open jobs.
+    /// Returns the newest known terms of a queue, given those of the box that a caller asked. That
+    /// box may have an older configuration than this one, or a newer one.
+    fn newest_terms(&self, given: QueueTerms) -> QueueTerms {
+        let known = self.queues.get(&given.name);
+        let newer = known.filter(|known| known.config_version > given.config_version);
+        newer.cloned().unwrap_or(given)
+    }
+
+    /// Applies the operators' queue settings, also to open jobs, unless these have newer ones.
     pub(super) fn update_queues(&mut self, queues: Vec<QueueTerms>) {
         self.queues = queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect();
         for job in self.jobs.values_mut().filter(|job| job.is_open()) {
-            if let Some(queue) = self.queues.get(&job.queue.name) {
+            let queue = self.queues.get(&job.queue.name);
+            let is_current = |queue: &&QueueTerms| queue.config_version >= job.queue.config_version;
+            if let Some(queue) = queue.filter(is_current) {
                 self.open_jobs.remove(&(job.queue.priority, job.due_at, job.id));
                 job.queue = queue.clone();
                 self.open_jobs.insert((job.queue.priority, job.due_at, job.id));
--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -281,6 +281,10 @@
 pub struct QueueTerms {
     /// The name of the queue.
     pub name: QueueName,
+    /// The version of the configuration that sets these terms. Zero in rows and calls of earlier
+    /// releases.
+    #[serde(default)]
+    pub config_version: u64,
     /// The service whose workers run the tasks.
     pub service: String,
     /// The priority: queues with a lower number go first.
--- a/crates/kitetrail-core/tests/fleet/specs.rs
+++ b/crates/kitetrail-core/tests/fleet/specs.rs
@@ -9,6 +9,7 @@
 pub fn queue() -> QueueTerms {
     QueueTerms {
         name: "checks".into(),
+        config_version: 1,
         service: "desk".to_owned(),
         priority: 0,
         max_attempts: 3,
--- a/crates/kitetrail-core/tests/jobs_attempts.rs
+++ b/crates/kitetrail-core/tests/jobs_attempts.rs
@@ -261,3 +261,31 @@
     fleet.advance_until("the job ends", |fleet| end_cause(fleet, 1).is_some());
     assert_eq!(end_cause(&fleet, 1), Some(EndCause::Completed));
 }
+
+/// Returns the queue with another number of attempts, as of a version of the configuration.
+fn allowing_as_of(config_version: u64, max_attempts: u32) -> QueueTerms {
+    QueueTerms { config_version, ..allowing(max_attempts) }
+}
+
+/// Guards against a job that failed by the attempts of an older configuration, as the box that accepted it had that one,
+/// although the owner knew the newer one.
+#[test]
+fn a_job_accepted_by_a_box_with_an_older_configuration_has_the_attempts_in_force() {
+    let mut fleet = failing_fleet(3);
+    fleet.send_event(Event::QueuesChanged(vec![allowing_as_of(7, 3)]));
+    fleet.submit_to(allowing_as_of(6, 2), 1, job(vec![step(1)]));
+    fleet.advance_until("the job ends", |fleet| end_cause(fleet, 1).is_some());
+    assert_eq!(runs_of(&fleet, task(1, 0, 0)), 3);
+}
+
+#[test]
+fn a_job_accepted_by_a_box_with_a_newer_configuration_keeps_its_attempts() {
+    let mut fleet = failing_fleet(3);
+    fleet.send_event(Event::QueuesChanged(vec![allowing_as_of(6, 2)]));
+    fleet.submit_to(allowing_as_of(7, 3), 1, job(vec![step(1)]));
+    fleet.advance_until("the first run has begun", |fleet| fleet.starts.len() == 1);
+    // The next owner has the older configuration, too.
+    fleet.take_over_with(2, true, Event::QueuesChanged(vec![allowing_as_of(6, 2)]));
+    fleet.advance_until("the job ends", |fleet| end_cause(fleet, 1).is_some());
+    assert_eq!(runs_of(&fleet, task(1, 0, 0)), 3);
+}
--- a/crates/kitetraild/src/fleet/peers/codec.rs
+++ b/crates/kitetraild/src/fleet/peers/codec.rs
@@ -39,7 +39,7 @@
         return;
     }
     match serde_json::from_slice::<FleetConfig>(&config.config_json) {
-        Ok(config) => shared.apply_if_newer(config, "peer"),
+        Ok(config) => shared.apply_if_newer(config.with_versioned_terms(), "peer"),
         Err(error) => {
             log::warn!("config: the configuration of another box can't be decoded: {error}")
         }
--- a/crates/kitetraild/src/fleet/peers/codec/tests.rs
+++ b/crates/kitetraild/src/fleet/peers/codec/tests.rs
@@ -14,6 +14,7 @@
 fn queue() -> QueueTerms {
     QueueTerms {
         name: "checks".into(),
+        config_version: 1,
         service: "desk".to_owned(),
         priority: 0,
         max_attempts: 3,
