Show that boxes pass the state of a job on unchanged

Ruled out, each with the mutation that turned its test red:

* an answer between boxes that becomes `failed`: `running` decoded as failed, an unknown outcome decoded as failed (`codec/tests.rs`)
* a replaced owner that shows a failure which its successor does not know: `Scheduler::state` read from memory (`a_replaced_owner_shows_no_failure_that_is_not_stored`, with its last batch lost and committed)

What an owner says of an ended job comes from `ended_jobs` alone: outcomes that the store confirmed, or that it read at its takeover. They never change.

--- a/crates/kitetrail-core/tests/fleet/predecessor.rs
+++ b/crates/kitetrail-core/tests/fleet/predecessor.rs
@@ -8,7 +8,7 @@
 
 use kitetrail_core::{
     Time,
-    jobs::{Action, Event, InstanceNo, OrderAnswer, Poll, Scheduler, WorkerEntry},
+    jobs::{Action, Event, InstanceNo, JobId, JobState, OrderAnswer, Poll, Scheduler, WorkerEntry},
 };
 
 use super::{
@@ -43,6 +43,11 @@
 }
 
 impl Predecessor {
+    /// Returns the state of a job that this owner shows to callers.
+    pub fn state(&self, id: u64) -> Option<JobState> {
+        self.scheduler.state(JobId(id))
+    }
+
     fn reaches(&self, entry: &WorkerEntry) -> bool {
         !self.unreachable_workers.contains(entry.id.as_str())
     }
--- a/crates/kitetrail-core/tests/jobs_attempts.rs
+++ b/crates/kitetrail-core/tests/jobs_attempts.rs
@@ -3,12 +3,12 @@
 
 mod fleet;
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
-use fleet::{CLOCK_ZERO_UNIX_MS, SimulatedFleet, job, queue, step, task};
+use fleet::{CLOCK_ZERO_UNIX_MS, InFlight, SimulatedFleet, job, queue, step, task};
 use kitetrail_core::jobs::{
-    EndCause, Event, JobId, JobSpec, JobState, LogEntry, QueueTerms, RunEnd, RunResult, Schedule,
-    StepSpec, TaskName,
+    EndCause, Event, JobId, JobSpec, JobState, LogEntry, Outcome, QueueTerms, RunEnd, RunResult,
+    Schedule, StepSpec, TaskName,
 };
 
 /// The number of failed runs that the queue allows.
@@ -289,3 +289,29 @@
     fleet.advance_until("the job ends", |fleet| end_cause(fleet, 1).is_some());
     assert_eq!(runs_of(&fleet, task(1, 0, 0)), 3);
 }
+
+#[test]
+fn a_replaced_owner_shows_no_failure_that_is_not_stored() {
+    let answered_after = Duration::from_millis(100);
+    for in_flight in [InFlight::Lost, InFlight::Committed(answered_after)] {
+        let mut fleet = failing_fleet(3);
+        fleet.submit(1, job(vec![step(1)]));
+        fleet.advance_until("its owner takes the job for failed", |fleet| {
+            end_cause(fleet, 1).is_some()
+        });
+        fleet.failing_jobs.clear();
+        // The next owner learns of no end that is not stored.
+        fleet.workers.values_mut().for_each(|worker| worker.ended.clear());
+        fleet.take_over_beside_predecessor(2, in_flight, &[]);
+        let is_stored = fleet.progress_of(JobId(1)).any(|part| part.outcome == Outcome::Failed);
+        assert_eq!(is_stored, matches!(in_flight, InFlight::Committed(_)));
+        let mut was_shown = false;
+        while let Some(predecessor) = &fleet.predecessor {
+            was_shown |= predecessor.state(1) == Some(JobState::Failed);
+            fleet.advance_ms(10);
+        }
+        assert_eq!(was_shown, is_stored, "{in_flight:?}");
+        let expected = if is_stored { JobState::Failed } else { JobState::Completed };
+        fleet.advance_until("the next owner agrees", |fleet| fleet.state(1) == Some(expected));
+    }
+}
--- a/crates/kitetraild/src/fleet/calls.rs
+++ b/crates/kitetraild/src/fleet/calls.rs
@@ -241,3 +241,6 @@
         Outcome::Cancelled => JobState::Cancelled,
     }))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kitetraild/src/fleet/peers/codec/tests.rs
+++ b/crates/kitetraild/src/fleet/peers/codec/tests.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use kitetrail_core::jobs::{JobId, JobSpec, QueueTerms, RetryDelay};
+use kitetrail_core::jobs::{JobId, JobSpec, JobState, QueueTerms, RetryDelay};
 use kitetrail_proto::jobs::{CallAnswer, CallRequest, Submit, call_answer::Outcome, call_request};
 
 use super::{
@@ -86,3 +86,42 @@
     let answer = CallAnswer { outcome: Outcome::Refused.into(), ..CallAnswer::default() };
     assert_eq!(decode_answer(&answer), Answer::Refused(None));
 }
+
+fn exchange(answer: Answer) -> Answer {
+    let outcome = encode_answer(answer).into();
+    decode_answer(&CallAnswer { outcome, ..CallAnswer::default() })
+}
+
+#[test]
+fn state_of_a_job_is_exchanged_unchanged() {
+    let states = [
+        JobState::Queued,
+        JobState::Running,
+        JobState::Completed,
+        JobState::Failed,
+        JobState::Cancelled,
+    ];
+    for state in states {
+        assert_eq!(exchange(Answer::State(state)), Answer::State(state));
+    }
+}
+
+#[test]
+fn no_other_answer_becomes_the_state_of_a_job() {
+    let answers = [
+        Answer::Accepted,
+        Answer::Cancelled,
+        Answer::UnknownJob,
+        Answer::Refused(None),
+        Answer::NotRun,
+        Answer::InDoubt,
+        Answer::NotOwner,
+    ];
+    for answer in answers {
+        assert!(!matches!(exchange(answer), Answer::State(_)), "{answer:?}");
+    }
+    for outcome in [0, 99, -1] {
+        let answer = CallAnswer { outcome, ..CallAnswer::default() };
+        assert_eq!(decode_answer(&answer), Answer::InDoubt, "outcome {outcome} of a later version");
+    }
+}
