--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -3,13 +3,13 @@
 
 use super::{
     super::{
-        event::{Action, CancelAnswer, JobRequestId, JobState, SubmitAnswer},
+        end_cause::EndCause,
+        event::{Action, CancelAnswer, JobRequestId, SubmitAnswer},
         job::Job,
         load_parts::LoadPart,
         log_entry::LogEntry,
         names::JobId,
         progress_key::ProgressKey,
-        record::Outcome,
         retry_delay::RetryDelay,
         spec::{JobSpec, QueueTerms},
     },
@@ -45,6 +45,7 @@
             }
             None => match self.admit(id, answer_by) {
                 Ok(()) => {
+                    let queue = self.newest_terms(queue);
                     let mut job = Job::new(id, queue, spec, self.now, self.unix_ms);
                     job.submit_waiters.push(request);
                     job.answer_by = answer_by;
@@ -74,17 +75,27 @@
             Some(job) => {
                 job.cancel_waiters.push(request);
                 if job.is_open() {
-                    self.end_job(id, Outcome::Cancelled);
+                    self.end_job(id, EndCause::CancelledByCaller);
                 }
             }
         }
     }
 
-    /// Applies the operators' queue settings, also to open jobs.
+    /// Returns the newest known terms of a queue, given those of the box that a caller asked. That
+    /// box may have an older configuration than this one, or a newer one.
+    fn newest_terms(&self, given: QueueTerms) -> QueueTerms {
+        let known = self.queues.get(&given.name);
+        let newer = known.filter(|known| known.config_version > given.config_version);
+        newer.cloned().unwrap_or(given)
+    }
+
+    /// Applies the operators' queue settings, also to open jobs, unless these have newer ones.
     pub(super) fn update_queues(&mut self, queues: Vec<QueueTerms>) {
         self.queues = queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect();
         for job in self.jobs.values_mut().filter(|job| job.is_open()) {
-            if let Some(queue) = self.queues.get(&job.queue.name) {
+            let queue = self.queues.get(&job.queue.name);
+            let is_current = |queue: &&QueueTerms| queue.config_version >= job.queue.config_version;
+            if let Some(queue) = queue.filter(is_current) {
                 self.open_jobs.remove(&(job.queue.priority, job.due_at, job.id));
                 job.queue = queue.clone();
                 self.open_jobs.insert((job.queue.priority, job.due_at, job.id));
@@ -95,26 +106,22 @@
     }
 
     /// Sets the outcome of a job and stops its remaining runs.
-    pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome) {
+    pub(super) fn end_job(&mut self, id: JobId, cause: EndCause) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         self.open_jobs.remove(&(job.queue.priority, job.due_at, id));
-        job.outcome = outcome;
+        job.outcome = cause.outcome();
         job.ended_unix_ms = Some(self.unix_ms);
-        let state = match outcome {
-            Outcome::Failed => JobState::Failed,
-            Outcome::Cancelled => JobState::Cancelled,
-            Outcome::Completed | Outcome::Open => JobState::Completed,
-        };
         self.actions.push(Action::Log(LogEntry::JobEnded {
             job: id,
-            state,
+            state: cause.state(),
+            cause,
             after_ms: self.now.since(job.accepted_at).as_millis() as u64,
             objective_ms: job.objective_ms(),
         }));
         self.pending.record_job_ended(id);
         self.clear_zone_checks(id);
         // All runs of a completed job have ended or are already being stopped.
-        if outcome != Outcome::Completed {
+        if cause != EndCause::Completed {
             self.stop_job_runs(id);
         }
     }
