Losses after runs of different length are not summed up

Cause: unresolved losses were summed up whatever the length of the runs, while proved crashes count only in a row after runs of about the same length.

Evidence: `a_task_lost_at_different_ages_with_workers_that_stay_silent_does_not_wait`, red before ("not within a minute: the task runs"), found in the read-through of the fix. A loss after a run of another length now begins the sum anew.

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -251,9 +251,14 @@
             .then(|| PROOF_TIMEOUT.saturating_mul(2_u32.saturating_pow(excess as u32)))
     }
 
-    /// Records that a worker became silent with a run of the task.
+    /// Records that a worker became silent with a run of the task. Losses after runs of another
+    /// length have another cause.
     pub fn record_loss(&mut self, loss: UnresolvedLoss) {
-        self.unresolved.retain(|known| known.instance() != loss.instance());
+        let has_same_cause = |known: &UnresolvedLoss| {
+            known.ran.zip(loss.ran).is_none_or(|(known, ran)| known.is_similar(ran))
+        };
+        self.unresolved
+            .retain(|known| known.instance() != loss.instance() && has_same_cause(known));
         self.unresolved.push(loss);
     }
 
--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -262,3 +262,21 @@
     assert_eq!(fleet.counted_crashes(), 0);
     assert_eq!(fleet.state(1), Some(JobState::Running));
 }
+
+#[test]
+fn a_task_lost_at_different_ages_with_workers_that_stay_silent_does_not_wait() {
+    let mut fleet = SimulatedFleet::new(12);
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    // Each run is shorter than the one before, so that none shows that the task crashes no worker.
+    for age_ms in [16_000, 13_000, 10_000, 7_000, 4_000, 1_500] {
+        fleet.advance_until("the task runs", |fleet| reachable_worker_of(fleet, name).is_some());
+        fleet.advance_ms(age_ms);
+        let worker = reachable_worker_of(&fleet, name).unwrap();
+        fleet.worker(&worker).behaviour = Behaviour::Partitioned;
+        let lost_at = fleet.now;
+        fleet.advance_until("the task runs", |fleet| reachable_worker_of(fleet, name).is_some());
+        let waited = fleet.now.since(lost_at);
+        assert!(waited < Duration::from_secs(8), "waited {waited:?} after {age_ms} ms");
+    }
+}
