Look at a silent worker's losses once, not at each tick

What callers would see: while half of a large fleet is silent for longer than a lease, the owner stands still for tenths of a second at each tick, so that leases of healthy workers may lapse.

Cause: `drop_runs_of_silent_worker` is called at each check of a silent worker whose lease has expired, and looked at all workers for simultaneous losses, also when nothing ran there any more.

Change: a worker without suspects ends the search; the times of all silences are sorted once for each time of the clock; losses of ended jobs are looked for once a second.

No test: it would judge by the wall clock.

--- a/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
@@ -73,11 +73,42 @@
     token: u64,
 }
 
+/// The times at which the workers that are silent became so.
+///
+/// They are collected once for each time of the scheduler's clock: the leases of many workers may
+/// expire at once.
+#[derive(Debug, Default)]
+pub(super) struct Silences {
+    counted_at: Option<Time>,
+    /// In order.
+    since: Vec<Time>,
+}
+
+impl Silences {
+    fn new(since: impl Iterator<Item = Time>, now: Time) -> Self {
+        let mut since = since.collect::<Vec<_>>();
+        since.sort_unstable();
+        Self { counted_at: Some(now), since }
+    }
+
+    /// Returns the number of workers that became silent at about this time.
+    fn count_around(&self, time: Time) -> usize {
+        let is_earlier = |since: &Time| *since < time && !is_simultaneous(*since, time);
+        let is_not_later = |since: &Time| *since < time || is_simultaneous(*since, time);
+        self.since.partition_point(is_not_later) - self.since.partition_point(is_earlier)
+    }
+}
+
+/// Returns whether two workers that became silent at these times are considered lost together.
+fn is_simultaneous(a: Time, b: Time) -> bool {
+    a.since(b) < SIMULTANEOUS_LOSS_WINDOW && b.since(a) < SIMULTANEOUS_LOSS_WINDOW
+}
+
 impl Scheduler {
     /// Returns the runs that may have crashed a worker; empty if it can't have crashed. `end` is how
     /// its instance ended, if it is known to have.
     pub(super) fn crash_suspects(
-        &self,
+        &mut self,
         instance_no: InstanceNo,
         end: Option<InstanceEnd>,
     ) -> Vec<CrashSuspect> {
@@ -88,7 +119,11 @@
         };
         let mut suspects = CrashSuspect::from_recorded_starts(&instance.inherited_starts);
         suspects.extend(suspects_among(instance, self.now));
-        let with_others = self.lost_with_others(instance);
+        if suspects.is_empty() {
+            return suspects;
+        }
+        let with_others = self.lost_with_others(instance_no);
+        let Some(instance) = self.instances.get(instance_no) else { return Vec::new() };
         // If the worker left, is only unreachable, or was lost together with others, runs that had
         // lasted a while are not implicated.
         let implicates_all = end != Some(InstanceEnd::Gone)
@@ -198,17 +233,19 @@
     }
 
     /// Returns whether several other workers became silent at about the same time as this one.
-    fn lost_with_others(&self, instance: &WorkerInstance) -> bool {
-        let unanswered_since = instance.unanswered_since.unwrap_or(self.now);
-        let is_simultaneous = |time: Time| {
-            time.since(unanswered_since) < SIMULTANEOUS_LOSS_WINDOW
-                && unanswered_since.since(time) < SIMULTANEOUS_LOSS_WINDOW
-        };
-        let others = self.instances.values().filter(|other| other.id() != instance.id());
-        let silent =
-            others.filter_map(|other| other.unanswered_since).filter(|&time| is_simultaneous(time));
-        let ended = self.lost_workers.iter().filter(|lost| is_simultaneous(lost.lost_at));
-        silent.count() + ended.count() > MAX_INDEPENDENT_LOSSES
+    fn lost_with_others(&mut self, instance_no: InstanceNo) -> bool {
+        let now = self.now;
+        if self.silences.counted_at != Some(now) {
+            let times = self.instances.values().filter_map(|other| other.unanswered_since);
+            self.silences = Silences::new(times, now);
+        }
+        let instance = self.instances.get(instance_no);
+        let own_silence = instance.and_then(|instance| instance.unanswered_since);
+        let lost_at = own_silence.unwrap_or(now);
+        let silent = self.silences.count_around(lost_at);
+        let silent = silent.saturating_sub(usize::from(own_silence.is_some()));
+        let ended = self.lost_workers.iter().filter(|lost| is_simultaneous(lost.lost_at, lost_at));
+        silent + ended.count() > MAX_INDEPENDENT_LOSSES
     }
 
     /// Records a lost worker, to detect simultaneous losses and for its later instances.
--- a/crates/kitetrail-core/src/jobs/scheduler/losses.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/losses.rs
@@ -8,6 +8,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use super::{
@@ -25,10 +26,15 @@
 };
 use crate::Time;
 
+/// The interval at which the losses of ended jobs are forgotten.
+const CLEANING_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The worker instances that may have crashed, with the tasks that may have crashed them.
 #[derive(Debug, Default)]
 pub(super) struct Losses {
     by_instance: BTreeMap<InstanceKey, LostInstance>,
+    /// When the losses of ended jobs were last forgotten.
+    cleaned_at: Time,
 }
 
 /// A worker instance that may have crashed.
@@ -108,7 +114,7 @@
             }
         }
         if !tasks.is_empty() {
-            self.forget_ended_losses();
+            self.forget_ended_losses_if_due();
             let (address, machine) = (Some(entry.address.clone()), entry.machine.clone());
             let lost = LostInstance { address, machine, lost_at: self.now, tasks };
             self.losses.record(&entry.key(), lost);
@@ -258,7 +264,11 @@
     }
 
     /// Forgets the losses of jobs that have ended.
-    fn forget_ended_losses(&mut self) {
+    fn forget_ended_losses_if_due(&mut self) {
+        if self.now.since(self.losses.cleaned_at) < CLEANING_INTERVAL {
+            return;
+        }
+        self.losses.cleaned_at = self.now;
         let jobs = &self.jobs;
         let is_open = |task: &TaskName| jobs.get(&task.job).is_some_and(Job::is_open);
         self.losses.by_instance.retain(|_, lost| lost.tasks.iter().any(is_open));
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -69,7 +69,7 @@
 use self::{
     backlog::StartedTasks,
     claimants::Claimants,
-    crash_attribution::LostWorker,
+    crash_attribution::{LostWorker, Silences},
     deferred_starts::DeferredStarts,
     evacuation::ZoneEvacuation,
     first_polls::FirstPolls,
@@ -160,6 +160,7 @@
     unconfirmed_instances: BTreeSet<InstanceNo>,
     unheard_workers: UnheardWorkers,
     losses: Losses,
+    silences: Silences,
     /// Workers whose instance ended recently.
     lost_workers: Vec<LostWorker>,
     /// The end of the last known store outage, if there was one.
@@ -218,6 +219,7 @@
             unconfirmed_instances: BTreeSet::new(),
             unheard_workers: UnheardWorkers::default(),
             losses: Losses::default(),
+            silences: Silences::default(),
             lost_workers: Vec::new(),
             store_outage_until: None,
             pending: PendingRecords::default(),
