A crash after a recorded start counts once

What callers would see: a blameless job is failed, since one crash of a worker counts twice against its task.

Cause: `TaskCrashes::record_loss` left the stored start of the same worker in place, as `record_crash` does not. An owner that was lost before the next start left both to its successor, which restored the loss and counted the recorded start as well when another instance answered.

Evidence: `a_crash_after_a_recorded_start_counts_once_whichever_owner_learns_of_it`, red before (2 in place of 1).

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -259,6 +259,8 @@
         };
         self.unresolved
             .retain(|known| known.instance() != loss.instance() && has_same_cause(known));
+        // The loss stands for the stored start.
+        self.begun.take_if(|begun| begun.instance() == loss.instance());
         self.unresolved.push(loss);
     }
 
--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -11,7 +11,7 @@
 use fleet::{Behaviour, STEP, SimulatedFleet, job, step, task};
 use kitetrail_core::{
     Resources, Time,
-    jobs::{JobId, JobState, StepSpec, TaskName},
+    jobs::{JobId, JobState, LogEntry, StepSpec, TaskName},
 };
 
 /// The time without heartbeats after which the entry of a worker expires.
@@ -280,3 +280,31 @@
         assert!(waited < Duration::from_secs(8), "waited {waited:?} after {age_ms} ms");
     }
 }
+
+#[test]
+fn a_crash_after_a_recorded_start_counts_once_whichever_owner_learns_of_it() {
+    let mut fleet = SimulatedFleet::new(2);
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+    let first = fleet.worker_of(name);
+    fleet.worker(&first).crash();
+    fleet.take_over(2, true);
+    fleet.advance_until("the task runs", |fleet| reachable_worker_of(fleet, name).is_some());
+    let second = reachable_worker_of(&fleet, name).unwrap();
+    fleet.advance_ms(50);
+    // The owner dies with the worker, and the next one after it has stored the loss. No worker is left.
+    fleet.worker(&second).crash();
+    fleet.take_over(3, true);
+    fleet.advance_until("the loss is recorded", |fleet| {
+        let is_loss = |entry: &LogEntry| matches!(entry, LogEntry::LossRecorded { .. });
+        fleet.log_entries.iter().any(|(_, entry)| is_loss(entry))
+    });
+    fleet.advance_ms(300);
+    fleet.take_over(4, true);
+    fleet.advance_ms(200);
+    fleet.replace_instance(&second, "next");
+    fleet.report_relisted("next");
+    fleet.advance_ms(3_000);
+    assert_eq!(fleet.counted_crashes(), 1);
+}
