--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -11,7 +11,7 @@
 use fleet::{Behaviour, STEP, SimulatedFleet, job, step, task};
 use kitetrail_core::{
     Resources, Time,
-    jobs::{JobId, JobState, StepSpec, TaskName},
+    jobs::{JobId, JobState, LogEntry, StepSpec, TaskName},
 };
 
 /// The time without heartbeats after which the entry of a worker expires.
@@ -262,3 +262,49 @@
     assert_eq!(fleet.counted_crashes(), 0);
     assert_eq!(fleet.state(1), Some(JobState::Running));
 }
+
+#[test]
+fn a_task_lost_at_different_ages_with_workers_that_stay_silent_does_not_wait() {
+    let mut fleet = SimulatedFleet::new(12);
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    // Each run is shorter than the one before, so that none shows that the task crashes no worker.
+    for age_ms in [16_000, 13_000, 10_000, 7_000, 4_000, 1_500] {
+        fleet.advance_until("the task runs", |fleet| reachable_worker_of(fleet, name).is_some());
+        fleet.advance_ms(age_ms);
+        let worker = reachable_worker_of(&fleet, name).unwrap();
+        fleet.worker(&worker).behaviour = Behaviour::Partitioned;
+        let lost_at = fleet.now;
+        fleet.advance_until("the task runs", |fleet| reachable_worker_of(fleet, name).is_some());
+        let waited = fleet.now.since(lost_at);
+        assert!(waited < Duration::from_secs(8), "waited {waited:?} after {age_ms} ms");
+    }
+}
+
+#[test]
+fn a_crash_after_a_recorded_start_counts_once_whichever_owner_learns_of_it() {
+    let mut fleet = SimulatedFleet::new(2);
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+    let first = fleet.worker_of(name);
+    fleet.worker(&first).crash();
+    fleet.take_over(2, true);
+    fleet.advance_until("the task runs", |fleet| reachable_worker_of(fleet, name).is_some());
+    let second = reachable_worker_of(&fleet, name).unwrap();
+    fleet.advance_ms(50);
+    // The owner dies with the worker, and the next one after it has stored the loss. No worker is left.
+    fleet.worker(&second).crash();
+    fleet.take_over(3, true);
+    fleet.advance_until("the loss is recorded", |fleet| {
+        let is_loss = |entry: &LogEntry| matches!(entry, LogEntry::LossRecorded { .. });
+        fleet.log_entries.iter().any(|(_, entry)| is_loss(entry))
+    });
+    fleet.advance_ms(300);
+    fleet.take_over(4, true);
+    fleet.advance_ms(200);
+    fleet.replace_instance(&second, "next");
+    fleet.report_relisted("next");
+    fleet.advance_ms(3_000);
+    assert_eq!(fleet.counted_crashes(), 1);
+}
