Place room that becomes free for a waiting long-running task at once

Cause: room that a listed end frees stays unused until the next pass, up to 20 ms later. Beside 480 to 760 waiting long-running tasks there are up to 30 such rooms a second that the smallest of them would fit in. The room goes to others, but at the moments at which the platform looks there is some.

The owner lags by 5 ms at most; looked at four times a second, no waiting task that had run finds room after a pass. The tasks that were LOST are among the smallest that wait, and in the 3 s before some 80 rooms large enough for one of them went to others. All of these moments are 1.5 s or a multiple of it apart. Moves off leaving workers are not the cause: four of the seven tasks that were looked at were lost with their workers and never moved by then.

Change: a report whose ends leave room for the smallest kinds of waiting long-running tasks makes a pass due at once, at most every 2 ms, and not while the owner lags by 10 ms.

Test: `jobs_sharing::long_running_task_starts_as_soon_as_the_end_that_makes_room_is_reported`, red before (the order leaves 10 ms after the report).

--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod fleet_health;
 mod forecasts;
 pub(super) mod free_capacity;
+mod freed_room;
 mod gaps;
 mod gauges;
 mod hand_in;
@@ -68,9 +69,9 @@
 use self::{
     backlog::StartedTasks, claimants::Claimants, crash_attribution::LostWorker,
     deferred_starts::DeferredStarts, evacuation::ZoneEvacuation, first_polls::FirstPolls,
-    fleet_health::FleetHealth, gaps::Gaps, lease_length::MIN_LEASE, load_forecast::ServiceLoads,
-    overload::Overload, pending::PendingRecords, preempting::Preemptions, run_lengths::RunLengths,
-    short_tasks::ShortTasks, tails::TailModel,
+    fleet_health::FleetHealth, freed_room::FreedRoom, gaps::Gaps, lease_length::MIN_LEASE,
+    load_forecast::ServiceLoads, overload::Overload, pending::PendingRecords,
+    preempting::Preemptions, run_lengths::RunLengths, short_tasks::ShortTasks, tails::TailModel,
 };
 pub use self::{
     inherit::InheritedState,
@@ -99,7 +100,7 @@
 /// The margin added to the end of every lease to cover delays on the owner's side.
 const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(100);
 /// The minimum interval between two placement passes over all pending jobs. Newly accepted jobs are
-/// placed without waiting for it.
+/// placed without waiting for it, and so is room that became free for long-running tasks.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(20);
 /// The number of bits of a fencing token below the owner's epoch. They allow a million increments,
 /// far more than one owner makes.
@@ -172,6 +173,7 @@
     start_counts: StartedTasks,
     /// Whether something changed that may allow pending tasks to be placed.
     placement_needed: bool,
+    freed_room: FreedRoom,
     /// The time of the last placement pass over all jobs.
     last_placement_at: Time,
     /// The actions to take, in order, collected while one event is handled.
@@ -223,6 +225,7 @@
             tick_lag: Duration::ZERO,
             start_counts: StartedTasks::default(),
             placement_needed: true,
+            freed_room: FreedRoom::default(),
             last_placement_at: Time::ZERO,
             actions: Vec::new(),
         };
@@ -321,8 +324,8 @@
     }
 
     fn place_jobs_if_due(&mut self) {
-        let due =
-            self.placement_needed && self.now.since(self.last_placement_at) >= PLACEMENT_INTERVAL;
+        let is_regular_due = self.now.since(self.last_placement_at) >= PLACEMENT_INTERVAL;
+        let due = self.placement_needed && (is_regular_due || self.is_freed_room_due());
         if due && self.overload.starts_per_pass() > 0 {
             self.placement_needed = false;
             self.last_placement_at = self.now;
--- a/crates/kitetrail-core/src/jobs/scheduler/pass.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/pass.rs
@@ -13,6 +13,7 @@
     free_capacity::Remaining,
     lateness::Lateness,
 };
+use crate::Resources;
 
 /// A worker that takes work, and its remaining capacity when the pass began.
 #[derive(Debug)]
@@ -30,6 +31,9 @@
     candidates: Vec<Candidate>,
     /// The steps that found no room, so that it is not searched for again.
     steps_without_room: Vec<(StepSpec, Lateness)>,
+    /// The sizes of the long-running tasks that found no room, without those that need at least as
+    /// much as another.
+    pub(super) long_running_without_room: Vec<Resources>,
     /// How many more tasks may be started in this pass.
     pub(super) starts_left: u32,
     /// An upper bound of the short tasks that found no room: of a step that found some, all tasks
@@ -74,6 +78,10 @@
     /// Records that a step found no room for some of its tasks.
     pub(super) fn record_no_room(&mut self, spec: StepSpec, lateness: Lateness) {
         self.found_no_room = true;
+        let wanted = &mut self.long_running_without_room;
+        if spec.long_running && !wanted.iter().any(|size| size.fits_in(&spec.size)) {
+            wanted.push(spec.size);
+        }
         // Room is kept only for short tasks whose jobs can complete in time, however many late ones
         // wait.
         if !spec.best_effort && !spec.long_running && lateness == Lateness::InTime {
@@ -98,6 +106,7 @@
         PlacementPass {
             candidates,
             steps_without_room: Vec::new(),
+            long_running_without_room: Vec::new(),
             starts_left: self.overload.starts_per_pass(),
             short_waiting: 0,
             found_no_room: false,
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -1,6 +1,6 @@
 //! Places waiting tasks on workers, in the order of their queues.
 
-use std::{iter, sync::Arc};
+use std::{iter, mem, sync::Arc};
 
 use super::{
     super::{
@@ -37,6 +37,7 @@
             self.preempt_if_due(&waiting);
         }
         self.claimants.record_pass(pass.found_no_room);
+        self.freed_room.record_pass(mem::take(&mut pass.long_running_without_room));
         self.update_short_task_need(pass.short_waiting);
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -119,6 +119,9 @@
         for end in &report.ended {
             self.handle_run_end(instance_no, end);
         }
+        if !report.ended.is_empty() {
+            self.record_freed_room(instance_no);
+        }
         for running in &report.running {
             self.reconcile_running(instance_no, running);
         }
--- a/crates/kitetrail-core/tests/jobs_sharing.rs
+++ b/crates/kitetrail-core/tests/jobs_sharing.rs
@@ -7,7 +7,7 @@
 use fleet::{FakeWorker, SimulatedFleet, job, step, task};
 use kitetrail_core::{
     Resources, Time,
-    jobs::{JobState, StepSpec, TaskName},
+    jobs::{JobState, LogEntry, StepSpec, TaskName},
 };
 
 #[test]
@@ -194,6 +194,29 @@
     assert!(has_started(&fleet), "not started after 2.5 s beside two free cores");
 }
 
+#[test]
+fn long_running_task_starts_as_soon_as_the_end_that_makes_room_is_reported() {
+    let mut fleet = SimulatedFleet::new(1);
+    fleet.long_running_ms = 600_000;
+    let size = Resources::new(4_000, 512, 0);
+    let whole_worker = || job(vec![StepSpec { long_running: true, size, ..step(1) }]);
+    fleet.submit(1, whole_worker());
+    for id in 2..12 {
+        fleet.submit(id, whole_worker());
+        // The end is reported at different times after the last regular pass.
+        fleet.advance_ms(500 + 10 * id);
+        fleet.cancel(id - 1);
+        fleet.advance_until("the waiting task is ordered", |fleet| {
+            fleet.start_orders.iter().any(|(_, task, _)| task.job.0 == id)
+        });
+        let ends = fleet.log_entries.iter().rev();
+        let mut ends = ends.filter(|(_, entry)| matches!(entry, LogEntry::RunEnded { .. }));
+        let reported_at = ends.next().map(|&(at, _)| at);
+        let ordered_at = fleet.start_orders.last().map(|&(at, ..)| at);
+        assert_eq!(ordered_at, reported_at, "job {id}");
+    }
+}
+
 #[test]
 fn short_tasks_leave_room_for_tasks_that_take_a_whole_worker() {
     let mut fleet = SimulatedFleet::new(8);
