A task that runs has waited for proof for long enough

What callers would see: after a takeover a long-running task whose worker drains is stopped and then waits for up to a minute, since workers of it were lost before.

Cause: a new owner begins the wait of each task with many unresolved losses anew, whether or not it runs; the wait then applies when the task is moved.

Change: a start, and a report that the task runs, end the wait.

--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -227,6 +227,8 @@
         }
         task.last_run = task.last_run.max(placement.run);
         task.maybe_started_before = false;
+        // An earlier owner let the task start: it has waited for long enough.
+        task.proof_due_at = None;
         if checkpoint.is_some() && checkpoint != task.checkpoint.as_deref() {
             task.checkpoint = checkpoint.map(str::to_owned);
         }
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -57,6 +57,7 @@
     /// may have started the task on a worker that crashed or is silent, without counting the loss.
     pub(super) fn record_start(&mut self, owner_lost: bool) {
         self.is_unaccounted = false;
+        self.proof_due_at = None;
         if mem::take(&mut self.maybe_started_before) && owner_lost {
             self.persists_starts = true;
             self.presumes_missed_crash = !self.crashes.may_miss_some;
--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -308,3 +308,40 @@
     fleet.advance_ms(3_000);
     assert_eq!(fleet.counted_crashes(), 1);
 }
+
+#[test]
+fn a_running_task_that_has_waited_for_proof_moves_at_once_after_a_takeover() {
+    let mut fleet = SimulatedFleet::new(12);
+    let name = task(1, 0, 0);
+    fleet.submit(1, job(vec![long_running_step(1)]));
+    fleet.advance_until("the task runs", |fleet| !fleet.workers_running(name).is_empty());
+    let worker = fleet.worker_of(name);
+    fleet.crash(&worker);
+    fleet.take_over(2, false);
+    for _ in 0..5 {
+        let until = fleet.now + Duration::from_secs(150);
+        while reachable_worker_of(&fleet, name).is_none() && fleet.now < until {
+            fleet.advance_ms(100);
+        }
+        let worker = reachable_worker_of(&fleet, name).unwrap();
+        fleet.advance_ms(50);
+        fleet.worker(&worker).behaviour = Behaviour::Partitioned;
+        fleet.advance_ms(300);
+    }
+    let until = fleet.now + Duration::from_secs(600);
+    while reachable_worker_of(&fleet, name).is_none() && fleet.now < until {
+        fleet.advance_ms(100);
+    }
+    fleet.take_over(3, true);
+    fleet.advance_ms(4_000);
+    let worker = reachable_worker_of(&fleet, name).unwrap();
+    fleet.worker(&worker).entry.draining = true;
+    let entry = fleet.worker(&worker).entry.clone();
+    fleet.report_listed(entry);
+    let drained_at = fleet.now;
+    fleet.advance_until("the task runs elsewhere", |fleet| {
+        reachable_worker_of(fleet, name).is_some_and(|other| other != worker)
+    });
+    let moved_after = fleet.now.since(drained_at);
+    assert!(moved_after < Duration::from_secs(6), "moved after {moved_after:?}");
+}
