Recorded starts on workers without rows are no losses

What callers would see: after owners were lost one after the other, a task waits for a minute although most workers are idle.

Cause: a recorded start whose worker has no row was kept as an unresolved loss. Nothing can resolve it, as the address is not known. The owner that removed the row knew what became of the worker, and had counted a crash, kept a loss, or seen it leave; it may only have been lost before that was stored.

Change: such a start is dropped, and the task counts as one of which a crash may have been missed. `UnresolvedLoss::address` is always known now.

The tests of crashing tasks hold.

--- a/crates/kitetrail-core/src/jobs/crashes.rs
+++ b/crates/kitetrail-core/src/jobs/crashes.rs
@@ -134,9 +134,8 @@
     /// The incarnation of the worker, if the platform reports it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub incarnation: Option<Incarnation>,
-    /// The address of the worker, if known. An answer of another instance there proves the crash.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub address: Option<String>,
+    /// The address of the worker. An answer of another instance there proves the crash.
+    pub address: String,
     /// How strongly the loss suggests that the task caused it, if the worker crashed.
     pub evidence: CrashEvidence,
     /// The run time, if known.
--- a/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/inherit.rs
@@ -90,9 +90,8 @@
             };
             self.add_inherited_instance(record, starts_here, own_expiry + renewed_for);
         }
-        // The previous owner removed these workers, and persisted no end of these runs.
-        for (worker, tasks) in recorded_starts {
-            self.record_losses_of_removed(&worker, &tasks);
+        for tasks in recorded_starts.into_values() {
+            self.drop_recorded_starts(&tasks);
         }
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/losses.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/losses.rs
@@ -40,7 +40,7 @@
 /// A worker instance that may have crashed.
 #[derive(Debug)]
 struct LostInstance {
-    address: Option<String>,
+    address: String,
     machine: Option<String>,
     lost_at: Time,
     tasks: BTreeSet<TaskName>,
@@ -51,7 +51,7 @@
     /// crashed: it has its id, address or machine.
     fn is_replaced_by(&self, key: &InstanceKey, entry: &WorkerEntry, sent_at: Time) -> bool {
         let same_machine = entry.machine.is_some() && entry.machine == self.machine;
-        let same_place = self.address.as_ref() == Some(&entry.address) || same_machine;
+        let same_place = self.address == entry.address || same_machine;
         let is_another = *key != entry.key();
         is_another && (key.id == entry.id || same_place) && self.lost_at <= sent_at
     }
@@ -109,26 +109,28 @@
     pub(super) fn record_losses(&mut self, entry: &WorkerEntry, suspects: Vec<CrashSuspect>) {
         let mut tasks = BTreeSet::new();
         for suspect in suspects {
-            if self.record_loss(&entry.key(), Some(&entry.address), &suspect) {
+            if self.record_loss(entry, &suspect) {
                 tasks.insert(suspect.task);
             }
         }
         if !tasks.is_empty() {
             self.forget_ended_losses_if_due();
-            let (address, machine) = (Some(entry.address.clone()), entry.machine.clone());
+            let (address, machine) = (entry.address.clone(), entry.machine.clone());
             let lost = LostInstance { address, machine, lost_at: self.now, tasks };
             self.losses.record(&entry.key(), lost);
         }
     }
 
-    /// Records that an earlier owner was about to start tasks on a worker instance that it has
-    /// removed since.
-    pub(super) fn record_losses_of_removed(&mut self, key: &InstanceKey, tasks: &[TaskName]) {
-        let suspects = CrashSuspect::from_recorded_starts(tasks);
-        let recorded = suspects.iter().filter(|suspect| self.record_loss(key, None, suspect));
-        let tasks = recorded.map(|suspect| suspect.task).collect();
-        let lost = LostInstance { address: None, machine: None, lost_at: self.now, tasks };
-        self.losses.record(key, lost);
+    /// Drops the recorded starts on a worker instance that an earlier owner has removed since.
+    ///
+    /// It knew what became of the instance, but may have been lost before it stored that it crashed.
+    pub(super) fn drop_recorded_starts(&mut self, tasks: &[TaskName]) {
+        for &name in tasks {
+            let Some(task) = self.task_mut(name) else { continue };
+            task.crashes.begun = None;
+            task.crashes.may_miss_some = true;
+            self.record_task_progress(name);
+        }
     }
 
     /// Restores the losses that an earlier owner stored.
@@ -146,12 +148,7 @@
         }
     }
 
-    fn record_loss(
-        &mut self,
-        key: &InstanceKey,
-        address: Option<&String>,
-        suspect: &CrashSuspect,
-    ) -> bool {
+    fn record_loss(&mut self, entry: &WorkerEntry, suspect: &CrashSuspect) -> bool {
         let now = self.now;
         let name = suspect.task;
         let Some(job) = self.jobs.get_mut(&name.job).filter(|job| job.is_open()) else {
@@ -159,9 +156,9 @@
         };
         let Some(task) = job.task_mut(name).filter(|task| !task.done) else { return false };
         let loss = UnresolvedLoss {
-            worker: key.id.clone(),
-            incarnation: key.incarnation,
-            address: address.cloned(),
+            worker: entry.id.clone(),
+            incarnation: entry.incarnation,
+            address: entry.address.clone(),
             evidence: suspect.evidence,
             ran: suspect.ran,
         };
@@ -172,7 +169,7 @@
         let waits_ms = task.proof_due_at.map(|due_at| due_at.since(now).as_millis() as u64);
         self.actions.push(Action::Log(LogEntry::LossRecorded {
             task: name,
-            worker: key.id.clone(),
+            worker: entry.id.clone(),
             evidence: suspect.evidence,
             ran: suspect.ran,
             losses,
--- a/crates/kitetrail-core/tests/jobs_silent_workers.rs
+++ b/crates/kitetrail-core/tests/jobs_silent_workers.rs
@@ -187,7 +187,7 @@
 }
 
 #[test]
-fn a_recorded_start_on_a_worker_without_a_row_fails_no_job() {
+fn recorded_starts_on_workers_without_rows_neither_fail_a_job_nor_let_it_wait() {
     let mut fleet = SimulatedFleet::new(12);
     let name = task(1, 0, 0);
     fleet.submit(1, job(vec![long_running_step(1)]));
@@ -204,8 +204,9 @@
         fleet.worker(&worker).unlisted = true;
     }
     fleet.take_over(5, true);
-    fleet.advance_ms(1_000);
+    fleet.advance_ms(6_000);
     assert_eq!(fleet.state(1), Some(JobState::Running));
+    assert!(!fleet.workers_running(name).is_empty(), "the task does not run");
 }
 
 /// Returns whether the store holds crashes, losses or stored starts of tasks of a job.
