--- a/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/crash_attribution.rs
@@ -143,12 +143,12 @@
     /// Drops the runs of a silent worker whose lease has expired. Whether it crashed is not known.
     pub(super) fn drop_runs_of_silent_worker(&mut self, instance_no: InstanceNo) {
         let suspects = self.crash_suspects(instance_no, None);
-        let is_unheard = self.unconfirmed_instances.remove(&instance_no);
+        let never_answered = self.unconfirmed_instances.remove(&instance_no);
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         instance.inherited_starts.clear();
         let entry = Arc::clone(&instance.entry);
         self.drop_all_runs(instance_no, "its worker is silent and its lease has expired");
-        self.unheard_workers.record_silent(&entry.key(), is_unheard);
+        self.unreported_workers.record_silent(&entry.key(), never_answered);
         self.record_losses(&entry, suspects);
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/losses.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/losses.rs
@@ -70,32 +70,32 @@
     }
 }
 
-/// The workers of earlier owners that were not heard of until their leases had expired.
+/// The workers of earlier owners that have not answered this one until their leases had expired.
 ///
 /// An earlier owner may have started tasks there, and a crash there may be one that it missed.
 #[derive(Debug, Default)]
-pub(super) struct UnheardWorkers {
+pub(super) struct UnreportedWorkers {
     silent: BTreeSet<InstanceKey>,
     has_crashed: bool,
 }
 
-impl UnheardWorkers {
+impl UnreportedWorkers {
     /// Returns whether tasks may have been lost there unnoticed.
     pub(super) fn may_hide_losses(&self) -> bool {
         self.has_crashed || !self.silent.is_empty()
     }
 
-    /// Records that the lease of a worker has expired. `is_unheard` is whether it had not answered
-    /// this owner.
-    pub(super) fn record_silent(&mut self, key: &InstanceKey, is_unheard: bool) {
-        if is_unheard {
+    /// Records that the lease of a worker has expired. `never_answered` is whether it has not
+    /// answered this owner.
+    pub(super) fn record_silent(&mut self, key: &InstanceKey, never_answered: bool) {
+        if never_answered {
             self.silent.insert(key.clone());
         }
     }
 
     /// Records that a worker crashed.
-    pub(super) fn record_crashed(&mut self, key: &InstanceKey, is_unheard: bool) {
-        self.has_crashed |= self.silent.remove(key) || is_unheard;
+    pub(super) fn record_crashed(&mut self, key: &InstanceKey, never_answered: bool) {
+        self.has_crashed |= self.silent.remove(key) || never_answered;
     }
 
     /// Records that a worker answers. Returns whether nothing can have been lost there any more.
@@ -184,7 +184,7 @@
     /// Handles an answer of an instance that may have crashed.
     pub(super) fn dismiss_losses_of_answering(&mut self, instance_no: InstanceNo) {
         let nothing_lost =
-            self.losses.by_instance.is_empty() && self.unheard_workers.silent.is_empty();
+            self.losses.by_instance.is_empty() && self.unreported_workers.silent.is_empty();
         if let Some(instance) = self.instances.get(instance_no).filter(|_| !nothing_lost) {
             let key = instance.entry.key();
             self.dismiss_losses(&key);
@@ -193,7 +193,7 @@
 
     /// Removes the losses of an instance that has not crashed.
     pub(super) fn dismiss_losses(&mut self, key: &InstanceKey) {
-        if self.unheard_workers.record_answer(key) {
+        if self.unreported_workers.record_answer(key) {
             self.dismiss_missed_crashes();
         }
         let tasks = self.losses.take(key);
@@ -210,7 +210,7 @@
         }
     }
 
-    /// Takes back that the previous owner may have missed crashes: all of its workers were heard of.
+    /// Takes back that the previous owner may have missed crashes: all of its workers answered.
     fn dismiss_missed_crashes(&mut self) {
         let mut changed = BTreeSet::new();
         for job in self.jobs.values_mut().filter(|job| job.is_open()) {
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -78,7 +78,7 @@
     gaps::Gaps,
     lease_length::MIN_LEASE,
     load_forecast::ServiceLoads,
-    losses::{Losses, UnheardWorkers},
+    losses::{Losses, UnreportedWorkers},
     overload::Overload,
     pending::PendingRecords,
     preempting::Preemptions,
@@ -159,7 +159,7 @@
     /// Worker instances used by an earlier owner that have neither listed all of their runs and ends
     /// nor outlasted their lease yet.
     unconfirmed_instances: BTreeSet<InstanceNo>,
-    unheard_workers: UnheardWorkers,
+    unreported_workers: UnreportedWorkers,
     losses: Losses,
     silences: Silences,
     /// Workers whose instance ended recently.
@@ -218,7 +218,7 @@
             busy_workers: 0,
             unused_service_entries: BTreeMap::new(),
             unconfirmed_instances: BTreeSet::new(),
-            unheard_workers: UnheardWorkers::default(),
+            unreported_workers: UnreportedWorkers::default(),
             losses: Losses::default(),
             silences: Silences::default(),
             lost_workers: Vec::new(),
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -284,7 +284,7 @@
         task.last_run = run;
         let suspected = task.crashes.is_suspected();
         let runs_alone = task.crashes.runs_alone();
-        task.record_start(self.unheard_workers.may_hide_losses());
+        task.record_start(self.unreported_workers.may_hide_losses());
         let persist_first = task.persists_starts;
         task.crashes.begun = persist_first.then(|| PersistedStart::new(run, instance.entry.key()));
         task.placed.push(Placement { instance: instance_no, run });
--- a/crates/kitetrail-core/src/jobs/scheduler/refused_progress.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/refused_progress.rs
@@ -1,8 +1,8 @@
 //! Jobs whose progress or outcome the store refuses, which are written again after a while.
 //!
 //! A refusal may be a mistake of a store in trouble, or of what stands before it. Failing a job that
-//! could be done is worse than waiting, so the job goes on meanwhile. Ends of runs are not
-//! acknowledged until then, so that a later owner is told of them as well.
+//! could be done is worse than waiting, so the job continues meanwhile. Ends of runs are not
+//! acknowledged until then, so that they are reported to a later owner as well.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/kitetrail-core/src/jobs/scheduler/workers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/workers.rs
@@ -78,16 +78,16 @@
         self.drop_all_runs(instance_no, end.why());
         let Some(instance) = self.instances.remove(instance_no) else { return };
         let key = instance.entry.key();
-        let is_unheard = self.unconfirmed_instances.remove(&instance_no);
+        let never_answered = self.unconfirmed_instances.remove(&instance_no);
         self.record_lost_worker(&instance);
         match end {
             _ if instance.entry.draining => self.dismiss_losses(&key),
             InstanceEnd::Gone => {
-                self.unheard_workers.record_silent(&key, is_unheard);
+                self.unreported_workers.record_silent(&key, never_answered);
                 self.record_losses(&instance.entry, suspects);
             }
             InstanceEnd::AnotherAnswers | InstanceEnd::LaterAnswers | InstanceEnd::StartedAgain => {
-                self.unheard_workers.record_crashed(&key, is_unheard);
+                self.unreported_workers.record_crashed(&key, never_answered);
                 self.confirm_losses(&key, end.why());
                 self.record_crash(&key, suspects, end.why());
             }
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -41,8 +41,8 @@
     pub(super) proof_due_at: Option<Time>,
     /// Whether each start of the task is stored before it is ordered.
     pub(super) persists_starts: bool,
-    /// Whether `may_miss_some` holds only because workers of the previous owner have not been heard
-    /// of since.
+    /// Whether `may_miss_some` holds only because workers of the previous owner have not answered
+    /// this one.
     pub(super) presumes_missed_crash: bool,
     /// Whether the previous owner may have started the task, while this one has neither started it
     /// nor received a report of a run.
--- a/crates/kitetrail-core/tests/fleet_config.rs
+++ b/crates/kitetrail-core/tests/fleet_config.rs
@@ -17,6 +17,6 @@
         "limits": {}
     }"#;
     let config = serde_json::from_str::<FleetConfig>(json).unwrap();
-    assert_eq!(config.queues()[0].config_version, 0, "it is left out");
+    assert_eq!(config.queues()[0].config_version, 0, "it is absent");
     assert_eq!(config.with_versioned_terms().queues()[0].config_version, 7);
 }
--- a/crates/kitetrail-core/tests/jobs_attempts.rs
+++ b/crates/kitetrail-core/tests/jobs_attempts.rs
@@ -204,7 +204,7 @@
 }
 
 #[test]
-fn a_failure_that_is_not_stored_is_neither_shown_nor_kept_by_the_next_owner() {
+fn a_failure_that_is_not_stored_is_neither_shown_nor_restored_by_the_next_owner() {
     let mut fleet = failing_fleet(3);
     fleet.submit(1, job(vec![step(1)]));
     fleet.advance_until("the second run has begun", |fleet| fleet.starts.len() == 2);
--- a/crates/kitetrail-core/tests/jobs_refused.rs
+++ b/crates/kitetrail-core/tests/jobs_refused.rs
@@ -1,4 +1,4 @@
-//! Records that the store refuses as malformed or too large, for a while or for good, on virtual time.
+//! Records that the store refuses as malformed or too large, for a while or always, on virtual time.
 //!
 //! The simulated fleet panics if an end of a run is acknowledged that is not stored, or if a task is
 //! started after its end was acknowledged.
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn ends_that_change_refused_progress_are_kept_for_the_next_owner() {
+fn ends_that_change_refused_progress_are_reported_to_the_next_owner() {
     for lost_after_ms in [100, 900, 2_500, 5_000] {
         let mut fleet = SimulatedFleet::new(2);
         fleet.submit(1, chain(12));
@@ -108,7 +108,7 @@
     fleet.advance_until("the other job completes", |fleet| {
         fleet.state(2) == Some(JobState::Completed)
     });
-    assert_eq!(end_cause(&fleet, 1), None, "the job goes on");
+    assert_eq!(end_cause(&fleet, 1), None, "the job continues");
     fleet.refuses_record = |_| false;
     fleet.advance_until("the job completes", |fleet| fleet.state(1) == Some(JobState::Completed));
     fleet.advance_ms(3_000);
