--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -217,6 +217,10 @@
         waiting_late: u32,
         /// The age of the oldest job with a waiting task, in milliseconds.
         oldest_ms: u64,
+        /// The processor time of all waiting tasks, in thousandths of a core.
+        waiting_millis: u64,
+        /// The processor time of the largest waiting task, in thousandths of a core.
+        largest_waiting_millis: u32,
         /// The number of started tasks whose jobs could still end in time.
         started_in_time: u32,
         /// The number of started tasks whose jobs could not end in time.
@@ -224,6 +228,23 @@
         /// The owner's lag, in milliseconds.
         lag_ms: u64,
     },
+    /// What holds the processor time of the workers that take work, and the gaps that are left.
+    Occupancy {
+        /// The number of workers that take work.
+        workers: u32,
+        /// Their processor time, in thousandths of a core; the next fields have the same unit.
+        total_millis: u64,
+        /// The processor time reserved by short tasks.
+        short_millis: u64,
+        /// The processor time reserved by long-running tasks.
+        long_running_millis: u64,
+        /// The processor time that is not reserved.
+        free_millis: u64,
+        /// The size of a large short task: nine of ten recent ones are not larger.
+        large_task_millis: u32,
+        /// The number of large short tasks that the gaps have room for.
+        large_gaps: u32,
+    },
     /// The data that is not persisted yet.
     Unpersisted {
         /// The number of records that wait for a batch.
--- a/crates/kitetrail-core/src/jobs/scheduler/backlog.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/backlog.rs
@@ -37,6 +37,10 @@
     tasks: TaskCounts,
     /// The age of the oldest of their jobs.
     oldest: Duration,
+    /// The processor time of all of them, in thousandths of a core.
+    millis: u64,
+    /// The processor time of the largest of them, in thousandths of a core.
+    largest_millis: u32,
 }
 
 /// The tasks started since the last report.
@@ -59,6 +63,7 @@
             return;
         }
         self.report_unpersisted();
+        self.report_occupancy();
         let waiting = self.waiting_by_kind();
         let started = mem::take(&mut self.start_counts.tasks);
         self.start_counts.reported_at = self.now;
@@ -73,6 +78,8 @@
                 waiting_in_time: waiting.tasks.in_time,
                 waiting_late: waiting.tasks.late,
                 oldest_ms: waiting.oldest.as_millis() as u64,
+                waiting_millis: waiting.millis,
+                largest_waiting_millis: waiting.largest_millis,
                 started_in_time: started.in_time,
                 started_late: started.late,
                 lag_ms,
@@ -101,6 +108,9 @@
                 let kind = &mut waiting[spec.kind() as usize];
                 kind.tasks.add(tasks, in_time);
                 kind.oldest = kind.oldest.max(age);
+                let task_millis = spec.size.cpu_millis.0;
+                kind.millis += u64::from(tasks) * u64::from(task_millis);
+                kind.largest_millis = kind.largest_millis.max(task_millis);
             }
         }
         waiting
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod length_model;
 mod load_forecast;
 mod losses;
+mod occupancy;
 mod operator_holds;
 mod orders;
 mod overload;
--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -122,11 +122,7 @@
 impl StepSpec {
     /// Returns the kind of work that the tasks are.
     pub fn kind(&self) -> WorkKind {
-        match (self.long_running, self.best_effort) {
-            (true, _) => WorkKind::LongRunning,
-            (false, true) => WorkKind::BestEffort,
-            (false, false) => WorkKind::Short,
-        }
+        WorkKind::new(self.long_running, self.best_effort)
     }
 }
 
@@ -144,6 +140,14 @@
 impl WorkKind {
     /// All kinds.
     pub const ALL: [Self; 3] = [Self::Short, Self::BestEffort, Self::LongRunning];
+
+    pub(super) fn new(long_running: bool, best_effort: bool) -> Self {
+        match (long_running, best_effort) {
+            (true, _) => Self::LongRunning,
+            (false, true) => Self::BestEffort,
+            (false, false) => Self::Short,
+        }
+    }
 }
 
 impl Display for WorkKind {
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -103,15 +103,32 @@
             waiting_in_time,
             waiting_late,
             oldest_ms,
+            waiting_millis,
+            largest_waiting_millis,
             started_in_time,
             started_late,
             lag_ms,
         } => log::info!(
             kind = kind.to_string(), waiting_in_time = *waiting_in_time, waiting_late = *waiting_late,
-            oldest_ms = *oldest_ms, started_in_time = *started_in_time,
+            oldest_ms = *oldest_ms, waiting_millis = *waiting_millis,
+            largest_waiting_millis = *largest_waiting_millis, started_in_time = *started_in_time,
             started_late = *started_late, lag_ms = *lag_ms;
             "owner: backlog"
         ),
+        LogEntry::Occupancy {
+            workers,
+            total_millis,
+            short_millis,
+            long_running_millis,
+            free_millis,
+            large_task_millis,
+            large_gaps,
+        } => log::info!(
+            workers = *workers, total_millis = *total_millis, short_millis = *short_millis,
+            lasting_millis = *long_running_millis, free_millis = *free_millis,
+            large_task_millis = *large_task_millis, large_gaps = *large_gaps;
+            "owner: occupancy"
+        ),
         LogEntry::Unpersisted { records, ends, batch_sent_ago_ms } => log::info!(
             records = *records, ends = *ends, batch_sent_ago_ms:? = *batch_sent_ago_ms;
             "owner: records not persisted yet"
