Long-running tasks leave the gaps that short tasks can use

With 92 % held, 900 cores were free in pieces of one core. Change: a place costs what short tasks lose of the gap beside long-running tasks, by the quantiles of their sizes, weighted by how scarce gaps are. The reserve is the need of short tasks, a seventh of the fleet at least: most long-running work is placed before the first short task.

--- a/crates/kitetrail-core/src/jobs/scheduler/fit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/fit.rs
@@ -10,6 +10,7 @@
         spec::StepSpec,
     },
     free_capacity::{FreeCapacity, added_stress, capacity_millis, full_speed_loads},
+    gaps::Gaps,
     headroom::{PaceAt, Window},
     lateness::Lateness,
     tails::{ImageNo, TailModel},
@@ -32,6 +33,8 @@
 /// Weight of serving tasks of other images on the worker. Where tasks of one image share workers,
 /// each best-effort image finds workers on which it interferes with nothing.
 const OTHER_IMAGE_WEIGHT: f64 = 0.6;
+/// Weight of what short tasks lose of the gaps that they can use, in units of what the task takes.
+const GAP_LOSS_WEIGHT: f64 = 1.0;
 /// Weight of a worker away from the task's data or gang, where the task takes up to twice as long.
 const REMOTE_WEIGHT: f64 = 4.0;
 /// Weight of the worker on which the task failed last.
@@ -71,6 +74,8 @@
     /// How late the job is: hopelessly late jobs accept worse workers.
     pub(super) lateness: Lateness,
     pub(super) tails: &'a TailModel,
+    /// The sizes of short tasks, whose gaps long-running tasks should leave.
+    pub(super) gaps: &'a Gaps,
     /// Whether short tasks are packed rather than spread.
     pub(super) packs_short_tasks: bool,
     /// What the task means for a worker on probation.
@@ -102,6 +107,14 @@
             (false, false) if self.packs_short_tasks => free_capacity.free_share,
             (false, false) => 1.0 - free_capacity.free_share,
         };
+        let gap_loss = match spec.long_running && !spec.best_effort {
+            true => self.gaps.loss(
+                free_capacity.gap_millis,
+                spec.size.cpu_millis.0,
+                instance.entry.capacity.cpu_millis.0,
+            ),
+            false => 0.0,
+        };
         let is_far =
             spec.near_rack.as_ref().is_some_and(|near| !instance.entry.labels.contains(near));
         let splits_gang =
@@ -113,6 +126,7 @@
         Some(
             FULLNESS_WEIGHT * fullness
                 + INTERFERENCE_WEIGHT * interference
+                + GAP_LOSS_WEIGHT * gap_loss
                 + remote_cost
                 + failed_run_cost
                 + suspect_cost,
--- a/crates/kitetrail-core/src/jobs/scheduler/free_capacity.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/free_capacity.rs
@@ -28,6 +28,9 @@
     /// The number of short tasks on the worker: those that reserve processor time and end by
     /// themselves.
     pub(super) short_tasks: u32,
+    /// The processor time that is left beside long-running tasks, in thousandths of a core: the
+    /// largest gap that short tasks can find once those there have ended.
+    pub(super) gap_millis: u32,
     /// The share of the processor time that is not reserved, 0 to 1.
     pub(super) free_share: f64,
     /// The share of the processor time that is left for best-effort tasks, 0 to 1.
@@ -86,7 +89,8 @@
 
 impl FreeCapacity {
     pub(super) fn of(instance: &WorkerInstance) -> Self {
-        let Usage { reserved, used_millis, best_effort_millis, short_tasks } = Usage::of(instance);
+        let Usage { reserved, long_running_millis, used_millis, best_effort_millis, short_tasks } =
+            Usage::of(instance);
         let capacity = instance.entry.capacity;
         let cpu = capacity.cpu_millis.0;
         let free = subtract(&capacity, &reserved);
@@ -98,6 +102,7 @@
             free: Remaining { free, best_effort_millis_left },
             has_lone_suspect: instance.runs().values().any(|run| run.alone),
             short_tasks,
+            gap_millis: cpu.saturating_sub(long_running_millis),
             free_share: share(free.cpu_millis.0),
             best_effort_share: share(best_effort_millis_left),
             headroom: OnceCell::new(),
@@ -120,6 +125,8 @@
 struct Usage {
     /// The reserved resources. Best-effort tasks reserve memory, but no processor time.
     reserved: Resources,
+    /// The processor time reserved by long-running tasks, in thousandths of a core.
+    long_running_millis: u32,
     /// The used part of the reserved processor time, in thousandths of a core.
     used_millis: u32,
     /// The processor time of best-effort tasks at full speed, in thousandths of a core.
@@ -136,6 +143,7 @@
             let reserved_millis = if run.is_best_effort { 0 } else { cpu_millis };
             usage.best_effort_millis += cpu_millis - reserved_millis;
             usage.short_tasks += u32::from(!run.is_best_effort && !run.is_long_running);
+            usage.long_running_millis += if run.is_long_running { reserved_millis } else { 0 };
             usage.used_millis += if run.is_best_effort { 0 } else { used_millis(run) };
             let reserved = Resources { cpu_millis: CpuMillis(reserved_millis), ..run.size };
             usage.reserved = usage.reserved.saturating_add(&reserved);
--- a/crates/kitetrail-core/src/jobs/scheduler/gaps.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/gaps.rs
@@ -6,6 +6,11 @@
 const REMEMBERED_SIZES: usize = 128;
 /// The tasks in a hundred that are larger than a large task.
 const LARGER_THAN_LARGE_PERCENT: usize = 10;
+/// The number of sizes by which the use of a gap is judged: quantiles of the remembered ones.
+const QUANTILES: usize = 8;
+/// The least reserve of gaps that short tasks can use, as a part of the fleet. Most long-running
+/// tasks are placed before the first short one, when nothing is known of their need.
+const MIN_RESERVE_SHARE: f64 = 0.14;
 
 /// The sizes of short tasks, and whether gaps for the larger ones are scarce.
 ///
@@ -17,6 +22,11 @@
     /// The processor time of the last tasks, in thousandths of a core, in a ring.
     recent_millis: Vec<u32>,
     next: usize,
+    /// The sizes at equal steps of their distribution, in thousandths of a core; empty before any
+    /// task was seen.
+    quantiles_millis: Vec<u32>,
+    /// How much short tasks lack gaps: 0 with twice the reserve, 1 with the reserve or less.
+    scarcity: f64,
     are_scarce: bool,
 }
 
@@ -30,6 +40,54 @@
         self.next = (self.next + 1) % REMEMBERED_SIZES;
     }
 
+    /// Returns how much of a gap short tasks can use, in thousandths of a core: the mean over their
+    /// sizes. Before any was seen, one is expected to need a whole worker.
+    fn usable_millis(&self, gap_millis: u32, capacity_millis: u32) -> f64 {
+        let whole_worker = [capacity_millis];
+        let sizes = match self.quantiles_millis.as_slice() {
+            [] => &whole_worker,
+            quantiles => quantiles,
+        };
+        let usable = sizes.iter().map(|&size| f64::from(gap_millis / size.max(1) * size));
+        usable.sum::<f64>() / sizes.len() as f64
+    }
+
+    /// Returns how much processor time short tasks lose for each unit that a task takes from a gap:
+    /// 0 if none of them could use it, 1 if they could use all of it, and more if the rest is too
+    /// small for them; 0 while they have more than enough.
+    pub(super) fn loss(&self, gap_millis: u32, task_millis: u32, capacity_millis: u32) -> f64 {
+        if self.scarcity == 0.0 {
+            return 0.0;
+        }
+        let left_millis = gap_millis.saturating_sub(task_millis);
+        let lost_millis = self.usable_millis(gap_millis, capacity_millis)
+            - self.usable_millis(left_millis, capacity_millis);
+        self.scarcity * lost_millis / f64::from(task_millis.max(1))
+    }
+
+    /// Updates how scarce gaps are with the gap and the capacity of each worker, and the reserve that
+    /// short tasks need by what they used lately, in thousandths of a core.
+    fn update_scarcity(&mut self, gaps: impl Iterator<Item = (u32, u32)>, needed_millis: f64) {
+        self.update_quantiles();
+        let (mut usable_millis, mut total_millis) = (0.0, 0.0);
+        for (gap_millis, capacity_millis) in gaps {
+            usable_millis += self.usable_millis(gap_millis, capacity_millis);
+            total_millis += f64::from(capacity_millis);
+        }
+        let reserve_millis = needed_millis.max(MIN_RESERVE_SHARE * total_millis).max(1.0);
+        self.scarcity = (2.0 - usable_millis / reserve_millis).clamp(0.0, 1.0);
+    }
+
+    fn update_quantiles(&mut self) {
+        let mut sizes = self.recent_millis.clone();
+        if sizes.is_empty() {
+            return;
+        }
+        sizes.sort_unstable();
+        let quantile = |no: usize| sizes[(2 * no + 1) * sizes.len() / (2 * QUANTILES)];
+        self.quantiles_millis = (0..QUANTILES).map(quantile).collect();
+    }
+
     /// Returns the processor time that all but the largest tenth of the tasks need at most, in
     /// thousandths of a core; 0 before any task was seen.
     pub(super) fn large_millis(&self) -> u32 {
@@ -56,6 +114,12 @@
 impl Scheduler {
     /// Updates whether gaps for the larger short tasks are scarce.
     pub(super) fn update_gaps(&mut self, pass: &PlacementPass) {
+        let workers = self.instances.values().filter(|instance| instance.accepts_work(self.now));
+        let gaps = workers.filter_map(|instance| {
+            let capacity_millis = instance.entry.capacity.cpu_millis.0;
+            Some((instance.free_capacity.as_ref()?.gap_millis, capacity_millis))
+        });
+        self.gaps.update_scarcity(gaps, self.short_tasks.reserve_millis());
         if !self.settings.parts.has(LoadPart::Shares) {
             return;
         }
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -178,6 +178,7 @@
             runs_alone: job.task(name).is_some_and(|task| task.crashes.runs_alone()),
             lateness,
             tails: &self.tails,
+            gaps: &self.gaps,
             packs_short_tasks: self.packs_short_tasks(),
             suitability: self.suitability(name, spec, lateness),
         })
--- a/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
@@ -56,6 +56,11 @@
         self.average_tasks = decay * self.average_tasks + (1.0 - decay) * f64::from(tasks);
     }
 
+    /// Returns the processor time that is kept for short tasks, in thousandths of a core.
+    pub(super) fn reserve_millis(&self) -> f64 {
+        RESERVE_FACTOR * self.average_tasks * self.typical_millis
+    }
+
     /// Returns whether short tasks waited in the last pass.
     pub(super) fn has_waiting_tasks(&self) -> bool {
         self.waiting > 0
