Hold long-running tasks back until room was there without a break

Cause: a long-running task that had waited for 2 s took any two gaps of its size that were there at one moment. Between two short tasks there is such a moment, so room that short tasks use by turns became room that is held for a minute. The platform counts a task as lost if it waits beside room for 3 s; room that comes and goes is none. Ruled out: placing late short tasks before new long-running ones (virtual time, no change). Change: the 2 s count from when room for two was there without a break. A step that runs already, or was inherited, is not held back, as before. Test: long_running_task_does_not_take_room_between_two_short_jobs, red on the code as found.

--- a/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
@@ -21,8 +21,8 @@
 /// otherwise they are packed. This covers short tasks that take a large part of a worker, beside
 /// long-running ones: if spread, they leave no gap for larger tasks.
 const MIN_TASKS_TO_SPREAD: f64 = 4.0;
-/// The longest time for which a long-running task is held back while there is room for two of its
-/// size. The platform counts it as lost after 3 s.
+/// The longest time for which a long-running task is held back while there is, without a break,
+/// room for two of its size. The platform counts it as lost after 3 s.
 const MAX_HOLD_BACK: Duration = Duration::from_millis(2_000);
 
 /// The observed need of short tasks: those that end by themselves and reserve processor time.
@@ -107,9 +107,16 @@
         if !spec.long_running || !is_new || self.short_tasks.average_tasks < MIN_NEED {
             return false;
         }
-        let accepted_at = job.accepted_at;
         let (is_scarce, places) = self.scarcity_and_places(spec.size.cpu_millis.0);
-        let would_count_as_lost = places >= 2 && self.now.since(accepted_at) >= MAX_HOLD_BACK;
+        let now = self.now;
+        let step = self.jobs.get_mut(&name.job).and_then(|job| job.step_mut(name.step_name()));
+        let Some(step) = step else { return false };
+        step.room_since = match places >= 2 {
+            true => step.room_since.or(Some(now)),
+            false => None,
+        };
+        let would_count_as_lost =
+            step.room_since.is_some_and(|since| now.since(since) >= MAX_HOLD_BACK);
         is_scarce && !would_count_as_lost
     }
 
--- a/crates/kitetrail-core/src/jobs/steps.rs
+++ b/crates/kitetrail-core/src/jobs/steps.rs
@@ -117,6 +117,8 @@
     pub(super) completed_runs_ms: u64,
     /// The lengths of its runs, also of those that have not ended.
     pub(super) length: StepLength,
+    /// Since when there has been room for two of its tasks while one was held back.
+    pub(super) room_since: Option<Time>,
 }
 
 impl Step {
@@ -127,6 +129,7 @@
             completed_runs: 0,
             completed_runs_ms: 0,
             length: StepLength::default(),
+            room_since: None,
         }
     }
 
--- a/crates/kitetrail-core/tests/jobs_gaps.rs
+++ b/crates/kitetrail-core/tests/jobs_gaps.rs
@@ -38,3 +38,27 @@
     fleet.advance_ms(500);
     assert_eq!(fleet.workers_running(task(3, 0, 0)).len(), 1, "the large task waits");
 }
+
+/// Guards against room that is free for a moment and then held by a long-running task for good.
+#[test]
+fn long_running_task_does_not_take_room_between_two_short_jobs() {
+    let mut fleet = fleet_of(4);
+    let short = StepSpec { size: Resources::new(8_000, 512, 0), estimate_ms: 800, ..step(8) };
+    for id in 0..12 {
+        fleet.submit(100 + id, job(vec![short.clone()]));
+        fleet.advance_ms(900);
+    }
+    fleet.submit(1, job(vec![service("a", 4_000, 4)]));
+    for id in 12..18 {
+        fleet.submit(100 + id, job(vec![short.clone()]));
+        fleet.advance_ms(900);
+    }
+    let held = fleet.workers.values().flat_map(|worker| worker.running.values());
+    assert_eq!(
+        held.filter(|run| run.is_long_running).count(),
+        0,
+        "room was never there for longer than 0.1 s"
+    );
+    fleet.advance_ms(3_500);
+    assert_eq!(fleet.workers_running(task(1, 0, 3)).len(), 1, "it waits beside room that lasts");
+}
