Jobs of short tasks that can't end in time go after those that can

Cause: a job counts as in time until its deadline has passed, and the earliest deadline goes first. Once work waits, each job gets its last tasks just too late; what it has done is lost. How long best-effort tasks take depends on what they are left, so an estimate at full speed says little of them; short tasks reserve their processor time. Change: a job without best-effort tasks ranks as late once its remaining critical path no longer fits. Test: served_share_of_each_kind_bends_past_the_edge_and_returns.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -163,6 +163,11 @@
         self.spec.steps.iter().any(|step| step.long_running)
     }
 
+    /// Returns whether some of its tasks are best-effort.
+    pub(super) fn has_best_effort_tasks(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.best_effort)
+    }
+
     pub(super) fn is_open(&self) -> bool {
         self.outcome == Outcome::Open
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/lateness.rs
@@ -48,7 +48,8 @@
 /// The order in which jobs of the same priority are placed, first variant first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum PlacementRank {
-    /// Jobs that can complete in time, and long-running jobs that ran before.
+    /// Jobs that can complete in time, and long-running jobs that ran before. How long best-effort
+    /// tasks take depends on what they are left, so their jobs count as such until they are late.
     InTime,
     /// Long-running jobs that never ran. They occupy their room for long, so jobs that can complete
     /// in time go first.
@@ -67,8 +68,10 @@
             _ if job.is_long_running() && !job.has_started && !job.inherited => {
                 Self::NewLongRunning
             }
-            Lateness::InTime => Self::InTime,
-            Lateness::Late => Self::Late,
+            Lateness::InTime if job.has_best_effort_tasks() || job.can_be_in_time(now) => {
+                Self::InTime
+            }
+            Lateness::InTime | Lateness::Late => Self::Late,
             Lateness::Hopeless => Self::Hopeless,
         }
     }
