--- a/crates/kitetrail-core/tests/jobs_gaps.rs
+++ b/crates/kitetrail-core/tests/jobs_gaps.rs
@@ -39,7 +39,7 @@
     assert_eq!(fleet.workers_running(task(3, 0, 0)).len(), 1, "the large task waits");
 }
 
-/// Guards against room that is free for a moment and then held by a long-running task for good.
+/// Guards against room that is free for a moment and then held by a long-running task from then on.
 #[test]
 fn long_running_task_does_not_take_room_between_two_short_jobs() {
     let mut fleet = fleet_of(4);
@@ -60,5 +60,9 @@
         "room was never there for longer than 0.1 s"
     );
     fleet.advance_ms(3_500);
-    assert_eq!(fleet.workers_running(task(1, 0, 3)).len(), 1, "it waits beside room that lasts");
+    assert_eq!(
+        fleet.workers_running(task(1, 0, 3)).len(),
+        1,
+        "it waits beside room that stays free"
+    );
 }
