Decide whether a long-running task is held back before its workers are ranked

Suspected cause: held-back tasks wait longer than before, and each of them had all workers scored in each pass, 50 times a second, before it was held back. Not shown by a profile. Change: the decision first. No decision differs.

--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -87,6 +87,10 @@
     fn place_step(&mut self, step: StepName, spec: &StepSpec, pass: &mut PlacementPass) -> bool {
         let waiting = self.waiting_tasks(step, spec);
         let Some(&first) = waiting.first() else { return true };
+        // Before the ranking, which weighs every worker.
+        if self.is_held_back(first, spec) {
+            return true;
+        }
         let mut ranking = self.rank(first, spec, pass);
         for (position, &name) in waiting.iter().enumerate() {
             if pass.starts_left == 0 || self.is_held_back(name, spec) {
