--- a/crates/kitetrail-core/tests/jobs_load_edge.rs
+++ b/crates/kitetrail-core/tests/jobs_load_edge.rs
@@ -63,11 +63,12 @@
     rng: ChaCha8Rng,
     next_id: u64,
     short: Vec<Submitted>,
-    long_running: Vec<(Time, u64)>,
+    long_running: Vec<u64>,
     /// The share of the long-running tasks that was at work at some moments.
-    looks: Vec<(Time, f64)>,
-    /// Processor time that was submitted less what is due by now, in thousandths of a core times seconds.
+    samples: Vec<(Time, f64)>,
+    /// The work that is due by now less what was submitted, in thousandths of a core times seconds.
     short_owed: f64,
+    /// The same of long-running work, in thousandths of a core.
     long_running_owed: f64,
 }
 
@@ -89,7 +90,7 @@
             next_id: 1,
             short: Vec::new(),
             long_running: Vec::new(),
-            looks: Vec::new(),
+            samples: Vec::new(),
             short_owed: 0.0,
             long_running_owed: 0.0,
         };
@@ -101,7 +102,7 @@
         (0..WORKERS as usize).map(|no| f64::from(WORKER_MILLIS[no % WORKER_MILLIS.len()])).sum()
     }
 
-    /// Submits the long-running work that is there at first, whose stays end one after the other.
+    /// Submits the long-running work that is there at first.
     fn fill(&mut self, share: f64) {
         let mut wanted = Self::fleet_millis() * share;
         while wanted > 0.0 {
@@ -126,7 +127,7 @@
         };
         let watches = QueueTerms { name: "watches".into(), ..queue() };
         self.fleet.submit_to(watches, self.next_id, job(vec![spec]));
-        self.long_running.push((self.fleet.now, self.next_id));
+        self.long_running.push(self.next_id);
         self.next_id += 1;
         f64::from(millis) * f64::from(LONG_RUNNING_TASKS)
     }
@@ -172,17 +173,17 @@
             }
             self.fleet.advance_ms(INTERVAL_MS);
             if turn.is_multiple_of(25) {
-                self.look();
+                self.sample();
             }
         }
     }
 
     /// Counts the long-running tasks that are at work, and those that should be.
-    fn look(&mut self) {
+    fn sample(&mut self) {
         let running = self.fleet.workers.values().flat_map(|worker| worker.running.values());
         let at_work = running.filter(|run| run.is_long_running).count();
         let wanted = self.long_running.len() * LONG_RUNNING_TASKS as usize;
-        self.looks.push((self.fleet.now, at_work as f64 / wanted as f64));
+        self.samples.push((self.fleet.now, at_work as f64 / wanted as f64));
     }
 
     /// Returns the share of the short jobs submitted in a span that were completed in time.
@@ -204,8 +205,8 @@
 
     /// Returns the share of the long-running tasks that were at work in a span.
     fn long_running_served(&self, from: Time, until: Time) -> f64 {
-        let looks = self.looks.iter().filter(|(at, _)| *at >= from && *at < until);
-        let shares = looks.map(|(_, share)| *share).collect::<Vec<_>>();
+        let samples = self.samples.iter().filter(|(at, _)| *at >= from && *at < until);
+        let shares = samples.map(|(_, share)| *share).collect::<Vec<_>>();
         shares.iter().sum::<f64>() / shares.len() as f64
     }
 }
@@ -230,7 +231,7 @@
         let from = work.fleet.now;
         work.run(STEADY_MS, SHORT_SHARE * load, 0.0);
         let until = work.fleet.now;
-        for (_, id) in work.long_running.drain(at_first..) {
+        for id in work.long_running.drain(at_first..) {
             work.fleet.cancel(id);
         }
         work.run(RETURN_MS, SHORT_SHARE * FIRST_LOAD, 0.0);
