One type for the occupancy of the fleet, from what placement knows already

The seven figures stood in three places, and were summed from the runs of each worker though its remaining capacity holds them.

--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -6,6 +6,7 @@
     event::JobState,
     hand_in::HandInDecision,
     names::{Incarnation, JobId, QueueName, TaskName, WorkerName},
+    occupancy::Occupancy,
     order::OrderAnswer,
     record::RecordSubject,
     report::RunResult,
@@ -229,22 +230,7 @@
         lag_ms: u64,
     },
     /// What holds the processor time of the workers that take work, and the gaps that are left.
-    Occupancy {
-        /// The number of workers that take work.
-        workers: u32,
-        /// Their processor time, in thousandths of a core; the next fields have the same unit.
-        total_millis: u64,
-        /// The processor time reserved by short tasks.
-        short_millis: u64,
-        /// The processor time reserved by long-running tasks.
-        long_running_millis: u64,
-        /// The processor time that is not reserved.
-        free_millis: u64,
-        /// The size of a large short task: nine of ten recent ones are not larger.
-        large_task_millis: u32,
-        /// The number of large short tasks that the gaps have room for.
-        large_gaps: u32,
-    },
+    Occupancy(Occupancy),
     /// The data that is not persisted yet.
     Unpersisted {
         /// The number of records that wait for a batch.
--- a/crates/kitetrail-core/src/jobs/run.rs
+++ b/crates/kitetrail-core/src/jobs/run.rs
@@ -2,7 +2,7 @@
 
 use super::{
     scheduler::{LoadForecast, filter::Estimate, run_pace::RunPace, tails::ImageNo},
-    spec::{StepSpec, WorkKind},
+    spec::StepSpec,
 };
 use crate::{Resources, Time};
 
@@ -116,11 +116,6 @@
         }
     }
 
-    /// Returns the kind of work that the run is.
-    pub(super) fn kind(&self) -> WorkKind {
-        WorkKind::new(self.is_long_running, self.is_best_effort)
-    }
-
     /// Returns whether the run is serving (latency-critical).
     pub(super) fn is_serving(&self) -> bool {
         self.tail_target_ms.is_some()
--- a/crates/kitetrail-core/src/jobs/scheduler/occupancy.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/occupancy.rs
@@ -1,67 +1,28 @@
 //! Reports what holds the processor time of the fleet, and the gaps that are left.
 
 use super::{
-    super::{event::Action, instance::WorkerInstance, log_entry::LogEntry, spec::WorkKind},
+    super::{event::Action, log_entry::LogEntry, occupancy::Occupancy},
     Scheduler,
 };
 
-/// The processor time of some workers, in thousandths of a core, by what holds it.
-#[derive(Debug, Clone, Copy, Default)]
-struct Occupancy {
-    workers: u32,
-    total_millis: u64,
-    short_millis: u64,
-    long_running_millis: u64,
-    free_millis: u64,
-    large_gaps: u32,
-}
-
-impl Occupancy {
-    fn add(&mut self, instance: &WorkerInstance, large_millis: u32) {
-        let total_millis = instance.entry.capacity.cpu_millis.0;
-        let mut reserved_millis = 0;
-        for run in instance.runs().values() {
-            let run_millis = u64::from(run.size.cpu_millis.0);
-            let held_millis = match run.kind() {
-                WorkKind::Short => &mut self.short_millis,
-                WorkKind::LongRunning => &mut self.long_running_millis,
-                WorkKind::BestEffort => continue,
-            };
-            *held_millis += run_millis;
-            reserved_millis += run_millis;
-        }
-        let free_millis = u64::from(total_millis).saturating_sub(reserved_millis);
-        self.workers += 1;
-        self.total_millis += u64::from(total_millis);
-        self.free_millis += free_millis;
-        self.large_gaps += free_millis.checked_div(large_millis.into()).unwrap_or(0) as u32;
-    }
-}
-
 impl Scheduler {
     /// Reports the occupancy of the workers that take work.
     pub(super) fn report_occupancy(&mut self) {
+        self.refresh_rooms();
         let large_task_millis = self.gaps.large_millis();
-        let mut occupancy = Occupancy::default();
+        let mut occupancy = Occupancy { large_task_millis, ..Occupancy::default() };
         for instance in self.instances.values().filter(|instance| instance.accepts_work(self.now)) {
-            occupancy.add(instance, large_task_millis);
+            let Some(free_capacity) = &instance.free_capacity else { continue };
+            let total_millis = instance.entry.capacity.cpu_millis.0;
+            let free_millis = free_capacity.free.free.cpu_millis.0;
+            let gap_millis = free_capacity.gap_millis;
+            occupancy.workers += 1;
+            occupancy.total_millis += u64::from(total_millis);
+            occupancy.short_millis += u64::from(gap_millis.saturating_sub(free_millis));
+            occupancy.long_running_millis += u64::from(total_millis.saturating_sub(gap_millis));
+            occupancy.free_millis += u64::from(free_millis);
+            occupancy.large_gaps += free_millis.checked_div(large_task_millis).unwrap_or(0);
         }
-        let Occupancy {
-            workers,
-            total_millis,
-            short_millis,
-            long_running_millis,
-            free_millis,
-            large_gaps,
-        } = occupancy;
-        self.actions.push(Action::Log(LogEntry::Occupancy {
-            workers,
-            total_millis,
-            short_millis,
-            long_running_millis,
-            free_millis,
-            large_task_millis,
-            large_gaps,
-        }));
+        self.actions.push(Action::Log(LogEntry::Occupancy(occupancy)));
     }
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
@@ -97,7 +97,8 @@
         self.short_tasks.capacity_millis = total_millis / self.instances.len().max(1) as f64;
     }
 
-    /// Returns whether a long-running task that never ran waits so that short tasks find room.
+    /// Returns whether a long-running task that never ran waits so that short tasks find room, and
+    /// records since when there has been room for it.
     ///
     /// Long-running tasks occupy their room for minutes. If they take all room, short tasks wait
     /// for a gap that is too small for a long-running one. A task that ran before is not held back.
--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -122,7 +122,11 @@
 impl StepSpec {
     /// Returns the kind of work that the tasks are.
     pub fn kind(&self) -> WorkKind {
-        WorkKind::new(self.long_running, self.best_effort)
+        match (self.long_running, self.best_effort) {
+            (true, _) => WorkKind::LongRunning,
+            (false, true) => WorkKind::BestEffort,
+            (false, false) => WorkKind::Short,
+        }
     }
 }
 
@@ -140,14 +144,6 @@
 impl WorkKind {
     /// All kinds.
     pub const ALL: [Self; 3] = [Self::Short, Self::BestEffort, Self::LongRunning];
-
-    pub(super) fn new(long_running: bool, best_effort: bool) -> Self {
-        match (long_running, best_effort) {
-            (true, _) => Self::LongRunning,
-            (false, true) => Self::BestEffort,
-            (false, false) => Self::Short,
-        }
-    }
 }
 
 impl Display for WorkKind {
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -115,18 +115,12 @@
             started_late = *started_late, lag_ms = *lag_ms;
             "owner: backlog"
         ),
-        LogEntry::Occupancy {
-            workers,
-            total_millis,
-            short_millis,
-            long_running_millis,
-            free_millis,
-            large_task_millis,
-            large_gaps,
-        } => log::info!(
-            workers = *workers, total_millis = *total_millis, short_millis = *short_millis,
-            lasting_millis = *long_running_millis, free_millis = *free_millis,
-            large_task_millis = *large_task_millis, large_gaps = *large_gaps;
+        LogEntry::Occupancy(occupancy) => log::info!(
+            workers = occupancy.workers, total_millis = occupancy.total_millis,
+            short_millis = occupancy.short_millis,
+            lasting_millis = occupancy.long_running_millis,
+            free_millis = occupancy.free_millis,
+            large_task_millis = occupancy.large_task_millis, large_gaps = occupancy.large_gaps;
             "owner: occupancy"
         ),
         LogEntry::Unpersisted { records, ends, batch_sent_ago_ms } => log::info!(
