--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -24,6 +24,8 @@
 
 /// The rounding error of two clock readings, each in whole milliseconds.
 const CLOCK_ROUNDING_MS: i64 = 2;
+/// The time within which a worker has answered a poll without waiting, on the way there included.
+const IMMEDIATE_ANSWER_MS: u64 = 5;
 
 /// The number of a worker instance, unique within one scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -123,6 +125,17 @@
     pub(super) starts: bool,
 }
 
+/// When a worker gave its last report, and how closely it was observed before.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LastReport {
+    /// The worker's clock, in milliseconds.
+    pub(super) clock_ms: u64,
+    pub(super) received_at: Time,
+    /// The time before the report in which no poll waited at the worker, if the worker answered at
+    /// once; zero if it waited for the change that it reports.
+    pub(super) unobserved: Duration,
+}
+
 /// A worker's clock as given in an answer.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -207,6 +220,7 @@
     pub(super) inherited_starts: Vec<TaskName>,
     /// Whether one of the polls went unanswered while the owner itself did not lag.
     pub(super) silent_while_owner_on_time: bool,
+    pub(super) last_report: Option<LastReport>,
     /// Whether its last report did not list all of its ends.
     pub(super) has_unlisted_ends: bool,
     /// The number of the last run end that the worker reported.
@@ -257,6 +271,7 @@
             crashed_recently: false,
             inherited_starts: Vec::new(),
             silent_while_owner_on_time: false,
+            last_report: None,
             has_unlisted_ends: false,
             last_end_received: 0,
             last_end_persisted: 0,
@@ -436,6 +451,16 @@
         mem::take(&mut self.runs)
     }
 
+    /// Records when the worker gave a report in answer to a poll sent at `sent_at`, before the answer
+    /// itself is recorded.
+    pub(super) fn record_report(&mut self, clock_ms: u64, sent_at: Time, now: Time) {
+        let waited_ms = self.clock_ms(sent_at).map(|sent_ms| clock_ms.saturating_sub(sent_ms));
+        let was_immediate = waited_ms.is_some_and(|ms| ms <= IMMEDIATE_ANSWER_MS);
+        let last = self.last_report.filter(|_| was_immediate);
+        let unobserved = last.map_or(Duration::ZERO, |last| sent_at.since(last.received_at));
+        self.last_report = Some(LastReport { clock_ms, received_at: now, unobserved });
+    }
+
     /// Records an answer of the worker to a request sent at `sent_at`.
     pub(super) fn record_answer(&mut self, clock_ms: u64, sent_at: Time, now: Time) {
         self.last_answer_at = Some(now);
--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -13,6 +13,7 @@
     room::Room,
     shares::ShareBound,
     spec::WorkKind,
+    turnaround::{Turnaround, TurnaroundSummary},
 };
 use crate::Resources;
 
@@ -67,6 +68,8 @@
         worker: WorkerName,
         /// How the run ended.
         how: RunResult,
+        /// How long it held its room, if this owner started it.
+        turnaround: Option<Turnaround>,
     },
     /// A worker reported the end of a run that should be running there, under an end number that
     /// was received before.
@@ -231,6 +234,8 @@
     },
     /// What holds the processor time of the workers that take work, and the gaps that are left.
     Occupancy(Occupancy),
+    /// How long the runs of one kind that were completed in the last second held their room.
+    Turnaround(TurnaroundSummary),
     /// The data that is not persisted yet.
     Unpersisted {
         /// The number of records that wait for a batch.
--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -32,6 +32,7 @@
 mod shares;
 mod spec;
 mod steps;
+mod turnaround;
 mod worker_entry;
 
 pub use claimant_terms::ClaimantTerms;
@@ -63,4 +64,5 @@
 };
 pub use shares::{Allowance, Claim, ShareBound, divide};
 pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
+pub use turnaround::{Percentiles, Turnaround, TurnaroundSummary};
 pub use worker_entry::WorkerEntry;
--- a/crates/kitetrail-core/src/jobs/run.rs
+++ b/crates/kitetrail-core/src/jobs/run.rs
@@ -1,8 +1,10 @@
 //! A run on a worker, as far as the scheduler knows.
 
+use std::time::Duration;
+
 use super::{
     scheduler::{LoadForecast, filter::Estimate, run_pace::RunPace, tails::ImageNo},
-    spec::StepSpec,
+    spec::{StepSpec, WorkKind},
 };
 use crate::{Resources, Time};
 
@@ -52,6 +54,12 @@
 pub(super) struct PlacedRun {
     pub(super) run: u32,
     pub(super) phase: Phase,
+    /// When the run took its room.
+    pub(super) placed_at: Time,
+    /// How long its start order waited before it was sent, once it was confirmed.
+    pub(super) queued: Option<Duration>,
+    /// The worker's clock in the confirmation of its start, in milliseconds.
+    pub(super) started_clock_ms: Option<u64>,
     pub(super) size: Resources,
     /// Whether the run is best-effort: it uses the processor time that other runs leave.
     pub(super) is_best_effort: bool,
@@ -94,6 +102,9 @@
         Self {
             run,
             phase: Phase::Ordered,
+            placed_at: now,
+            queued: None,
+            started_clock_ms: None,
             size: spec.size,
             is_best_effort: spec.best_effort,
             stopping: false,
@@ -121,6 +132,14 @@
         self.tail_target_ms.is_some()
     }
 
+    pub(super) fn kind(&self) -> WorkKind {
+        match (self.is_best_effort, self.is_long_running) {
+            (true, _) => WorkKind::BestEffort,
+            (false, true) => WorkKind::LongRunning,
+            (false, false) => WorkKind::Short,
+        }
+    }
+
     pub(super) fn is_running(&self) -> bool {
         matches!(self.phase, Phase::Running(_))
     }
--- a/crates/kitetrail-core/src/jobs/scheduler/backlog.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/backlog.rs
@@ -64,6 +64,7 @@
         }
         self.report_unpersisted();
         self.report_occupancy();
+        self.report_turnarounds();
         let waiting = self.waiting_by_kind();
         let started = mem::take(&mut self.start_counts.tasks);
         self.start_counts.reported_at = self.now;
--- a/crates/kitetrail-core/src/jobs/scheduler/ends.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/ends.rs
@@ -12,8 +12,10 @@
         report::{RunEnd, RunResult},
         run::{FULL_PACE_PERCENT, Phase, PlacedRun},
         steps::Placement,
+        turnaround::Turnaround,
     },
     Scheduler,
+    turnarounds::turnaround,
 };
 use crate::Time;
 
@@ -33,6 +35,10 @@
         let ended = instance.remove_run(end.task, end.run);
         let done = ended.as_ref().filter(|_| end.how == RunResult::Done);
         let run_duration_ms = done.and_then(|run| run_duration_ms(run, now));
+        let turnaround = ended.as_ref().and_then(|run| turnaround(run, instance, now));
+        if let Some((run, turnaround)) = done.zip(turnaround) {
+            self.turnarounds.record(run.kind(), turnaround);
+        }
         match &ended {
             Some(run) => self.learn_from_end(instance_no, end.task, run, end.how, run_duration_ms),
             // An earlier owner started the run. It still shows on which workers its job fails.
@@ -48,7 +54,7 @@
         }
         self.pending.record_end(instance_no, end.number);
         self.record_duration(end.task, run_duration_ms);
-        self.apply_run_end(instance_no, end);
+        self.apply_run_end(instance_no, end, turnaround);
     }
 
     /// Handles ends of an earlier instance of a worker that arrive in a late answer.
@@ -61,17 +67,23 @@
         ended: &[RunEnd],
     ) {
         for end in ended {
-            self.apply_run_end(instance_no, end);
+            self.apply_run_end(instance_no, end, None);
         }
     }
 
     /// Applies the end of a run to its task and its job.
-    fn apply_run_end(&mut self, instance_no: InstanceNo, end: &RunEnd) {
+    fn apply_run_end(
+        &mut self,
+        instance_no: InstanceNo,
+        end: &RunEnd,
+        turnaround: Option<Turnaround>,
+    ) {
         let Some(worker) = self.instances.get(instance_no).map(|instance| instance.id().clone())
         else {
             return;
         };
-        let entry = LogEntry::RunEnded { task: end.task, run: end.run, worker, how: end.how };
+        let RunEnd { task, run, how, .. } = *end;
+        let entry = LogEntry::RunEnded { task, run, worker, how, turnaround };
         self.actions.push(Action::Log(entry));
         self.placement_needed = true;
         self.remove_placement(end.task, Placement { instance: instance_no, run: end.run });
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -55,6 +55,7 @@
 pub(super) mod step_length;
 mod stragglers;
 pub(super) mod tails;
+mod turnarounds;
 mod unique_queue;
 mod unlisted;
 mod unpersisted_ends;
@@ -86,6 +87,7 @@
     run_lengths::RunLengths,
     short_tasks::ShortTasks,
     tails::TailModel,
+    turnarounds::Turnarounds,
 };
 pub use self::{
     inherit::InheritedState,
@@ -185,6 +187,7 @@
     /// How late the last tick was.
     tick_lag: Duration,
     start_counts: StartedTasks,
+    turnarounds: Turnarounds,
     /// Whether something changed that may allow pending tasks to be placed.
     placement_needed: bool,
     /// The time of the last placement pass over all jobs.
@@ -239,6 +242,7 @@
             first_polls: FirstPolls::default(),
             tick_lag: Duration::ZERO,
             start_counts: StartedTasks::default(),
+            turnarounds: Turnarounds::default(),
             placement_needed: true,
             last_placement_at: Time::ZERO,
             actions: Vec::new(),
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -151,7 +151,9 @@
             OrderAnswer::Unanswered => self.handle_unanswered_order(instance_no, &order),
             OrderAnswer::Done { clock_ms, incarnation } => {
                 match self.executor_of(instance_no, clock_ms, incarnation, sent_at) {
-                    Executor::ThisInstance => self.handle_executed_order(instance_no, &order),
+                    Executor::ThisInstance => {
+                        self.handle_executed_order(instance_no, &order, clock_ms, sent_at)
+                    }
                     Executor::Another(incarnation) => {
                         self.handle_unanswered_order(instance_no, &order);
                         self.handle_other_incarnation(instance_no, incarnation, sent_at);
@@ -250,7 +252,13 @@
         self.send_poll_if_due(instance_no);
     }
 
-    fn handle_executed_order(&mut self, instance_no: InstanceNo, order: &Order) {
+    fn handle_executed_order(
+        &mut self,
+        instance_no: InstanceNo,
+        order: &Order,
+        clock_ms: u64,
+        sent_at: Time,
+    ) {
         let now = self.now;
         let Order::Start(start) = order else { return };
         let instance = self.instances.get_mut(instance_no);
@@ -258,6 +266,8 @@
             instance.and_then(|instance| instance.run_mut(start.task, start.run))
         {
             run_state.phase = Phase::Running(now);
+            run_state.queued = Some(sent_at.since(run_state.placed_at));
+            run_state.started_clock_ms = Some(clock_ms);
             run_state.progress.rose_at = now;
         }
         self.begin_pace(instance_no, start.task, start.run);
--- a/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/poll_answers.rs
@@ -103,6 +103,7 @@
         let Some(instance) = self.instances.get_mut(instance_no) else { return };
         let first = !instance.has_reported();
         instance.first_report_clock_ms.get_or_insert(report.clock_ms);
+        instance.record_report(report.clock_ms, sent_at, now);
         instance.record_answer(report.clock_ms, sent_at, now);
         self.dismiss_losses_of_answering(instance_no);
         self.resume_leasing(instance_no);
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -1,6 +1,8 @@
 //! Writes the scheduler's decisions to the log.
 
-use kitetrail_core::jobs::{EndCause, LogEntry, RetryDelay, TaskName, WorkerName};
+use kitetrail_core::jobs::{
+    EndCause, LogEntry, RetryDelay, TaskName, TurnaroundSummary, WorkerName,
+};
 
 /// Writes a decision to the log.
 pub(super) fn log_entry(entry: &LogEntry) {
@@ -31,7 +33,13 @@
             free = free.to_string(), heard_ago_ms:? = *last_answer_age_ms;
             "run: placed"
         ),
-        LogEntry::RunEnded { task, run, worker, how } => log::info!(
+        LogEntry::RunEnded { task, run, worker, how, turnaround: Some(turnaround) } => log::info!(
+            job = task.job.to_string(), task = task_path(task), run = *run, worker = worker.as_str(),
+            how:? = *how, held_ms = turnaround.held_ms, queued_ms = turnaround.queued_ms,
+            worked_ms = turnaround.worked_ms, unobserved_ms = turnaround.unobserved_ms;
+            "run: ended"
+        ),
+        LogEntry::RunEnded { task, run, worker, how, turnaround: None } => log::info!(
             job = task.job.to_string(), task = task_path(task), run = *run, worker = worker.as_str(),
             how:? = *how;
             "run: ended"
@@ -123,6 +131,23 @@
             large_task_millis = occupancy.large_task_millis, large_gaps = occupancy.large_gaps;
             "owner: occupancy"
         ),
+        LogEntry::Turnaround(TurnaroundSummary {
+            kind,
+            runs,
+            held,
+            queued,
+            worked,
+            unobserved,
+            transit,
+        }) => log::info!(
+            kind = kind.to_string(), runs = *runs,
+            held_p50_ms = held.p50_ms, held_p99_ms = held.p99_ms,
+            queued_p50_ms = queued.p50_ms, queued_p99_ms = queued.p99_ms,
+            worked_p50_ms = worked.p50_ms, worked_p99_ms = worked.p99_ms,
+            unobserved_p50_ms = unobserved.p50_ms, unobserved_p99_ms = unobserved.p99_ms,
+            transit_p50_ms = transit.p50_ms, transit_p99_ms = transit.p99_ms;
+            "owner: turnaround"
+        ),
         LogEntry::Unpersisted { records, ends, batch_sent_ago_ms } => log::info!(
             records = *records, ends = *ends, batch_sent_ago_ms:? = *batch_sent_ago_ms;
             "owner: records not persisted yet"
