Send starts of short tasks before best-effort starts of the same worker

Cause, first part: a worker's orders are sent one at a time, each after the answer to the one before. A start of a short task that was placed on a worker with waiting starts of a wide best-effort step waited for all of these answers, and held its reserved room meanwhile. On a calm owner an answer takes milliseconds.

Ruled out: the pause between polls (some 20 ms at a lag of 5 ms), the lag of the clock itself (12 ms at most in these seconds).

Change: starts of short tasks go ahead of waiting starts of other kinds. Test: jobs_overload::start_of_a_short_task_does_not_wait_for_best_effort_starts_on_its_worker, 1 s before, 0.2 s at most asked for.

--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -10,6 +10,7 @@
         names::TaskName,
         order::{Order, OrderAnswer, OrderRefusal},
         run::{Phase, UNKNOWN_PACE_PERCENT},
+        spec::WorkKind,
         steps::Placement,
     },
     Scheduler,
@@ -30,6 +31,26 @@
         self.send_next_order(instance_no);
     }
 
+    /// Queues the start of a short task ahead of waiting starts of other kinds, and sends it if no
+    /// other order is in flight.
+    ///
+    /// A short task holds reserved room while its start waits, and its job has the least time. A
+    /// worker's orders are sent one at a time, so behind the starts of a wide best-effort step it
+    /// would wait for as many answers.
+    pub(super) fn queue_short_start(&mut self, instance_no: InstanceNo, order: Order) {
+        let Some(instance) = self.instances.get_mut(instance_no) else { return };
+        let runs = instance.runs();
+        let is_other_start = |waiting: &Order| match waiting {
+            Order::Start(start) => {
+                runs.get(&start.task).is_some_and(|run| run.kind() != WorkKind::Short)
+            }
+            Order::Stop { .. } | Order::Pace { .. } => false,
+        };
+        let index = instance.orders.iter().position(is_other_start);
+        instance.orders.insert(index.unwrap_or(instance.orders.len()), order);
+        self.send_next_order(instance_no);
+    }
+
     /// Queues an order ahead of all waiting starts, and sends it if no other order is in flight.
     ///
     /// Each order waits for the answer to the previous one, which takes twice the owner's lag when
--- a/crates/kitetrail-core/src/jobs/scheduler/place.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/place.rs
@@ -12,7 +12,7 @@
         names::{JobId, StepName, TaskName},
         order::{Order, StartOrder},
         run::{Phase, PlacedRun},
-        spec::StepSpec,
+        spec::{StepSpec, WorkKind},
         steps::Placement,
     },
     Scheduler,
@@ -317,6 +317,9 @@
         let order = StartOrder { task: name, run, payload, checkpoint, ticket: None };
         match persist_first {
             true => self.defer_start_until_persisted(instance_no, order),
+            false if spec.kind() == WorkKind::Short => {
+                self.queue_short_start(instance_no, Order::Start(order));
+            }
             false => self.queue_order(instance_no, Order::Start(order)),
         }
     }
--- a/crates/kitetrail-core/tests/jobs_overload.rs
+++ b/crates/kitetrail-core/tests/jobs_overload.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use fleet::{Behaviour, Processor, SimulatedFleet, job, step, task};
+use fleet::{Behaviour, FakeWorker, Processor, SimulatedFleet, job, step, task};
 use kitetrail_core::{
     Resources, Time,
     jobs::{Event, JobRequestId, JobState, StepSpec},
@@ -295,3 +295,23 @@
         "a task of a silent worker was not restarted after its lease expired"
     );
 }
+
+/// Guards against a short task that holds reserved room while the starts of a wide best-effort step
+/// go first, one answer after the other.
+#[test]
+fn start_of_a_short_task_does_not_wait_for_best_effort_starts_on_its_worker() {
+    const ANSWER_DELAY: Duration = Duration::from_millis(100);
+    let mut fleet = SimulatedFleet::with_workers([FakeWorker::new(0)].map(|mut worker| {
+        worker.entry.capacity = Resources::new(16_000, 64_000, 0);
+        worker
+    }));
+    fleet.order_answer_delay = ANSWER_DELAY;
+    fleet.submit(1, job(vec![StepSpec { best_effort: true, ..step(10) }]));
+    fleet.advance_until("the first best-effort start is sent", |fleet| !fleet.starts.is_empty());
+    let submitted_at = fleet.now;
+    fleet.submit(2, job(vec![step(1)]));
+    fleet.advance_ms(5_000);
+    let short_start = fleet.starts.iter().find(|(_, name, ..)| *name == task(2, 0, 0));
+    let waited = short_start.expect("the short task starts").0.since(submitted_at);
+    assert!(waited <= 2 * ANSWER_DELAY, "the short task starts {waited:?} after its submission");
+}
