Drive a connection to a service from the task of its exchange

Ruled out: the network (transit of 14 ms on a calm owner, the same links), slow workers (all workers alike).

Change: idle connections are kept by host, and the task of an exchange drives its connection itself. Silent connections are replaced as before, by host; hosts that are not called any more are forgotten, so there is no limit of hosts any more.

--- a/crates/kitetrail-platform/src/connections.rs
+++ b/crates/kitetrail-platform/src/connections.rs
@@ -1,26 +1,24 @@
-//! Connection pools. When a connection to a host goes silent, the host gets a new pool.
+//! Idle connections by host. When a connection to a host goes silent, later calls use new ones.
+
+mod connection;
 
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::http::uri::Authority;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
-};
+use hyper::{Request, http::uri::Authority};
+
+use self::connection::Connection;
+pub(crate) use self::connection::{ConnectError, ExchangeError, Response};
 
 /// The time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// The maximum number of hosts with a pool of their own.
-///
-/// At this limit all hosts move to a new common pool, at the cost of one new connection per host. The
-/// limit exceeds the number of workers of the largest site.
-const MAX_HOST_POOLS: usize = 1_024;
+/// The interval at which idle connections are checked for that.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The number of times that silent connections were replaced, by service.
 #[derive(Debug, Clone, Default)]
@@ -38,75 +36,132 @@
     }
 }
 
-/// A connection pool with its generation, which tells the successive pools of a host apart.
-#[derive(Debug, Clone)]
-pub(crate) struct Pool {
-    pub(crate) client: Client<HttpConnector, Full<Bytes>>,
-    generation: u64,
-}
+/// Tells the successive sets of connections to a host apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Generation(u64);
 
-/// The connection pools for all hosts of one service.
+/// The connections to all hosts of one service.
 #[derive(Debug, Clone)]
 pub(crate) struct Connections {
     connect_timeout: Duration,
-    pools: Arc<Mutex<Pools>>,
+    hosts: Arc<Mutex<Hosts>>,
 }
 
 #[derive(Debug)]
-struct Pools {
-    /// The pool for hosts without a pool of their own.
-    common: Pool,
-    /// The pools of hosts that had a silent connection.
-    per_host: HashMap<Authority, Pool>,
-    /// The generation of the next pool.
+struct Hosts {
+    by_authority: HashMap<Authority, Host>,
+    /// The generation of the next new or replaced set of connections.
     next_generation: u64,
+    swept_at: Instant,
+}
+
+#[derive(Debug)]
+struct Host {
+    generation: Generation,
+    /// The idle connections, the one that was used last at the end.
+    idle: Vec<Connection>,
+    used_at: Instant,
 }
 
 impl Connections {
     pub(crate) fn new(connect_timeout: Duration) -> Self {
-        let common = Pool { client: build_client(connect_timeout), generation: 0 };
-        let pools = Pools { common, per_host: HashMap::new(), next_generation: 1 };
-        Self { connect_timeout, pools: Arc::new(Mutex::new(pools)) }
+        let hosts =
+            Hosts { by_authority: HashMap::new(), next_generation: 0, swept_at: Instant::now() };
+        Self { connect_timeout, hosts: Arc::new(Mutex::new(hosts)) }
     }
 
-    /// Returns the current pool for a host.
-    pub(crate) fn pool_for(&self, host: &Authority) -> Pool {
-        let pools = lock(&self.pools);
-        pools.per_host.get(host).unwrap_or(&pools.common).clone()
+    /// Returns the generation of the connections that a call to a host uses now.
+    pub(crate) fn generation_for(&self, host: &Authority) -> Generation {
+        lock(&self.hosts).host(host).generation
     }
 
-    /// Replaces the pool of a host if `suspect` is still its current pool.
+    /// Stops using the connections to a host if `suspect` is still their generation.
     ///
-    /// Later calls use new connections; calls in progress continue on the old ones. Returns whether the
-    /// pool was replaced.
-    pub(crate) fn replace_pool(&self, host: &Authority, suspect: &Pool) -> bool {
-        let mut pools = lock(&self.pools);
-        let current = pools.per_host.get(host).unwrap_or(&pools.common);
-        if current.generation != suspect.generation {
+    /// Later calls use new connections; calls in progress continue on the old ones. Returns whether
+    /// the connections were replaced.
+    pub(crate) fn replace(&self, host: &Authority, suspect: Generation) -> bool {
+        let mut hosts = lock(&self.hosts);
+        if hosts.host(host).generation != suspect {
             return false;
         }
-        let pool =
-            Pool { client: build_client(self.connect_timeout), generation: pools.next_generation };
-        pools.next_generation += 1;
-        if pools.per_host.len() >= MAX_HOST_POOLS {
-            pools.per_host.clear();
-            pools.common = pool;
-        } else {
-            pools.per_host.insert(host.clone(), pool);
-        }
+        hosts.by_authority.remove(host);
         true
     }
+
+    /// Sends a request to a host over an idle connection, or over a new one if none is idle, and
+    /// returns the complete response.
+    pub(crate) async fn exchange(
+        &self,
+        host: &Authority,
+        generation: Generation,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Result<Response, ExchangeError>, ConnectError> {
+        let mut connection = match self.take_idle(host, generation).await {
+            Some(connection) => connection,
+            None => Connection::open(host, self.connect_timeout).await?,
+        };
+        let response = connection.exchange(request).await;
+        if response.is_ok() && connection.is_usable().await {
+            self.put_back(host, generation, connection);
+        }
+        Ok(response)
+    }
+
+    async fn take_idle(&self, host: &Authority, generation: Generation) -> Option<Connection> {
+        loop {
+            let mut connection = lock(&self.hosts).pop_idle(host, generation)?;
+            if connection.is_usable().await {
+                return Some(connection);
+            }
+        }
+    }
+
+    fn put_back(&self, host: &Authority, generation: Generation, mut connection: Connection) {
+        let mut hosts = lock(&self.hosts);
+        let known = hosts.host(host);
+        if known.generation == generation {
+            connection.idle_since = Instant::now();
+            known.idle.push(connection);
+        }
+        hosts.sweep_if_due();
+    }
 }
 
-fn build_client(connect_timeout: Duration) -> Client<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(connect_timeout));
-    connector.set_nodelay(true);
-    Client::builder(TokioExecutor::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .pool_timer(TokioTimer::new())
-        .retry_canceled_requests(false)
-        .build(connector)
+impl Hosts {
+    /// Returns what is known of a host, which is used now.
+    fn host(&mut self, host: &Authority) -> &mut Host {
+        let (now, next) = (Instant::now(), &mut self.next_generation);
+        let known = self.by_authority.entry(host.clone()).or_insert_with(|| {
+            // A generation of its own for each entry: calls in progress may outlast an entry.
+            *next += 1;
+            Host { generation: Generation(*next), idle: Vec::new(), used_at: now }
+        });
+        known.used_at = now;
+        known
+    }
+
+    fn pop_idle(&mut self, host: &Authority, generation: Generation) -> Option<Connection> {
+        let known = self.by_authority.get_mut(host)?;
+        match known.generation == generation {
+            true => known.idle.pop(),
+            false => None,
+        }
+    }
+
+    /// Closes connections that were idle for too long, and forgets hosts that are not called any
+    /// more.
+    fn sweep_if_due(&mut self) {
+        let now = Instant::now();
+        if now.duration_since(self.swept_at) < SWEEP_INTERVAL {
+            return;
+        }
+        self.swept_at = now;
+        let is_recent = |since: Instant| now.duration_since(since) < IDLE_TIMEOUT;
+        self.by_authority.retain(|_, known| {
+            known.idle.retain(|connection| is_recent(connection.idle_since));
+            !known.idle.is_empty() || is_recent(known.used_at)
+        });
+    }
 }
 
 /// Locks a mutex. A poisoned lock is safe to use, since no code that holds it can panic half way.
--- a/crates/kitetrail-platform/src/http.rs
+++ b/crates/kitetrail-platform/src/http.rs
@@ -17,8 +17,8 @@
 use serde::Deserialize;
 
 use crate::{
-    BoxList, JsonClient, ObjectStore, PlatformError, TableService, Worker,
-    json_client::{Response, get_request},
+    BoxList, JsonClient, ObjectStore, PlatformError, TableService, Worker, connections::Response,
+    json_client::get_request,
 };
 
 /// A [`TableService`] over HTTP.
--- a/crates/kitetrail-platform/src/json_client.rs
+++ b/crates/kitetrail-platform/src/json_client.rs
@@ -3,21 +3,20 @@
 use std::{pin::pin, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Request, StatusCode, Uri,
-    header::{CONTENT_TYPE, HeaderValue},
+    Method, Request, StatusCode, Uri,
+    header::{CONTENT_TYPE, HOST, HeaderValue},
+    http::uri::Authority,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     PlatformError,
-    connections::{Connections, Pool, SilenceCounts},
+    connections::{Connections, Generation, Response, SilenceCounts},
     within,
 };
 
-/// The maximum size of a response body.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// The maximum length of a response body in an error message, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 200;
 
@@ -38,13 +37,6 @@
     }
 }
 
-/// A complete response.
-pub(crate) struct Response {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
 /// An HTTP client for one service, with one timeout for the whole exchange.
 ///
 /// An open connection may go silent without a reset. When a call gets no response in time, later calls
@@ -108,18 +100,19 @@
 
     async fn exchange_with_limits(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         limits: CallLimits,
     ) -> Result<Response, PlatformError> {
         let host = request.uri().authority().cloned();
         let host = host.ok_or_else(|| self.answer_lost_error("the URI has no host".to_owned()))?;
-        let pool = self.connections.pool_for(&host);
-        let mut exchange = pin!(self.exchange(&pool, request));
+        self.set_target(&mut request, &host)?;
+        let generation = self.connections.generation_for(&host);
+        let mut exchange = pin!(self.exchange(&host, generation, request));
         let suspect_after = limits.suspect_after.min(limits.timeout);
         if let Some(response) = within(suspect_after, exchange.as_mut()).await {
             return response;
         }
-        if self.connections.replace_pool(&host, &pool) {
+        if self.connections.replace(&host, generation) {
             self.silence_counts.note(self.service);
             log::info!(
                 service = self.service, host = host.as_str(),
@@ -133,6 +126,20 @@
         }
     }
 
+    /// Names the host in a header, and leaves the path and the query in the URI.
+    fn set_target(
+        &self,
+        request: &mut Request<Full<Bytes>>,
+        host: &Authority,
+    ) -> Result<(), PlatformError> {
+        let value = HeaderValue::from_str(host.as_str());
+        let value = value.map_err(|error| self.answer_lost_error(error.to_string()))?;
+        request.headers_mut().insert(HOST, value);
+        let path = request.uri().path_and_query().cloned();
+        *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+        Ok(())
+    }
+
     /// Sends a GET request and parses the JSON response. Returns `None` for the status "not found".
     pub async fn get<T: DeserializeOwned>(&self, uri: Uri) -> Result<Option<T>, PlatformError> {
         let (status, body) = self.send(get_request(uri)).await?;
@@ -178,20 +185,16 @@
 
     async fn exchange(
         &self,
-        pool: &Pool,
+        host: &Authority,
+        generation: Generation,
         request: Request<Full<Bytes>>,
     ) -> Result<Response, PlatformError> {
-        let http_response = pool.client.request(request).await.map_err(|error| {
-            let cause = format_error_chain(&error);
-            match error.is_connect() {
-                true => PlatformError::Unreachable { service: self.service, cause },
-                false => self.answer_lost_error(cause),
-            }
+        let exchange = self.connections.exchange(host, generation, request).await;
+        let response = exchange.map_err(|error| PlatformError::Unreachable {
+            service: self.service,
+            cause: format_error_chain(&error),
         })?;
-        let (parts, body) = http_response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| self.answer_lost_error(error.to_string()))?.to_bytes();
-        Ok(Response { status: parts.status, headers: parts.headers, body })
+        response.map_err(|error| self.answer_lost_error(format_error_chain(&error)))
     }
 
     fn answer_lost_error(&self, cause: String) -> PlatformError {
