Poll less often where no short task runs while answers wait in the process

Once the events cost more than there is, the delay grows until the calls in flight limit it.

Ruled out as a measure: the lag, however weighted; it is that of one turn.

Change: the delay of answers is measured, as the median round trip of the last 128 orders beyond the shortest such median. Polls of workers without a short task pause for longer by 15 times this delay, 0.9 s at most: ends of best-effort tasks free no reserved room, and more of them share an answer. Where a tail is above its target polls are as frequent as before.

--- a/crates/kitetrail-core/src/jobs/instance.rs
+++ b/crates/kitetrail-core/src/jobs/instance.rs
@@ -18,6 +18,7 @@
         MAX_CLOCK_SLOWDOWN_PERCENT, free_capacity::FreeCapacity, tails::ImageNo,
         worker_health::WorkerHealth,
     },
+    spec::WorkKind,
     worker_entry::WorkerEntry,
 };
 use crate::Time;
@@ -386,6 +387,11 @@
         self.runs.values().any(|run| run.is_best_effort)
     }
 
+    /// Returns whether some run reserves processor time and ends by itself.
+    pub(super) fn has_short_tasks(&self) -> bool {
+        self.runs.values().any(|run| run.kind() == WorkKind::Short)
+    }
+
     /// Returns whether a tail latency was above its target in the last report, with a best-effort
     /// run beside it.
     pub(super) fn exceeds_tail_target(&self) -> bool {
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -47,6 +47,7 @@
 mod refused_progress;
 mod refused_records;
 mod requests;
+mod response_delay;
 mod run_lengths;
 pub(super) mod run_pace;
 mod short_tasks;
@@ -84,6 +85,7 @@
     overload::Overload,
     pending::PendingRecords,
     preempting::Preemptions,
+    response_delay::ResponseDelay,
     run_lengths::RunLengths,
     short_tasks::ShortTasks,
     tails::TailModel,
@@ -183,6 +185,7 @@
     evacuation: ZoneEvacuation,
     operator_rows: OperatorRows,
     overload: Overload,
+    response_delay: ResponseDelay,
     first_polls: FirstPolls,
     /// How late the last tick was.
     tick_lag: Duration,
@@ -239,6 +242,7 @@
             evacuation: ZoneEvacuation::default(),
             operator_rows: OperatorRows::default(),
             overload: Overload::default(),
+            response_delay: ResponseDelay::default(),
             first_polls: FirstPolls::default(),
             tick_lag: Duration::ZERO,
             start_counts: StartedTasks::default(),
@@ -409,6 +413,7 @@
 
     fn tick(&mut self) {
         self.first_polls.begin_tick(self.tick_lag);
+        self.response_delay.update();
         self.update_lease();
         self.refuse_unsent_jobs();
         self.retry_refused_records();
--- a/crates/kitetrail-core/src/jobs/scheduler/overload.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload.rs
@@ -47,7 +47,7 @@
 const POLL_PAUSE_FACTOR: u32 = 4;
 /// The longest added pause. With the time that a worker may delay its answer, leases of 4 s are
 /// still renewed at least every 1.5 s.
-const MAX_POLL_PAUSE: Duration = Duration::from_millis(900);
+pub(super) const MAX_POLL_PAUSE: Duration = Duration::from_millis(900);
 
 /// The lag of the owner, and the work it sheds.
 #[derive(Debug)]
