--- a/crates/kitetrail-core/src/jobs/scheduler/response_delay.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/response_delay.rs
@@ -6,8 +6,8 @@
 
 /// The number of answers that are remembered: those of some tens of milliseconds under load.
 const REMEMBERED_ANSWERS: usize = 128;
-/// The multiple of the delay that is added to the pause between polls. At a delay of 60 ms, some of
-/// which a short job bears several times, polls are as rare as they may be.
+/// The multiple of the delay that is added to the pause between polls. At a delay of 60 ms, which a
+/// short job bears several times, polls are as rare as leases allow.
 const POLL_PAUSE_FACTOR: u32 = 15;
 
 /// The delay of answers beyond the time that they take on an owner that has nothing else to do.
@@ -53,3 +53,6 @@
         self.delay = *median - shortest;
     }
 }
+
+#[cfg(test)]
+mod tests;
