Poll workers with short tasks as usual up to a lag of 100 ms

Callers saw bid checks of the large tender desk earn half of what they earn on a cheaper machine.

Ruled out: the decision how often to poll other workers, which follows from the delay of answers.

Change: polls of workers that run short tasks are delayed only by the lag beyond 100 ms, from which on other work is shed. Test: overload::workers_with_short_tasks_are_polled_as_usual_up_to_a_higher_lag.

--- a/crates/kitetrail-core/src/jobs/scheduler/overload.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload.rs
@@ -45,6 +45,9 @@
 /// The multiple of the lag that is added to the pause before the next poll of a worker, so that
 /// fewer polls are requested until the pending ones are answered in time.
 const POLL_PAUSE_FACTOR: u32 = 4;
+/// The lag up to which workers that run short tasks are polled as usual. Their room is reserved, and
+/// is given to the next task only once an end is known.
+const SHORT_TASKS_POLL_LAG: Duration = Duration::from_millis(100);
 /// The longest added pause. With the time that a worker may delay its answer, leases of 4 s are
 /// still renewed at least every 1.5 s.
 pub(super) const MAX_POLL_PAUSE: Duration = Duration::from_millis(900);
@@ -101,6 +104,12 @@
         (self.lag * POLL_PAUSE_FACTOR).min(MAX_POLL_PAUSE)
     }
 
+    /// Returns the same for a worker that runs short tasks, whose room waits for the poll.
+    pub(super) fn poll_pause_of_short_tasks(&self) -> Duration {
+        let excess = self.lag.saturating_sub(SHORT_TASKS_POLL_LAG);
+        (excess * POLL_PAUSE_FACTOR).min(MAX_POLL_PAUSE)
+    }
+
     /// Records the current lag. Returns whether jobs are accepted, if that changed.
     pub(super) fn record_lag(&mut self, lag: Duration, now: Time) -> Option<bool> {
         let gap_s = now.since(self.measured_at).as_secs_f64();
--- a/crates/kitetrail-core/src/jobs/scheduler/overload/tests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/overload/tests.rs
@@ -64,6 +64,18 @@
     assert_eq!(overload.poll_pause(), ms(900));
 }
 
+#[test]
+fn workers_with_short_tasks_are_polled_as_usual_up_to_a_higher_lag() {
+    let pause_at = |lag_ms| {
+        let mut overload = Overload::default();
+        overload.record_lag(ms(lag_ms), Time::from_ms(1_000));
+        overload.poll_pause_of_short_tasks()
+    };
+    assert_eq!(pause_at(100), Duration::ZERO);
+    assert_eq!(pause_at(150), ms(200));
+    assert_eq!(pause_at(5_000), ms(900));
+}
+
 #[test]
 fn starts_resume_gradually_and_become_unlimited_again() {
     let mut overload = Overload::default();
--- a/crates/kitetrail-core/src/jobs/scheduler/polls.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/polls.rs
@@ -91,8 +91,9 @@
                 }
             }
             0 if instance.exceeds_tail_target() => POLL_PAUSE,
-            // Reserved room is given to the next task only once an end is known.
-            0 if instance.has_short_tasks() => POLL_PAUSE + self.overload.poll_pause(),
+            0 if instance.has_short_tasks() => {
+                POLL_PAUSE + self.overload.poll_pause_of_short_tasks()
+            }
             0 => POLL_PAUSE + self.overload.poll_pause().max(self.response_delay.poll_pause()),
             failed_polls => (POLL_RETRY_STEP * failed_polls).min(MAX_POLL_RETRY),
         };
