Forget the delay of answers once it is older than a second

Found in the review of the change: the delay was that of the last 128 orders, however old. After a burst in a fleet to which few orders are sent, polls of workers without short tasks would have paused for up to 0.9 s longer for tens of seconds, and ends of best-effort tasks there would have been learned as much later.

Change: only answers of the last second count, and fewer than 16 of them show no delay. The large site gets 128 answers in a tenth of a second, so its polls stay the same.

--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -413,7 +413,7 @@
 
     fn tick(&mut self) {
         self.first_polls.begin_tick(self.tick_lag);
-        self.response_delay.update();
+        self.response_delay.update(self.now);
         self.update_lease();
         self.refuse_unsent_jobs();
         self.retry_refused_records();
--- a/crates/kitetrail-core/src/jobs/scheduler/orders.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/orders.rs
@@ -173,7 +173,7 @@
             OrderAnswer::Done { clock_ms, incarnation } => {
                 match self.executor_of(instance_no, clock_ms, incarnation, sent_at) {
                     Executor::ThisInstance => {
-                        self.response_delay.record(now.since(sent_at));
+                        self.response_delay.record(now.since(sent_at), now);
                         self.handle_executed_order(instance_no, &order, clock_ms, sent_at)
                     }
                     Executor::Another(incarnation) => {
--- a/crates/kitetrail-core/src/jobs/scheduler/response_delay.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/response_delay.rs
@@ -1,11 +1,16 @@
 //! Measures how long answers of workers wait in the owner's process.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use super::overload::MAX_POLL_PAUSE;
+use crate::Time;
 
-/// The number of answers that are remembered: those of some tens of milliseconds under load.
-const REMEMBERED_ANSWERS: usize = 128;
+/// The most answers that are remembered: those of some tens of milliseconds under load.
+const MAX_ANSWERS: usize = 128;
+/// The fewest answers that show a delay.
+const MIN_ANSWERS: usize = 16;
+/// The time for which an answer is remembered, so that a delay is not taken for one of now.
+const MAX_AGE: Duration = Duration::from_millis(1_000);
 /// The multiple of the delay that is added to the pause between polls. At a delay of 60 ms, which a
 /// short job bears several times, polls are as rare as leases allow.
 const POLL_PAUSE_FACTOR: u32 = 15;
@@ -16,10 +21,9 @@
 /// passes several tasks of the process in turn, each of which waits as long.
 #[derive(Debug, Default)]
 pub(super) struct ResponseDelay {
-    /// The last round trips, in a ring.
-    recent: Vec<Duration>,
-    next: usize,
-    /// The shortest median of as many round trips.
+    /// The last round trips, and when they ended.
+    recent: VecDeque<(Time, Duration)>,
+    /// The shortest median of the remembered round trips.
     shortest: Option<Duration>,
     delay: Duration,
 }
@@ -32,22 +36,24 @@
     }
 
     /// Records the round trip of an order, which a worker answers at once.
-    pub(super) fn record(&mut self, round_trip: Duration) {
-        match self.recent.get_mut(self.next) {
-            Some(oldest) => *oldest = round_trip,
-            None => self.recent.push(round_trip),
+    pub(super) fn record(&mut self, round_trip: Duration, now: Time) {
+        if self.recent.len() == MAX_ANSWERS {
+            self.recent.pop_front();
         }
-        self.next = (self.next + 1) % REMEMBERED_ANSWERS;
+        self.recent.push_back((now, round_trip));
     }
 
     /// Updates the delay from the last answers. The median leaves out workers that answer late by
     /// themselves.
-    pub(super) fn update(&mut self) {
-        if self.recent.len() < REMEMBERED_ANSWERS {
+    pub(super) fn update(&mut self, now: Time) {
+        while self.recent.pop_front_if(|(at, _)| now.since(*at) > MAX_AGE).is_some() {}
+        if self.recent.len() < MIN_ANSWERS {
+            self.delay = Duration::ZERO;
             return;
         }
-        let mut sorted = self.recent.clone();
-        let (_, median, _) = sorted.select_nth_unstable(REMEMBERED_ANSWERS / 2);
+        let mut sorted = self.recent.iter().map(|(_, trip)| *trip).collect::<Vec<_>>();
+        let middle = sorted.len() / 2;
+        let (_, median, _) = sorted.select_nth_unstable(middle);
         let shortest = self.shortest.map_or(*median, |shortest| shortest.min(*median));
         self.shortest = Some(shortest);
         self.delay = *median - shortest;
