Error messages of connections name each cause once

The command line printed "Connection refused" twice where it can't reach a daemon, as the errors of the new connections had the text of their cause. They say what was tried again, as before.

--- a/crates/kitetrail-platform/src/connections/connection.rs
+++ b/crates/kitetrail-platform/src/connections/connection.rs
@@ -27,18 +27,18 @@
 /// The reason why a connection can't be established.
 #[derive(Debug, Error)]
 pub(crate) enum ConnectError {
-    #[error("{0}")]
+    #[error("client error (Connect): tcp connect error")]
     Io(#[from] io::Error),
-    #[error("{0}")]
+    #[error("client error (Connect)")]
     Http(#[from] hyper::Error),
-    #[error("no connection within {0:?}")]
+    #[error("client error (Connect): no connection within {0:?}")]
     TimedOut(Duration),
 }
 
 /// The reason why an exchange has no complete response.
 #[derive(Debug, Error)]
 pub(crate) enum ExchangeError {
-    #[error("{0}")]
+    #[error("client error (SendRequest)")]
     Request(#[from] hyper::Error),
     #[error("{0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
