A request keeps the host that it names

Since the client named the host of the connection in each request, also where the request named one itself.

--- a/crates/kitetrail-platform/src/json_client.rs
+++ b/crates/kitetrail-platform/src/json_client.rs
@@ -126,7 +126,8 @@
         }
     }
 
-    /// Names the host in a header, and leaves the path and the query in the URI.
+    /// Names the host in a header unless the request names one, and leaves the path and the query in
+    /// the URI.
     fn set_target(
         &self,
         request: &mut Request<Full<Bytes>>,
@@ -134,7 +135,7 @@
     ) -> Result<(), PlatformError> {
         let value = HeaderValue::from_str(host.as_str());
         let value = value.map_err(|error| self.answer_lost_error(error.to_string()))?;
-        request.headers_mut().insert(HOST, value);
+        request.headers_mut().entry(HOST).or_insert(value);
         let path = request.uri().path_and_query().cloned();
         *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
         Ok(())
