--- a/crates/kitetrail-core/src/jobs/scheduler/response_delay/tests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/response_delay/tests.rs
@@ -48,7 +48,7 @@
     assert_eq!(delay.poll_pause(), Duration::ZERO);
 }
 
-/// Guards against a delay that lasts after a burst, in a fleet to which few orders are sent.
+/// Guards against a delay that is still assumed after a burst, in a fleet to which few orders are sent.
 #[test]
 fn delay_of_a_burst_is_forgotten_without_further_answers() {
     let mut delay = ResponseDelay::default();
