Receive callers' bodies within one budget of memory

Callers saw: a box ends, out of memory, when many clients send bodies of legal size and stop before their end. Cause, read and measured: each body was bounded, their sum was not; a body was kept as a list of frames, so that a chunk of one byte held its entry and the read buffer that it points into (64 clients with chunks of one byte: 278 MB); and the list was copied once more when it was complete.

Bodies are now collected in one buffer each, charged to a budget of an eighth of the machine's memory by what the buffer really takes. When it is used up, the body that has held the most for the longest time without progress is evicted and refused with 503, which is true since nothing of it reached an owner; a quarter of the budget is for short requests, which are never evicted for long ones. The reservation is dropped with the request on every way out (property test: any order of frames, ends, evictions and cancellations stays within the budget and ends at zero). After decoding it covers the decoded job until it is answered.

Ruled out: a shorter time for bodies. Three seconds of a 1,000 Mbit/s link are more than the memory of any machine, and a slow client in calm is to be served.

--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -222,6 +222,16 @@
         serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
     }
 
+    /// Returns the approximate memory that the specification takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let step_bytes = |step: &StepSpec| {
+            let texts = [&step.label, &step.near_rack, &step.image];
+            let texts = texts.into_iter().flatten().map(String::len).sum::<usize>();
+            size_of::<StepSpec>() + texts + step.depends_on.len() * size_of::<u32>()
+        };
+        size_of::<Self>() + self.payload.len() + self.steps.iter().map(step_bytes).sum::<usize>()
+    }
+
     /// Returns the number of times that the steps run.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.count.max(1))
--- a/crates/kitetrail-core/src/lib.rs
+++ b/crates/kitetrail-core/src/lib.rs
@@ -29,4 +29,4 @@
     WorkerId, ZoneId,
 };
 pub use time::Time;
-pub use units::{Accelerators, CpuMillis, InvalidSize, MemoryMb, Resources};
+pub use units::{Accelerators, ByteSize, CpuMillis, InvalidSize, MemoryMb, Resources};
--- a/crates/kitetrail-core/src/units.rs
+++ b/crates/kitetrail-core/src/units.rs
@@ -72,6 +72,40 @@
     }
 }
 
+/// A number of bytes.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ByteSize(pub u64);
+
+impl ByteSize {
+    /// The units and their sizes in bytes, the largest first.
+    const UNITS: [(&str, u64); 3] = [("MiB", 1_024 * 1_024), ("KiB", 1_024), ("B", 1)];
+}
+
+impl Display for ByteSize {
+    /// Writes the size in the largest unit of which it is a whole multiple.
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let whole = Self::UNITS.iter().find(|(_, bytes)| self.0 % bytes == 0 && self.0 > 0);
+        let (unit, bytes) = whole.unwrap_or(&("B", 1));
+        write!(f, "{}{unit}", self.0 / bytes)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = InvalidSize;
+
+    fn from_str(s: &str) -> Result<Self, InvalidSize> {
+        let parse = |(unit, bytes): &(&str, u64)| {
+            let count = s.strip_suffix(unit)?.parse::<u64>().ok()?;
+            count.checked_mul(*bytes).map(Self)
+        };
+        let invalid =
+            || InvalidSize { text: s.to_owned(), expected: "`64MiB`, `512KiB` or `100B`" };
+        Self::UNITS.iter().find_map(parse).ok_or_else(invalid)
+    }
+}
+
 /// A number of whole accelerators.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -147,3 +181,6 @@
         write!(f, "cpu={} memory={} acc={}", self.cpu_millis, self.memory_mb, self.accelerators)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -7,8 +7,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, header::HOST, server::conn::http1,
     service::service_fn,
@@ -34,6 +32,7 @@
     },
     shared::Shared,
 };
+use crate::admission::{BodyError, ReceivedBody};
 
 /// The part of the caller's timeout that is reserved for sending the response.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(60);
@@ -43,6 +42,9 @@
 /// The smallest buffer size that the HTTP library allows.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// The number of copies of a job that may be in memory until it is answered: decoded, and encoded for the owner.
+const COPIES_OF_SPEC: usize = 2;
+
 /// Accepts connections until the process ends.
 pub(super) async fn accept<P: Platform>(shared: Rc<Shared<P>>, listener: TcpListener) {
     loop {
@@ -209,17 +211,23 @@
     limits: CallerLimits,
 ) -> Response<Body> {
     let Submission { job, times, answer_by } = submission;
-    let body = match read_body(request, limits).await {
-        Ok(body) => body,
-        Err(response) => return response,
+    let timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
+    let received = shared.bodies.receive(request.into_body(), limits.max_body_bytes, timeout).await;
+    let ReceivedBody { contents, mut reservation } = match received {
+        Ok(received) => received,
+        Err(error) => return body_error_response(shared, job, &error),
     };
-    let spec = match read_job(shared, &body) {
+    let spec = match read_job(shared, &contents) {
         Ok(spec) => Rc::new(spec),
         Err(error) => {
             log::info!(job = job.to_string(), why = error.as_str(); "front: a job is malformed");
             return error_response(StatusCode::BAD_REQUEST, &error);
         }
     };
+    drop(contents);
+    if !reservation.try_resize(spec.memory_bytes() * COPIES_OF_SPEC) {
+        return body_error_response(shared, job, &BodyError::NoMemory);
+    }
     let call = Call::Submit { job, queue: route.queue.clone(), spec, answer_by };
     match calls::call_owner(shared, call, times).await {
         Answer::Accepted => empty_response(StatusCode::OK),
@@ -285,23 +293,33 @@
     }
 }
 
-async fn read_body(
-    request: Request<Incoming>,
-    limits: CallerLimits,
-) -> Result<Bytes, Response<Body>> {
-    let body = Limited::new(request.into_body(), limits.max_body_bytes).collect();
-    let timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
-    match time::timeout(timeout, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(closing(error_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")))
+/// Returns the response to a request whose body was not received or whose job can't be held in memory. The job was not
+/// passed on, so a refusal is final.
+fn body_error_response<P: Platform>(
+    shared: &Shared<P>,
+    job: JobId,
+    error: &BodyError,
+) -> Response<Body> {
+    let budget = shared.bodies.budget();
+    log::info!(
+        job = job.to_string(), why = error.to_string(), reserved_bytes = budget.reserved().0,
+        capacity_bytes = budget.capacity().0;
+        "front: a body was not received"
+    );
+    closing(match error {
+        BodyError::TooLong(_) => {
+            error_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
         }
-        Ok(Err(error)) => {
-            log::debug!("front: can't read a request body: {error}");
-            Err(closing(error_response(StatusCode::BAD_REQUEST, "the body can't be read")))
+        BodyError::TooSlow(_) => {
+            error_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")
         }
-        Err(_) => {
-            Err(closing(error_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")))
+        BodyError::Unreadable(_) => {
+            error_response(StatusCode::BAD_REQUEST, "the body can't be read")
         }
-    }
+        BodyError::NoMemory => refused_job_response(
+            job,
+            None,
+            "it was not taken: too many requests are being received",
+        ),
+    })
 }
--- a/crates/kitetraild/src/fleet/settings.rs
+++ b/crates/kitetraild/src/fleet/settings.rs
@@ -5,6 +5,7 @@
 use kitetrail_core::{jobs::LoadParts, succession::BoxStrength};
 
 use super::ConnectionLimits;
+use crate::admission::MachineLimits;
 
 /// The addresses on which a box listens.
 #[derive(Debug, Clone)]
@@ -36,6 +37,8 @@
     pub ended_job_retention: Duration,
     /// The number of workers that the box can manage as the owner.
     pub strength: BoxStrength,
+    /// The limits of the machine.
+    pub machine: MachineLimits,
     /// The timeouts of connections.
     pub limits: ConnectionLimits,
     /// The time within which a box must stop after it was asked to.
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -28,7 +28,11 @@
     owner::OwnerMessage,
     peers::{PeerClients, PublishedStatus},
 };
-use crate::{clock::Clock, metrics::Metrics};
+use crate::{
+    admission::{BodyReceiver, MemoryBudget},
+    clock::Clock,
+    metrics::Metrics,
+};
 
 /// The HTTP statuses of a store that can't serve requests now: too many requests, and unavailable.
 /// Any other refusal shows that it is working.
@@ -74,6 +78,8 @@
     pub(super) incarnation: u64,
     pub(super) metrics: Metrics,
     pub(super) peers: PeerClients,
+    /// The bodies of callers' requests that are being received.
+    pub(super) bodies: BodyReceiver,
     config: RefCell<Option<Rc<FleetConfig>>>,
     /// The zones evacuated by operators.
     pub(super) evacuated: EvacuatedZones,
@@ -139,6 +145,7 @@
             incarnation,
             metrics,
             peers: PeerClients::new(settings.limits, services.silences.clone()),
+            bodies: BodyReceiver::new(MemoryBudget::new(settings.machine.request_memory())),
             settings,
             services,
             config: RefCell::default(),
--- a/crates/kitetraild/src/lib.rs
+++ b/crates/kitetraild/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything runs on one thread. Request handlers use the router between two await points. All
 //! other decisions are made by one control loop, which receives messages over a channel.
 
+pub mod admission;
 pub mod args;
 pub mod callers;
 pub mod clock;
