The time of a call to the owner begins when the body has arrived

Callers saw: one client in calm that takes 2 s for a body of legal size gets 503, although nothing was wrong. Cause: the limits of the call to the owner (1.3 s without the caller's time, and the end of the search for an owner with it) ran from the head of the request, so a body that took longer was read in full and refused without one attempt. They now run from the end of the body; the caller's own time, if known, still runs from the head.

--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -150,14 +150,10 @@
         );
     };
     let caller_wait = caller_wait(shared, route, &request);
-    let times = CallTimes::fixed(started, caller_wait.unwrap_or(MAX_WAIT - RESPONSE_RESERVE));
+    let times = fixed_times(started, caller_wait);
     match *request.method() {
         Method::POST => {
-            let waits_as_caller = shared.settings.parts.has(LoadPart::HandIn);
-            let caller_wait = caller_wait.filter(|_| waits_as_caller);
-            let times = caller_wait.map_or(times, |wait| CallTimes::of_caller(started, wait));
-            let answer_by = caller_wait.map(|_| times.deadline());
-            let submission = Submission { job, times, answer_by };
+            let submission = Submission { job, started, caller_wait };
             ("submit", submit(shared, route, submission, request, limits).await)
         }
         Method::GET => ("state", state(shared, job, times).await),
@@ -181,6 +177,11 @@
     limits.min().map(|limit| limit.saturating_sub(RESPONSE_RESERVE))
 }
 
+/// Returns the time limits of a call that waits for a fixed time, unless its caller has less left.
+fn fixed_times(started: Instant, caller_wait: Option<Duration>) -> CallTimes {
+    CallTimes::fixed(started, caller_wait.unwrap_or(MAX_WAIT - RESPONSE_RESERVE))
+}
+
 /// Answers with the number of waiting jobs of a queue.
 fn pending<P: Platform>(shared: &Shared<P>, route: &QueueRoute) -> Response<Body> {
     match shared.pending_jobs_of(route.queue.name.as_str()) {
@@ -197,9 +198,29 @@
 /// A caller's submission.
 struct Submission {
     job: JobId,
-    times: CallTimes,
-    /// The latest time of the owner's answer, if the owner may use the caller's time.
-    answer_by: Option<Instant>,
+    /// When its head arrived.
+    started: Instant,
+    /// How long its caller waits from then on, if known.
+    caller_wait: Option<Duration>,
+}
+
+impl Submission {
+    /// Returns the time limits of the call to the owner, now that the body has arrived, and the latest time of the
+    /// owner's answer if the owner may use the caller's time.
+    ///
+    /// The time that the body took counts against the caller's time only.
+    fn call_times(&self, waits_as_caller: bool) -> (CallTimes, Option<Instant>) {
+        let now = Instant::now();
+        let elapsed = now.saturating_duration_since(self.started);
+        let caller_wait = self.caller_wait.map(|wait| wait.saturating_sub(elapsed));
+        match caller_wait {
+            Some(wait) if waits_as_caller => {
+                let times = CallTimes::of_caller(now, wait);
+                (times, Some(times.deadline()))
+            }
+            _ => (fixed_times(now, caller_wait), None),
+        }
+    }
 }
 
 /// Submits a job.
@@ -210,7 +231,7 @@
     request: Request<Incoming>,
     limits: CallerLimits,
 ) -> Response<Body> {
-    let Submission { job, times, answer_by } = submission;
+    let job = submission.job;
     let timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
     let received = shared.bodies.receive(request.into_body(), limits.max_body_bytes, timeout).await;
     let ReceivedBody { contents, mut reservation } = match received {
@@ -228,6 +249,8 @@
     if !reservation.try_resize(spec.memory_bytes() * COPIES_OF_SPEC) {
         return body_error_response(shared, job, &BodyError::NoMemory);
     }
+    let waits_as_caller = shared.settings.parts.has(LoadPart::HandIn);
+    let (times, answer_by) = submission.call_times(waits_as_caller);
     let call = Call::Submit { job, queue: route.queue.clone(), spec, answer_by };
     match calls::call_owner(shared, call, times).await {
         Answer::Accepted => empty_response(StatusCode::OK),
