--- a/crates/kitetrail-core/src/jobs/mod.rs
+++ b/crates/kitetrail-core/src/jobs/mod.rs
@@ -63,6 +63,6 @@
     SchedulerSettings,
 };
 pub use shares::{Allowance, Claim, ShareBound, divide};
-pub use spec::{InvalidJob, JobSpec, QueueTerms, Schedule, StepSpec, WorkKind};
+pub use spec::{InvalidJob, JobSpec, MAX_STEPS, QueueTerms, Schedule, StepSpec, WorkKind};
 pub use turnaround::{Percentiles, Turnaround, TurnaroundSummary};
 pub use worker_entry::WorkerEntry;
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -42,6 +42,8 @@
 /// The smallest buffer size that the HTTP library allows.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// The size up to which a body is decoded without waiting for a turn, in bytes. It takes a fraction of a millisecond.
+const SHORT_BODY_BYTES: usize = 16 * 1_024;
 /// The number of copies of a job that may be in memory until it is answered: decoded, and encoded for the owner.
 const COPIES_OF_SPEC: usize = 2;
 
@@ -238,7 +240,11 @@
         Ok(received) => received,
         Err(error) => return body_error_response(shared, job, &error),
     };
-    let spec = match read_job(shared, &contents) {
+    let decoded = match contents.len() <= SHORT_BODY_BYTES {
+        true => read_job(shared, &contents),
+        false => read_long_job(shared, &contents).await,
+    };
+    let spec = match decoded {
         Ok(spec) => Rc::new(spec),
         Err(error) => {
             log::info!(job = job.to_string(), why = error.as_str(); "front: a job is malformed");
@@ -266,6 +272,18 @@
     }
 }
 
+/// Decodes a job whose text is long, in turn with others.
+async fn read_long_job<P: Platform>(
+    shared: &Shared<P>,
+    contents: &[u8],
+) -> Result<JobSpec, String> {
+    // The semaphore is never closed.
+    let _turn = shared.decode_turn.acquire().await;
+    let decoded = read_job(shared, contents);
+    task::yield_now().await;
+    decoded
+}
+
 fn read_job<P: Platform>(shared: &Shared<P>, body: &[u8]) -> Result<JobSpec, String> {
     let spec = shared.services.codec.read_job(body)?;
     spec.check().map(|()| spec).map_err(|error| error.to_string())
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -18,7 +18,7 @@
 use kitetrail_platform::PlatformError;
 use kitetrail_proto::jobs::PingAnswer;
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::{Notify, Semaphore, mpsc},
     time,
 };
 
@@ -80,6 +80,8 @@
     pub(super) peers: PeerClients,
     /// The bodies of callers' requests that are being received.
     pub(super) bodies: BodyReceiver,
+    /// Held while a long body is decoded, so that other tasks get their turn between two of them.
+    pub(super) decode_turn: Semaphore,
     config: RefCell<Option<Rc<FleetConfig>>>,
     /// The zones evacuated by operators.
     pub(super) evacuated: EvacuatedZones,
@@ -145,6 +147,7 @@
             incarnation,
             metrics,
             peers: PeerClients::new(settings.limits, services.silences.clone()),
+            decode_turn: Semaphore::new(1),
             bodies: BodyReceiver::new(MemoryBudget::new(settings.machine.request_memory())),
             settings,
             services,
