Limit callers' connections, and close the longest idle one at the limit

Callers saw: many connections that do nothing take all descriptors of a box; accept fails, ordinary calls get no connection now and then, and the calls of the box itself (to workers, the store and other boxes) draw from the same descriptors. Cause: fleet/front.rs accepted any number of connections.

Beyond that the connection that has been idle for longest is closed, then the one that has been receiving a body for longest; one whose request is being answered is never closed, and if all are, the new one is. More are accepted only once closed ones have ended, so the number is exact. Connections, reserved memory, evicted bodies and closed connections are in the metrics.

--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -32,7 +32,7 @@
     },
     shared::Shared,
 };
-use crate::admission::{BodyError, ReceivedBody};
+use crate::admission::{BodyError, Connection, ReceivedBody};
 
 /// The part of the caller's timeout that is reserved for sending the response.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(60);
@@ -51,9 +51,18 @@
 pub(super) async fn accept<P: Platform>(shared: Rc<Shared<P>>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                task::spawn_local(serve_connection(Rc::clone(&shared), stream));
+            Ok((stream, _)) if shared.connections.make_room() => {
+                let connection = shared.connections.insert();
+                task::spawn_local(serve_connection(Rc::clone(&shared), stream, connection));
+                if shared.connections.is_over_limit() {
+                    // The tasks of the closed connections end before more are accepted.
+                    task::yield_now().await;
+                }
             }
+            Ok((_, caller)) => log::info!(
+                caller = caller.to_string(), open = shared.connections.open();
+                "front: a connection is refused, all others are being answered"
+            ),
             Err(error) => {
                 log::warn!("front: can't accept a connection: {error}");
                 time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -63,16 +72,23 @@
 }
 
 /// Serves the requests of one connection.
-async fn serve_connection<P: Platform>(shared: Rc<Shared<P>>, stream: TcpStream) {
+async fn serve_connection<P: Platform>(
+    shared: Rc<Shared<P>>,
+    stream: TcpStream,
+    connection: Rc<Connection>,
+) {
     let limits = shared.config().map(|config| config.limits).unwrap_or_default();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("front: can't set TCP_NODELAY on a connection: {error}");
     }
+    let closed = Rc::clone(&connection);
     let service = service_fn(move |request| {
         let shared = Rc::clone(&shared);
+        let caller = Caller { limits, connection: Rc::clone(&connection) };
         async move {
             let _in_progress = InProgressGuard::begin(&shared.requests_in_progress);
-            let response = handle_request(&shared, request, limits).await;
+            let _request = caller.connection.begin_request();
+            let response = handle_request(&shared, request, &caller).await;
             Ok::<_, Infallible>(if shared.draining.get() { closing(response) } else { response })
         }
     });
@@ -80,13 +96,23 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(1)))
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        log::debug!("front: a connection ended with an error: {error}");
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        served = served => {
+            if let Err(error) = served {
+                log::debug!("front: a connection ended with an error: {error}");
+            }
+        }
+        () = closed.closed() => log::info!("front: an idle connection is closed, for another one"),
     }
 }
 
+/// The caller at the other end of a connection.
+struct Caller {
+    limits: CallerLimits,
+    connection: Rc<Connection>,
+}
+
 /// Counts a request as in progress until it is answered or its caller disconnects.
 struct InProgressGuard<'a>(&'a Cell<usize>);
 
@@ -107,13 +133,13 @@
 async fn handle_request<P: Platform>(
     shared: &Rc<Shared<P>>,
     request: Request<Incoming>,
-    limits: CallerLimits,
+    caller: &Caller,
 ) -> Response<Body> {
     let started = Instant::now();
     let Some(config) = shared.config() else {
         return error_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet");
     };
-    let (operation, response) = dispatch(shared, &config, request, limits, started).await;
+    let (operation, response) = dispatch(shared, &config, request, caller, started).await;
     let latency_ms = started.elapsed().as_secs_f64() * 1_000.0;
     shared.metrics.record_request(response.status().as_str(), operation, latency_ms);
     response
@@ -124,7 +150,7 @@
     shared: &Rc<Shared<P>>,
     config: &FleetConfig,
     request: Request<Incoming>,
-    limits: CallerLimits,
+    caller: &Caller,
     started: Instant,
 ) -> (&'static str, Response<Body>) {
     let host = request.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
@@ -156,10 +182,16 @@
     match *request.method() {
         Method::POST => {
             let submission = Submission { job, started, caller_wait };
-            ("submit", submit(shared, route, submission, request, limits).await)
+            ("submit", submit(shared, route, submission, request, caller).await)
+        }
+        Method::GET => {
+            caller.connection.record_received();
+            ("state", state(shared, job, times).await)
+        }
+        Method::DELETE => {
+            caller.connection.record_received();
+            ("cancel", cancel(shared, job, times).await)
         }
-        Method::GET => ("state", state(shared, job, times).await),
-        Method::DELETE => ("cancel", cancel(shared, job, times).await),
         _ => ("bad", error_response(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE")),
     }
 }
@@ -231,15 +263,17 @@
     route: &QueueRoute,
     submission: Submission,
     request: Request<Incoming>,
-    limits: CallerLimits,
+    caller: &Caller,
 ) -> Response<Body> {
     let job = submission.job;
-    let timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
-    let received = shared.bodies.receive(request.into_body(), limits.max_body_bytes, timeout).await;
+    let timeout = Duration::from_millis(caller.limits.header_timeout_ms.max(1));
+    let max_bytes = caller.limits.max_body_bytes;
+    let received = shared.bodies.receive(request.into_body(), max_bytes, timeout).await;
     let ReceivedBody { contents, mut reservation } = match received {
         Ok(received) => received,
         Err(error) => return body_error_response(shared, job, &error),
     };
+    caller.connection.record_received();
     let decoded = match contents.len() <= SHORT_BODY_BYTES {
         true => read_job(shared, &contents),
         false => read_long_job(shared, &contents).await,
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -30,7 +30,7 @@
     clock::{Clock, new_incarnation},
     daemon::DaemonError,
     logging::DroppedLines,
-    metrics::Metrics,
+    metrics::{AdmissionLevels, Metrics},
 };
 
 /// How long a stopping box still accepts new connections. The platform detects the stop within two
@@ -131,6 +131,12 @@
             log::info!(ready = shared.is_ready(); "daemon: readiness changed");
         }
         shared.publish_status();
+        shared.metrics.record_admission(AdmissionLevels {
+            connections: shared.connections.open(),
+            closed_connections: shared.connections.evictions(),
+            request_memory: shared.bodies.budget().reserved(),
+            evicted_bodies: shared.bodies.evictions(),
+        });
         time::sleep(STATUS_INTERVAL).await;
     }
 }
--- a/crates/kitetraild/src/fleet/shared.rs
+++ b/crates/kitetraild/src/fleet/shared.rs
@@ -29,7 +29,7 @@
     peers::{PeerClients, PublishedStatus},
 };
 use crate::{
-    admission::{BodyReceiver, MemoryBudget},
+    admission::{BodyReceiver, ConnectionTable, MemoryBudget},
     clock::Clock,
     metrics::Metrics,
 };
@@ -80,6 +80,8 @@
     pub(super) peers: PeerClients,
     /// The bodies of callers' requests that are being received.
     pub(super) bodies: BodyReceiver,
+    /// The connections of callers.
+    pub(super) connections: Rc<ConnectionTable>,
     /// Held while a long body is decoded, so that other tasks get their turn between two of them.
     pub(super) decode_turn: Semaphore,
     config: RefCell<Option<Rc<FleetConfig>>>,
@@ -147,6 +149,7 @@
             incarnation,
             metrics,
             peers: PeerClients::new(settings.limits, services.silences.clone()),
+            connections: ConnectionTable::new(settings.machine.max_connections()),
             decode_turn: Semaphore::new(1),
             bodies: BodyReceiver::new(MemoryBudget::new(settings.machine.request_memory())),
             settings,
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The daemon's metrics and the page that exports them.
 
+use kitetrail_core::ByteSize;
 use kitetrail_platform::SilenceCounts;
 use opentelemetry::{
     KeyValue,
@@ -37,6 +38,23 @@
     queue_room_percent: Gauge<u64>,
     followed_services: Gauge<u64>,
     forecast_services: Gauge<u64>,
+    callers_connections: Gauge<u64>,
+    closed_connections: Gauge<u64>,
+    request_memory_bytes: Gauge<u64>,
+    evicted_bodies: Gauge<u64>,
+}
+
+/// What callers take of a process at one time, and what was taken back from them so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionLevels {
+    /// The open connections.
+    pub connections: usize,
+    /// The connections closed because of their number.
+    pub closed_connections: u64,
+    /// The memory reserved for requests.
+    pub request_memory: ByteSize,
+    /// The bodies evicted because the memory was used up.
+    pub evicted_bodies: u64,
 }
 
 impl Metrics {
@@ -140,6 +158,22 @@
                 .u64_gauge("kitetrail.load_forecast.forecast")
                 .with_description("Services whose load the owner can forecast")
                 .build(),
+            callers_connections: meter
+                .u64_gauge("kitetrail.callers.connections")
+                .with_description("Open connections of callers")
+                .build(),
+            closed_connections: meter
+                .u64_gauge("kitetrail.callers.connections_closed")
+                .with_description("Connections of callers closed so far because of their number")
+                .build(),
+            request_memory_bytes: meter
+                .u64_gauge("kitetrail.callers.request_memory_bytes")
+                .with_description("Memory reserved for requests that are received or answered")
+                .build(),
+            evicted_bodies: meter
+                .u64_gauge("kitetrail.callers.evicted_bodies")
+                .with_description("Bodies evicted so far because that memory was used up")
+                .build(),
             registry,
             provider,
             preempted_runs: meter
@@ -250,6 +284,14 @@
             .build();
     }
 
+    /// Records what callers take of the process.
+    pub fn record_admission(&self, levels: AdmissionLevels) {
+        self.callers_connections.record(levels.connections as u64, &[]);
+        self.closed_connections.record(levels.closed_connections, &[]);
+        self.request_memory_bytes.record(levels.request_memory.0, &[]);
+        self.evicted_bodies.record(levels.evicted_bodies, &[]);
+    }
+
     /// Records the number of evacuated zones.
     pub fn record_evacuated_zones(&self, zones: u64) {
         self.evacuated_zones.record(zones, &[]);
