Close the connections of callers that don't read their responses

Callers saw nothing; the box kept a connection, its buffers and a descriptor for as long as such a client liked. Cause: the idle timeout of the HTTP server runs while it reads the head of a request, and it reads none while a response waits to be written. The table of connections knows since when a connection has answered its last request; one that is idle for a second longer than the idle timeout is closed. responses_that_are_not_read: timed out after 30 s without the check, 3 s with it (the client pipelines requests until nothing is read any more, idle timeout 1 s).

--- a/crates/kitetraild/src/admission/connection_table.rs
+++ b/crates/kitetraild/src/admission/connection_table.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use tokio::sync::Notify;
@@ -55,7 +55,7 @@
         self.open.get()
     }
 
-    /// Returns the number of connections closed at the limit so far.
+    /// Returns the number of connections closed so far.
     pub fn evictions(&self) -> u64 {
         self.evictions.get()
     }
@@ -81,6 +81,21 @@
         true
     }
 
+    /// Closes the connections that have been idle for longer than a time. Their callers don't read the last response, as
+    /// the HTTP server itself closes those that send no request.
+    pub fn close_idle(&self, max_idle: Duration) {
+        let now = Instant::now();
+        self.entries.borrow_mut().retain(|_, entry| {
+            let idle = now.saturating_duration_since(entry.since);
+            let is_stalled = entry.activity == Activity::Idle && idle > max_idle;
+            if is_stalled {
+                self.evictions.set(self.evictions.get() + 1);
+                entry.closed.notify_one();
+            }
+            !is_stalled
+        });
+    }
+
     /// Adds a connection.
     pub fn insert(self: &Rc<Self>) -> Rc<Connection> {
         let id = self.next_id.get();
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -42,6 +42,10 @@
 /// The smallest buffer size that the HTTP library allows.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// The interval at which connections are checked for callers that don't read.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The time beyond the idle timeout after which a connection is closed that the HTTP server did not close.
+const STALL_MARGIN: Duration = Duration::from_millis(1_000);
 /// The size up to which a body is decoded without waiting for a turn, in bytes. It takes a fraction of a millisecond.
 const SHORT_BODY_BYTES: usize = 16 * 1_024;
 /// The number of copies of a job that may be in memory until it is answered: decoded, and encoded for the owner.
@@ -71,6 +75,16 @@
     }
 }
 
+/// Closes the connections whose callers don't read their responses, until the process ends.
+pub(super) async fn close_stalled<P: Platform>(shared: Rc<Shared<P>>) {
+    loop {
+        time::sleep(STALL_CHECK_INTERVAL).await;
+        let limits = shared.config().map(|config| config.limits).unwrap_or_default();
+        let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
+        shared.connections.close_idle(idle_timeout + STALL_MARGIN);
+    }
+}
+
 /// Serves the requests of one connection.
 async fn serve_connection<P: Platform>(
     shared: Rc<Shared<P>>,
@@ -103,7 +117,7 @@
                 log::debug!("front: a connection ended with an error: {error}");
             }
         }
-        () = closed.closed() => log::info!("front: an idle connection is closed, for another one"),
+        () = closed.closed() => log::info!("front: an idle connection is closed"),
     }
 }
 
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -103,6 +103,7 @@
     task::spawn_local(config_watch::run(Rc::clone(shared)));
     task::spawn_local(ownership::run(Rc::clone(shared)));
     task::spawn_local(front::accept(Rc::clone(shared), listener));
+    task::spawn_local(front::close_stalled(Rc::clone(shared)));
     if shared.settings.parts.has(LoadPart::OwnerRelief) {
         task::spawn_local(speed_probe::run(Rc::clone(shared)));
     }
--- a/crates/kitetraild/src/metrics.rs
+++ b/crates/kitetraild/src/metrics.rs
@@ -49,7 +49,7 @@
 pub struct AdmissionLevels {
     /// The open connections.
     pub connections: usize,
-    /// The connections closed because of their number.
+    /// The connections closed because of their number or because responses were not read.
     pub closed_connections: u64,
     /// The memory reserved for requests.
     pub request_memory: ByteSize,
@@ -164,7 +164,7 @@
                 .build(),
             closed_connections: meter
                 .u64_gauge("kitetrail.callers.connections_closed")
-                .with_description("Connections of callers closed so far because of their number")
+                .with_description("Connections of callers closed so far because of their number or unread responses")
                 .build(),
             request_memory_bytes: meter
                 .u64_gauge("kitetrail.callers.request_memory_bytes")
