Bound the memory of accepted jobs, and read them in parts at a takeover

Callers saw: a crowd of whole, valid jobs ends the owner, and then each successor, as each reads the same jobs: no restart mends it.

The owner now counts what accepted jobs take, by their tasks, steps and texts, and refuses new ones beyond a quarter of its machine's memory, with the time to return; nothing of a refused job is kept. A quarter of that is for jobs up to 64 KiB, and beyond half of it each queue has an equal share. A takeover keeps what was accepted and counts it the same; it decodes each page of rows as it arrives. What the users' page says of ended jobs is not so: they keep their outcome only, as before.

The memory that jobs take is in the line of the owner's occupancy.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -24,6 +24,9 @@
 /// fit into a row of the store.
 const MAX_CRASH_BYTES: usize = 12 * 1_024;
 
+/// The memory that a task takes beside its own size, in bytes: its placement and its checkpoint.
+const TASK_HEAP_BYTES: usize = 96;
+
 /// An accepted job.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -31,6 +34,8 @@
     pub(super) queue: QueueTerms,
     pub(super) spec: JobSpec,
     pub(super) payload: Arc<str>,
+    /// The approximate memory that the job takes, in bytes.
+    pub(super) memory_bytes: usize,
     /// The image of each step.
     pub(super) images: Vec<ImageNo>,
     pub(super) accepted_unix_ms: u64,
@@ -76,6 +81,7 @@
         let mut job = Self {
             id,
             payload: spec.payload.as_str().into(),
+            memory_bytes: Self::memory_bytes_of(&spec),
             images: Vec::new(),
             queue,
             spec,
@@ -104,6 +110,17 @@
         job
     }
 
+    /// Returns the approximate memory that a job takes when all of its occurrences have begun, in bytes.
+    pub(super) fn memory_bytes_of(spec: &JobSpec) -> usize {
+        let tasks = spec.steps.iter().map(|step| step.count as usize).sum::<usize>();
+        let occurrence_bytes =
+            spec.steps.len() * size_of::<Step>() + tasks * (size_of::<Task>() + TASK_HEAP_BYTES);
+        size_of::<Self>()
+            + spec.memory_bytes()
+            + spec.payload.len()
+            + spec.occurrences() as usize * occurrence_bytes
+    }
+
     /// Restores a job from its rows in the store. Its next runs get numbers above `run_floor`.
     pub(super) fn restore(
         record: JobRecord,
--- a/crates/kitetrail-core/src/jobs/log_entry.rs
+++ b/crates/kitetrail-core/src/jobs/log_entry.rs
@@ -15,7 +15,7 @@
     spec::WorkKind,
     turnaround::{Turnaround, TurnaroundSummary},
 };
-use crate::Resources;
+use crate::{ByteSize, Resources};
 
 /// A decision to be logged.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,6 +31,19 @@
         /// Whether the id was already known.
         known: bool,
     },
+    /// A job was refused, as the memory for accepted jobs is used up.
+    JobMemoryUsedUp {
+        /// The job.
+        job: JobId,
+        /// The queue.
+        queue: QueueName,
+        /// The memory that the job would take.
+        job_size: ByteSize,
+        /// The memory that the accepted jobs take.
+        used: ByteSize,
+        /// The memory that they may take.
+        capacity: ByteSize,
+    },
     /// A job ended.
     JobEnded {
         /// The job.
--- a/crates/kitetrail-core/src/jobs/occupancy.rs
+++ b/crates/kitetrail-core/src/jobs/occupancy.rs
@@ -1,5 +1,7 @@
 //! What holds the processor time of workers, and the gaps that are left.
 
+use crate::ByteSize;
+
 /// The processor time of some workers, in thousandths of a core, by what holds it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Occupancy {
@@ -17,4 +19,6 @@
     pub large_task_millis: u32,
     /// The number of such tasks that fit in what is not reserved.
     pub large_gaps: u32,
+    /// The memory that the accepted jobs take in the owner.
+    pub job_memory: ByteSize,
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/commit.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/commit.rs
@@ -89,7 +89,7 @@
 
     /// Drops a job whose end is persisted; only its outcome is needed from now on.
     fn finish_persisted_job(&mut self, id: JobId) {
-        let Some(mut job) = self.jobs.remove(&id) else { return };
+        let Some(mut job) = self.remove_job(id) else { return };
         self.deferred_starts.remove_job(id);
         self.pending.forget_refused(id);
         for &part in job.stored_parts.iter().filter(|&&part| part > 0) {
--- a/crates/kitetrail-core/src/jobs/scheduler/hand_in.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/hand_in.rs
@@ -6,13 +6,16 @@
     super::{
         event::{Action, SubmitAnswer},
         hand_in::{HandInDecision, HandInForecast},
+        job::Job,
         load_parts::LoadPart,
         log_entry::LogEntry,
         names::JobId,
+        retry_delay::RetryDelay,
+        spec::{JobSpec, QueueTerms},
     },
     Scheduler,
 };
-use crate::Time;
+use crate::{ByteSize, Time};
 
 impl Scheduler {
     /// Decides whether a new job is accepted. Returns the refusal otherwise.
@@ -36,6 +39,30 @@
         }
     }
 
+    /// Decides whether there is memory for a new job. Returns the refusal otherwise.
+    pub(super) fn admit_to_memory(
+        &mut self,
+        id: JobId,
+        queue: &QueueTerms,
+        spec: &JobSpec,
+        answer_by: Option<Time>,
+    ) -> Result<(), SubmitAnswer> {
+        let job_bytes = Job::memory_bytes_of(spec);
+        if self.accepted_memory.admits(&queue.name, job_bytes, self.queues.len()) {
+            return Ok(());
+        }
+        self.actions.push(Action::Log(LogEntry::JobMemoryUsedUp {
+            job: id,
+            queue: queue.name.clone(),
+            job_size: ByteSize(job_bytes as u64),
+            used: self.accepted_memory.used(),
+            capacity: self.accepted_memory.capacity(),
+        }));
+        let time_left = answer_by.map(|answer_by| answer_by.since(self.now));
+        let retry_after = time_left.map(|left| RetryDelay::choose(Duration::ZERO, left, id));
+        Err(SubmitAnswer::Refused { retry_after })
+    }
+
     /// Refuses waiting jobs that can't be persisted in time any more, or whose callers had better
     /// return later.
     pub(super) fn review_waiting_jobs(&mut self) {
--- a/crates/kitetrail-core/src/jobs/scheduler/mod.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/mod.rs
@@ -3,6 +3,7 @@
 //! A worker that restarts keeps its id but gets a new incarnation. Each instance has its own
 //! runs, leases and counters here.
 
+mod accepted_memory;
 mod backlog;
 mod claimants;
 mod commit;
@@ -71,6 +72,7 @@
 };
 
 use self::{
+    accepted_memory::AcceptedMemory,
     backlog::StartedTasks,
     claimants::Claimants,
     crash_attribution::{LostWorker, Silences},
@@ -110,7 +112,7 @@
     steps::Task,
     worker_entry::WorkerEntry,
 };
-use crate::Time;
+use crate::{ByteSize, Time};
 
 /// The most by which a worker's clock may run slower than ours, in percent, as guaranteed by the
 /// platform.
@@ -135,6 +137,8 @@
     pub worker_heartbeat: Duration,
     /// The parts of scheduling under load that are in use.
     pub parts: LoadParts,
+    /// The memory that accepted jobs may take.
+    pub job_memory: ByteSize,
 }
 
 /// Makes the scheduling decisions for one fleet.
@@ -149,6 +153,7 @@
     now: Time,
     unix_ms: u64,
     jobs: BTreeMap<JobId, Job>,
+    accepted_memory: AcceptedMemory,
     /// Open jobs in scheduling order.
     open_jobs: BTreeSet<(u32, Time, JobId)>,
     /// The outcomes of ended jobs whose end is persisted.
@@ -212,6 +217,7 @@
             lease: settings.max_lease.min(MIN_LEASE),
             longest_lease: settings.max_lease.min(MIN_LEASE),
             service_loads: settings.parts.has(LoadPart::LoadForecast).then(ServiceLoads::default),
+            accepted_memory: AcceptedMemory::new(settings.job_memory),
             settings,
             epoch,
             now,
@@ -335,10 +341,17 @@
         job.images = images.collect();
         let id = job.id;
         self.open_jobs.insert((job.queue.priority, job.due_at, id));
+        self.accepted_memory.add(&job);
         self.jobs.insert(id, job);
         self.placement_needed = true;
     }
 
+    fn remove_job(&mut self, id: JobId) -> Option<Job> {
+        let job = self.jobs.remove(&id)?;
+        self.accepted_memory.remove(&job);
+        Some(job)
+    }
+
     /// Records the outcome of a job whose end is persisted.
     fn record_ended_job(&mut self, id: JobId, outcome: Outcome, ended_unix_ms: Option<u64>) {
         self.ended_jobs.insert(id, outcome);
--- a/crates/kitetrail-core/src/jobs/scheduler/occupancy.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/occupancy.rs
@@ -10,7 +10,8 @@
     pub(super) fn report_occupancy(&mut self) {
         self.refresh_rooms();
         let large_task_millis = self.gaps.large_millis();
-        let mut occupancy = Occupancy { large_task_millis, ..Occupancy::default() };
+        let job_memory = self.accepted_memory.used();
+        let mut occupancy = Occupancy { large_task_millis, job_memory, ..Occupancy::default() };
         for instance in self.instances.values().filter(|instance| instance.accepts_work(self.now)) {
             let Some(free_capacity) = &instance.free_capacity else { continue };
             let total_millis = instance.entry.capacity.cpu_millis.0;
--- a/crates/kitetrail-core/src/jobs/scheduler/requests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/requests.rs
@@ -43,7 +43,10 @@
                 job.submit_waiters.push(request);
                 job.answer_by = job.answer_by.max(answer_by);
             }
-            None => match self.admit(id, answer_by) {
+            None => match self
+                .admit_to_memory(id, &queue, &spec, answer_by)
+                .and_then(|()| self.admit(id, answer_by))
+            {
                 Ok(()) => {
                     let queue = self.newest_terms(queue);
                     let mut job = Job::new(id, queue, spec, self.now, self.unix_ms);
@@ -141,7 +144,7 @@
 
     /// Refuses a job that was taken back before it was sent to the store.
     pub(super) fn refuse_unsent_job(&mut self, id: JobId, retry_after: Option<RetryDelay>) {
-        let Some(job) = self.jobs.remove(&id) else { return };
+        let Some(job) = self.remove_job(id) else { return };
         self.open_jobs.remove(&(job.queue.priority, job.due_at, id));
         let refused = SubmitAnswer::Refused { retry_after };
         let refuse = |request| Action::AnswerSubmit(request, refused);
--- a/crates/kitetrail-core/tests/fleet/owners.rs
+++ b/crates/kitetrail-core/tests/fleet/owners.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use kitetrail_core::{
-    Time,
+    ByteSize, Time,
     jobs::{
         Event, InheritedState, JobId, JobRecord, LoadParts, MAX_RENEWAL_WITHOUT_STORE, ProgressKey,
         ProgressRecord, Record, Scheduler, SchedulerSettings,
@@ -154,6 +154,9 @@
     assert!(batch_bytes <= MAX_BATCH_BYTES, "a batch of {batch_bytes} bytes");
 }
 
+/// The memory for accepted jobs: that of an owner on a large machine.
+const JOB_MEMORY: ByteSize = ByteSize(256_000_000);
+
 /// Creates the scheduler of an owner.
 pub(super) fn scheduler(
     epoch: u64,
@@ -166,6 +169,7 @@
         ended_job_retention: Duration::from_secs(120),
         worker_heartbeat: Duration::from_millis(1_100),
         parts: parts.clone(),
+        job_memory: JOB_MEMORY,
     };
     Scheduler::new(settings, epoch, inheritance, now, CLOCK_ZERO_UNIX_MS + now.as_ms())
 }
--- a/crates/kitetraild/src/fleet/log_entries.rs
+++ b/crates/kitetraild/src/fleet/log_entries.rs
@@ -11,6 +11,11 @@
             job = job.to_string(), queue = queue.as_str(), tasks = *tasks, known = *known;
             "job: submitted"
         ),
+        LogEntry::JobMemoryUsedUp { job, queue, job_size, used, capacity } => log::warn!(
+            job = job.to_string(), queue = queue.as_str(), job_bytes = job_size.0, used_bytes = used.0,
+            capacity_bytes = capacity.0;
+            "job: refused, the memory for accepted jobs is used up"
+        ),
         LogEntry::JobEnded {
             job,
             state,
@@ -128,7 +133,8 @@
             short_millis = occupancy.short_millis,
             lasting_millis = occupancy.long_running_millis,
             free_millis = occupancy.free_millis,
-            large_task_millis = occupancy.large_task_millis, large_gaps = occupancy.large_gaps;
+            large_task_millis = occupancy.large_task_millis, large_gaps = occupancy.large_gaps,
+            job_bytes = occupancy.job_memory.0;
             "owner: occupancy"
         ),
         LogEntry::Turnaround(TurnaroundSummary {
--- a/crates/kitetraild/src/fleet/scan.rs
+++ b/crates/kitetraild/src/fleet/scan.rs
@@ -1,14 +1,16 @@
 //! Reads a partition of a table page by page, over links of any speed.
 
 use std::{
+    fmt::Display,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use kitetrail_platform::{
     PlatformError,
-    fleet::{RowPage, RowStore, StoredRow},
+    fleet::{RowPage, RowStore},
 };
+use serde::de::DeserializeOwned;
 use tokio::time;
 
 use super::{Platform, ownership::STORE_RETRY_DELAY, rows, shared::Shared};
@@ -49,12 +51,15 @@
     }
 }
 
-/// Reads all rows of the fleet's partition of a table. Nobody else may write to it meanwhile.
-pub(super) async fn read_table<P: Platform>(
+/// Reads all records of the fleet's partition of a table. Nobody else may write to it meanwhile.
+///
+/// Each page is decoded when it arrives, so that encoded rows take no more memory than a page.
+pub(super) async fn read_records<P: Platform, T: DeserializeOwned, K: Display>(
     shared: &Rc<Shared<P>>,
     table: &'static str,
-) -> Result<Vec<StoredRow>, PlatformError> {
-    let (mut rows, mut after, mut page_size, mut failures) =
+    key_of: impl Fn(&T) -> K,
+) -> Result<Vec<T>, PlatformError> {
+    let (mut records, mut after, mut page_size, mut failures) =
         (Vec::new(), None::<String>, PageSize::new(), 0);
     loop {
         let started = Instant::now();
@@ -63,12 +68,12 @@
         shared.record_store_result(&page);
         match page {
             Ok(RowPage { rows: page_rows, next, .. }) => {
-                rows.extend(page_rows);
+                records.extend(rows::decode_all(&page_rows, &key_of));
                 failures = 0;
                 page_size.record_page(started.elapsed());
                 match next {
                     Some(next) => after = Some(next),
-                    None => return Ok(rows),
+                    None => return Ok(records),
                 }
             }
             Err(error) if failures >= MAX_CONSECUTIVE_FAILURES => return Err(error),
--- a/crates/kitetraild/src/fleet/takeover.rs
+++ b/crates/kitetraild/src/fleet/takeover.rs
@@ -251,6 +251,7 @@
         ended_job_retention: shared.settings.ended_job_retention,
         worker_heartbeat: shared.settings.worker_heartbeat,
         parts: shared.settings.parts.clone(),
+        job_memory: shared.settings.machine.job_memory(),
     };
     let now = shared.clock.now();
     Scheduler::new(settings, epoch, inheritance, now, unix_ms())
@@ -346,18 +347,19 @@
 /// Reads the state that the previous owner left.
 async fn load<P: Platform>(shared: &Rc<Shared<P>>) -> Result<InheritedState, PlatformError> {
     // Read one table after the other, since they share the box's link.
-    let instances = scan::read_table(shared, rows::INCARNATIONS_TABLE).await?;
-    let progress = scan::read_table(shared, rows::PROGRESS_TABLE).await?;
-    let jobs = scan::read_table(shared, rows::JOBS_TABLE).await?;
-    let mut progress = progress_by_job(rows::decode_all(&progress, ProgressRecord::key));
+    let instances =
+        scan::read_records(shared, rows::INCARNATIONS_TABLE, InstanceRecord::key).await?;
+    let progress = scan::read_records(shared, rows::PROGRESS_TABLE, ProgressRecord::key).await?;
+    let jobs = scan::read_records(shared, rows::JOBS_TABLE, |job: &JobRecord| job.id).await?;
+    let mut progress = progress_by_job(progress);
     let mut inheritance = InheritedState {
         interference: load_effects(shared).await?,
         longest_lease: load_longest_lease(shared).await?,
         operator_rows: operator_rows::load(shared).await?,
-        instances: rows::decode_all(&instances, InstanceRecord::key),
+        instances,
         ..InheritedState::default()
     };
-    for job in rows::decode_all(&jobs, |job: &JobRecord| job.id) {
+    for job in jobs {
         if let Err(error) = job.spec.check() {
             log::error!(job = job.id.to_string(); "owner: a job that no box accepts is ignored: {error}");
             continue;
