Bound the calls that other boxes forward to an owner

Callers saw nothing in the users' list, but crowds of whole large jobs on many boxes add up in the owner, whatever each box holds: 31 boxes with 150 clients each took 151,772 KiB there (machine of 64 MB, debug build; 8 boxes 50,012). Cause: a queue of 1,024 messages of up to 57 KB, a task a call, and what HTTP/2 buffers of calls that have not arrived in full.

A forwarded call is charged to the same budget as callers' requests, three times its size, and refused without one (the answer is a refusal, so the caller gets 503 and comes back). A box sends four calls above 16 KiB at a time, which bounds the parts of calls that the owner can't refuse yet; the windows of HTTP/2 are 64 KiB a call and 128 KiB a connection.

--- a/crates/kitetraild/src/fleet/peers/client.rs
+++ b/crates/kitetraild/src/fleet/peers/client.rs
@@ -1,12 +1,17 @@
 //! Clients for calls to other boxes.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use kitetrail_platform::{SilenceCounts, within};
 use kitetrail_proto::jobs::{
     Config, FetchConfigRequest, PingAnswer, PingRequest, ReachStoreRequest, TakeOverAnswer,
     TakeOverRequest,
 };
+use tokio::{sync::Semaphore, time};
 use tonic::{Response, Status};
 
 use super::{
@@ -16,21 +21,29 @@
         shared::OwnerView,
     },
     channel::{PeerChannel, PeerChannels},
-    codec::{decode_answer, encode_call},
+    codec::{call_bytes, decode_answer, encode_call},
 };
 
+/// The size up to which a call is short, in bytes.
+const SHORT_CALL_BYTES: usize = 16 * 1_024;
+/// The number of long calls that are sent at the same time. The owner holds a part of each from each box before it can
+/// refuse any.
+const MAX_LONG_CALLS: usize = 4;
+
 /// The clients for all other boxes.
 #[derive(Debug)]
 pub(in crate::fleet) struct PeerClients {
     limits: ConnectionLimits,
     channels: PeerChannels,
+    /// Limits the long calls that are sent at the same time.
+    long_calls: Semaphore,
 }
 
 impl PeerClients {
     /// Creates the clients. Silent connections are counted in `silences`.
     pub(in crate::fleet) fn new(limits: ConnectionLimits, silences: SilenceCounts) -> Self {
         let channels = PeerChannels::new(limits.peer_max_idle, silences);
-        Self { limits, channels }
+        Self { limits, channels, long_calls: Semaphore::new(MAX_LONG_CALLS) }
     }
 
     /// Forwards a caller's request to the owner. Also returns the owner that the called box knows.
@@ -44,10 +57,16 @@
         call: &Call,
         timeout: Duration,
     ) -> (Answer, OwnerView) {
-        let (Some(request), Ok(channel)) = (encode_call(call), self.channels.get_or_open(peer))
-        else {
-            return (Answer::NotRun, OwnerView::default());
+        let not_run = (Answer::NotRun, OwnerView::default());
+        let started = Instant::now();
+        let Some(request) = encode_call(call) else { return not_run };
+        let turn = match call_bytes(&request) > SHORT_CALL_BYTES {
+            true => time::timeout(timeout, self.long_calls.acquire()).await.map(Some),
+            false => Ok(None),
         };
+        let Ok(_turn) = turn else { return not_run };
+        let timeout = timeout.saturating_sub(started.elapsed());
+        let Ok(channel) = self.channels.get_or_open(peer) else { return not_run };
         let mut client = channel.client();
         let answer = tokio::select! {
             answer = await_response(timeout, client.call(request)) => answer,
--- a/crates/kitetraild/src/fleet/peers/codec.rs
+++ b/crates/kitetraild/src/fleet/peers/codec.rs
@@ -66,6 +66,17 @@
     encoded.inspect_err(|error| log::error!("peer: a call can't be encoded: {error}")).ok()
 }
 
+/// Returns the approximate size of an encoded call, in bytes.
+pub(super) fn call_bytes(request: &CallRequest) -> usize {
+    let contents = match &request.call {
+        Some(call_request::Call::Submit(submit)) => {
+            submit.queue_json.len() + submit.spec_json.len()
+        }
+        Some(call_request::Call::Cancel(_) | call_request::Call::State(_)) | None => 0,
+    };
+    size_of::<CallRequest>() + contents
+}
+
 /// Decodes a call. Returns `None` if it is malformed.
 pub(super) fn decode_call(request: CallRequest) -> Option<Call> {
     let decoded = match request.call? {
--- a/crates/kitetraild/src/fleet/peers/server.rs
+++ b/crates/kitetraild/src/fleet/peers/server.rs
@@ -32,18 +32,29 @@
         speed_probe,
     },
     CALL_TIMEOUT,
-    codec::{apply_config, decode_call, encode_answer, encode_config, encode_retry_after},
+    codec::{
+        apply_config, call_bytes, decode_call, encode_answer, encode_config, encode_retry_after,
+    },
     status::PublishedStatus,
 };
+use crate::admission::{MemoryBudget, Reservation};
 
 /// The capacity of the queue of messages from other boxes.
 const QUEUE_CAPACITY: usize = 1_024;
 /// The longest wait for a takeover before the request for it is answered. A takeover takes about 100 ms.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The bytes of one call that another box may send before they are read: those of the largest job.
+const STREAM_WINDOW_BYTES: u32 = 64 * 1_024;
+/// The bytes of all calls that another box may send before they are read.
+const CONNECTION_WINDOW_BYTES: u32 = 128 * 1_024;
+/// The number of copies of a call that may be in memory until it is answered: encoded, decoded, and in the owner's inbox.
+const COPIES_OF_CALL: usize = 3;
+
 /// A message from another box, passed from the server's thread to the thread of the shared state.
 enum PeerMessage {
-    Call(CallRequest, oneshot::Sender<CallAnswer>),
+    /// A call, with the memory that is reserved for it until it is answered.
+    Call(CallRequest, Reservation, oneshot::Sender<CallAnswer>),
     /// A ping that has already been answered.
     Pinged(PingRequest),
     FetchConfig(oneshot::Sender<Config>),
@@ -60,7 +71,13 @@
     let server = Server::builder()
         .http2_keepalive_interval(Some(keepalive_interval))
         .http2_keepalive_timeout(Some(keepalive_interval))
-        .add_service(JobsServer::new(Handler { sender, status: shared.status.clone() }))
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .add_service(JobsServer::new(Handler {
+            sender,
+            status: shared.status.clone(),
+            budget: shared.bodies.budget().clone(),
+        }))
         .serve(address);
     let started = thread::Builder::new().name("peers".to_owned()).spawn(move || {
         let runtime = runtime::Builder::new_current_thread().enable_all().build();
@@ -80,8 +97,8 @@
 /// Handles a message. Slow operations run in their own tasks, so that they don't delay later messages.
 fn handle_message<P: Platform>(shared: &Rc<Shared<P>>, message: PeerMessage) {
     match message {
-        PeerMessage::Call(request, reply) => {
-            task::spawn_local(answer_call(Rc::clone(shared), request, reply));
+        PeerMessage::Call(request, reservation, reply) => {
+            task::spawn_local(answer_call(Rc::clone(shared), request, reservation, reply));
         }
         PeerMessage::Pinged(request) => {
             shared.record_reported_owner(request.epoch, &request.owner_address);
@@ -104,6 +121,7 @@
 async fn answer_call<P: Platform>(
     shared: Rc<Shared<P>>,
     request: CallRequest,
+    _reservation: Reservation,
     reply: oneshot::Sender<CallAnswer>,
 ) {
     let owner = shared.owner_inbox.borrow().clone();
@@ -176,6 +194,8 @@
 struct Handler {
     sender: mpsc::Sender<PeerMessage>,
     status: PublishedStatus,
+    /// The memory for calls, the same as for callers' requests.
+    budget: MemoryBudget,
 }
 
 impl Handler {
@@ -192,7 +212,21 @@
 #[async_trait]
 impl Jobs for Handler {
     async fn call(&self, request: Request<CallRequest>) -> Result<Response<CallAnswer>, Status> {
-        self.request_reply(|reply| PeerMessage::Call(request.into_inner(), reply)).await
+        let request = request.into_inner();
+        match self.budget.try_reserve(call_bytes(&request) * COPIES_OF_CALL) {
+            Some(reservation) => {
+                self.request_reply(|reply| PeerMessage::Call(request, reservation, reply)).await
+            }
+            None => {
+                log::info!(
+                    bytes = call_bytes(&request), reserved_bytes = self.budget.reserved().0,
+                    capacity_bytes = self.budget.capacity().0;
+                    "peer: a call is refused, the memory for requests is used up"
+                );
+                let outcome = encode_answer(Answer::Refused(None)).into();
+                Ok(Response::new(CallAnswer { outcome, ..CallAnswer::default() }))
+            }
+        }
     }
 
     async fn ping(&self, request: Request<PingRequest>) -> Result<Response<PingAnswer>, Status> {
