Own interface: receive short bodies within one budget of memory

Callers saw: 3,500 clients that stop a byte short of a body of 64 KiB take a daemon far above the 128 MB that it is meant to use. Cause: as on the users' platform, each body that is received before it is sent on was bounded, their sum was not, and a body in small segments kept a read buffer a segment.

The same receiver is used, with a budget of 16 MiB (setting requests.max_buffered_memory_bytes); the reservation is held until the request is answered. A refusal is 503, says not-run and closes the connection. Bodies above 64 KiB are streamed as before.

--- a/crates/kitetrail-core/src/units.rs
+++ b/crates/kitetrail-core/src/units.rs
@@ -86,7 +86,8 @@
 impl Display for ByteSize {
     /// Writes the size in the largest unit of which it is a whole multiple.
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let whole = Self::UNITS.iter().find(|(_, bytes)| self.0 % bytes == 0 && self.0 > 0);
+        let whole =
+            Self::UNITS.iter().find(|(_, bytes)| self.0.is_multiple_of(*bytes) && self.0 > 0);
         let (unit, bytes) = whole.unwrap_or(&("B", 1));
         write!(f, "{}{unit}", self.0 / bytes)
     }
--- a/crates/kitetraild/src/callers/entry.rs
+++ b/crates/kitetraild/src/callers/entry.rs
@@ -34,7 +34,12 @@
 };
 
 use super::{SharedRouter, answer, body::ResponseBody, call::Call, claims::Claims, pool::Pool};
-use crate::{clock::Clock, metrics::Metrics, settings::Settings};
+use crate::{
+    admission::{BodyReceiver, MemoryBudget, Reservation},
+    clock::Clock,
+    metrics::Metrics,
+    settings::Settings,
+};
 
 /// The interval at which requests that waited too long are answered.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(5);
@@ -68,6 +73,8 @@
 pub struct CallerServer {
     parts: CallerServerParts,
     pool: Pool,
+    /// The bodies that are received before they are sent on.
+    bodies: BodyReceiver,
     claims: Rc<Claims>,
     waiting_requests: RefCell<HashMap<RequestId, oneshot::Sender<RoutingDecision>>>,
     next_number: Cell<u64>,
@@ -82,6 +89,8 @@
     head: Parts,
     id: String,
     buffered_body: Option<Bytes>,
+    /// The memory of the buffered body, until the request is answered.
+    reservation: Option<Reservation>,
     streamed_body: Option<Incoming>,
     deadline: Time,
 }
@@ -108,9 +117,11 @@
         let box_id = parts.settings.box_id.clone();
         let claims = Claims::new(table, box_id, parts.incarnation, retention);
         tokio::task::spawn_local(Rc::clone(&claims).run());
+        let budget = MemoryBudget::new(parts.settings.requests.max_buffered_memory_bytes);
         let server = Rc::new(Self {
             parts,
             pool: Pool::default(),
+            bodies: BodyReceiver::new(budget),
             claims,
             waiting_requests: RefCell::default(),
             next_number: Cell::new(0),
--- a/crates/kitetraild/src/callers/entry/serving.rs
+++ b/crates/kitetraild/src/callers/entry/serving.rs
@@ -2,8 +2,14 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Response, StatusCode, body::Incoming, header::HeaderName, http::request::Parts};
+use bytes::Bytes;
+use http_body_util::{Full, Limited};
+use hyper::{
+    Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderName, RETRY_AFTER},
+    http::request::Parts,
+};
 use kitetrail_core::{
     Time,
     calls::ClaimResult,
@@ -12,15 +18,21 @@
 use kitetrail_platform::headers;
 
 use super::{CallerServer, DEFAULT_RANK, FinalResponse, PreparedRequest, RequestSummary};
-use crate::callers::{
-    answer,
-    body::{RequestBody, ResponseBody, ResponseStream},
-    call::Call,
-    claims::Claim,
-    exchange::{ExchangeResult, MAX_BUFFERED_BYTES, OutgoingRequest, exchange},
-    in_flight::InFlightRequest,
+use crate::{
+    admission::{BodyError, ReceivedBody},
+    callers::{
+        answer,
+        body::{RequestBody, ResponseBody, ResponseStream},
+        call::Call,
+        claims::Claim,
+        exchange::{ExchangeResult, MAX_BUFFERED_BYTES, OutgoingRequest, exchange},
+        in_flight::InFlightRequest,
+    },
 };
 
+/// The `Retry-After` of requests whose bodies did not fit into memory, in seconds.
+const BODY_RETRY_AFTER_S: &str = "1";
+
 impl CallerServer {
     pub(super) async fn handle_call(
         self: Rc<Self>,
@@ -32,8 +44,14 @@
         arrived_at: Time,
     ) -> FinalResponse {
         let deadline = arrived_at + call.timeout;
-        let mut prepared =
-            PreparedRequest { head, id, buffered_body: None, streamed_body: None, deadline };
+        let mut prepared = PreparedRequest {
+            head,
+            id,
+            buffered_body: None,
+            reservation: None,
+            streamed_body: None,
+            deadline,
+        };
         if let Err(response) = self.read_body(call, incoming, &mut prepared).await {
             return response;
         }
@@ -73,13 +91,14 @@
             return Ok(());
         }
         let time_left = prepared.deadline.since(self.now());
-        let body = Limited::new(incoming, MAX_BUFFERED_BYTES as usize).collect();
-        match tokio::time::timeout(time_left, body).await {
-            Ok(Ok(body)) => {
-                prepared.buffered_body = Some(body.to_bytes());
+        match self.bodies.receive(incoming, MAX_BUFFERED_BYTES as usize, time_left).await {
+            Ok(ReceivedBody { contents, reservation }) => {
+                prepared.buffered_body = Some(Bytes::from(contents));
+                prepared.reservation = Some(reservation);
                 Ok(())
             }
-            Ok(Err(_)) | Err(_) => {
+            Err(BodyError::NoMemory) => Err(body_refused()),
+            Err(BodyError::TooLong(_) | BodyError::TooSlow(_) | BodyError::Unreadable(_)) => {
                 let reason = "the body did not come".to_owned();
                 let body = format!("not-run: {reason}\n");
                 let response =
@@ -215,6 +234,18 @@
     }
 }
 
+/// Returns the response to a request whose body does not fit into the memory for bodies.
+fn body_refused() -> FinalResponse {
+    let reason = "the memory for bodies is used up".to_owned();
+    let body = format!("not-run: {reason}, try again later\n");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut response = answer::local_response(status, Outcome::NotRun, body);
+    answer::set_header(&mut response, RETRY_AFTER, BODY_RETRY_AFTER_S);
+    answer::set_header(&mut response, CONNECTION, "close");
+    let summary = RequestSummary { outcome: Outcome::NotRun, reason, endpoint: None };
+    FinalResponse { response, summary }
+}
+
 /// The result of sending a request once.
 enum SendResult {
     Final(FinalResponse),
--- a/crates/kitetraild/src/settings.rs
+++ b/crates/kitetraild/src/settings.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use kitetrail_core::{BoxId, TeamId, ZoneId, routing::RouterSettings, shard::ShardSettings};
+use kitetrail_core::{
+    BoxId, ByteSize, TeamId, ZoneId, routing::RouterSettings, shard::ShardSettings,
+};
 use serde::{Deserialize, Deserializer, de};
 use sha2::{Digest as _, Sha256};
 use thiserror::Error;
@@ -17,6 +19,9 @@
 /// The longest duration of a setting, in milliseconds: one day.
 const MAX_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// The least memory for bodies that are received before they are sent on. Several of the longest ones fit.
+const MIN_BUFFERED_MEMORY: ByteSize = ByteSize(1024 * 1024);
+
 /// An error in the settings.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -184,6 +189,8 @@
     pub max_header_bytes: usize,
     /// The maximum size of a request's body, in bytes.
     pub max_body_bytes: u64,
+    /// The memory for all bodies that are received before they are sent on.
+    pub max_buffered_memory_bytes: ByteSize,
     /// The number of requests that an endpoint runs concurrently.
     pub slots_per_endpoint: u32,
     /// The number of connections that an endpoint accepts from all boxes together.
@@ -207,6 +214,7 @@
             header_timeout_ms: ms(5_000),
             max_header_bytes: 16 * 1024,
             max_body_bytes: 1024 * 1024 * 1024,
+            max_buffered_memory_bytes: ByteSize(16 * 1024 * 1024),
             slots_per_endpoint: 8,
             connections_per_endpoint: 60,
             call_retention_ms: ms(3_600_000),
@@ -355,6 +363,9 @@
         if self.requests.max_header_bytes < 8 * 1024 {
             return Err("[requests] max_header_bytes must be at least 8192".to_owned());
         }
+        if self.requests.max_buffered_memory_bytes < MIN_BUFFERED_MEMORY {
+            return Err("[requests] max_buffered_memory_bytes must be at least 1048576".to_owned());
+        }
         Ok(())
     }
 }
