Jobs with numbers at the limits of their types don't end the owner

Callers saw 504 for everything after one valid job with the largest estimate: the owner's loop ends in a panic where overflow is checked (debug builds, tests); release builds computed wrong due times. As the job is stored, each successor meets it again.

Estimates are used up to a year; times of schedules, work left and slots saturate or are reckoned in 128 bits.

--- a/crates/kitetrail-core/src/jobs/job.rs
+++ b/crates/kitetrail-core/src/jobs/job.rs
@@ -77,6 +77,7 @@
         now: Time,
         unix_ms: u64,
     ) -> Self {
+        let spec = spec.with_bounded_estimates();
         let parts = ProgressParts::new(&spec, queue.max_attempts);
         let mut job = Self {
             id,
@@ -150,7 +151,7 @@
     /// Returns the time that the queue promises, in milliseconds from acceptance.
     pub(super) fn objective_ms(&self) -> u64 {
         let path_ms = self.spec.critical_path_ms() as f64;
-        (self.queue.stretch * path_ms) as u64 + self.queue.target_latency_ms
+        ((self.queue.stretch * path_ms) as u64).saturating_add(self.queue.target_latency_ms)
     }
 
     /// Returns the state shown to callers until the end of the job is persisted.
@@ -324,7 +325,8 @@
     pub(super) fn next_due_unix_ms(&self) -> Option<(u32, u64)> {
         let schedule = self.spec.schedule?;
         let next = self.occurrences.keys().next_back().map_or(self.done_before, |last| last + 1);
-        let due_ms = schedule.start_at_unix_ms + u64::from(next) * schedule.interval_ms;
+        let after_start_ms = u64::from(next).saturating_mul(schedule.interval_ms);
+        let due_ms = schedule.start_at_unix_ms.saturating_add(after_start_ms);
         (next < schedule.count.max(1)).then_some((next, due_ms))
     }
 
--- a/crates/kitetrail-core/src/jobs/scheduler/claimants.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/claimants.rs
@@ -252,9 +252,9 @@
     let steps = job.occurrences.values().flat_map(|each| job.spec.steps.iter().zip(&each.steps));
     let (mut done, mut total) = (0, 0);
     for (spec, step) in steps {
-        let work = spec.estimate_ms.max(1) * u64::from(spec.size.cpu_millis.0.max(1));
-        done += work * u64::from(step.done);
-        total += work * u64::from(spec.count);
+        let work = u128::from(spec.estimate_ms.max(1)) * u128::from(spec.size.cpu_millis.0.max(1));
+        done += work * u128::from(step.done);
+        total += work * u128::from(spec.count);
     }
     (done * 4).checked_div(total).unwrap_or(0) as u32
 }
--- a/crates/kitetrail-core/src/jobs/scheduler/preempting.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/preempting.rs
@@ -163,7 +163,7 @@
         let need = Need {
             priority: job.queue.priority,
             room: start_room(spec),
-            work_core_ms: work_ms * u64::from(spec.size.cpu_millis.0) / 1_000,
+            work_core_ms: work_ms.saturating_mul(spec.size.cpu_millis.0.into()) / 1_000,
             spare_time: if job.can_be_in_time(self.now + STOP_TIME) {
                 STOP_TIME
             } else {
--- a/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/short_tasks.rs
@@ -141,12 +141,15 @@
     /// many tasks of the given size find room.
     fn short_slots_and_places(&mut self, cpu_millis: u32) -> (u32, u32) {
         self.refresh_rooms();
-        let (mut slots, mut places) = (0, 0);
+        let (mut slots, mut places) = (0_u32, 0_u32);
         for instance in self.instances.values().filter(|instance| instance.accepts_work(self.now)) {
             let Some(free_capacity) = &instance.free_capacity else { continue };
             let free_millis = free_capacity.free.free.cpu_millis.0;
-            slots += self.short_tasks.slots_in(free_millis) + free_capacity.short_tasks;
-            places += free_millis / cpu_millis.max(1);
+            // Tasks that ask for little have any number of slots.
+            slots = slots
+                .saturating_add(self.short_tasks.slots_in(free_millis))
+                .saturating_add(free_capacity.short_tasks);
+            places = places.saturating_add(free_millis / cpu_millis.max(1));
         }
         (slots, places)
     }
--- a/crates/kitetrail-core/src/jobs/spec.rs
+++ b/crates/kitetrail-core/src/jobs/spec.rs
@@ -25,6 +25,10 @@
 /// the terms of the queue are stored in the same row.
 pub const MAX_JOB_BYTES: usize = 56 * 1_024;
 
+/// The longest estimate of a task's run time that is used, in milliseconds: a year. Sums over the steps of a job fit into
+/// all types of times.
+const MAX_ESTIMATE_MS: u64 = 365 * 24 * 60 * 60 * 1_000;
+
 /// Why a job is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum InvalidJob {
@@ -216,6 +220,14 @@
         }
     }
 
+    /// Limits the estimates to what is used of them. Callers may state any number.
+    pub(super) fn with_bounded_estimates(mut self) -> Self {
+        for step in &mut self.steps {
+            step.estimate_ms = step.estimate_ms.min(MAX_ESTIMATE_MS);
+        }
+        self
+    }
+
     /// Returns the size of the stored job specification, in bytes.
     pub fn stored_bytes(&self) -> usize {
         // The specification contains only strings and numbers, so serialisation can't fail.
