--- a/crates/kitetrail-core/src/jobs/scheduler/accepted_memory/tests.rs
+++ b/crates/kitetrail-core/src/jobs/scheduler/accepted_memory/tests.rs
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn a_queue_that_fills_the_memory_leaves_the_others_their_shares() {
+fn one_full_queue_leaves_the_others_their_shares() {
     let mut memory = AcceptedMemory::new(ByteSize(CAPACITY_BYTES as u64));
     assert_eq!(fill(&mut memory, "packs", SHORT_JOB_BYTES, 3), 32);
     assert_eq!(fill(&mut memory, "checks", SHORT_JOB_BYTES, 3), 21);
--- a/crates/kitetrail-standins/tests/system_crowds.rs
+++ b/crates/kitetrail-standins/tests/system_crowds.rs
@@ -20,7 +20,7 @@
 const MEMORY_MB: u64 = 128;
 /// The length of the bodies, the longest that is received before it is sent on.
 const BODY_BYTES: usize = 64 * 1_024;
-/// The time after which a client gives up a write or a response.
+/// The time after which a write or a response times out.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(30);
 
 fn exclusive() -> MutexGuard<'static, ()> {
--- a/crates/kitetraild/src/admission/body_receiver.rs
+++ b/crates/kitetraild/src/admission/body_receiver.rs
@@ -102,6 +102,18 @@
         received.unwrap_or(Err(BodyError::TooSlow(timeout)))
     }
 
+    /// Changes the memory of a request that was received, evicting bodies if the budget is used up. Returns `false`,
+    /// without a change, if the budget does not hold it.
+    pub fn resize(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        let mut receptions = self.receptions.borrow_mut();
+        while !reservation.try_resize(bytes) {
+            if !self.evict_one(&mut receptions, None, bytes) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn begin(&self) -> ReceptionGuard<'_> {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
@@ -128,13 +140,9 @@
         let buffer_bytes =
             length.next_power_of_two().clamp(MIN_BUFFER_BYTES, max_bytes.max(length));
         while !Self::try_grow(&mut receptions, id, buffer_bytes) {
-            let is_short = buffer_bytes <= SHORT_REQUEST_BYTES;
-            let victim = Self::choose_victim(&receptions, id, is_short);
-            let Some(victim) = victim.and_then(|victim| receptions.remove(&victim)) else {
+            if !self.evict_one(&mut receptions, Some(id), buffer_bytes) {
                 return Err(BodyError::NoMemory);
-            };
-            self.evictions.set(self.evictions.get() + 1);
-            victim.evicted.notify_one();
+            }
         }
         if let Some(reception) = receptions.get_mut(&id) {
             reception.contents.extend_from_slice(frame);
@@ -158,25 +166,32 @@
         true
     }
 
-    /// Returns the body that has held the most memory for the longest time without progress.
+    /// Evicts the body that has held the most memory for the longest time without progress, for a request of a given
+    /// size. Returns whether there was one.
     ///
     /// Long bodies are evicted first. A short body is only evicted for another short one.
-    fn choose_victim(
-        receptions: &BTreeMap<u64, Reception>,
-        id: u64,
-        is_short: bool,
-    ) -> Option<u64> {
+    fn evict_one(
+        &self,
+        receptions: &mut BTreeMap<u64, Reception>,
+        for_id: Option<u64>,
+        request_bytes: usize,
+    ) -> bool {
         let now = Instant::now();
-        let candidates = receptions.iter().filter(|&(&other, reception)| {
+        let is_short = request_bytes <= SHORT_REQUEST_BYTES;
+        let candidates = receptions.iter().filter(|&(&id, reception)| {
             let held = reception.reservation.bytes();
-            other != id && (held > SHORT_REQUEST_BYTES || is_short && held > 0)
+            Some(id) != for_id && (held > SHORT_REQUEST_BYTES || is_short && held > 0)
         });
         let waste = |reception: &Reception| {
             let idle = now.saturating_duration_since(reception.last_progress_at);
             let held = reception.reservation.bytes();
             (held > SHORT_REQUEST_BYTES, idle.as_micros() * held as u128)
         };
-        candidates.max_by_key(|(_, reception)| waste(reception)).map(|(&other, _)| other)
+        let victim = candidates.max_by_key(|(_, reception)| waste(reception)).map(|(&id, _)| id);
+        let Some(victim) = victim.and_then(|id| receptions.remove(&id)) else { return false };
+        self.evictions.set(self.evictions.get() + 1);
+        victim.evicted.notify_one();
+        true
     }
 }
 
--- a/crates/kitetraild/src/admission/body_receiver/tests.rs
+++ b/crates/kitetraild/src/admission/body_receiver/tests.rs
@@ -131,6 +131,27 @@
     });
 }
 
+#[test]
+fn stalled_long_bodies_are_evicted_for_a_request_that_grows_after_it_was_received() {
+    run(async {
+        let receiver = receiver();
+        let stalled = Frames::new(1, MAX_BYTES - 1, End::Stalled);
+        let stalled = async { receiver.receive(stalled, MAX_BYTES, LONG).await.is_err() };
+        let growing = async {
+            time::sleep(SHORT).await;
+            let body = Frames::new(1, 1_000, End::Complete);
+            let mut received = receiver.receive(body, MAX_BYTES, LONG).await.unwrap();
+            let long_share = CAPACITY_BYTES as usize * 3 / 4;
+            assert!(receiver.resize(&mut received.reservation, long_share));
+            assert!(!receiver.resize(&mut received.reservation, long_share + 1));
+            assert_eq!(reserved(&receiver), long_share as u64);
+        };
+        let (is_evicted, ()) = tokio::join!(stalled, growing);
+        assert!(is_evicted);
+        assert_eq!(reserved(&receiver), 0);
+    });
+}
+
 /// Awaits all futures, which make progress together.
 async fn futures_join(futures: impl Iterator<Item = impl Future<Output = ()>>) {
     let mut pending = futures.map(Box::pin).collect::<Vec<_>>();
--- a/crates/kitetraild/src/fleet/front.rs
+++ b/crates/kitetraild/src/fleet/front.rs
@@ -117,7 +117,7 @@
                 log::debug!("front: a connection ended with an error: {error}");
             }
         }
-        () = closed.closed() => log::info!("front: an idle connection is closed"),
+        () = closed.closed() => log::info!("front: an idle or stalled connection is closed"),
     }
 }
 
@@ -300,7 +300,7 @@
         }
     };
     drop(contents);
-    if !reservation.try_resize(spec.memory_bytes() * COPIES_OF_SPEC) {
+    if !shared.bodies.resize(&mut reservation, spec.memory_bytes() * COPIES_OF_SPEC) {
         return body_error_response(shared, job, &BodyError::NoMemory);
     }
     let waits_as_caller = shared.settings.parts.has(LoadPart::HandIn);
@@ -382,8 +382,8 @@
     }
 }
 
-/// Returns the response to a request whose body was not received or whose job can't be held in memory. The job was not
-/// passed on, so a refusal is final.
+/// Returns the response to a request whose body was not received or whose job can't be held in memory. Nothing of it was
+/// passed on, so it certainly did not run.
 fn body_error_response<P: Platform>(
     shared: &Shared<P>,
     job: JobId,
@@ -393,7 +393,7 @@
     log::info!(
         job = job.to_string(), why = error.to_string(), reserved_bytes = budget.reserved().0,
         capacity_bytes = budget.capacity().0;
-        "front: a body was not received"
+        "front: a job was not received"
     );
     closing(match error {
         BodyError::TooLong(_) => {
