End the process if one of its components panics

The components are now watched; the process ends with an error if one panics, other boxes take over as after a kill, and the platform starts it again. A component that ends without a panic is not an error. Unit test; no panic of a release build is known.

--- a/crates/kitetraild/src/daemon.rs
+++ b/crates/kitetraild/src/daemon.rs
@@ -13,7 +13,7 @@
     runtime,
     signal::unix::{Signal, SignalKind, signal},
     sync::mpsc,
-    task::LocalSet,
+    task::{JoinError, LocalSet},
 };
 
 use crate::{
@@ -45,6 +45,9 @@
     /// The metrics exporter can't be created.
     #[error("the metrics can't be set up: {0}")]
     Metrics(#[from] opentelemetry_sdk::error::OTelSdkError),
+    /// A component panicked that others depend on.
+    #[error("a component has panicked, the process must be restarted: {0}")]
+    ComponentPanicked(JoinError),
 }
 
 /// Runs the daemon until it receives a stop signal.
--- a/crates/kitetraild/src/fleet/run.rs
+++ b/crates/kitetraild/src/fleet/run.rs
@@ -1,7 +1,7 @@
 //! Starts the components of a box and shuts them down in order.
 
 use std::{
-    io,
+    future, io,
     rc::Rc,
     sync::{
         Arc,
@@ -15,7 +15,7 @@
     net::TcpListener,
     runtime,
     signal::unix::{Signal, SignalKind, signal},
-    task::{self, LocalSet},
+    task::{self, JoinSet, LocalSet},
     time,
 };
 
@@ -83,7 +83,7 @@
         load_parts = shared.settings.parts.to_string();
         "daemon: started, accepting requests on {callers}"
     );
-    spawn_components(&shared, listener, ready);
+    let mut components = spawn_components(&shared, listener, ready);
     task::spawn_local(report_dropped_lines(Rc::clone(&shared), left_out));
     loop {
         tokio::select! {
@@ -92,22 +92,45 @@
                 log::info!("daemon: SIGHUP ignored, settings are read only at startup");
             }
             _ = terminate.recv() => break,
+            error = component_panicked(&mut components) => return Err(error),
         }
     }
     stop(&shared).await;
     Ok(())
 }
 
-fn spawn_components<P: Platform>(shared: &Rc<Shared<P>>, listener: TcpListener, ready: ReadyFlag) {
-    task::spawn_local(peers::serve(Rc::clone(shared)));
-    task::spawn_local(config_watch::run(Rc::clone(shared)));
-    task::spawn_local(ownership::run(Rc::clone(shared)));
-    task::spawn_local(front::accept(Rc::clone(shared), listener));
-    task::spawn_local(front::close_stalled(Rc::clone(shared)));
+/// Starts the components, which run until the process ends.
+fn spawn_components<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    listener: TcpListener,
+    ready: ReadyFlag,
+) -> JoinSet<()> {
+    let mut components = JoinSet::new();
+    components.spawn_local(peers::serve(Rc::clone(shared)));
+    components.spawn_local(config_watch::run(Rc::clone(shared)));
+    components.spawn_local(ownership::run(Rc::clone(shared)));
+    components.spawn_local(front::accept(Rc::clone(shared), listener));
+    components.spawn_local(front::close_stalled(Rc::clone(shared)));
     if shared.settings.parts.has(LoadPart::OwnerRelief) {
-        task::spawn_local(speed_probe::run(Rc::clone(shared)));
+        components.spawn_local(speed_probe::run(Rc::clone(shared)));
+    }
+    components.spawn_local(publish_readiness(Rc::clone(shared), ready));
+    components
+}
+
+/// Waits until a component has panicked. The others can't do without it: a box whose owner is gone, for example, would
+/// still be pinged as the owner.
+async fn component_panicked(components: &mut JoinSet<()>) -> DaemonError {
+    loop {
+        match components.join_next().await {
+            Some(Err(error)) if error.is_panic() => {
+                log::error!("daemon: ending, a component has panicked: {error}");
+                return DaemonError::ComponentPanicked(error);
+            }
+            Some(_) => log::debug!("daemon: a component has ended"),
+            None => future::pending().await,
+        }
     }
-    task::spawn_local(publish_readiness(Rc::clone(shared), ready));
 }
 
 /// Counts the dropped log lines and reports them in the log.
@@ -184,3 +207,6 @@
 fn io_error(operation: &str, cause: io::Error) -> DaemonError {
     DaemonError::Io { operation: operation.to_owned(), cause }
 }
+
+#[cfg(test)]
+mod tests;
