Crowd tests raise their limit on descriptors; no boxed error on the request path

The crowds need some thousand descriptors, more than the usual soft limit of 1,024 (tried with it). The error of a body that can't be read is a text.

--- a/crates/kitetrail-standins/tests/system_crowds.rs
+++ b/crates/kitetrail-standins/tests/system_crowds.rs
@@ -14,6 +14,7 @@
     time::Duration,
 };
 
+use nix::sys::resource::{Resource, getrlimit, setrlimit};
 use system::TestCluster;
 
 /// The memory that a box may use, by the goal for control at full size, in megabytes.
@@ -28,8 +29,15 @@
     ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Raises the limit on descriptors of the test and of the processes that it starts to what the system allows.
+fn raise_descriptor_limit() {
+    let (_, most) = getrlimit(Resource::RLIMIT_NOFILE).unwrap();
+    setrlimit(Resource::RLIMIT_NOFILE, most, most).unwrap();
+}
+
 /// Starts a box with a service that echoes requests.
 fn start(test_id: u8) -> TestCluster {
+    raise_descriptor_limit();
     let mut cluster = TestCluster::new(test_id, 1, 1);
     cluster.start();
     cluster.create_service("validate", 1);
--- a/crates/kitetraild/src/admission/body_receiver.rs
+++ b/crates/kitetraild/src/admission/body_receiver.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    error::Error,
+    fmt::Display,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -33,7 +33,7 @@
     NoMemory,
     /// The connection failed.
     #[error("the body can't be read: {0}")]
-    Unreadable(Box<dyn Error + Send + Sync>),
+    Unreadable(String),
 }
 
 /// A complete body and the memory reserved for it.
@@ -92,7 +92,7 @@
     ) -> Result<ReceivedBody, BodyError>
     where
         B: Body<Data = Bytes> + Unpin,
-        B::Error: Into<Box<dyn Error + Send + Sync>>,
+        B::Error: Display,
     {
         if body.size_hint().lower() > max_bytes as u64 {
             return Err(BodyError::TooLong(max_bytes));
@@ -206,7 +206,7 @@
     async fn collect<B>(&self, mut body: B, max_bytes: usize) -> Result<ReceivedBody, BodyError>
     where
         B: Body<Data = Bytes> + Unpin,
-        B::Error: Into<Box<dyn Error + Send + Sync>>,
+        B::Error: Display,
     {
         loop {
             let frame = tokio::select! {
@@ -220,7 +220,7 @@
                         self.receiver.append(self.id, data.chunk(), max_bytes)?;
                     }
                 }
-                Some(Err(error)) => return Err(BodyError::Unreadable(error.into())),
+                Some(Err(error)) => return Err(BodyError::Unreadable(error.to_string())),
                 None => return self.finish(),
             }
         }
