Review: case 4, a gang is never started again after one crash of a worker

A worker crashes once, 0.15 s after the members of a gang have started there, and is back 4.5 s later.

Cause: each member that started within 300 ms of the crash has to run alone, which for a gang means that no other member may be on its worker.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,11 +6,11 @@
 
 mod boxes;
 mod crashes;
+mod gangs;
 mod graphs;
 mod http;
 mod images;
 mod json;
-mod long_tasks;
 mod record;
 mod services;
 mod site;
@@ -53,8 +53,8 @@
         "crashes" => crashes::play(&folder, with_trouble),
         "images" => images::play(&folder, with_trouble),
         "services" => services::play(&folder, with_trouble),
-        "long_tasks" => long_tasks::play(&folder, with_trouble),
         "graphs" => graphs::play(&folder, with_trouble),
+        "gangs" => gangs::play(&folder, with_trouble),
         _ => Verdict::NotRun,
     });
     match played.unwrap_or(Verdict::NotRun) {
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -14,7 +14,7 @@
     json::Json,
     record::Recorder,
     store::Store,
-    worker::{Behaviour, Behaviours, Machine},
+    worker::{Behaviour, Behaviours, Gangs, Machine},
 };
 
 pub const HOST: &str = "desk.example";
@@ -48,7 +48,7 @@
 
 impl Step {
     fn json(&self) -> Json {
-        let Behaviour { cpu, mem_mb, lasts, fills, .. } = self.behaviour;
+        let Behaviour { cpu, mem_mb, lasts, fills, gang, .. } = self.behaviour;
         let mut fields = vec![
             ("count", Json::number(self.count)),
             ("cpu", Json::number(cpu)),
@@ -58,6 +58,9 @@
         if lasts {
             fields.push(("long_running", Json::Bool(true)));
         }
+        if gang > 0 {
+            fields.push(("gang", Json::Bool(true)));
+        }
         if fills {
             fields.push(("fills", Json::Bool(true)));
         }
@@ -87,6 +90,7 @@
     pub store: Arc<Store>,
     pub store_server: Arc<Server>,
     pub behaviours: Arc<Behaviours>,
+    pub gangs: Arc<Gangs>,
     pub machines: Vec<Arc<Machine>>,
     pub boxes: Vec<BoxProcess>,
     directory: PathBuf,
@@ -106,6 +110,7 @@
             store,
             store_server,
             behaviours: Arc::default(),
+            gangs: Arc::default(),
             machines: Vec::new(),
             boxes: Vec::new(),
             directory,
@@ -129,7 +134,7 @@
             size,
             service,
             &self.store,
-            &self.behaviours,
+            (&self.behaviours, &self.gangs),
             &self.recorder,
         );
         self.machines.push(Arc::clone(&machine));
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -4,7 +4,7 @@
 //! that are repeated until `last_seen` reaches them, room, and a gauge for each run.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Condvar, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -29,6 +29,8 @@
 const MAX_LISTED_ENDS: usize = 500;
 /// A task that lasts is at work after a short start.
 const START_OF_LASTING: Duration = Duration::from_millis(400);
+/// How long a member of a gang waits for the others, as `gang_ms`.
+const GANG_WAIT: Duration = Duration::from_millis(3_000);
 
 /// What a task asks for and how it behaves, by job and step.
 #[derive(Debug, Clone, Default)]
@@ -41,8 +43,46 @@
     pub fills: bool,
     /// The lowest tail of its answers' times, for a task that serves; 0 for others.
     pub tail_ms: u64,
-    /// Whether each of its runs fails.
-    pub fails: bool,
+    /// The number of members if the tasks of the step are a gang, 0 otherwise.
+    pub gang: u64,
+}
+
+/// The runs of gangs, on all workers, by `JOB.K.STEP` and run.
+#[derive(Default)]
+pub struct Gangs(Mutex<BTreeMap<(String, u64), GangRun>>);
+
+/// A run of a gang.
+#[derive(Debug, Clone, Default)]
+struct GangRun {
+    present: BTreeSet<String>,
+    /// When the last member joined.
+    complete_at: Option<Instant>,
+    /// Whether a member ended otherwise than `done`.
+    is_broken: bool,
+}
+
+impl Gangs {
+    fn with<T>(&self, task: &str, run: u64, change: impl FnOnce(&mut GangRun) -> T) -> T {
+        let step = task.rsplit_once('.').map_or("", |(step, _)| step).to_owned();
+        change(self.0.lock().expect("lock").entry((step, run)).or_default())
+    }
+
+    fn join(&self, task: &str, run: u64, members: u64) {
+        self.with(task, run, |gang| {
+            gang.present.insert(task.to_owned());
+            if gang.present.len() as u64 == members {
+                gang.complete_at.get_or_insert(Instant::now());
+            }
+        });
+    }
+
+    fn leave(&self, task: &str, run: u64, how: &str) {
+        self.with(task, run, |gang| gang.is_broken |= how != "done");
+    }
+
+    fn state(&self, task: &str, run: u64) -> GangRun {
+        self.with(task, run, |gang| gang.clone())
+    }
 }
 
 /// The behaviour of all tasks, by `JOB.STEP`.
@@ -110,6 +150,7 @@
     service: String,
     store: Arc<Store>,
     behaviours: Arc<Behaviours>,
+    gangs: Arc<Gangs>,
     recorder: Arc<Recorder>,
     life: Mutex<Option<Life>>,
     changed: Condvar,
@@ -126,7 +167,7 @@
         (cpu, mem_mb): (u64, u64),
         service: &str,
         store: &Arc<Store>,
-        behaviours: &Arc<Behaviours>,
+        (behaviours, gangs): (&Arc<Behaviours>, &Arc<Gangs>),
         recorder: &Arc<Recorder>,
     ) -> Arc<Self> {
         let machine = Arc::new(Self {
@@ -137,6 +178,7 @@
             service: service.to_owned(),
             store: Arc::clone(store),
             behaviours: Arc::clone(behaviours),
+            gangs: Arc::clone(gangs),
             recorder: Arc::clone(recorder),
             life: Mutex::new(None),
             changed: Condvar::new(),
@@ -160,6 +202,9 @@
         let tasks = life.runs.iter().map(|(task, run)| format!("{task}/{}", run.run));
         let tasks = tasks.collect::<Vec<_>>().join(" ");
         self.recorder.note(&format!("worker {} on {} crashed with [{tasks}]", life.id, self.name));
+        for (task, run) in life.runs.iter().filter(|(_, run)| run.behaviour.gang > 0) {
+            self.gangs.leave(task, run.run, "crashed");
+        }
         self.changed.notify_all();
         if let Some(server) = self.server.lock().expect("lock").as_ref() {
             server.take_down();
@@ -275,7 +320,19 @@
             let how = match run.stops_at {
                 _ if has_lapsed => Some("lapsed"),
                 Some(at) if at <= now => Some("stopped"),
-                _ if run.behaviour.fails && run.done_ms >= 50.0 => Some("failed"),
+                _ if run.behaviour.gang > 0 => {
+                    let gang = self.gangs.state(task, run.run);
+                    let worked = gang.complete_at.map(|at| now.duration_since(at));
+                    run.done_ms = worked.map_or(0.0, |worked| worked.as_secs_f64() * 1_000.0);
+                    match worked {
+                        _ if gang.is_broken => Some("broken"),
+                        Some(worked) if worked.as_millis() as u64 >= run.behaviour.work_ms => {
+                            Some("done")
+                        }
+                        None if now.duration_since(run.started) >= GANG_WAIT => Some("alone"),
+                        _ => None,
+                    }
+                }
                 _ if !run.behaviour.lasts && run.done_ms >= run.behaviour.work_ms as f64 => {
                     Some("done")
                 }
@@ -298,6 +355,9 @@
         let number = life.last_end;
         life.ends.push(End { number, task: task.to_owned(), run: run.run, how });
         let lasts = run.behaviour.lasts;
+        if run.behaviour.gang > 0 {
+            self.gangs.leave(task, run.run, how);
+        }
         self.recorder.end(&life.id, task, run.run, how, lasts);
     }
 
@@ -355,6 +415,9 @@
                     pace_percent,
                     stops_at: None,
                 };
+                if run.behaviour.gang > 0 {
+                    self.gangs.join(&task, run.run, run.behaviour.gang);
+                }
                 life.runs.insert(task, run);
                 Some(accepted)
             }
