--- a/review/standin-2/gangs.rs
+++ b/review/standin-2/gangs.rs
@@ -7,8 +7,7 @@
 
 use crate::{
     Verdict,
-    crashes::wait_until,
-    site::{Queue, SERVICE, Site, Step},
+    site::{Queue, SERVICE, Site, Step, wait_until},
     worker::Behaviour,
 };
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,12 +5,12 @@
 //! `TROUBLE=0` it plays the same without the disruption.
 
 mod boxes;
-mod crashes;
 mod gangs;
 mod graphs;
 mod http;
 mod images;
 mod json;
+mod long_tasks;
 mod record;
 mod services;
 mod site;
@@ -50,7 +50,7 @@
         process::exit(2);
     });
     let played = panic::catch_unwind(|| match case.as_str() {
-        "crashes" => crashes::play(&folder, with_trouble),
+        "long_tasks" => long_tasks::play(&folder, with_trouble),
         "images" => images::play(&folder, with_trouble),
         "services" => services::play(&folder, with_trouble),
         "graphs" => graphs::play(&folder, with_trouble),
--- a/review/standin-2/services.rs
+++ b/review/standin-2/services.rs
@@ -13,8 +13,7 @@
 
 use crate::{
     Verdict,
-    crashes::wait_until,
-    site::{OTHER_SERVICE, Queue, SERVICE, Site, Step},
+    site::{OTHER_SERVICE, Queue, SERVICE, Site, Step, wait_until},
     worker::{Behaviour, Machine},
 };
 
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -5,7 +5,8 @@
     path::{Path, PathBuf},
     process,
     sync::Arc,
-    time::Duration,
+    thread,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -172,7 +173,7 @@
             if (200..300).contains(&status) {
                 break;
             }
-            std::thread::sleep(Duration::from_millis(300));
+            thread::sleep(Duration::from_millis(300));
         }
         status
     }
@@ -241,3 +242,15 @@
         ("limits", limits),
     ])
 }
+
+/// Waits until a condition holds. Returns whether it does in time.
+pub fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < limit {
+        if condition() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
