Review: case 7 with fewer tasks and more images that serve

Its steps now have two tasks instead of eight, and 20 jobs that last run instead of 12. What it shows and the cause are the same: the owner keeps a covariance of all images for each image that serves, and goes over its memory (rule Fault).

--- a/review/standin-2/images.rs
+++ b/review/standin-2/images.rs
@@ -37,10 +37,11 @@
 const MACHINES: u64 = 8;
 const BOXES: u8 = 3;
 /// The jobs whose tasks last, each with an image of its own and a task on each machine.
-const WATCHES: u64 = 12;
+const WATCHES: u64 = 20;
 const JOBS_PER_S: u64 = 10;
-/// The steps of a batch job. They depend on nothing, and each has a task for each machine.
+/// The steps of a batch job, which depend on nothing, and the tasks of each.
 const STEPS: u64 = 5;
+const TASKS: u64 = 2;
 const SHARED_IMAGES: u64 = 9;
 const PLAY: Duration = Duration::from_secs(105);
 /// The platform starts a process again after a short delay.
@@ -63,7 +64,7 @@
             count: MACHINES,
             estimate_ms: 500,
             behaviour: Behaviour {
-                cpu: 1_000,
+                cpu: 500,
                 mem_mb: 1_000,
                 lasts: true,
                 tail_ms: 10,
@@ -95,7 +96,7 @@
                 let number = handed_in * STEPS + step;
                 let number = if with_trouble { number } else { number % SHARED_IMAGES };
                 Step {
-                    count: MACHINES,
+                    count: TASKS,
                     estimate_ms: 200,
                     behaviour: Behaviour {
                         cpu: 200,
